--- /dev/null
+++ b/rig/src/engine/mod.rs
@@ -0,0 +1,10 @@
+//! Stand-in for a model engine: holds a layer range, batches, hands activations to the next stage
+//! and streams tokens.
+
+mod batcher;
+mod generate;
+mod holding;
+mod kv;
+mod server;
+
+pub use server::{EngineKnobs, EngineStandIn, LedgerEntry};
--- /dev/null
+++ b/rig/src/engine/server.rs
@@ -0,0 +1,385 @@
+//! The engine's HTTP interface and state.
+
+use crate::engine::batcher::{StepBatcher, StepCost};
+use crate::engine::generate::{StageFault, generate, run_stage};
+use crate::engine::holding::StageHolding;
+use crate::engine::kv::KvCache;
+use crate::web::json_response;
+use arbutusmount::{
+    ActivationRequest, AttemptNumber, CancelRequest, ConnectionCount, ConnectionPool, EngineOrder,
+    EngineReport, GenerateRequest, InstanceId, LayerRange, RequestId, StreamRecord, TokenPosition,
+    encode_event, serve_http, sse_response,
+};
+use async_std::channel::{Receiver, bounded};
+use async_std::net::TcpListener;
+use async_std::task;
+use serde::{Deserialize, Serialize};
+use std::collections::{HashSet, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tide::{Request, Response, StatusCode};
+
+/// Events buffered for the router.
+const STREAM_EVENTS: usize = 64;
+/// Ledger entries kept.
+const LEDGER_ENTRIES: usize = 200_000;
+/// Cancelled attempts remembered.
+const CANCELLED_ATTEMPTS: usize = 10_000;
+/// Period of recording load, from which lagged reports are served.
+const REPORT_PERIOD: Duration = Duration::from_millis(20);
+/// Load records kept.
+const REPORT_RECORDS: usize = 1_000;
+
+/// Behaviour of an engine; all of it can be changed while it runs, but the step times.
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+#[serde(default)]
+pub struct EngineKnobs {
+    /// Time of one layer for a batch of one, in microseconds.
+    pub layer_micros: u64,
+    /// Additional time of one layer for each further item of a batch, in microseconds.
+    pub item_micros: u64,
+    /// Time of one layer for each token to prefill, in microseconds.
+    pub prefill_micros: u64,
+    /// Largest batch.
+    pub max_batch: usize,
+    /// Tokens that the key-value cache holds.
+    pub kv_tokens: u64,
+    /// Factor on step times, in per cent.
+    pub slow_percent: u64,
+    /// Delay of each hand-over to the next stage, in milliseconds.
+    pub link_ms: u64,
+    /// Age of load reports, in milliseconds.
+    pub report_lag_ms: u64,
+    /// True to refuse orders that carry an old fencing number.
+    pub honours_fencing: bool,
+    /// True to refuse new requests.
+    pub refuse: bool,
+    /// True to say in reports that the engine is leaving.
+    pub leaving: bool,
+    /// Exit at once when a prompt contains this text; empty for never.
+    pub crash_marker: Arc<str>,
+}
+
+impl Default for EngineKnobs {
+    fn default() -> Self {
+        Self {
+            layer_micros: 300,
+            item_micros: 20,
+            prefill_micros: 2,
+            max_batch: 32,
+            kv_tokens: 1 << 20,
+            slow_percent: 100,
+            link_ms: 0,
+            report_lag_ms: 0,
+            honours_fencing: true,
+            refuse: false,
+            leaving: false,
+            crash_marker: Arc::from(""),
+        }
+    }
+}
+
+/// One stage step that an engine has run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct LedgerEntry {
+    /// Request.
+    pub request: RequestId,
+    /// Attempt.
+    pub attempt: AttemptNumber,
+    /// Token position.
+    pub position: TokenPosition,
+    /// Layers run.
+    pub layers: LayerRange,
+}
+
+/// Cancelled attempts, bounded: the oldest are forgotten first.
+#[derive(Debug, Default)]
+struct CancelledSet {
+    known: HashSet<(RequestId, AttemptNumber)>,
+    order: VecDeque<(RequestId, AttemptNumber)>,
+}
+
+struct EngineInner {
+    instance: InstanceId,
+    knobs: Mutex<EngineKnobs>,
+    batcher: StepBatcher,
+    holding: StageHolding,
+    pool: Arc<ConnectionPool>,
+    cache: Mutex<KvCache>,
+    ledger: Mutex<VecDeque<LedgerEntry>>,
+    cancelled: Mutex<CancelledSet>,
+    reports: Mutex<VecDeque<(Instant, EngineReport)>>,
+}
+
+/// A stand-in engine; cheap to clone.
+#[derive(Clone)]
+pub struct EngineStandIn(Arc<EngineInner>);
+
+impl std::fmt::Debug for EngineStandIn {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_tuple("EngineStandIn")
+            .field(&self.0.instance)
+            .finish()
+    }
+}
+
+impl EngineStandIn {
+    /// Creates an engine that loads its weights from `weights`.
+    pub fn new(instance: InstanceId, weights: Option<SocketAddr>, knobs: EngineKnobs) -> Self {
+        let pool = ConnectionPool::new(Duration::from_millis(500), 256);
+        let batcher = StepBatcher::start(StepCost {
+            layer_micros: knobs.layer_micros,
+            item_micros: knobs.item_micros,
+            prefill_micros: knobs.prefill_micros,
+            max_batch: knobs.max_batch,
+        });
+        batcher.set_slow(knobs.slow_percent);
+        Self(Arc::new(EngineInner {
+            instance,
+            batcher,
+            holding: StageHolding::new(weights, Arc::clone(&pool)),
+            pool,
+            cache: Mutex::new(KvCache::new(knobs.kv_tokens)),
+            knobs: Mutex::new(knobs),
+            ledger: Mutex::default(),
+            cancelled: Mutex::default(),
+            reports: Mutex::default(),
+        }))
+    }
+
+    /// Serves on `listener` until the task is cancelled.
+    ///
+    /// # Errors
+    /// Only when the listener is closed.
+    pub async fn serve(self, listener: TcpListener) -> io::Result<()> {
+        task::spawn(record_load(self.clone()));
+        let mut app = tide::with_state(self);
+        app.at("/v1/generate").post(answer_generate);
+        app.at("/v1/activation").post(answer_activation);
+        app.at("/v1/cancel").post(answer_cancel);
+        app.at("/v1/orders").post(answer_order);
+        app.at("/v1/report")
+            .get(|request: Request<Self>| async move {
+                Ok(json_response(
+                    StatusCode::Ok,
+                    &request.state().lagged_report(),
+                ))
+            });
+        app.at("/v1/ledger")
+            .get(|request: Request<Self>| async move {
+                Ok(json_response(StatusCode::Ok, &request.state().ledger()))
+            });
+        app.at("/admin/knobs").post(answer_knobs);
+        serve_http(listener, app, ConnectionCount::default()).await
+    }
+
+    /// Stage steps run so far, oldest first.
+    ///
+    /// # Panics
+    /// Only after another thread has panicked while holding the ledger.
+    pub fn ledger(&self) -> Vec<LedgerEntry> {
+        let ledger = self.0.ledger.lock().expect("ledger lock is never poisoned");
+        ledger.iter().copied().collect()
+    }
+
+    pub(super) fn instance(&self) -> &InstanceId {
+        &self.0.instance
+    }
+
+    pub(super) fn batcher(&self) -> &StepBatcher {
+        &self.0.batcher
+    }
+
+    pub(super) fn holding(&self) -> &StageHolding {
+        &self.0.holding
+    }
+
+    pub(super) fn pool(&self) -> &Arc<ConnectionPool> {
+        &self.0.pool
+    }
+
+    pub(super) fn link_delay(&self) -> Duration {
+        Duration::from_millis(self.knobs().link_ms)
+    }
+
+    pub(super) fn fault(&self, cause: &str) -> StageFault {
+        StageFault {
+            instance: self.0.instance.clone(),
+            cause: Arc::from(cause),
+        }
+    }
+
+    pub(super) fn extend_cache(&self, request: RequestId, context_tokens: u32) -> u32 {
+        let mut cache = self.0.cache.lock().expect("cache lock is never poisoned");
+        cache.extend(request, context_tokens)
+    }
+
+    pub(super) fn record(&self, entry: LedgerEntry) {
+        let mut ledger = self.0.ledger.lock().expect("ledger lock is never poisoned");
+        if ledger.len() == LEDGER_ENTRIES {
+            ledger.pop_front();
+        }
+        ledger.push_back(entry);
+    }
+
+    pub(super) fn is_cancelled(&self, request: RequestId, attempt: AttemptNumber) -> bool {
+        let cancelled = self
+            .0
+            .cancelled
+            .lock()
+            .expect("cancel lock is never poisoned");
+        cancelled.known.contains(&(request, attempt))
+    }
+
+    fn cancel(&self, cancel: CancelRequest) {
+        let mut cancelled = self
+            .0
+            .cancelled
+            .lock()
+            .expect("cancel lock is never poisoned");
+        let attempt = (cancel.request, cancel.attempt);
+        if cancelled.known.insert(attempt) {
+            cancelled.order.push_back(attempt);
+        }
+        if cancelled.order.len() > CANCELLED_ATTEMPTS
+            && let Some(oldest) = cancelled.order.pop_front()
+        {
+            cancelled.known.remove(&oldest);
+        }
+    }
+
+    fn knobs(&self) -> EngineKnobs {
+        self.0
+            .knobs
+            .lock()
+            .expect("knob lock is never poisoned")
+            .clone()
+    }
+
+    fn report(&self) -> EngineReport {
+        let (queued, running) = self.0.batcher.load();
+        let cost = self.0.batcher.cost();
+        let stages = self.0.holding.stages();
+        let layers = stages
+            .first()
+            .map_or(0, |stage| u64::from(stage.layers.len()));
+        EngineReport {
+            stages,
+            queued,
+            running,
+            step_micros: layers * cost.layer_micros,
+            item_micros: layers * cost.item_micros,
+            max_batch: cost.max_batch as u32,
+            age_ms: 0,
+            leaving: self.knobs().leaving,
+        }
+    }
+
+    fn lagged_report(&self) -> EngineReport {
+        let lag = Duration::from_millis(self.knobs().report_lag_ms);
+        let reports = self
+            .0
+            .reports
+            .lock()
+            .expect("report lock is never poisoned");
+        let old_enough = |(time, _): &&(Instant, EngineReport)| time.elapsed() >= lag;
+        let found = reports
+            .iter()
+            .rev()
+            .find(old_enough)
+            .or_else(|| reports.front());
+        match found {
+            Some((time, report)) if !lag.is_zero() => EngineReport {
+                age_ms: time.elapsed().as_millis() as u64,
+                ..report.clone()
+            },
+            _ => {
+                drop(reports);
+                self.report()
+            }
+        }
+    }
+}
+
+async fn record_load(engine: EngineStandIn) {
+    loop {
+        let report = engine.report();
+        {
+            let mut reports = engine
+                .0
+                .reports
+                .lock()
+                .expect("report lock is never poisoned");
+            if reports.len() == REPORT_RECORDS {
+                reports.pop_front();
+            }
+            reports.push_back((Instant::now(), report));
+        };
+        task::sleep(REPORT_PERIOD).await;
+    }
+}
+
+async fn answer_generate(mut request: Request<EngineStandIn>) -> tide::Result {
+    let wanted: GenerateRequest = request.body_json().await?;
+    let engine = request.state().clone();
+    let knobs = engine.knobs();
+    if !knobs.crash_marker.is_empty() && wanted.prompt.contains(&*knobs.crash_marker) {
+        std::process::exit(70);
+    }
+    let layers = wanted.work.chain.first().map(|stage| stage.layers);
+    let runs = layers.is_some_and(|layers| engine.holding().can_run(&wanted.work, layers));
+    if knobs.refuse || !runs {
+        return Ok(Response::new(StatusCode::ServiceUnavailable));
+    }
+    let (sender, receiver) = bounded(STREAM_EVENTS);
+    task::spawn(generate(engine, wanted, sender));
+    Ok(sse_response(futures_lite::stream::unfold(receiver, next_event)).into())
+}
+
+async fn next_event(
+    receiver: Receiver<StreamRecord>,
+) -> Option<(io::Result<Vec<u8>>, Receiver<StreamRecord>)> {
+    let record = receiver.recv().await.ok()?;
+    let data = serde_json::to_string(&record).expect("records serialize");
+    Some((Ok(encode_event(&data)), receiver))
+}
+
+async fn answer_activation(mut request: Request<EngineStandIn>) -> tide::Result {
+    let activation: ActivationRequest = request.body_json().await?;
+    match run_stage(request.state(), activation).await {
+        Ok(reply) => Ok(json_response(StatusCode::Ok, &reply)),
+        Err(fault) => Ok(json_response(StatusCode::BadGateway, &fault)),
+    }
+}
+
+async fn answer_cancel(mut request: Request<EngineStandIn>) -> tide::Result {
+    let cancel: CancelRequest = request.body_json().await?;
+    request.state().cancel(cancel);
+    Ok(json_response(StatusCode::Ok, &serde_json::json!({})))
+}
+
+async fn answer_order(mut request: Request<EngineStandIn>) -> tide::Result {
+    let order: EngineOrder = request.body_json().await?;
+    let engine = request.state();
+    let reply = engine
+        .holding()
+        .order(&order, engine.knobs().honours_fencing);
+    Ok(json_response(StatusCode::Ok, &reply))
+}
+
+async fn answer_knobs(mut request: Request<EngineStandIn>) -> tide::Result {
+    let changes: serde_json::Map<String, serde_json::Value> = request.body_json().await?;
+    let engine = request.state();
+    let mut knobs = engine.0.knobs.lock().expect("knob lock is never poisoned");
+    let mut value = serde_json::to_value(&*knobs)?;
+    for (name, change) in changes {
+        value[name] = change;
+    }
+    *knobs = serde_json::from_value(value)?;
+    engine.0.batcher.set_slow(knobs.slow_percent);
+    Ok(json_response(StatusCode::Ok, &*knobs))
+}
--- /dev/null
+++ b/rig/src/fleet/mod.rs
@@ -0,0 +1,14 @@
+//! Starts fleets of real processes on loopback: platform, engines, services and daemons.
+
+mod layout;
+mod ports;
+mod process;
+mod running;
+
+pub use layout::{
+    AGENT_TOKEN, DaemonSeat, FleetSpec, OPERATOR_TOKEN, ProgramPaths, TEAM_TOKEN,
+    sample_declaration,
+};
+pub use ports::free_address;
+pub use process::ProcessHandle;
+pub use running::{ProcessFleet, wait_until};
--- /dev/null
+++ b/rig/src/platform/gateway.rs
@@ -0,0 +1,160 @@
+//! The key-value service's JSON gateway.
+
+use crate::platform::server::PlatformStandIn;
+use arbutusmount::{
+    LeaseGrantReply, LeaseGrantRequest, LeaseKeepAliveReply, LeaseRequest, RangeRequest,
+    TxnRequest, WatchFrame, WatchReply, WatchRequest, WireEvent, WireInt, decode_bytes,
+};
+use async_std::channel::Receiver;
+use futures_lite::AsyncRead;
+use http_types::Body;
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tide::{Request, Response, StatusCode};
+
+type GatewayRequest = Request<PlatformStandIn>;
+
+/// Adds the gateway's routes.
+pub(super) fn add_routes(app: &mut tide::Server<PlatformStandIn>) {
+    app.at("/v3/kv/range").post(answer_range);
+    app.at("/v3/kv/txn").post(answer_txn);
+    app.at("/v3/lease/grant").post(answer_grant);
+    app.at("/v3/lease/keepalive").post(answer_keep_alive);
+    app.at("/v3/lease/revoke").post(answer_revoke);
+    app.at("/v3/watch").post(answer_watch);
+}
+
+async fn answer_range(mut request: GatewayRequest) -> tide::Result {
+    let range: RangeRequest = request.body_json().await?;
+    let platform = request.state();
+    let refused = platform.admit("range", false).await;
+    if let Some(response) = refused {
+        return Ok(response);
+    }
+    let reply = platform.keys().range(&range, platform.knobs().stale_reads);
+    platform.reply(&reply).await
+}
+
+async fn answer_txn(mut request: GatewayRequest) -> tide::Result {
+    let txn: TxnRequest = request.body_json().await?;
+    let platform = request.state();
+    if let Some(response) = platform.admit("txn", true).await {
+        return Ok(response);
+    }
+    let reply = platform.keys().txn(&txn);
+    match reply {
+        Some(reply) => platform.reply(&reply).await,
+        None => Ok(Response::new(StatusCode::BadRequest)),
+    }
+}
+
+async fn answer_grant(mut request: GatewayRequest) -> tide::Result {
+    let grant: LeaseGrantRequest = request.body_json().await?;
+    let platform = request.state();
+    if let Some(response) = platform.admit("grant", true).await {
+        return Ok(response);
+    }
+    let ttl = Duration::from_secs(grant.ttl.0.unsigned_abs());
+    let id = WireInt(platform.keys().grant(ttl));
+    platform
+        .reply(&LeaseGrantReply { id, ttl: grant.ttl })
+        .await
+}
+
+async fn answer_keep_alive(mut request: GatewayRequest) -> tide::Result {
+    let renew: LeaseRequest = request.body_json().await?;
+    let platform = request.state();
+    if let Some(response) = platform.admit("keepalive", true).await {
+        return Ok(response);
+    }
+    let ttl = platform.keys().keep_alive(renew.id.0);
+    let ttl = WireInt(ttl.as_secs().cast_signed());
+    let result = LeaseGrantReply { id: renew.id, ttl };
+    platform.reply(&LeaseKeepAliveReply { result }).await
+}
+
+async fn answer_revoke(mut request: GatewayRequest) -> tide::Result {
+    let revoke: LeaseRequest = request.body_json().await?;
+    let platform = request.state();
+    if let Some(response) = platform.admit("revoke", true).await {
+        return Ok(response);
+    }
+    platform.keys().revoke(revoke.id.0);
+    platform.reply(&serde_json::json!({})).await
+}
+
+async fn answer_watch(mut request: GatewayRequest) -> tide::Result {
+    let watch: WatchRequest = request.body_json().await?;
+    let platform = request.state();
+    if let Some(response) = platform.admit("watch", false).await {
+        return Ok(response);
+    }
+    let create = watch.create_request;
+    let Some(key) = decode_bytes(&create.key) else {
+        return Ok(Response::new(StatusCode::BadRequest));
+    };
+    let (events, header) = {
+        let mut keys = platform.keys();
+        (keys.watch(key, create.start_revision.0), keys.header())
+    };
+    let created = WatchReply {
+        header,
+        created: true,
+        events: Vec::new(),
+    };
+    let body = WatchBody {
+        events,
+        pending: encode_frame(created),
+        platform: platform.clone(),
+    };
+    let mut response = Response::new(StatusCode::Ok);
+    response.set_body(Body::from_reader(
+        futures_lite::io::BufReader::new(body),
+        None,
+    ));
+    Ok(response)
+}
+
+fn encode_frame(result: WatchReply) -> Vec<u8> {
+    let mut line = serde_json::to_vec(&WatchFrame { result }).expect("frames serialize");
+    line.push(b'\n');
+    line
+}
+
+/// Body of a watch: one line for each change; ends when the store has an outage.
+struct WatchBody {
+    events: Receiver<WireEvent>,
+    pending: Vec<u8>,
+    platform: PlatformStandIn,
+}
+
+impl AsyncRead for WatchBody {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        if self.pending.is_empty() {
+            let event = match futures_lite::Stream::poll_next(Pin::new(&mut self.events), cx) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(None) => return Poll::Ready(Ok(0)),
+                Poll::Ready(Some(event)) => event,
+            };
+            if self.platform.knobs().outage {
+                return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+            }
+            let header = self.platform.keys().header();
+            self.pending = encode_frame(WatchReply {
+                header,
+                created: false,
+                events: vec![event],
+            });
+        }
+        let count = buf.len().min(self.pending.len());
+        buf[..count].copy_from_slice(&self.pending[..count]);
+        self.pending.drain(..count);
+        Poll::Ready(Ok(count))
+    }
+}
--- /dev/null
+++ b/rig/src/service.rs
@@ -0,0 +1,140 @@
+//! Stand-in for a plain service: runs calls and keeps a ledger of runs by idempotency key.
+
+use crate::web::json_response;
+use arbutusmount::{ConnectionCount, serve_http};
+use async_std::net::TcpListener;
+use async_std::task;
+use serde::{Deserialize, Serialize};
+use std::io;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tide::{Request, Response, StatusCode};
+
+/// Behaviour of a service; can be changed while it runs.
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize, Deserialize)]
+#[serde(default)]
+pub struct ServiceKnobs {
+    /// Time from the arrival of a call to its run, in milliseconds.
+    pub before_ms: u64,
+    /// Time from the run of a call to its reply, in milliseconds.
+    pub after_ms: u64,
+    /// Exit the process before running a call.
+    pub die_before: bool,
+    /// Exit the process after running a call, before its reply.
+    pub die_after: bool,
+    /// Refuse calls with status 503 without running them.
+    pub refuse: bool,
+}
+
+/// One run of a call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct RunRecord {
+    /// Idempotency key, empty when the call had none.
+    pub key: String,
+    /// Method.
+    pub method: String,
+    /// Path.
+    pub path: String,
+    /// Body.
+    pub body: String,
+}
+
+#[derive(Debug, Default)]
+struct ServiceInner {
+    knobs: Mutex<ServiceKnobs>,
+    ledger: Mutex<Vec<RunRecord>>,
+}
+
+/// A stand-in service; cheap to clone.
+#[derive(Debug, Clone, Default)]
+pub struct ServiceStandIn(Arc<ServiceInner>);
+
+impl ServiceStandIn {
+    /// Creates a service.
+    pub fn new(knobs: ServiceKnobs) -> Self {
+        let inner = ServiceInner {
+            knobs: Mutex::new(knobs),
+            ledger: Mutex::default(),
+        };
+        Self(Arc::new(inner))
+    }
+
+    /// Serves on `listener` until the task is cancelled.
+    ///
+    /// # Errors
+    /// Only when the listener is closed.
+    pub async fn serve(self, listener: TcpListener) -> io::Result<()> {
+        let mut app = tide::with_state(self);
+        app.at("/admin/ledger")
+            .get(|request: Request<Self>| async move {
+                let ledger = request
+                    .state()
+                    .0
+                    .ledger
+                    .lock()
+                    .expect("ledger lock is never poisoned");
+                Ok(json_response(StatusCode::Ok, &*ledger))
+            });
+        app.at("/admin/knobs")
+            .post(|mut request: Request<Self>| async move {
+                let knobs: ServiceKnobs = request.body_json().await?;
+                *request
+                    .state()
+                    .0
+                    .knobs
+                    .lock()
+                    .expect("knob lock is never poisoned") = knobs;
+                Ok(json_response(StatusCode::Ok, &serde_json::json!({})))
+            });
+        app.at("/*path").all(run_call);
+        serve_http(listener, app, ConnectionCount::default()).await
+    }
+
+    fn knobs(&self) -> ServiceKnobs {
+        self.0
+            .knobs
+            .lock()
+            .expect("knob lock is never poisoned")
+            .clone()
+    }
+
+    /// Adds a run to the ledger and returns its number, from 1.
+    fn record(&self, record: RunRecord) -> usize {
+        let mut ledger = self.0.ledger.lock().expect("ledger lock is never poisoned");
+        ledger.push(record);
+        ledger.len()
+    }
+}
+
+async fn run_call(mut request: Request<ServiceStandIn>) -> tide::Result {
+    let body = request.body_string().await?;
+    let service = request.state().clone();
+    let knobs = service.knobs();
+    if knobs.refuse {
+        return Ok(Response::new(StatusCode::ServiceUnavailable));
+    }
+    task::sleep(Duration::from_millis(knobs.before_ms)).await;
+    if knobs.die_before {
+        std::process::exit(70);
+    }
+    let key = request
+        .header("idempotency-key")
+        .map(|values| values.last().as_str());
+    let record = RunRecord {
+        key: key.unwrap_or_default().to_owned(),
+        method: request.method().to_string(),
+        path: request.url().path().to_owned(),
+        body,
+    };
+    let reply = serde_json::json!({ "key": record.key, "path": record.path });
+    let run = service.record(record);
+    if knobs.die_after {
+        std::process::exit(70);
+    }
+    task::sleep(Duration::from_millis(knobs.after_ms)).await;
+    let mut reply = reply;
+    reply["run"] = run.into();
+    Ok(json_response(StatusCode::Ok, &reply))
+}
--- /dev/null
+++ b/src/api/mod.rs
@@ -0,0 +1,13 @@
+//! HTTP interface for callers and operators.
+
+mod addresses;
+mod auth;
+mod chat;
+mod health;
+mod operator;
+mod services;
+mod wire;
+
+pub use addresses::{AddressAnswer, AddressRow};
+pub use operator::{ConfirmReply, ModelStatus, PlanRequest, StatusReply};
+pub use wire::{ChatChoice, ChatMessage, ChatRequest, ChatResponse, ChatUsage, IncompleteMessage};
--- /dev/null
+++ b/src/config/declaration.rs
@@ -0,0 +1,215 @@
+//! What operators declare: models, services and teams.
+
+use crate::check::{CheckError, CheckFault, FieldKind, FieldRule, check_document};
+use crate::ids::{ModelId, ServiceId, TeamId, VersionId};
+use serde::{Deserialize, Serialize};
+use std::collections::HashSet;
+use std::hash::Hash;
+use std::sync::Arc;
+
+/// Result of reading a declaration; the error lists every fault found.
+pub type Result<T> = std::result::Result<T, Vec<CheckError>>;
+
+/// Everything that operators declare, as one JSON document.
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct FleetDeclaration {
+    /// Models to serve.
+    #[serde(default)]
+    pub models: Vec<ModelSpec>,
+    /// Plain services to route to.
+    #[serde(default)]
+    pub services: Vec<ServiceSpec>,
+    /// Teams that may call.
+    #[serde(default)]
+    pub teams: Vec<TeamSpec>,
+}
+
+/// One model in one version.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct ModelSpec {
+    /// Model name, as callers give it.
+    pub model: ModelId,
+    /// Version to serve.
+    pub version: VersionId,
+    /// Number of layers.
+    pub layers: u32,
+    /// Size of one layer's weights, in bytes.
+    pub layer_bytes: u64,
+    /// Number of complete copies of the model to keep loaded.
+    pub replicas: u32,
+    /// Number of complete copies that must stay available during a change.
+    #[serde(default = "default_floor")]
+    pub floor: u32,
+}
+
+fn default_floor() -> u32 {
+    1
+}
+
+/// One plain service.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct ServiceSpec {
+    /// Service name, the first path segment under `/services/`.
+    pub service: ServiceId,
+    /// HTTP methods whose calls may be repeated; all others need an idempotency key.
+    #[serde(default = "default_repeatable")]
+    pub repeatable: Vec<Arc<str>>,
+    /// True when targets refuse orders that carry an old fencing number.
+    #[serde(default)]
+    pub honours_fencing: bool,
+}
+
+fn default_repeatable() -> Vec<Arc<str>> {
+    vec![Arc::from("GET"), Arc::from("HEAD")]
+}
+
+/// One team and its limits.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct TeamSpec {
+    /// Team name.
+    pub team: TeamId,
+    /// SHA-256 digest of the team's bearer token, hexadecimal.
+    pub token_sha256: Arc<str>,
+    /// Priority class, 0 is the most important.
+    #[serde(default)]
+    pub priority: u8,
+    /// Share of capacity relative to other teams when demand exceeds supply.
+    #[serde(default = "default_weight")]
+    pub weight: u32,
+    /// Limit on prompt plus generated tokens a second; absent means none.
+    #[serde(default)]
+    pub tokens_per_second: Option<f64>,
+    /// Models the team may use; empty means all.
+    #[serde(default)]
+    pub models: Vec<ModelId>,
+    /// Services the team may use; empty means all.
+    #[serde(default)]
+    pub services: Vec<ServiceId>,
+}
+
+fn default_weight() -> u32 {
+    1
+}
+
+impl TeamSpec {
+    /// True when the team may use `model`.
+    pub fn may_use_model(&self, model: &ModelId) -> bool {
+        self.models.is_empty() || self.models.contains(model)
+    }
+
+    /// True when the team may use `service`.
+    pub fn may_use_service(&self, service: &ServiceId) -> bool {
+        self.services.is_empty() || self.services.contains(service)
+    }
+}
+
+/// Largest number of layers in one model.
+const MAX_LAYERS: u64 = 1_024;
+/// Largest number of copies of one model.
+const MAX_REPLICAS: u64 = 100_000;
+/// Lowest priority class.
+const MAX_PRIORITY: u64 = 9;
+
+const MODEL_TABLE: &[FieldRule] = &[
+    FieldRule::required("model", FieldKind::Id),
+    FieldRule::required("version", FieldKind::Id),
+    FieldRule::required("layers", FieldKind::Number(1, MAX_LAYERS)),
+    FieldRule::required("layer_bytes", FieldKind::Number(1, u64::MAX)),
+    FieldRule::required("replicas", FieldKind::Number(0, MAX_REPLICAS)),
+    FieldRule::optional("floor", FieldKind::Number(0, MAX_REPLICAS)),
+];
+
+const METHODS: FieldKind =
+    FieldKind::Choice(&["GET", "HEAD", "PUT", "POST", "PATCH", "DELETE", "OPTIONS"]);
+
+const SERVICE_TABLE: &[FieldRule] = &[
+    FieldRule::required("service", FieldKind::Id),
+    FieldRule::optional("repeatable", FieldKind::List(&METHODS)),
+    FieldRule::optional("honours_fencing", FieldKind::Flag),
+];
+
+const TEAM_TABLE: &[FieldRule] = &[
+    FieldRule::required("team", FieldKind::Id),
+    FieldRule::required("token_sha256", FieldKind::Digest),
+    FieldRule::optional("priority", FieldKind::Number(0, MAX_PRIORITY)),
+    FieldRule::optional("weight", FieldKind::Number(1, 1_000_000)),
+    FieldRule::optional("tokens_per_second", FieldKind::Rate),
+    FieldRule::optional("models", FieldKind::List(&FieldKind::Id)),
+    FieldRule::optional("services", FieldKind::List(&FieldKind::Id)),
+];
+
+const DECLARATION_TABLE: &[FieldRule] = &[
+    FieldRule::optional("models", FieldKind::List(&FieldKind::Object(MODEL_TABLE))),
+    FieldRule::optional(
+        "services",
+        FieldKind::List(&FieldKind::Object(SERVICE_TABLE)),
+    ),
+    FieldRule::optional("teams", FieldKind::List(&FieldKind::Object(TEAM_TABLE))),
+];
+
+impl FleetDeclaration {
+    /// Reads a declaration from JSON text.
+    ///
+    /// # Errors
+    /// Every fault of the document, each with its JSON path.
+    pub fn parse(text: &str) -> Result<Self> {
+        let value = check_document(text, DECLARATION_TABLE)?;
+        let declaration: Self = serde_json::from_value(value)
+            .map_err(|cause| vec![conflict("$".to_owned(), cause.to_string())])?;
+        let errors = declaration.find_conflicts();
+        if errors.is_empty() {
+            Ok(declaration)
+        } else {
+            Err(errors)
+        }
+    }
+
+    fn find_conflicts(&self) -> Vec<CheckError> {
+        let mut errors = Vec::new();
+        let models = self.models.iter().map(|spec| &spec.model);
+        find_repeats("models", "model", models, &mut errors);
+        let services = self.services.iter().map(|spec| &spec.service);
+        find_repeats("services", "service", services, &mut errors);
+        find_repeats(
+            "teams",
+            "team",
+            self.teams.iter().map(|spec| &spec.team),
+            &mut errors,
+        );
+        let digests = self.teams.iter().map(|spec| &spec.token_sha256);
+        find_repeats("teams", "token_sha256", digests, &mut errors);
+        for (index, spec) in self.models.iter().enumerate() {
+            if spec.floor > spec.replicas {
+                let path = format!("$.models[{index}].floor");
+                errors.push(conflict(path, "must not exceed replicas".to_owned()));
+            }
+        }
+        errors
+    }
+}
+
+fn find_repeats<T: Eq + Hash>(
+    list: &str,
+    field: &str,
+    values: impl Iterator<Item = T>,
+    errors: &mut Vec<CheckError>,
+) {
+    let mut seen = HashSet::new();
+    for (index, value) in values.enumerate() {
+        if !seen.insert(value) {
+            let path = format!("$.{list}[{index}].{field}");
+            errors.push(conflict(path, "is used more than once".to_owned()));
+        }
+    }
+}
+
+fn conflict(path: String, cause: String) -> CheckError {
+    CheckError {
+        path,
+        fault: CheckFault::Conflict(cause),
+    }
+}
--- /dev/null
+++ b/src/kernel/context.rs
@@ -0,0 +1,77 @@
+//! What all plug-ins share.
+
+use crate::config::ConfigCell;
+use crate::engine::EngineClient;
+use crate::http::ConnectionPool;
+use crate::kernel::{LifecycleCell, MonoClock, TimerService};
+use crate::peer::PeerTransport;
+use crate::platform::{InstanceClient, InstanceTable};
+use crate::routing::TargetTable;
+use crate::settings::DaemonSettings;
+use crate::store::StoreClient;
+use crate::telemetry::{MetricSet, TraceSink};
+use std::sync::Arc;
+
+/// Shared state of one daemon. Fields are read-mostly and safe to use from any thread.
+#[derive(Debug)]
+pub struct KernelContext {
+    /// Settings read at start.
+    pub settings: DaemonSettings,
+    /// Monotonic clock.
+    pub clock: MonoClock,
+    /// Timer service.
+    pub timers: TimerService,
+    /// Metrics.
+    pub metrics: MetricSet,
+    /// Spans.
+    pub traces: TraceSink,
+    /// Client connections.
+    pub pool: Arc<ConnectionPool>,
+    /// Key-value service.
+    pub store: StoreClient,
+    /// Instance list client.
+    pub instance_client: InstanceClient,
+    /// Newest instance list.
+    pub instances: InstanceTable,
+    /// Model engines.
+    pub engines: EngineClient,
+    /// Configuration in force.
+    pub config: ConfigCell,
+    /// State of the engines as this daemon sees it.
+    pub targets: TargetTable,
+    /// Messages to other daemons.
+    pub peers: PeerTransport,
+    /// Phase and requests in progress.
+    pub lifecycle: Arc<LifecycleCell>,
+}
+
+impl KernelContext {
+    /// Builds the context of a daemon with these settings.
+    pub fn new(settings: DaemonSettings) -> Arc<Self> {
+        let clock = MonoClock::start();
+        let timing = &settings.timing;
+        let pool = ConnectionPool::new(timing.connect(), settings.bounds.idle_connections);
+        let platform = &settings.platform;
+        let store = StoreClient::new(Arc::clone(&pool), platform.store, timing.store());
+        let instance_client =
+            InstanceClient::new(Arc::clone(&pool), platform.instances, timing.store());
+        let engines = EngineClient::new(Arc::clone(&pool), timing.engine_head());
+        let peers = PeerTransport::new(&settings.peer_key, timing.connect());
+        Arc::new(Self {
+            clock,
+            timers: TimerService::new(clock),
+            metrics: MetricSet::new(),
+            traces: TraceSink::new(&settings),
+            store,
+            instance_client,
+            instances: InstanceTable::default(),
+            engines,
+            config: ConfigCell::new(),
+            targets: TargetTable::default(),
+            peers,
+            lifecycle: Arc::default(),
+            pool,
+            settings,
+        })
+    }
+}
--- /dev/null
+++ b/src/kernel/daemon.rs
@@ -0,0 +1,119 @@
+//! Starts a daemon: context, plug-ins, listeners; and stops it gracefully.
+
+use crate::http::{ConnectionCount, serve_http};
+use crate::kernel::{KernelContext, PluginError, PluginHost};
+use crate::peer::serve_peers;
+use crate::settings::DaemonSettings;
+use async_std::net::TcpListener;
+use async_std::task::{self, JoinHandle};
+use std::fmt;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Result of starting a daemon.
+pub type Result<T> = std::result::Result<T, DaemonError>;
+
+/// Why a daemon could not start.
+#[derive(Debug)]
+pub enum DaemonError {
+    /// A listening address could not be bound.
+    Listen(io::Error),
+    /// A plug-in could not be installed.
+    Plugin(PluginError),
+    /// Signals could not be registered.
+    Signal(io::Error),
+}
+
+impl fmt::Display for DaemonError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Listen(cause) => write!(f, "cannot listen: {cause}"),
+            Self::Plugin(cause) => write!(f, "cannot install a plug-in: {cause}"),
+            Self::Signal(cause) => write!(f, "cannot handle signals: {cause}"),
+        }
+    }
+}
+
+impl std::error::Error for DaemonError {}
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct DaemonHandle {
+    context: Arc<KernelContext>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+/// Period of checking whether draining is complete.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+impl DaemonHandle {
+    /// The daemon's shared context.
+    pub fn context(&self) -> &Arc<KernelContext> {
+        &self.context
+    }
+
+    /// Leaves the address answer, waits until kept answers have expired and requests in progress
+    /// are done, then stops listening.
+    pub async fn drain(self) {
+        if self.context.lifecycle.mark_draining() {
+            log::info!("draining: leaving the address answer");
+        }
+        task::sleep(Duration::from_millis(
+            self.context.settings.timing.address_ms,
+        ))
+        .await;
+        while self.context.lifecycle.in_progress() > 0 {
+            task::sleep(DRAIN_POLL).await;
+        }
+        for job in self.tasks {
+            job.cancel().await;
+        }
+        log::info!("drained: no request in progress");
+    }
+}
+
+/// Starts a daemon with every registered plug-in.
+///
+/// # Errors
+/// [`DaemonError`] when a listening address is taken or a plug-in fails to install.
+pub async fn start_daemon(settings: DaemonSettings) -> Result<DaemonHandle> {
+    let listener = TcpListener::bind(settings.listen)
+        .await
+        .map_err(DaemonError::Listen)?;
+    let peer_listener = TcpListener::bind(settings.peer_listen)
+        .await
+        .map_err(DaemonError::Listen)?;
+    let context = KernelContext::new(settings);
+    let mut host = PluginHost::new(Arc::clone(&context));
+    host.install_all().map_err(DaemonError::Plugin)?;
+    let PluginHost { app, handlers, .. } = host;
+    let http = task::spawn(async move {
+        if let Err(cause) = serve_http(listener, app, ConnectionCount::default()).await {
+            log::error!("HTTP listener closed: {cause}");
+        }
+    });
+    let peer_key = Arc::clone(&context.settings.peer_key);
+    let peers = task::spawn(serve_peers(peer_listener, peer_key, Arc::new(handlers)));
+    let settings = &context.settings;
+    log::info!("{} listens on {}", settings.instance, settings.listen);
+    Ok(DaemonHandle {
+        context,
+        tasks: vec![http, peers],
+    })
+}
+
+/// Runs a daemon until SIGTERM or SIGINT, then drains it.
+///
+/// # Errors
+/// [`DaemonError`] when the daemon could not start.
+pub async fn run_daemon(settings: DaemonSettings) -> Result<()> {
+    use futures_lite::StreamExt;
+    use signal_hook::consts::{SIGINT, SIGTERM};
+    let mut signals =
+        signal_hook_async_std::Signals::new([SIGTERM, SIGINT]).map_err(DaemonError::Signal)?;
+    let handle = start_daemon(settings).await?;
+    signals.next().await;
+    handle.drain().await;
+    Ok(())
+}
--- /dev/null
+++ b/src/kernel/lifecycle.rs
@@ -0,0 +1,81 @@
+//! Phase of the daemon's life, read by every part.
+
+use std::fmt;
+use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
+
+/// Phase of a daemon's life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DaemonPhase {
+    /// No configuration yet; requests are refused.
+    Starting,
+    /// Serving.
+    Ready,
+    /// Shutting down: out of the address answer, still serving.
+    Draining,
+}
+
+impl fmt::Display for DaemonPhase {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Starting => "starting",
+            Self::Ready => "ready",
+            Self::Draining => "draining",
+        })
+    }
+}
+
+const STARTING: u8 = 0;
+const READY: u8 = 1;
+const DRAINING: u8 = 2;
+
+/// Current phase and the number of requests in progress.
+#[derive(Debug, Default)]
+pub struct LifecycleCell {
+    phase: AtomicU8,
+    in_progress: AtomicUsize,
+}
+
+impl LifecycleCell {
+    /// The current phase.
+    pub fn phase(&self) -> DaemonPhase {
+        match self.phase.load(Ordering::Acquire) {
+            STARTING => DaemonPhase::Starting,
+            READY => DaemonPhase::Ready,
+            _ => DaemonPhase::Draining,
+        }
+    }
+
+    /// Moves from starting to ready; true when this call did so.
+    pub fn mark_ready(&self) -> bool {
+        let order = Ordering::AcqRel;
+        self.phase
+            .compare_exchange(STARTING, READY, order, Ordering::Acquire)
+            .is_ok()
+    }
+
+    /// Starts draining; true when this call did so.
+    pub fn mark_draining(&self) -> bool {
+        self.phase.swap(DRAINING, Ordering::AcqRel) != DRAINING
+    }
+
+    /// Counts a request as in progress until the guard is dropped.
+    pub fn enter(self: &std::sync::Arc<Self>) -> ProgressGuard {
+        self.in_progress.fetch_add(1, Ordering::AcqRel);
+        ProgressGuard(std::sync::Arc::clone(self))
+    }
+
+    /// Requests in progress.
+    pub fn in_progress(&self) -> usize {
+        self.in_progress.load(Ordering::Acquire)
+    }
+}
+
+/// Counts one request as in progress while it lives.
+#[derive(Debug)]
+pub struct ProgressGuard(std::sync::Arc<LifecycleCell>);
+
+impl Drop for ProgressGuard {
+    fn drop(&mut self) {
+        self.0.in_progress.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/src/kernel/mod.rs
@@ -0,0 +1,13 @@
+//! The kernel: shared context, timer service and the plug-ins that register themselves.
+
+mod context;
+mod daemon;
+mod lifecycle;
+mod plugin;
+mod timer;
+
+pub use context::KernelContext;
+pub use daemon::{DaemonError, DaemonHandle, run_daemon, start_daemon};
+pub use lifecycle::{DaemonPhase, LifecycleCell};
+pub use plugin::{PluginEntry, PluginError, PluginHost, WebApp};
+pub use timer::{MonoClock, TimerJob, TimerService, TimerSpec};
--- /dev/null
+++ b/src/membership/mod.rs
@@ -0,0 +1,3 @@
+//! Which daemons and targets there are, and which daemons a team should use.
+
+mod listing;
--- /dev/null
+++ b/src/operator/run.rs
@@ -0,0 +1,176 @@
+//! Runs the commands of the command line.
+
+use crate::api::{ChatMessage, ChatRequest, PlanRequest};
+use crate::check::CheckError;
+use crate::config::{FleetDeclaration, FleetPlan, digest_token};
+use crate::operator::client::Result;
+use crate::operator::{AskRequest, OperatorClient, OperatorCommand, OperatorError};
+use crate::settings::DaemonSettings;
+use std::fmt::Write as _;
+use std::io::Write as _;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+
+/// Runs a command, writing its result to standard output. `token` authenticates it.
+///
+/// # Errors
+/// [`OperatorError`], to be shown to the person who gave the command.
+pub async fn run_command(command: OperatorCommand, token: &str) -> Result<()> {
+    let client = OperatorClient::new(token);
+    match command {
+        OperatorCommand::Help(text) => print(text),
+        OperatorCommand::Version => {
+            print(concat!("arbutusmount ", env!("CARGO_PKG_VERSION"), "\n"))
+        }
+        OperatorCommand::CheckSettings(file) => {
+            DaemonSettings::parse(&read_file(&file)?).map_err(|errors| list_errors(&errors))?;
+            print("settings are valid\n")
+        }
+        OperatorCommand::CheckDeclaration(file) => {
+            FleetDeclaration::parse(&read_file(&file)?).map_err(|errors| list_errors(&errors))?;
+            print("declaration is valid\n")
+        }
+        OperatorCommand::Plan {
+            daemon,
+            author,
+            file,
+            out,
+        } => {
+            let plan = make_plan(&client, daemon, author, &file).await?;
+            show_plan(&plan, out.as_deref())
+        }
+        OperatorCommand::Confirm { daemon, file } => {
+            let plan: FleetPlan = serde_json::from_str(&read_file(&file)?)
+                .map_err(|cause| OperatorError::Invalid(format!("not a plan: {cause}")))?;
+            let reply = client.confirm(daemon, &plan).await?;
+            print(&format!("in effect at revision {}\n", reply.revision))
+        }
+        OperatorCommand::Status { daemon } => print_json(&client.status(daemon).await?),
+        OperatorCommand::Addresses { daemon } => print_json(&client.addresses(daemon).await?),
+        OperatorCommand::Ask {
+            daemon,
+            model,
+            max_tokens,
+            seed,
+            text,
+        } => {
+            let message = ChatMessage {
+                role: Arc::from("user"),
+                content: Arc::from(text),
+            };
+            let chat = ChatRequest {
+                model,
+                messages: vec![message],
+                max_tokens,
+                max_completion_tokens: None,
+                stream: true,
+                seed,
+            };
+            ask(&client, daemon, &AskRequest { chat }).await
+        }
+        OperatorCommand::Digest => print_digest(),
+    }
+}
+
+async fn make_plan(
+    client: &OperatorClient,
+    daemon: SocketAddr,
+    author: String,
+    file: &Path,
+) -> Result<FleetPlan> {
+    let declaration =
+        FleetDeclaration::parse(&read_file(file)?).map_err(|errors| list_errors(&errors))?;
+    client
+        .plan(
+            daemon,
+            &PlanRequest {
+                author: Arc::from(author),
+                declaration,
+            },
+        )
+        .await
+}
+
+fn show_plan(plan: &FleetPlan, out: Option<&Path>) -> Result<()> {
+    let Some(out) = out else {
+        return print_json(plan);
+    };
+    let text = serde_json::to_string_pretty(plan).expect("plans serialize");
+    std::fs::write(out, text).map_err(|cause| file_error(out, &cause))?;
+    let mut summary = format!(
+        "plan {} against revision {}\n",
+        plan.document.plan, plan.base
+    );
+    for change in &plan.changes {
+        let line = serde_json::to_string(change).expect("changes serialize");
+        writeln!(summary, "  {line}").expect("writing to memory succeeds");
+    }
+    let cost = &plan.cost;
+    let (bytes, seconds) = (cost.weight_bytes, cost.load_seconds);
+    let engines = cost.engines_loading;
+    writeln!(
+        summary,
+        "cost: {bytes} bytes, {seconds:.1} s, {engines} engines loading"
+    )
+    .expect("writing to memory succeeds");
+    print(&summary)
+}
+
+/// Asks for addresses first, then connects to one of them, trying the others if that fails.
+async fn ask(client: &OperatorClient, daemon: SocketAddr, ask: &AskRequest) -> Result<()> {
+    let answer = client.addresses(daemon).await?;
+    let mut addresses: Vec<SocketAddr> = answer.addresses.iter().map(|row| row.address).collect();
+    fastrand::shuffle(&mut addresses);
+    addresses.push(daemon);
+    let mut outcome = Err(OperatorError::Incomplete("no daemon to ask".to_owned()));
+    for address in addresses {
+        let show = |text: &str| {
+            // A closed standard output ends the command at its end, not in mid-answer.
+            if print(text).is_err() {}
+        };
+        outcome = client.ask(address, ask, show).await;
+        let not_sent = |cause: &OperatorError| {
+            matches!(
+                cause,
+                OperatorError::Send(crate::http::SendError::NotSent(_))
+            )
+        };
+        if !outcome.as_ref().is_err_and(not_sent) {
+            break;
+        }
+    }
+    outcome?;
+    print("\n")
+}
+
+fn print_digest() -> Result<()> {
+    let mut token = String::new();
+    let read = std::io::stdin().read_line(&mut token);
+    read.map_err(|cause| OperatorError::File(cause.to_string()))?;
+    print(&format!("{}\n", digest_token(token.trim())))
+}
+
+fn print(text: &str) -> Result<()> {
+    let mut out = std::io::stdout().lock();
+    let written = out.write_all(text.as_bytes()).and_then(|()| out.flush());
+    written.map_err(|cause| OperatorError::File(cause.to_string()))
+}
+
+fn print_json<T: serde::Serialize>(value: &T) -> Result<()> {
+    let text = serde_json::to_string_pretty(value).expect("replies serialize");
+    print(&format!("{text}\n"))
+}
+
+fn read_file(path: &Path) -> Result<String> {
+    std::fs::read_to_string(path).map_err(|cause| file_error(path, &cause))
+}
+
+fn file_error(path: &Path, cause: &std::io::Error) -> OperatorError {
+    OperatorError::File(format!("{}: {cause}", path.display()))
+}
+
+fn list_errors(errors: &[CheckError]) -> OperatorError {
+    let lines: Vec<String> = errors.iter().map(ToString::to_string).collect();
+    OperatorError::Invalid(lines.join("\n"))
+}
--- /dev/null
+++ b/src/peer/mod.rs
@@ -0,0 +1,14 @@
+//! Messages between daemons: length-delimited frames of protocol buffers over TCP.
+
+mod frame;
+mod handlers;
+mod handshake;
+mod link;
+mod listener;
+mod transport;
+
+pub use frame::{FrameKind, PeerFrame, PeerTopic};
+pub use handlers::PeerHandlers;
+pub use handshake::HandshakeError;
+pub use listener::serve_peers;
+pub use transport::{PeerError, PeerTransport};
--- /dev/null
+++ b/src/reconcile/mod.rs
@@ -0,0 +1,7 @@
+//! Keeps the engines in the declared state: one daemon at a time holds the reconciler's lease and
+//! sends absolute, repeatable orders that carry its fencing number.
+
+mod leader;
+mod orders;
+
+pub use leader::{LeaderCell, LeaderState};
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,242 @@
+//! Daemon settings: a checked JSON file that each process reads once at start.
+
+use crate::check::{CheckError, CheckFault, FieldKind, FieldRule, check_document};
+use crate::ids::{DomainId, InstanceId};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Result of reading settings; the error lists every fault found.
+pub type Result<T> = std::result::Result<T, Vec<CheckError>>;
+
+/// Settings of one daemon.
+///
+/// ```
+/// let text = r#"{
+///     "instance": "router-1", "failure_domain": "bangna",
+///     "listen": "127.0.0.1:7001", "peer_listen": "127.0.0.1:7101",
+///     "platform": {"store": "127.0.0.1:2379", "instances": "127.0.0.1:2379"},
+///     "peer_key": "a shared secret", "operator_token_sha256":
+///     "0000000000000000000000000000000000000000000000000000000000000000"
+/// }"#;
+/// let settings = arbutusmount::DaemonSettings::parse(text).expect("valid settings");
+/// assert_eq!(settings.instance.as_str(), "router-1");
+/// ```
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+pub struct DaemonSettings {
+    /// Name of this instance, unique on the platform.
+    pub instance: InstanceId,
+    /// Failure domain that this instance runs in.
+    pub failure_domain: DomainId,
+    /// Address that callers and operators connect to.
+    pub listen: SocketAddr,
+    /// Address that other daemons connect to.
+    pub peer_listen: SocketAddr,
+    /// Addresses of the platform's services.
+    pub platform: PlatformSettings,
+    /// Secret shared by all daemons; authenticates connections between them.
+    pub peer_key: Arc<str>,
+    /// SHA-256 digest of the operators' bearer token, hexadecimal.
+    pub operator_token_sha256: Arc<str>,
+    /// Timeouts and periods.
+    #[serde(default)]
+    pub timing: TimingSettings,
+    /// Bounds on memory and request size.
+    #[serde(default)]
+    pub bounds: BoundSettings,
+    /// Logging.
+    #[serde(default)]
+    pub log: LogSettings,
+    /// Trace export; absent when spans are not exported.
+    #[serde(default)]
+    pub traces: Option<TraceSettings>,
+}
+
+/// Addresses of the platform's services.
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+pub struct PlatformSettings {
+    /// Key-value service.
+    pub store: SocketAddr,
+    /// Instance list.
+    pub instances: SocketAddr,
+}
+
+/// Timeouts and periods, in milliseconds.
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+#[serde(default)]
+pub struct TimingSettings {
+    /// Time allowed for connecting to a target.
+    pub connect_ms: u64,
+    /// Time allowed for one call to the store.
+    pub store_ms: u64,
+    /// Time allowed until an engine starts to answer a call.
+    pub engine_head_ms: u64,
+    /// Period of reading the instance list.
+    pub instances_ms: u64,
+    /// Period of reading load reports.
+    pub load_ms: u64,
+    /// Period of heartbeats between daemons.
+    pub heartbeat_ms: u64,
+    /// Longest time from accepting a model request to its last token.
+    pub request_ms: u64,
+    /// Lifetime of an answer to the address question.
+    pub address_ms: u64,
+}
+
+impl Default for TimingSettings {
+    fn default() -> Self {
+        Self {
+            connect_ms: 300,
+            store_ms: 1_000,
+            engine_head_ms: 2_000,
+            instances_ms: 500,
+            load_ms: 1_000,
+            heartbeat_ms: 400,
+            request_ms: 120_000,
+            address_ms: 5_000,
+        }
+    }
+}
+
+impl TimingSettings {
+    /// Time allowed for connecting to a target.
+    pub fn connect(&self) -> Duration {
+        Duration::from_millis(self.connect_ms)
+    }
+
+    /// Time allowed until an engine starts to answer a call.
+    pub fn engine_head(&self) -> Duration {
+        Duration::from_millis(self.engine_head_ms)
+    }
+
+    /// Time allowed for one call to the store.
+    pub fn store(&self) -> Duration {
+        Duration::from_millis(self.store_ms)
+    }
+}
+
+/// Bounds on memory and request size.
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+#[serde(default)]
+pub struct BoundSettings {
+    /// Largest request body accepted, in bytes.
+    pub body_bytes: usize,
+    /// Requests in progress at once.
+    pub requests: usize,
+    /// Events buffered for one slow caller before its stream is slowed.
+    pub stream_events: usize,
+    /// Idle connections kept for each target.
+    pub idle_connections: usize,
+}
+
+impl Default for BoundSettings {
+    fn default() -> Self {
+        Self {
+            body_bytes: 1 << 20,
+            requests: 4_096,
+            stream_events: 64,
+            idle_connections: 64,
+        }
+    }
+}
+
+/// Logging settings.
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+#[serde(default)]
+pub struct LogSettings {
+    /// Level: `error`, `warn`, `info` or `debug`.
+    pub level: Arc<str>,
+    /// Form: `text` or `json`.
+    pub form: Arc<str>,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self {
+            level: Arc::from("info"),
+            form: Arc::from("text"),
+        }
+    }
+}
+
+/// Trace export settings.
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+pub struct TraceSettings {
+    /// Address of an OTLP/HTTP collector.
+    pub collector: SocketAddr,
+}
+
+/// Longest period or timeout accepted, in milliseconds.
+const MAX_MS: u64 = 3_600_000;
+const MILLIS: FieldKind = FieldKind::Number(1, MAX_MS);
+
+const PLATFORM_TABLE: &[FieldRule] = &[
+    FieldRule::required("store", FieldKind::Address),
+    FieldRule::required("instances", FieldKind::Address),
+];
+
+const TIMING_TABLE: &[FieldRule] = &[
+    FieldRule::optional("connect_ms", MILLIS),
+    FieldRule::optional("store_ms", MILLIS),
+    FieldRule::optional("engine_head_ms", MILLIS),
+    FieldRule::optional("instances_ms", MILLIS),
+    FieldRule::optional("load_ms", MILLIS),
+    FieldRule::optional("heartbeat_ms", MILLIS),
+    FieldRule::optional("request_ms", MILLIS),
+    FieldRule::optional("address_ms", MILLIS),
+];
+
+const BOUND_TABLE: &[FieldRule] = &[
+    FieldRule::optional("body_bytes", FieldKind::Number(1_024, 1 << 26)),
+    FieldRule::optional("requests", FieldKind::Number(1, 1 << 20)),
+    FieldRule::optional("stream_events", FieldKind::Number(1, 1 << 16)),
+    FieldRule::optional("idle_connections", FieldKind::Number(0, 1 << 12)),
+];
+
+const LOG_TABLE: &[FieldRule] = &[
+    FieldRule::optional(
+        "level",
+        FieldKind::Choice(&["error", "warn", "info", "debug"]),
+    ),
+    FieldRule::optional("form", FieldKind::Choice(&["text", "json"])),
+];
+
+const TRACE_TABLE: &[FieldRule] = &[FieldRule::required("collector", FieldKind::Address)];
+
+const SETTINGS_TABLE: &[FieldRule] = &[
+    FieldRule::required("instance", FieldKind::Id),
+    FieldRule::required("failure_domain", FieldKind::Id),
+    FieldRule::required("listen", FieldKind::Address),
+    FieldRule::required("peer_listen", FieldKind::Address),
+    FieldRule::required("platform", FieldKind::Object(PLATFORM_TABLE)),
+    FieldRule::required("peer_key", FieldKind::Text),
+    FieldRule::required("operator_token_sha256", FieldKind::Digest),
+    FieldRule::optional("timing", FieldKind::Object(TIMING_TABLE)),
+    FieldRule::optional("bounds", FieldKind::Object(BOUND_TABLE)),
+    FieldRule::optional("log", FieldKind::Object(LOG_TABLE)),
+    FieldRule::optional("traces", FieldKind::Object(TRACE_TABLE)),
+];
+
+impl DaemonSettings {
+    /// Reads settings from JSON text.
+    ///
+    /// # Errors
+    /// Every fault of the document, each with its JSON path.
+    pub fn parse(text: &str) -> Result<Self> {
+        let value = check_document(text, SETTINGS_TABLE)?;
+        serde_json::from_value(value).map_err(|cause| {
+            let fault = CheckFault::Conflict(cause.to_string());
+            vec![CheckError {
+                path: "$".to_owned(),
+                fault,
+            }]
+        })
+    }
+}
--- /dev/null
+++ b/src/store/client.rs
@@ -0,0 +1,322 @@
+//! Typed calls to the key-value service.
+
+use crate::http::{ConnectionPool, HttpCall, SendError};
+use crate::ids::LeaseId;
+use crate::store::watch::StoreWatch;
+use crate::store::wire::{
+    CompareClause, KeyValue, LeaseGrantReply, LeaseGrantRequest, LeaseKeepAliveReply, LeaseRequest,
+    RangeReply, RangeRequest, TxnOperation, TxnReply, TxnRequest, WatchCreate, WatchRequest,
+    WireInt, decode_bytes, encode_bytes,
+};
+use http_types::Method;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+/// Result of a call to the store.
+pub type Result<T> = std::result::Result<T, StoreError>;
+
+/// Why a call to the store failed, by whether it may have taken effect.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StoreError {
+    /// The call took no effect: it was not sent, or the store refused it.
+    NoEffect(String),
+    /// The call may have taken effect, now or later.
+    UnknownEffect(String),
+}
+
+impl fmt::Display for StoreError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NoEffect(cause) => write!(f, "store call took no effect: {cause}"),
+            Self::UnknownEffect(cause) => write!(f, "store call may have taken effect: {cause}"),
+        }
+    }
+}
+
+impl std::error::Error for StoreError {}
+
+impl From<SendError> for StoreError {
+    fn from(cause: SendError) -> Self {
+        match cause {
+            SendError::NotSent(cause) => Self::NoEffect(cause),
+            other => Self::UnknownEffect(other.to_string()),
+        }
+    }
+}
+
+/// A key's value with its revision.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoreRecord {
+    /// Key.
+    pub key: String,
+    /// Value.
+    pub value: Vec<u8>,
+    /// Revision that last changed the key.
+    pub revision: u64,
+    /// Lease that the key is attached to, if any.
+    pub lease: Option<LeaseId>,
+}
+
+impl StoreRecord {
+    pub(super) fn from_wire(kv: &KeyValue) -> Result<Self> {
+        let malformed = || StoreError::UnknownEffect("malformed base64 in reply".to_owned());
+        let key = decode_bytes(&kv.key).ok_or_else(malformed)?;
+        Ok(Self {
+            key: String::from_utf8_lossy(&key).into_owned(),
+            value: decode_bytes(&kv.value).ok_or_else(malformed)?,
+            revision: kv.mod_revision.0.cast_unsigned(),
+            lease: (kv.lease.0 != 0).then_some(LeaseId(kv.lease.0)),
+        })
+    }
+}
+
+/// What a compare-and-swap expects of the key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ExpectedRevision {
+    /// The key does not exist.
+    Absent,
+    /// The key was last changed at this revision.
+    Exactly(u64),
+}
+
+impl ExpectedRevision {
+    fn to_wire(self) -> WireInt {
+        match self {
+            Self::Absent => WireInt(0),
+            Self::Exactly(revision) => WireInt(revision.cast_signed()),
+        }
+    }
+}
+
+/// Outcome of a compare-and-swap that the store has answered.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SwapOutcome {
+    /// The value was written at this revision.
+    Swapped(u64),
+    /// The key was not as expected; its present record, if it exists.
+    Conflict(Option<StoreRecord>),
+}
+
+/// Client of the key-value service; cheap to clone.
+#[derive(Debug, Clone)]
+pub struct StoreClient {
+    pool: Arc<ConnectionPool>,
+    address: SocketAddr,
+    timeout: Duration,
+    calls: Arc<AtomicU64>,
+}
+
+impl StoreClient {
+    /// Creates a client. `timeout` bounds each call.
+    pub fn new(pool: Arc<ConnectionPool>, address: SocketAddr, timeout: Duration) -> Self {
+        Self {
+            pool,
+            address,
+            timeout,
+            calls: Arc::default(),
+        }
+    }
+
+    /// Number of calls made so far.
+    pub fn calls(&self) -> u64 {
+        self.calls.load(Ordering::Relaxed)
+    }
+
+    /// Reads one key.
+    ///
+    /// # Errors
+    /// [`StoreError`] when the store did not answer.
+    pub async fn get(&self, key: &str) -> Result<Option<StoreRecord>> {
+        let range = RangeRequest {
+            key: encode_bytes(key.as_bytes()),
+            ..RangeRequest::default()
+        };
+        let records = self.read_range(&range).await?;
+        Ok(records.into_iter().next())
+    }
+
+    /// Reads all keys that start with `prefix`.
+    ///
+    /// # Errors
+    /// [`StoreError`] when the store did not answer.
+    pub async fn list(&self, prefix: &str) -> Result<Vec<StoreRecord>> {
+        let range = RangeRequest {
+            key: encode_bytes(prefix.as_bytes()),
+            range_end: encode_bytes(&prefix_end(prefix)),
+        };
+        self.read_range(&range).await
+    }
+
+    /// Writes `value` when the key is as expected. Atomic.
+    ///
+    /// # Errors
+    /// [`StoreError::NoEffect`] when nothing was written; [`StoreError::UnknownEffect`] when that
+    /// is not known and the caller must read the key to find out.
+    pub async fn swap(
+        &self,
+        key: &str,
+        expected: ExpectedRevision,
+        value: &[u8],
+        lease: Option<LeaseId>,
+    ) -> Result<SwapOutcome> {
+        let put = TxnOperation::Put {
+            key: encode_bytes(key.as_bytes()),
+            value: encode_bytes(value),
+            lease: WireInt(lease.map_or(0, |lease| lease.0)),
+        };
+        self.run_swap(key, expected, put).await
+    }
+
+    /// Deletes the key when it is as expected. Atomic.
+    ///
+    /// # Errors
+    /// As for [`StoreClient::swap`].
+    pub async fn delete(&self, key: &str, expected: ExpectedRevision) -> Result<SwapOutcome> {
+        let key_bytes = encode_bytes(key.as_bytes());
+        let range = RangeRequest {
+            key: key_bytes,
+            ..RangeRequest::default()
+        };
+        self.run_swap(key, expected, TxnOperation::Delete(range))
+            .await
+    }
+
+    /// Asks for a lease of `ttl`, rounded up to whole seconds.
+    ///
+    /// # Errors
+    /// [`StoreError`] when no lease is known to be granted.
+    pub async fn grant(&self, ttl: Duration) -> Result<LeaseId> {
+        let seconds = ttl.as_millis().div_ceil(1_000) as i64;
+        let grant = LeaseGrantRequest {
+            ttl: WireInt(seconds),
+        };
+        let reply: LeaseGrantReply = self.post("/v3/lease/grant", &grant).await?;
+        Ok(LeaseId(reply.id.0))
+    }
+
+    /// Renews a lease; false when it has lapsed.
+    ///
+    /// # Errors
+    /// [`StoreError`] when it is not known to be renewed.
+    pub async fn keep_alive(&self, lease: LeaseId) -> Result<bool> {
+        let renew = LeaseRequest {
+            id: WireInt(lease.0),
+        };
+        let reply: LeaseKeepAliveReply = self.post("/v3/lease/keepalive", &renew).await?;
+        Ok(reply.result.ttl.0 > 0)
+    }
+
+    /// Gives up a lease; keys attached to it are deleted.
+    ///
+    /// # Errors
+    /// [`StoreError`] when it is not known to be revoked.
+    pub async fn revoke(&self, lease: LeaseId) -> Result<()> {
+        let revoke = LeaseRequest {
+            id: WireInt(lease.0),
+        };
+        let _reply: serde_json::Value = self.post("/v3/lease/revoke", &revoke).await?;
+        Ok(())
+    }
+
+    /// Watches a key from `start_revision` on, 0 for changes from now on.
+    ///
+    /// # Errors
+    /// [`StoreError`] when the watch could not be opened.
+    pub async fn watch(&self, key: &str, start_revision: u64) -> Result<StoreWatch> {
+        let create_request = WatchCreate {
+            key: encode_bytes(key.as_bytes()),
+            start_revision: WireInt(start_revision.cast_signed()),
+            ..WatchCreate::default()
+        };
+        let call = self.call("/v3/watch", &WatchRequest { create_request });
+        let reply = self.pool.send(&call).await?;
+        match reply.status() {
+            200 => Ok(StoreWatch::new(reply)),
+            status => Err(StoreError::NoEffect(format!("status {status}"))),
+        }
+    }
+
+    async fn read_range(&self, range: &RangeRequest) -> Result<Vec<StoreRecord>> {
+        let reply: RangeReply = self.post("/v3/kv/range", range).await?;
+        reply.kvs.iter().map(StoreRecord::from_wire).collect()
+    }
+
+    async fn run_swap(
+        &self,
+        key: &str,
+        expected: ExpectedRevision,
+        operation: TxnOperation,
+    ) -> Result<SwapOutcome> {
+        let key = encode_bytes(key.as_bytes());
+        let clause = CompareClause {
+            key: key.clone(),
+            target: "MOD".to_owned(),
+            result: "EQUAL".to_owned(),
+            mod_revision: expected.to_wire(),
+        };
+        let read_back = TxnOperation::Range(RangeRequest {
+            key,
+            ..RangeRequest::default()
+        });
+        let txn = TxnRequest {
+            compare: vec![clause],
+            success: vec![operation],
+            failure: vec![read_back],
+        };
+        let reply: TxnReply = self.post("/v3/kv/txn", &txn).await?;
+        if reply.succeeded {
+            return Ok(SwapOutcome::Swapped(
+                reply.header.revision.0.cast_unsigned(),
+            ));
+        }
+        let ranges = reply
+            .responses
+            .iter()
+            .filter_map(|r| r.response_range.as_ref());
+        let present = ranges.flat_map(|range| &range.kvs).next();
+        present
+            .map(StoreRecord::from_wire)
+            .transpose()
+            .map(SwapOutcome::Conflict)
+    }
+
+    async fn post<Q: Serialize, R: DeserializeOwned>(&self, path: &str, body: &Q) -> Result<R> {
+        let reply = self.pool.send(&self.call(path, body)).await?;
+        let status = reply.status();
+        let body = async_std::future::timeout(self.timeout, reply.bytes()).await;
+        let body = body.map_err(|_elapsed| SendError::TimedOut)??;
+        match status {
+            200 => serde_json::from_slice(&body)
+                .map_err(|cause| StoreError::UnknownEffect(format!("malformed reply: {cause}"))),
+            429 | 503 => Err(StoreError::NoEffect(format!(
+                "refused with status {status}"
+            ))),
+            _ => Err(StoreError::UnknownEffect(format!("status {status}"))),
+        }
+    }
+
+    fn call<Q: Serialize>(&self, path: &str, body: &Q) -> HttpCall {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        HttpCall::new(self.address, Method::Post, path)
+            .json(body)
+            .timeout(self.timeout)
+            .once()
+    }
+}
+
+/// First key after all keys that start with `prefix`.
+fn prefix_end(prefix: &str) -> Vec<u8> {
+    let mut end = prefix.as_bytes().to_vec();
+    while let Some(last) = end.pop() {
+        if last < u8::MAX {
+            end.push(last + 1);
+            return end;
+        }
+    }
+    vec![0]
+}
--- /dev/null
+++ b/src/store/mod.rs
@@ -0,0 +1,14 @@
+//! Client of the platform's key-value service, over its etcd v3 JSON gateway.
+
+mod client;
+mod watch;
+mod wire;
+
+pub use client::{ExpectedRevision, StoreClient, StoreError, StoreRecord, SwapOutcome};
+pub use watch::{StoreEvent, StoreWatch};
+pub use wire::{
+    CompareClause, EventKind, KeyValue, LeaseGrantReply, LeaseGrantRequest, LeaseKeepAliveReply,
+    LeaseRequest, RangeReply, RangeRequest, ReplyHeader, TxnOperation, TxnOperationReply, TxnReply,
+    TxnRequest, WatchCreate, WatchFrame, WatchReply, WatchRequest, WireEvent, WireInt,
+    decode_bytes, encode_bytes,
+};
--- /dev/null
+++ b/src/store/watch.rs
@@ -0,0 +1,58 @@
+//! A watch on a key: a stream of its changes.
+
+use crate::http::HttpReply;
+use crate::store::client::{Result, StoreError, StoreRecord};
+use crate::store::wire::{EventKind, WatchFrame};
+use futures_lite::AsyncBufReadExt;
+
+/// A change of a watched key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StoreEvent {
+    /// The key was written.
+    Put(StoreRecord),
+    /// The key was deleted at this revision.
+    Delete(u64),
+}
+
+/// Stream of changes of a key.
+#[derive(Debug)]
+pub struct StoreWatch {
+    reply: HttpReply,
+    line: String,
+}
+
+impl StoreWatch {
+    pub(super) fn new(reply: HttpReply) -> Self {
+        Self {
+            reply,
+            line: String::new(),
+        }
+    }
+
+    /// Waits for the next changes; the list may be empty.
+    ///
+    /// # Errors
+    /// [`StoreError::NoEffect`] when the watch has ended and must be opened again.
+    pub async fn next(&mut self) -> Result<Vec<StoreEvent>> {
+        self.line.clear();
+        let read = self.reply.response_mut().read_line(&mut self.line).await;
+        let ended = |cause: String| StoreError::NoEffect(format!("watch ended: {cause}"));
+        match read {
+            Err(cause) => Err(ended(cause.to_string())),
+            Ok(0) => Err(ended("connection closed".to_owned())),
+            Ok(_) if self.line.trim().is_empty() => Ok(Vec::new()),
+            Ok(_) => {
+                let frame: WatchFrame =
+                    serde_json::from_str(&self.line).map_err(|cause| ended(cause.to_string()))?;
+                frame.result.events.iter().map(read_event).collect()
+            }
+        }
+    }
+}
+
+fn read_event(event: &crate::store::wire::WireEvent) -> Result<StoreEvent> {
+    match event.kind {
+        EventKind::Put => StoreRecord::from_wire(&event.kv).map(StoreEvent::Put),
+        EventKind::Delete => Ok(StoreEvent::Delete(event.kv.mod_revision.0.cast_unsigned())),
+    }
+}
--- /dev/null
+++ b/src/telemetry/mod.rs
@@ -0,0 +1,9 @@
+//! Metrics, spans and logs.
+
+mod logging;
+mod metrics;
+mod traces;
+
+pub use logging::{LogError, init_logging};
+pub use metrics::MetricSet;
+pub use traces::{SpanGuard, SpanOutcome, SpanRecord, TraceContext, TraceSink};
--- /dev/null
+++ b/src/telemetry/traces.rs
@@ -0,0 +1,224 @@
+//! Spans, one for each hop of a request, and the W3C trace context that joins them.
+
+use crate::settings::DaemonSettings;
+use serde::Serialize;
+use std::collections::VecDeque;
+use std::fmt;
+use std::str::FromStr;
+use std::sync::{Arc, Mutex};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Spans kept until they are exported; older ones are dropped first.
+const MAX_SPANS: usize = 4_096;
+
+/// Position of a span within a trace, as in the `traceparent` header.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TraceContext {
+    /// Trace identifier.
+    pub trace_id: u128,
+    /// Span identifier.
+    pub span_id: u64,
+    /// True when the caller records the trace.
+    pub sampled: bool,
+}
+
+impl TraceContext {
+    /// Starts a new trace.
+    pub fn root() -> Self {
+        Self {
+            trace_id: fastrand::u128(1..),
+            span_id: fastrand::u64(1..),
+            sampled: true,
+        }
+    }
+
+    /// A context for a child span.
+    #[must_use]
+    pub fn child(self) -> Self {
+        Self {
+            span_id: fastrand::u64(1..),
+            ..self
+        }
+    }
+}
+
+impl fmt::Display for TraceContext {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "00-{:032x}-{:016x}-{:02x}",
+            self.trace_id,
+            self.span_id,
+            u8::from(self.sampled)
+        )
+    }
+}
+
+/// The text is not a `traceparent` value.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TraceError;
+
+impl FromStr for TraceContext {
+    type Err = TraceError;
+
+    fn from_str(text: &str) -> Result<Self, TraceError> {
+        let mut parts = text.split('-');
+        let (Some(version), Some(trace), Some(span), Some(flags)) =
+            (parts.next(), parts.next(), parts.next(), parts.next())
+        else {
+            return Err(TraceError);
+        };
+        if version.len() != 2 || trace.len() != 32 || span.len() != 16 || flags.len() != 2 {
+            return Err(TraceError);
+        }
+        let trace_id = u128::from_str_radix(trace, 16).map_err(|_cause| TraceError)?;
+        let span_id = u64::from_str_radix(span, 16).map_err(|_cause| TraceError)?;
+        let flags = u8::from_str_radix(flags, 16).map_err(|_cause| TraceError)?;
+        if trace_id == 0 || span_id == 0 {
+            return Err(TraceError);
+        }
+        Ok(Self {
+            trace_id,
+            span_id,
+            sampled: flags & 1 == 1,
+        })
+    }
+}
+
+/// How a span ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum SpanOutcome {
+    /// As intended.
+    Ok,
+    /// With an error.
+    Error,
+}
+
+/// A finished span.
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
+pub struct SpanRecord {
+    /// Name of the hop.
+    pub name: &'static str,
+    /// Trace identifier, hexadecimal.
+    pub trace_id: String,
+    /// Span identifier, hexadecimal.
+    pub span_id: String,
+    /// Parent span identifier, hexadecimal; empty for the first span.
+    pub parent_id: String,
+    /// Start, in nanoseconds since the Unix epoch.
+    pub start_nanos: u64,
+    /// End, in nanoseconds since the Unix epoch.
+    pub end_nanos: u64,
+    /// Attribute names and values.
+    pub attributes: Vec<(&'static str, String)>,
+    /// How it ended.
+    pub outcome: SpanOutcome,
+}
+
+/// Collects finished spans until they are exported. Without a collector it records nothing.
+#[derive(Debug, Clone, Default)]
+pub struct TraceSink {
+    buffer: Option<Arc<Mutex<VecDeque<SpanRecord>>>>,
+}
+
+impl TraceSink {
+    /// Creates a sink that records when the settings name a collector.
+    pub fn new(settings: &DaemonSettings) -> Self {
+        Self {
+            buffer: settings.traces.is_some().then(Arc::default),
+        }
+    }
+
+    /// Starts a span below `parent`.
+    pub fn start(&self, name: &'static str, parent: TraceContext) -> SpanGuard {
+        let record = SpanRecord {
+            name,
+            trace_id: String::new(),
+            span_id: String::new(),
+            parent_id: String::new(),
+            start_nanos: unix_nanos(),
+            end_nanos: 0,
+            attributes: Vec::new(),
+            outcome: SpanOutcome::Ok,
+        };
+        SpanGuard {
+            sink: self.clone(),
+            parent,
+            context: parent.child(),
+            record,
+        }
+    }
+
+    /// Takes all spans recorded so far.
+    pub fn take(&self) -> Vec<SpanRecord> {
+        let Some(buffer) = &self.buffer else {
+            return Vec::new();
+        };
+        buffer
+            .lock()
+            .expect("span lock is never poisoned")
+            .drain(..)
+            .collect()
+    }
+
+    fn push(&self, record: SpanRecord) {
+        if let Some(buffer) = &self.buffer {
+            let mut buffer = buffer.lock().expect("span lock is never poisoned");
+            if buffer.len() == MAX_SPANS {
+                buffer.pop_front();
+            }
+            buffer.push_back(record);
+        }
+    }
+}
+
+/// A span in progress; recorded when dropped.
+#[derive(Debug)]
+pub struct SpanGuard {
+    sink: TraceSink,
+    parent: TraceContext,
+    context: TraceContext,
+    record: SpanRecord,
+}
+
+impl SpanGuard {
+    /// Context of this span, for child spans and outgoing headers.
+    pub fn context(&self) -> TraceContext {
+        self.context
+    }
+
+    /// Adds an attribute.
+    pub fn set(&mut self, name: &'static str, value: impl fmt::Display) {
+        if self.sink.buffer.is_some() {
+            self.record.attributes.push((name, value.to_string()));
+        }
+    }
+
+    /// Marks the span as ended with an error.
+    pub fn fail(&mut self, cause: impl fmt::Display) {
+        self.set("error", cause);
+        self.record.outcome = SpanOutcome::Error;
+    }
+}
+
+impl Drop for SpanGuard {
+    fn drop(&mut self) {
+        if self.sink.buffer.is_none() {
+            return;
+        }
+        let mut record = self.record.clone();
+        record.trace_id = format!("{:032x}", self.context.trace_id);
+        record.span_id = format!("{:016x}", self.context.span_id);
+        record.parent_id = format!("{:016x}", self.parent.span_id);
+        record.end_nanos = unix_nanos();
+        self.sink.push(record);
+    }
+}
+
+fn unix_nanos() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.map_or(0, |span| span.as_nanos() as u64)
+}
--- /dev/null
+++ b/src/units.rs
@@ -0,0 +1,160 @@
+//! Sizes, rates and points in time as newtypes.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+/// Result of parsing a size or rate.
+pub type Result<T> = std::result::Result<T, UnitError>;
+
+/// Reason why a text is not a size or rate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UnitError {
+    /// The number before the unit cannot be read.
+    BadNumber,
+    /// The unit is not known.
+    BadUnit,
+}
+
+impl fmt::Display for UnitError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::BadNumber => f.write_str("must start with a whole number"),
+            Self::BadUnit => f.write_str("must end with a known unit"),
+        }
+    }
+}
+
+impl std::error::Error for UnitError {}
+
+/// A point in time on this process's monotonic clock, in microseconds since it started.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct MonoTime(pub u64);
+
+impl MonoTime {
+    /// The time `span` later than this one.
+    #[must_use]
+    pub fn after(self, span: Duration) -> Self {
+        Self(self.0.saturating_add(span.as_micros() as u64))
+    }
+
+    /// The span from `earlier` to this time, zero when `earlier` is later.
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl fmt::Display for MonoTime {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:06}s", self.0 / 1_000_000, self.0 % 1_000_000)
+    }
+}
+
+/// A number of bytes; parses `512`, `64KiB`, `10MiB` and `2GiB`.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ByteSize(pub u64);
+
+/// Units of [`ByteSize`], largest first, so that printing takes the first that divides.
+const BYTE_UNITS: [(&str, u64); 4] = [
+    ("GiB", 1 << 30),
+    ("MiB", 1 << 20),
+    ("KiB", 1 << 10),
+    ("", 1),
+];
+
+impl FromStr for ByteSize {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let digits = text.trim_end_matches(|c: char| c.is_ascii_alphabetic());
+        let number: u64 = digits
+            .trim()
+            .parse()
+            .map_err(|_cause| UnitError::BadNumber)?;
+        let unit = &text[digits.len()..];
+        let known = BYTE_UNITS.iter().find(|(name, _)| *name == unit);
+        let (_, factor) = known.ok_or(UnitError::BadUnit)?;
+        Ok(Self(number.saturating_mul(*factor)))
+    }
+}
+
+impl fmt::Display for ByteSize {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let fits = |(_, factor): &&(&str, u64)| self.0 >= *factor && self.0.is_multiple_of(*factor);
+        let (name, factor) = BYTE_UNITS.iter().find(fits).unwrap_or(&("", 1));
+        write!(f, "{}{name}", self.0 / factor)
+    }
+}
+
+/// A rate in tokens per second; parses `250` and `250/s`.
+#[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd)]
+#[derive(Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct TokenRate(pub f64);
+
+impl FromStr for TokenRate {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let number = text.trim_end_matches("/s");
+        number
+            .parse()
+            .map(Self)
+            .map_err(|_cause| UnitError::BadNumber)
+    }
+}
+
+impl fmt::Display for TokenRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.0)
+    }
+}
+
+/// A half-open range of model layers, printed as `from..to`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct LayerRange {
+    /// First layer in the range.
+    pub from: u32,
+    /// Layer after the last one in the range.
+    pub to: u32,
+}
+
+impl LayerRange {
+    /// Creates the range `from..to`.
+    pub fn new(from: u32, to: u32) -> Self {
+        Self { from, to }
+    }
+
+    /// Number of layers in the range.
+    pub fn len(self) -> u32 {
+        self.to.saturating_sub(self.from)
+    }
+
+    /// True when the range holds no layer.
+    pub fn is_empty(self) -> bool {
+        self.to <= self.from
+    }
+}
+
+impl fmt::Display for LayerRange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}..{}", self.from, self.to)
+    }
+}
+
+impl FromStr for LayerRange {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let (from, to) = text.split_once("..").ok_or(UnitError::BadUnit)?;
+        let from = from.parse().map_err(|_cause| UnitError::BadNumber)?;
+        let to = to.parse().map_err(|_cause| UnitError::BadNumber)?;
+        Ok(Self { from, to })
+    }
+}
