--- a/src/membership/listing.rs
+++ b/src/membership/listing.rs
@@ -13,7 +13,7 @@
     let period = Duration::from_millis(host.context.settings.timing.instances_ms);
     let spec = TimerSpec::new("instances", period);
     host.add_timer(spec, |context, _now| async move {
-        read_instances(&context).await
+        read_instances(&context).await;
     });
     Ok(())
 }
