Admit requests by team limit, fair queue and observed token gap

Cause: every request was started at once, so that one team's flood lengthened everybody's token gaps and nothing was refused.

Ruled out: a fixed concurrency limit, which would need to know the engines' capacity and how many daemons share it; the limit follows the token gap that every daemon sees instead. A rate of starts as the measure of queue time was tried and replaced by the time that requests are in progress: after an idle time the start rate says nothing about capacity.

Change: token buckets with shares by demand, start-time fair queueing within priority classes, refusal at once of what cannot start within the queue time, additive increase and multiplicative decrease of the limit per model.

Figures: 240 callers of one team against engines that carry about 80 answers within 58 ms between tokens.

--- a/rig/src/demo.rs
+++ b/rig/src/demo.rs
@@ -152,9 +152,9 @@
         model: "helpdesk".to_owned(),
         messages: vec![message],
         max_tokens: Some(TOKENS),
-        max_completion_tokens: None,
         stream: true,
         seed: Some(SEED),
+        ..ChatRequest::default()
     };
     let client = OperatorClient::new(TEAM_TOKEN);
     let mut text = String::new();
--- /dev/null
+++ b/src/admission/gate.rs
@@ -0,0 +1,405 @@
+//! The gate that requests pass: team limit first, then the model's fair queue.
+
+use crate::admission::metrics::AdmissionMetrics;
+use crate::admission::{
+    AdmissionOffer, AdmissionSettings, AdmissionStep, AdmissionTicket, BucketOutcome,
+    ConcurrencyLimit, DemandRow, DemandTable, FairQueue, TokenBucket,
+};
+use crate::config::TeamSpec;
+use crate::http::{ProblemAnswer, ProblemKind};
+use crate::ids::{InstanceId, ModelId, TeamId};
+use crate::kernel::MonoClock;
+use crate::telemetry::MetricSet;
+use crate::units::MonoTime;
+use async_std::channel::{Receiver, Sender, bounded};
+use async_std::future::timeout;
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+/// Result of admission.
+pub type Result<T> = std::result::Result<T, ProblemAnswer>;
+
+/// A request that asks for admission.
+#[derive(Debug, Clone)]
+pub struct AdmissionRequest {
+    /// Team.
+    pub team: Arc<TeamSpec>,
+    /// Model.
+    pub model: ModelId,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Most tokens that may be generated.
+    pub max_tokens: u32,
+}
+
+/// Admission of all models on one daemon; cheap to clone.
+#[derive(Debug, Clone)]
+pub struct AdmissionGate {
+    inner: Arc<GateInner>,
+}
+
+#[derive(Debug)]
+struct GateInner {
+    clock: MonoClock,
+    settings: AdmissionSettings,
+    ceiling: usize,
+    metrics: AdmissionMetrics,
+    models: Mutex<HashMap<ModelId, ModelGate>>,
+    teams: Mutex<TeamLimits>,
+}
+
+/// State of one model.
+#[derive(Debug)]
+struct ModelGate {
+    queue: FairQueue,
+    limit: ConcurrencyLimit,
+    waiting: HashMap<AdmissionTicket, Sender<()>>,
+    /// Moving average of generated tokens, as the expected length of an answer.
+    expected_tokens: f64,
+}
+
+/// Token buckets and demand of teams with a limit.
+#[derive(Debug, Default)]
+struct TeamLimits {
+    buckets: HashMap<TeamId, TokenBucket>,
+    demand: DemandTable,
+}
+
+/// Expected length of an answer before any was seen, in tokens.
+const INITIAL_TOKENS: f64 = 128.0;
+/// Weight of the newest answer in the moving average of lengths.
+const TOKENS_SHARE: f64 = 0.05;
+
+impl AdmissionGate {
+    /// Creates a gate that lets at most `ceiling` requests of each model be in progress.
+    ///
+    /// # Errors
+    /// When the metrics are registered already.
+    pub fn new(
+        clock: MonoClock,
+        settings: AdmissionSettings,
+        ceiling: usize,
+        set: &MetricSet,
+    ) -> std::result::Result<Self, prometheus::Error> {
+        let inner = GateInner {
+            clock,
+            settings,
+            ceiling,
+            metrics: AdmissionMetrics::new(set)?,
+            models: Mutex::default(),
+            teams: Mutex::default(),
+        };
+        Ok(Self {
+            inner: Arc::new(inner),
+        })
+    }
+
+    /// Waits for admission, no longer than the settings allow.
+    ///
+    /// # Errors
+    /// `OverLimit` when the team is over its limit, `Overloaded` when the model is, each with the
+    /// time to come back; the request has not run.
+    pub async fn admit(&self, request: &AdmissionRequest) -> Result<AdmissionPermit> {
+        let start = self.inner.clock.now();
+        let charge = self.inner.charge_team(request, start)?;
+        let mut charge = ChargeGuard {
+            gate: self.clone(),
+            team: request.team.team.clone(),
+            charged: charge,
+            armed: true,
+        };
+        match self.enter_queue(request, start) {
+            QueueEntry::Started => {}
+            QueueEntry::Refused(delay) => return Err(self.inner.overloaded(delay)),
+            QueueEntry::Waiting(place) => {
+                let limit = Duration::from_millis(self.inner.settings.queue_ms);
+                if !place.wait(limit).await {
+                    return Err(self
+                        .inner
+                        .overloaded(self.inner.retry_after(&request.model)));
+                }
+            }
+        }
+        charge.armed = false;
+        let waited = self.inner.clock.now().since(start).as_secs_f64();
+        self.inner.metrics.count("admitted");
+        let wait = &self.inner.metrics.wait;
+        wait.with_label_values(&[request.model.as_str()])
+            .observe(waited);
+        Ok(AdmissionPermit {
+            gate: self.clone(),
+            request: request.clone(),
+            charged: charge.charged,
+            generated: 0,
+            start: self.inner.clock.now(),
+        })
+    }
+
+    /// Takes the time that an answer waited for its next token.
+    pub fn observe_gap(&self, model: &ModelId, gap: Duration) {
+        let now = self.inner.clock.now();
+        let mut models = self.inner.models();
+        let Some(gate) = models.get_mut(model) else {
+            return;
+        };
+        gate.limit.observe(gap);
+        gate.limit.update(now, gate.queue.in_use());
+        let started = gate.queue.set_limit(gate.limit.get());
+        gate.signal(started);
+    }
+
+    /// Ends a period of demand; what to tell the other daemons.
+    pub fn end_demand_period(&self, span: Duration) -> Vec<DemandRow> {
+        self.inner.teams().demand.end_period(span)
+    }
+
+    /// Takes the demand that another daemon told.
+    pub fn hear_demand(&self, instance: &InstanceId, rows: &[DemandRow]) {
+        let now = self.inner.clock.now();
+        self.inner.teams().demand.hear(instance, rows, now);
+    }
+
+    /// Brings the gauges up to date.
+    pub fn publish(&self) {
+        let models = self.inner.models();
+        for (model, gate) in models.iter() {
+            let load = &self.inner.metrics.load;
+            let set = |state: &str, value: usize| {
+                load.with_label_values(&[model.as_str(), state])
+                    .set(value as i64);
+            };
+            set("running", gate.queue.in_use());
+            set("waiting", gate.queue.waiting());
+            set("limit", gate.limit.get());
+        }
+    }
+
+    fn enter_queue(&self, request: &AdmissionRequest, now: MonoTime) -> QueueEntry {
+        let offer = AdmissionOffer {
+            team: request.team.team.clone(),
+            priority: request.team.priority,
+            weight: request.team.weight,
+            cost: self.inner.expected_cost(request),
+        };
+        let mut models = self.inner.models();
+        let gate = models
+            .entry(request.model.clone())
+            .or_insert_with(|| self.inner.new_model(now));
+        match gate.queue.arrive(&offer, now) {
+            AdmissionStep::Start(_ticket) => QueueEntry::Started,
+            AdmissionStep::Refuse(delay) => QueueEntry::Refused(delay),
+            AdmissionStep::Wait {
+                ticket, evicted, ..
+            } => {
+                if let Some(evicted) = evicted {
+                    // Closes its signal, which tells that request that it is refused.
+                    gate.waiting.remove(&evicted);
+                }
+                let (sender, signal) = bounded(1);
+                gate.waiting.insert(ticket, sender);
+                QueueEntry::Waiting(QueuePlace {
+                    gate: self.clone(),
+                    model: request.model.clone(),
+                    ticket,
+                    signal,
+                    resolved: false,
+                })
+            }
+        }
+    }
+
+    fn release(&self, permit: &AdmissionPermit) {
+        let now = self.inner.clock.now();
+        let used = f64::from(permit.request.prompt_tokens) + f64::from(permit.generated);
+        self.inner
+            .settle(&permit.request.team.team, permit.charged - used, now);
+        let model = &permit.request.model;
+        if let Some(gate) = self.inner.models().get_mut(model) {
+            let difference = f64::from(permit.generated) - gate.expected_tokens;
+            gate.expected_tokens += difference * TOKENS_SHARE;
+        }
+        self.inner.finish(model, now.since(permit.start));
+    }
+}
+
+/// How a request entered the queue.
+enum QueueEntry {
+    Started,
+    Waiting(QueuePlace),
+    Refused(Duration),
+}
+
+impl GateInner {
+    fn models(&self) -> MutexGuard<'_, HashMap<ModelId, ModelGate>> {
+        self.models.lock().expect("model lock is never poisoned")
+    }
+
+    fn teams(&self) -> MutexGuard<'_, TeamLimits> {
+        self.teams.lock().expect("team lock is never poisoned")
+    }
+
+    fn new_model(&self, now: MonoTime) -> ModelGate {
+        let limit = ConcurrencyLimit::new(self.settings.limit(self.ceiling), now);
+        ModelGate {
+            queue: FairQueue::new(self.settings.queue(), limit.get()),
+            limit,
+            waiting: HashMap::new(),
+            expected_tokens: INITIAL_TOKENS,
+        }
+    }
+
+    fn expected_cost(&self, request: &AdmissionRequest) -> f64 {
+        let models = self.models();
+        let gate = models.get(&request.model);
+        let expected = gate.map_or(INITIAL_TOKENS, |gate| gate.expected_tokens);
+        f64::from(request.prompt_tokens) + expected.min(f64::from(request.max_tokens))
+    }
+
+    /// Charges the team's bucket with the expected cost and returns that cost.
+    fn charge_team(&self, request: &AdmissionRequest, now: MonoTime) -> Result<f64> {
+        let cost = self.expected_cost(request);
+        let Some(rate) = request.team.tokens_per_second else {
+            return Ok(cost);
+        };
+        let mut guard = self.teams();
+        let teams = &mut *guard;
+        let team = &request.team.team;
+        teams.demand.count(team, cost);
+        let rate = rate * teams.demand.part(team, now);
+        let burst = rate * self.settings.burst_seconds;
+        let bucket = teams.buckets.entry(team.clone());
+        let bucket = bucket.or_insert_with(|| TokenBucket::new(rate, burst, now));
+        bucket.set_rate(rate, burst, now);
+        match bucket.take(cost, now) {
+            BucketOutcome::Taken => Ok(cost),
+            BucketOutcome::Empty(wait) => {
+                self.metrics.count("over_limit");
+                let detail = format!("team {team} is over its limit of tokens");
+                Err(ProblemAnswer::not_run(ProblemKind::OverLimit, detail).retry_after(wait))
+            }
+        }
+    }
+
+    fn settle(&self, team: &TeamId, difference: f64, now: MonoTime) {
+        if let Some(bucket) = self.teams().buckets.get_mut(team) {
+            bucket.settle(difference, now);
+        }
+    }
+
+    /// Ends a request in progress and starts the next ones.
+    fn finish(&self, model: &ModelId, held: Duration) {
+        if let Some(gate) = self.models().get_mut(model) {
+            let started = gate.queue.finish(held);
+            gate.signal(started);
+        }
+    }
+
+    fn retry_after(&self, model: &ModelId) -> Duration {
+        let models = self.models();
+        models
+            .get(model)
+            .map_or(Duration::ZERO, |gate| gate.queue.retry_after())
+    }
+
+    fn overloaded(&self, delay: Duration) -> ProblemAnswer {
+        self.metrics.count("overloaded");
+        let detail = "the model has no capacity for the request in time";
+        ProblemAnswer::not_run(ProblemKind::Overloaded, detail).retry_after(delay)
+    }
+}
+
+impl ModelGate {
+    /// Tells waiting requests that they have started.
+    fn signal(&mut self, started: Vec<AdmissionTicket>) {
+        for ticket in started {
+            if let Some(sender) = self.waiting.remove(&ticket)
+                && sender.try_send(()).is_err()
+            {
+                // The request gave up at this moment; its place is released when it finds out.
+            }
+        }
+    }
+}
+
+/// A place in the queue; given up when dropped.
+struct QueuePlace {
+    gate: AdmissionGate,
+    model: ModelId,
+    ticket: AdmissionTicket,
+    signal: Receiver<()>,
+    resolved: bool,
+}
+
+impl QueuePlace {
+    /// Waits up to `limit`; true when the request has started.
+    async fn wait(mut self, limit: Duration) -> bool {
+        if let Ok(Ok(())) = timeout(limit, self.signal.recv()).await {
+            self.resolved = true;
+            return true;
+        }
+        self.leave()
+    }
+
+    /// Leaves the queue; true when the request has started meanwhile.
+    fn leave(&mut self) -> bool {
+        self.resolved = true;
+        let mut models = self.gate.inner.models();
+        let Some(gate) = models.get_mut(&self.model) else {
+            return false;
+        };
+        if gate.waiting.remove(&self.ticket).is_some() {
+            gate.queue.abandon(self.ticket);
+            return false;
+        }
+        self.signal.try_recv().is_ok()
+    }
+}
+
+impl Drop for QueuePlace {
+    fn drop(&mut self) {
+        if !self.resolved && self.leave() {
+            self.gate.inner.finish(&self.model, Duration::ZERO);
+        }
+    }
+}
+
+/// An expected cost that is given back when the request is not admitted.
+struct ChargeGuard {
+    gate: AdmissionGate,
+    team: TeamId,
+    charged: f64,
+    armed: bool,
+}
+
+impl Drop for ChargeGuard {
+    fn drop(&mut self) {
+        if self.armed {
+            let now = self.gate.inner.clock.now();
+            self.gate.inner.settle(&self.team, self.charged, now);
+        }
+    }
+}
+
+/// Permission to run one request; its place and what it did not use are given back when dropped.
+#[derive(Debug)]
+pub struct AdmissionPermit {
+    gate: AdmissionGate,
+    request: AdmissionRequest,
+    charged: f64,
+    generated: u32,
+    start: MonoTime,
+}
+
+impl AdmissionPermit {
+    /// Counts a generated token.
+    pub fn count_token(&mut self) {
+        self.generated += 1;
+    }
+}
+
+impl Drop for AdmissionPermit {
+    fn drop(&mut self) {
+        self.gate.release(self);
+    }
+}
--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -10,4 +10,6 @@
 
 pub use addresses::{AddressAnswer, AddressRow};
 pub use operator::{ConfirmReply, ModelStatus, PlanRequest, StatusReply};
-pub use wire::{ChatChoice, ChatMessage, ChatRequest, ChatResponse, ChatUsage, IncompleteMessage};
+pub use wire::{
+    ChatChoice, ChatMessage, ChatRequest, ChatResponse, ChatUsage, IncompleteMessage, StreamOptions,
+};
--- a/src/api/wire.rs
+++ b/src/api/wire.rs
@@ -1,10 +1,10 @@
 //! JSON bodies of the chat completions interface.
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 use std::sync::Arc;
 
 /// Body of `POST /v1/chat/completions`.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct ChatRequest {
     /// Model name.
@@ -23,6 +23,21 @@
     /// Sampling seed.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub seed: Option<u64>,
+    /// Number of answers wanted; only 1 is served.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub n: Option<u32>,
+    /// Options of a streamed answer.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub stream_options: Option<StreamOptions>,
+}
+
+/// Options of a streamed answer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(default)]
+pub struct StreamOptions {
+    /// True to end the stream with an event that holds the token counts.
+    pub include_usage: bool,
 }
 
 /// One message of a conversation.
@@ -31,7 +46,8 @@
 pub struct ChatMessage {
     /// Who speaks.
     pub role: Arc<str>,
-    /// What is said.
+    /// What is said; a list of text parts is joined.
+    #[serde(deserialize_with = "read_content")]
     pub content: Arc<str>,
 }
 
@@ -94,3 +110,34 @@
     /// Both together.
     pub total_tokens: u32,
 }
+
+/// One part of a message's content.
+#[derive(Deserialize)]
+struct ContentPart {
+    #[serde(rename = "type")]
+    kind: String,
+    #[serde(default)]
+    text: String,
+}
+
+/// Content as text or as a list of parts.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum MessageContent {
+    Text(String),
+    Parts(Vec<ContentPart>),
+}
+
+fn read_content<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Arc<str>, D::Error> {
+    match MessageContent::deserialize(deserializer)? {
+        MessageContent::Text(text) => Ok(Arc::from(text)),
+        MessageContent::Parts(parts) => {
+            if let Some(other) = parts.iter().find(|part| part.kind != "text") {
+                let cause = format!("content part of type {:?} is not served", other.kind);
+                return Err(serde::de::Error::custom(cause));
+            }
+            let texts: Vec<String> = parts.into_iter().map(|part| part.text).collect();
+            Ok(Arc::from(texts.concat()))
+        }
+    }
+}
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,12 +1,14 @@
 //! HTTP over `async-h1`: pooled client connections, the accept loop and error answers.
 
 mod connection;
+mod fallback;
 mod pool;
 mod problem;
 mod server;
 mod sse;
 
 pub use connection::{ConnectionReuse, HttpReply};
+pub use fallback::describe_error;
 pub use pool::{ConnectionPool, HttpCall, SendError};
 pub use problem::{ProblemAnswer, ProblemKind, RunOutcome};
 pub use server::{CallerWatch, ConnectionCount, read_body, serve_http};
--- a/src/http/problem.rs
+++ b/src/http/problem.rs
@@ -39,6 +39,8 @@
     Forbidden,
     /// The resource does not exist.
     NotFound,
+    /// The path does not take this method.
+    BadMethod,
     /// Another request or revision is in the way.
     Conflict,
     /// The body is too large.
@@ -60,11 +62,12 @@
 }
 
 /// Status code and title of each kind.
-const PROBLEM_TABLE: [(ProblemKind, u16, &str); 13] = [
+const PROBLEM_TABLE: [(ProblemKind, u16, &str); 14] = [
     (ProblemKind::BadRequest, 400, "malformed request"),
     (ProblemKind::Unauthorized, 401, "unknown bearer token"),
     (ProblemKind::Forbidden, 403, "not allowed"),
     (ProblemKind::NotFound, 404, "not found"),
+    (ProblemKind::BadMethod, 405, "method not allowed"),
     (ProblemKind::Conflict, 409, "conflict"),
     (ProblemKind::TooLarge, 413, "body too large"),
     (ProblemKind::OverLimit, 429, "over the team's limit"),
--- a/src/kernel/context.rs
+++ b/src/kernel/context.rs
@@ -1,5 +1,6 @@
 //! What all plug-ins share.
 
+use crate::admission::AdmissionGate;
 use crate::config::ConfigCell;
 use crate::engine::EngineClient;
 use crate::http::ConnectionPool;
@@ -41,6 +42,8 @@
     pub targets: TargetTable,
     /// Messages to other daemons.
     pub peers: PeerTransport,
+    /// Limits, fairness and overload.
+    pub admission: AdmissionGate,
     /// Phase and requests in progress.
     pub lifecycle: Arc<LifecycleCell>,
 }
@@ -57,10 +60,14 @@
             InstanceClient::new(Arc::clone(&pool), platform.instances, timing.store());
         let engines = EngineClient::new(Arc::clone(&pool), timing.engine_head());
         let peers = PeerTransport::new(&settings.peer_key, timing.connect());
+        let metrics = MetricSet::new();
+        let ceiling = settings.bounds.requests;
+        let admission = AdmissionGate::new(clock, settings.admission.clone(), ceiling, &metrics);
         Arc::new(Self {
+            admission: admission.expect("a new registry has no metrics yet"),
             clock,
             timers: TimerService::new(clock),
-            metrics: MetricSet::new(),
+            metrics,
             traces: TraceSink::new(&settings),
             store,
             instance_client,
--- a/src/kernel/plugin.rs
+++ b/src/kernel/plugin.rs
@@ -1,5 +1,6 @@
 //! Plug-ins register themselves here and are installed when a daemon starts.
 
+use crate::http::describe_error;
 use crate::kernel::{KernelContext, TimerSpec};
 use crate::peer::{PeerHandlers, PeerTopic};
 use crate::units::MonoTime;
@@ -70,7 +71,10 @@
 impl PluginHost {
     /// Creates a host without any plug-in.
     pub fn new(context: Arc<KernelContext>) -> Self {
-        let app = tide::with_state(Arc::clone(&context));
+        let mut app = tide::with_state(Arc::clone(&context));
+        app.with(tide::utils::After(|response| async move {
+            Ok(describe_error(response))
+        }));
         Self {
             context,
             app,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! The library holds every part of the daemon; `arbutusmountd` and `arbutusmount` are thin programs
 //! around it.
 
+mod admission;
 mod api;
 mod check;
 mod claims;
@@ -22,9 +23,14 @@
 mod telemetry;
 mod units;
 
+pub use admission::{
+    AdmissionGate, AdmissionOffer, AdmissionPermit, AdmissionRequest, AdmissionSettings,
+    AdmissionStep, AdmissionTicket, BucketOutcome, ConcurrencyLimit, DemandRow, DemandShare,
+    DemandTable, FairQueue, LimitSettings, QueueSettings, TokenBucket,
+};
 pub use api::{
     AddressAnswer, AddressRow, ChatChoice, ChatMessage, ChatRequest, ChatResponse, ChatUsage,
-    ConfirmReply, IncompleteMessage, ModelStatus, PlanRequest, StatusReply,
+    ConfirmReply, IncompleteMessage, ModelStatus, PlanRequest, StatusReply, StreamOptions,
 };
 pub use check::{CheckError, CheckFault, FieldKind, FieldRule, check_document};
 pub use claims::{ClaimOutcome, ClaimRecord, ClaimRequest, ClaimTicket};
@@ -63,7 +69,7 @@
 pub use routing::{
     AnswerEvent, AnswerStream, AttemptFailure, ChainChoice, ChainQuery, DeliveryState,
     DeliveryStep, FinalAnswer, FlightGuard, GenerationRequest, TargetState, TargetTable,
-    choose_chain, run_generation, start_generation,
+    TokenMeter, choose_chain, run_generation, start_generation,
 };
 pub use settings::{
     BoundSettings, DaemonSettings, LogSettings, PlatformSettings, TimingSettings, TraceSettings,
--- a/src/operator/run.rs
+++ b/src/operator/run.rs
@@ -63,9 +63,9 @@
                 model,
                 messages: vec![message],
                 max_tokens,
-                max_completion_tokens: None,
                 stream: true,
                 seed,
+                ..ChatRequest::default()
             };
             ask(&client, daemon, &AskRequest { chat }).await
         }
--- a/src/routing/attempt.rs
+++ b/src/routing/attempt.rs
@@ -16,6 +16,7 @@
 use async_std::channel::Sender;
 use async_std::future::timeout;
 use async_std::task;
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -47,6 +48,18 @@
     pub deadline: MonoTime,
     /// Parent of the attempts' spans.
     pub trace: TraceContext,
+    /// Takes the time waited for each token.
+    pub meter: TokenMeter,
+}
+
+/// Takes the time that an answer waited for each token but its first.
+#[derive(Clone)]
+pub struct TokenMeter(pub Arc<dyn Fn(Duration) + Send + Sync>);
+
+impl fmt::Debug for TokenMeter {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_tuple("TokenMeter").finish()
+    }
 }
 
 /// How one attempt ended.
@@ -248,6 +261,7 @@
             let partial = !state.delivery.delivered().is_empty();
             return AttemptEnd::Final(FinalAnswer::TimedOut { partial });
         }
+        let wait_start = context.clock.now();
         let record = match timeout(limit.min(left), stream.next()).await {
             Err(_elapsed) if limit < left => return AttemptEnd::Failed(AttemptFailure::Stalled),
             Err(_elapsed) => continue,
@@ -259,6 +273,9 @@
         match state.delivery.accept(record) {
             DeliveryStep::Ignore => {}
             DeliveryStep::Deliver(text) => {
+                if limit == TOKEN_TIMEOUT {
+                    (generation.meter.0)(context.clock.now().since(wait_start));
+                }
                 limit = TOKEN_TIMEOUT;
                 if sink.send(AnswerEvent::Token(text)).await.is_err() {
                     return AttemptEnd::Final(FinalAnswer::CallerGone);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,5 +1,6 @@
 //! Daemon settings: a checked JSON file that each process reads once at start.
 
+use crate::admission::{ADMISSION_TABLE, AdmissionSettings};
 use crate::check::{CheckError, CheckFault, FieldKind, FieldRule, check_document};
 use crate::ids::{DomainId, InstanceId};
 use serde::{Deserialize, Serialize};
@@ -46,6 +47,9 @@
     /// Bounds on memory and request size.
     #[serde(default)]
     pub bounds: BoundSettings,
+    /// Limits, fairness and overload.
+    #[serde(default)]
+    pub admission: AdmissionSettings,
     /// Logging.
     #[serde(default)]
     pub log: LogSettings,
@@ -220,6 +224,7 @@
     FieldRule::required("operator_token_sha256", FieldKind::Digest),
     FieldRule::optional("timing", FieldKind::Object(TIMING_TABLE)),
     FieldRule::optional("bounds", FieldKind::Object(BOUND_TABLE)),
+    FieldRule::optional("admission", FieldKind::Object(ADMISSION_TABLE)),
     FieldRule::optional("log", FieldKind::Object(LOG_TABLE)),
     FieldRule::optional("traces", FieldKind::Object(TRACE_TABLE)),
 ];
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -2,6 +2,7 @@
 
 mod logging;
 mod metrics;
+mod otlp;
 mod traces;
 
 pub use logging::{LogError, init_logging};
--- a/src/telemetry/traces.rs
+++ b/src/telemetry/traces.rs
@@ -23,11 +23,11 @@
 }
 
 impl TraceContext {
-    /// Starts a new trace.
+    /// Starts a new trace; its span identifier is 0, so that its first span has no parent.
     pub fn root() -> Self {
         Self {
             trace_id: fastrand::u128(1..),
-            span_id: fastrand::u64(1..),
+            span_id: 0,
             sampled: true,
         }
     }
@@ -212,7 +212,9 @@
         let mut record = self.record.clone();
         record.trace_id = format!("{:032x}", self.context.trace_id);
         record.span_id = format!("{:016x}", self.context.span_id);
-        record.parent_id = format!("{:016x}", self.parent.span_id);
+        if self.parent.span_id != 0 {
+            record.parent_id = format!("{:016x}", self.parent.span_id);
+        }
         record.end_nanos = unix_nanos();
         self.sink.push(record);
     }
--- /dev/null
+++ b/tests/admission_core.rs
@@ -0,0 +1,325 @@
+//! Fair queue, token bucket, concurrency limit and demand sharing, driven without a clock.
+
+use arbutusmount::{
+    AdmissionOffer, AdmissionStep, BucketOutcome, ConcurrencyLimit, DemandRow, DemandTable,
+    FairQueue, LimitSettings, MonoTime, QueueSettings, TeamId, TokenBucket,
+};
+use proptest::prelude::*;
+use std::collections::HashMap;
+use std::time::Duration;
+use test_case::test_case;
+
+const SECOND: u64 = 1_000_000;
+
+fn team(name: &str) -> TeamId {
+    name.parse().expect("valid team name")
+}
+
+fn offer(name: &str, priority: u8, weight: u32, cost: f64) -> AdmissionOffer {
+    AdmissionOffer {
+        team: team(name),
+        priority,
+        weight,
+        cost,
+    }
+}
+
+fn queue(limit: usize, max_entries: usize) -> FairQueue {
+    let settings = QueueSettings {
+        longest_wait: Duration::from_secs(3_600),
+        max_entries,
+    };
+    FairQueue::new(settings, limit)
+}
+
+/// Offers `count` requests that must wait; their tickets with the team's name.
+fn fill(
+    queue: &mut FairQueue,
+    offer: &AdmissionOffer,
+    count: usize,
+) -> HashMap<arbutusmount::AdmissionTicket, TeamId> {
+    let mut tickets = HashMap::new();
+    for _ in 0..count {
+        match queue.arrive(offer, MonoTime(0)) {
+            AdmissionStep::Wait { ticket, .. } => tickets.insert(ticket, offer.team.clone()),
+            other => panic!("expected to wait, got {other:?}"),
+        };
+    }
+    tickets
+}
+
+#[test_case(1, 1, 0.5; "equal weights")]
+#[test_case(3, 1, 0.75; "three to one")]
+#[test_case(1, 4, 0.2; "one to four")]
+fn waiting_teams_start_by_weight(large: u32, small: u32, expected: f64) {
+    // Arrange
+    let mut queue = queue(1, 1_000);
+    let AdmissionStep::Start(_) = queue.arrive(&offer("other", 0, 1, 1.0), MonoTime(0)) else {
+        panic!("an empty queue starts the first request");
+    };
+    let mut tickets = fill(&mut queue, &offer("large", 0, large, 100.0), 200);
+    tickets.extend(fill(&mut queue, &offer("small", 0, small, 100.0), 200));
+
+    // Act
+    let mut starts = 0;
+    for _ in 0..100 {
+        for ticket in queue.finish(Duration::from_secs(1)) {
+            starts += u32::from(tickets[&ticket] == team("large"));
+        }
+    }
+
+    // Assert
+    let share = f64::from(starts) / 100.0;
+    assert!((share - expected).abs() <= 0.02, "share {share}");
+}
+
+#[test]
+fn light_team_passes_a_flood() {
+    // Arrange
+    let mut queue = queue(1, 1_000);
+    queue.arrive(&offer("flood", 0, 1, 100.0), MonoTime(0));
+    fill(&mut queue, &offer("flood", 0, 1, 100.0), 300);
+    let light = fill(&mut queue, &offer("light", 0, 1, 100.0), 1);
+
+    // Act
+    let first = queue.finish(Duration::from_secs(1));
+    let second = queue.finish(Duration::from_secs(1));
+
+    // Assert
+    let started = [first, second].concat();
+    assert!(started.iter().any(|ticket| light.contains_key(ticket)));
+}
+
+#[test]
+fn more_important_class_starts_first() {
+    let mut queue = queue(1, 10);
+    queue.arrive(&offer("batch", 5, 1, 1.0), MonoTime(0));
+    fill(&mut queue, &offer("batch", 5, 1, 1.0), 3);
+    let urgent = fill(&mut queue, &offer("desk", 0, 1, 1_000.0), 1);
+
+    let started = queue.finish(Duration::from_secs(1));
+
+    assert!(urgent.contains_key(&started[0]));
+}
+
+#[test]
+fn full_queue_gives_up_the_last_in_order() {
+    // Arrange
+    let mut queue = queue(1, 3);
+    queue.arrive(&offer("flood", 0, 1, 100.0), MonoTime(0));
+    let flood = fill(&mut queue, &offer("flood", 0, 1, 100.0), 3);
+
+    // Act
+    let light = queue.arrive(&offer("light", 0, 1, 100.0), MonoTime(0));
+    let more = queue.arrive(&offer("flood", 0, 1, 100.0), MonoTime(0));
+
+    // Assert
+    let AdmissionStep::Wait {
+        evicted: Some(evicted),
+        ..
+    } = light
+    else {
+        panic!("expected an eviction, got {light:?}");
+    };
+    assert_eq!(flood.keys().max(), Some(&evicted));
+    assert!(matches!(more, AdmissionStep::Refuse(_)), "{more:?}");
+}
+
+#[test]
+fn request_that_cannot_start_in_time_is_refused_at_once() {
+    // Arrange: one start a second, and nobody may wait longer than 300 ms.
+    let settings = QueueSettings {
+        longest_wait: Duration::from_millis(300),
+        max_entries: 100,
+    };
+    let mut queue = FairQueue::new(settings, 1);
+    let wanted = offer("desk", 0, 1, 1.0);
+    for second in 1..10 {
+        queue.arrive(&wanted, MonoTime(second * SECOND));
+        queue.finish(Duration::from_secs(1));
+    }
+    queue.arrive(&wanted, MonoTime(10 * SECOND));
+
+    // Act
+    let step = queue.arrive(&wanted, MonoTime(10 * SECOND));
+
+    // Assert
+    let AdmissionStep::Refuse(delay) = step else {
+        panic!("expected a refusal, got {step:?}");
+    };
+    assert!(delay >= Duration::from_millis(500), "{delay:?}");
+}
+
+#[test_case(100.0, 0.0; "empty after its burst")]
+#[test_case(100.0, 500.0; "paid off after a large request")]
+fn bucket_refills_at_its_rate(rate: f64, debt: f64) {
+    let mut bucket = TokenBucket::new(rate, 200.0, MonoTime(0));
+    assert_eq!(bucket.take(200.0, MonoTime(0)), BucketOutcome::Taken);
+    bucket.settle(-debt, MonoTime(0));
+
+    let BucketOutcome::Empty(wait) = bucket.take(50.0, MonoTime(0)) else {
+        panic!("the bucket is empty");
+    };
+    let expected = (50.0 + debt) / rate;
+
+    assert!((wait.as_secs_f64() - expected).abs() < 0.01, "{wait:?}");
+    let later = MonoTime(0).after(wait + Duration::from_millis(1));
+    assert_eq!(bucket.take(50.0, later), BucketOutcome::Taken);
+}
+
+fn limit() -> ConcurrencyLimit {
+    let settings = LimitSettings {
+        target_gap: Duration::from_millis(58),
+        initial: 64.0,
+        floor: 4.0,
+        ceiling: 1_000.0,
+    };
+    ConcurrencyLimit::new(settings, MonoTime(0))
+}
+
+/// Runs windows of the given gap at full use.
+fn run_windows(limit: &mut ConcurrencyLimit, windows: std::ops::Range<u64>, gap_ms: u64) {
+    for window in windows {
+        for _ in 0..40 {
+            limit.observe(Duration::from_millis(gap_ms));
+        }
+        let in_use = limit.get();
+        limit.update(MonoTime(window * 300_000), in_use);
+    }
+}
+
+#[test]
+fn limit_grows_while_gaps_are_short_and_shrinks_while_they_are_long() {
+    let mut limit = limit();
+    run_windows(&mut limit, 1..50, 20);
+    let grown = limit.get();
+    run_windows(&mut limit, 50..100, 80);
+    let shrunk = limit.get();
+
+    assert!(grown > 64, "{grown}");
+    assert_eq!(shrunk, 4);
+}
+
+#[test]
+fn slow_engines_do_not_starve_the_limit() {
+    let mut limit = limit();
+
+    run_windows(&mut limit, 1..50, 200);
+
+    assert!(limit.get() >= 64, "{}", limit.get());
+}
+
+#[test]
+fn few_long_gaps_do_not_shrink_the_limit() {
+    let mut limit = limit();
+    for window in 1..50 {
+        for sample in 0..100 {
+            let gap = if sample < 3 { 1_500 } else { 20 };
+            limit.observe(Duration::from_millis(gap));
+        }
+        let in_use = limit.get();
+        limit.update(MonoTime(window * 300_000), in_use);
+    }
+
+    assert!(limit.get() > 64, "{}", limit.get());
+}
+
+#[test]
+fn daemons_share_a_limit_by_demand() {
+    // Arrange
+    let name = team("desk");
+    let mut table = DemandTable::default();
+    for _ in 0..20 {
+        table.count(&name, 300.0);
+        table.end_period(Duration::from_secs(1));
+    }
+    let row = DemandRow {
+        team: name.to_string(),
+        tokens_per_second: 100.0,
+    };
+
+    // Act
+    table.hear(&"router-2".parse().unwrap(), &[row], MonoTime(0));
+
+    // Assert
+    assert!((table.part(&name, MonoTime(SECOND)) - 0.75).abs() < 0.01);
+    let forgotten = table.part(&name, MonoTime(10 * SECOND));
+    assert!((forgotten - 1.0).abs() < 0.01, "{forgotten}");
+}
+
+#[derive(Debug, Clone)]
+enum QueueEvent {
+    Arrive(u8, u8, u16),
+    Finish,
+    Abandon(u8),
+    Limit(u8),
+}
+
+fn queue_event() -> impl Strategy<Value = QueueEvent> {
+    prop_oneof![
+        4 => (0..6_u8, 0..3_u8, 1..500_u16).prop_map(|(t, p, c)| QueueEvent::Arrive(t, p, c)),
+        3 => Just(QueueEvent::Finish),
+        1 => any::<u8>().prop_map(QueueEvent::Abandon),
+        1 => (1..20_u8).prop_map(QueueEvent::Limit),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2_000, ..ProptestConfig::default() })]
+
+    /// Every ticket is started, evicted or abandoned exactly once, and a request never waits while
+    /// there is room.
+    #[test]
+    fn queue_schedules_lose_no_request(events in prop::collection::vec(queue_event(), 1..120)) {
+        let mut queue = queue(4, 8);
+        let mut waiting = Vec::new();
+        let mut running = 0_usize;
+        let mut limit = 4_usize;
+        for (index, event) in events.into_iter().enumerate() {
+            let now = MonoTime(index as u64 * 10_000);
+            let started = match event {
+                QueueEvent::Arrive(name, priority, cost) => {
+                    let wanted = offer(&format!("team-{name}"), priority, 1, f64::from(cost));
+                    match queue.arrive(&wanted, now) {
+                        AdmissionStep::Start(_) => running += 1,
+                        AdmissionStep::Refuse(delay) => prop_assert!(!delay.is_zero()),
+                        AdmissionStep::Wait { ticket, evicted, .. } => {
+                            if let Some(evicted) = evicted {
+                                let place = waiting.iter().position(|other| *other == evicted);
+                                prop_assert!(place.is_some());
+                                waiting.swap_remove(place.unwrap());
+                            }
+                            waiting.push(ticket);
+                        }
+                    }
+                    Vec::new()
+                }
+                QueueEvent::Finish if running > 0 => {
+                    running -= 1;
+                    queue.finish(Duration::from_secs(1))
+                }
+                QueueEvent::Finish => Vec::new(),
+                QueueEvent::Abandon(pick) if !waiting.is_empty() => {
+                    let ticket = waiting.swap_remove(pick as usize % waiting.len());
+                    prop_assert!(queue.abandon(ticket));
+                    prop_assert!(!queue.abandon(ticket));
+                    Vec::new()
+                }
+                QueueEvent::Abandon(_) => Vec::new(),
+                QueueEvent::Limit(value) => {
+                    limit = value as usize;
+                    queue.set_limit(limit)
+                }
+            };
+            for ticket in started {
+                let place = waiting.iter().position(|other| *other == ticket);
+                prop_assert!(place.is_some(), "started twice or unknown: {ticket:?}");
+                waiting.swap_remove(place.unwrap());
+                running += 1;
+            }
+            prop_assert_eq!(queue.in_use(), running);
+            prop_assert_eq!(queue.waiting(), waiting.len());
+            prop_assert!(waiting.is_empty() || running >= limit);
+        }
+    }
+}
--- /dev/null
+++ b/tests/overload.rs
@@ -0,0 +1,176 @@
+//! Overload by one team: other teams, refusals, admitted requests and memory.
+
+mod support;
+
+use arbutusmount::{AskRequest, OperatorClient, OperatorError};
+use async_std::task;
+use rig::{AGENT_TOKEN, EngineKnobs, FleetSpec, ProcessFleet, TEAM_TOKEN, reference_text};
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+use support::{MODEL, chat_request, ready_fleet};
+
+/// Callers of the large team, each sending its next request as soon as the last one ended. The
+/// engines carry about 80 answers at once within 58 ms between tokens.
+const FLOOD_CALLERS: u64 = 240;
+/// Requests of the small team.
+const SMALL_REQUESTS: u64 = 20;
+/// Longest time to the first token.
+const FIRST_TOKEN: Duration = Duration::from_millis(640);
+/// Memory allowed for a daemon, in KiB.
+const MEMORY_KIB: u64 = 128 << 10;
+/// Longest time until a refusal.
+const REFUSAL: Duration = Duration::from_millis(640);
+
+/// How one request ended.
+#[derive(Debug, PartialEq)]
+enum CallEnd {
+    /// Complete and equal to the reference; time to the first token.
+    Complete(Duration),
+    /// Refused, not run, with the time that took.
+    Refused(Duration),
+    /// Anything else.
+    Wrong(String),
+}
+
+async fn call(daemon: SocketAddr, token: &str, seed: u64, tokens: u32) -> CallEnd {
+    let message = format!("Question {seed}");
+    let ask: AskRequest = chat_request(&message, seed, tokens);
+    let start = Instant::now();
+    let mut first = None;
+    let mut text = String::new();
+    let outcome = OperatorClient::new(token)
+        .ask(daemon, &ask, |piece| {
+            first.get_or_insert_with(|| start.elapsed());
+            text.push_str(piece);
+        })
+        .await;
+    match outcome {
+        Ok(_) if text == reference_text(MODEL, seed, &message, tokens) => {
+            CallEnd::Complete(first.unwrap_or_default())
+        }
+        Err(OperatorError::Problem { status: 503, body }) => match refusal_fault(&body) {
+            None => CallEnd::Refused(start.elapsed()),
+            Some(fault) => CallEnd::Wrong(fault),
+        },
+        other => CallEnd::Wrong(format!("{other:?}")),
+    }
+}
+
+/// What is wrong with the body of a refusal, if anything.
+fn refusal_fault(body: &str) -> Option<String> {
+    let value: Value = serde_json::from_str(body).unwrap_or_default();
+    let says_when = value["retry_after_ms"]
+        .as_u64()
+        .is_some_and(|millis| millis > 0);
+    let right = value["outcome"] == "not_run" && says_when;
+    (!right).then(|| body.to_owned())
+}
+
+fn resident_kib(fleet: &ProcessFleet, daemon: usize) -> u64 {
+    let path = format!("/proc/{}/status", fleet.daemons[daemon].process.id());
+    let status = std::fs::read_to_string(path).expect("the daemon runs");
+    let line = status
+        .lines()
+        .find(|line| line.starts_with("VmRSS:"))
+        .expect("it has memory");
+    let number = line
+        .split_whitespace()
+        .nth(1)
+        .expect("the line has a number");
+    number.parse().expect("it is a number")
+}
+
+async fn flood(daemons: Vec<SocketAddr>, caller: u64, stop: Arc<AtomicBool>) -> Vec<CallEnd> {
+    let mut ends = Vec::new();
+    let mut seed = caller * 10_000;
+    while !stop.load(Ordering::Relaxed) {
+        seed += 1;
+        let daemon = daemons[(caller % daemons.len() as u64) as usize];
+        let end = call(daemon, TEAM_TOKEN, seed, 40).await;
+        if matches!(end, CallEnd::Refused(_)) {
+            // An impatient caller: it comes back well before it was told to.
+            task::sleep(Duration::from_millis(50)).await;
+        }
+        ends.push(end);
+    }
+    ends
+}
+
+#[async_std::test]
+async fn flood_of_one_team_leaves_the_others_their_share() {
+    // Arrange
+    let knobs = EngineKnobs {
+        max_batch: 4,
+        ..EngineKnobs::default()
+    };
+    let spec = FleetSpec {
+        engines: vec![(knobs, 8_000); 3],
+        ..FleetSpec::default()
+    };
+    let fleet = ready_fleet(spec, 1).await;
+    let daemons: Vec<SocketAddr> = fleet.daemons.iter().map(|d| d.seat.listen).collect();
+    let stop = Arc::new(AtomicBool::new(false));
+    let flood: Vec<_> = (1..=FLOOD_CALLERS)
+        .map(|caller| task::spawn(flood(daemons.clone(), caller, Arc::clone(&stop))))
+        .collect();
+    task::sleep(Duration::from_secs(2)).await;
+
+    // Act
+    let mut small = Vec::new();
+    for request in 0..SMALL_REQUESTS {
+        let daemon = daemons[(request % 2) as usize];
+        small.push(call(daemon, AGENT_TOKEN, request, 3).await);
+    }
+    let memory = [resident_kib(&fleet, 0), resident_kib(&fleet, 1)];
+    stop.store(true, Ordering::Relaxed);
+    let mut large = Vec::new();
+    for caller in flood {
+        large.extend(caller.await);
+    }
+
+    // Assert
+    let mut first_tokens: Vec<Duration> = small
+        .iter()
+        .map(|end| match end {
+            CallEnd::Complete(first) => *first,
+            other => panic!("the small team got {other:?}"),
+        })
+        .collect();
+    first_tokens.sort_unstable();
+    let p95 = first_tokens[first_tokens.len() * 95 / 100];
+    let complete = large
+        .iter()
+        .filter(|end| matches!(end, CallEnd::Complete(_)))
+        .count();
+    let mut refusals: Vec<Duration> = large
+        .iter()
+        .filter_map(|end| match end {
+            CallEnd::Refused(after) => Some(*after),
+            _ => None,
+        })
+        .collect();
+    refusals.sort_unstable();
+    let wrong: Vec<&CallEnd> = large
+        .iter()
+        .filter(|end| matches!(end, CallEnd::Wrong(_)))
+        .collect();
+    println!("small team first token p95 {p95:?}; large team {complete} complete");
+    println!(
+        "{} refusals, slowest {:?}; memory {memory:?} KiB",
+        refusals.len(),
+        refusals.last()
+    );
+    assert!(
+        p95 <= FIRST_TOKEN,
+        "first token of the small team after {p95:?}"
+    );
+    assert!(wrong.is_empty(), "{wrong:?}");
+    assert!(complete > 0);
+    assert!(!refusals.is_empty());
+    let p95_refusal = refusals[refusals.len() * 95 / 100];
+    assert!(p95_refusal <= REFUSAL, "refusals after {p95_refusal:?}");
+    assert!(memory.iter().all(|kib| *kib <= MEMORY_KIB), "{memory:?}");
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -30,9 +30,9 @@
             content: Arc::from(message),
         }],
         max_tokens: Some(max_tokens),
-        max_completion_tokens: None,
         stream: true,
         seed: Some(seed),
+        ..ChatRequest::default()
     };
     AskRequest { chat }
 }
