--- a/src/admission/gate.rs
+++ b/src/admission/gate.rs
@@ -167,7 +167,7 @@
             let load = &self.inner.metrics.load;
             let set = |state: &str, value: usize| {
                 load.with_label_values(&[model.as_str(), state])
-                    .set(value as i64);
+                    .set(value.cast_signed() as i64);
             };
             set("running", gate.queue.in_use());
             set("waiting", gate.queue.waiting());
--- a/src/admission/queue.rs
+++ b/src/admission/queue.rs
@@ -3,7 +3,7 @@
 
 use crate::ids::TeamId;
 use crate::units::MonoTime;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 /// Bounds of a queue.
@@ -76,7 +76,7 @@
     next_ticket: u64,
     virtual_time: u64,
     finish_tags: HashMap<TeamId, u64>,
-    waiting: BTreeMap<QueueOrder, ()>,
+    waiting: BTreeSet<QueueOrder>,
     orders: HashMap<AdmissionTicket, QueueOrder>,
     hold_time: HoldTime,
 }
@@ -110,7 +110,7 @@
             next_ticket: 0,
             virtual_time: 0,
             finish_tags: HashMap::new(),
-            waiting: BTreeMap::new(),
+            waiting: BTreeSet::new(),
             orders: HashMap::new(),
             hold_time: HoldTime::default(),
         }
@@ -145,12 +145,11 @@
         if wait.is_some_and(|wait| wait > self.settings.longest_wait) {
             return AdmissionStep::Refuse(bound_retry(wait.unwrap_or_default()));
         }
-        let evicted = match self.make_room(offer.priority, start_tag) {
-            Ok(evicted) => evicted,
-            Err(()) => return AdmissionStep::Refuse(bound_retry(wait.unwrap_or_default())),
+        let Ok(evicted) = self.make_room(offer.priority, start_tag) else {
+            return AdmissionStep::Refuse(bound_retry(wait.unwrap_or_default()));
         };
         let order = self.tag(offer);
-        self.waiting.insert(order, ());
+        self.waiting.insert(order);
         self.orders.insert(order.ticket, order);
         AdmissionStep::Wait {
             ticket: order.ticket,
@@ -169,7 +168,7 @@
     /// Takes a request out of the queue; false when it was not waiting any more.
     pub fn abandon(&mut self, ticket: AdmissionTicket) -> bool {
         let order = self.orders.remove(&ticket);
-        order.is_some_and(|order| self.waiting.remove(&order).is_some())
+        order.is_some_and(|order| self.waiting.remove(&order))
     }
 
     /// When a request refused now may come back.
@@ -184,7 +183,7 @@
     fn start_waiting(&mut self) -> Vec<AdmissionTicket> {
         let mut started = Vec::new();
         while self.in_use < self.limit
-            && let Some((order, ())) = self.waiting.pop_first()
+            && let Some(order) = self.waiting.pop_first()
         {
             self.orders.remove(&order.ticket);
             self.start(order);
@@ -241,8 +240,7 @@
         if self.waiting.len() < self.settings.max_entries {
             return Ok(None);
         }
-        let last = self.waiting.last_key_value().map(|(order, ())| *order);
-        match last {
+        match self.waiting.last().copied() {
             Some(last) if (last.priority, last.start_tag) > (priority, start_tag) => {
                 self.abandon(last.ticket);
                 Ok(Some(last.ticket))
--- a/src/api/chat/call.rs
+++ b/src/api/chat/call.rs
@@ -137,7 +137,7 @@
     let context = Arc::clone(context);
     let model = entry.spec.model.clone();
     TokenMeter(Arc::new(move |gap| {
-        context.admission.observe_gap(&model, gap)
+        context.admission.observe_gap(&model, gap);
     }))
 }
 
--- a/tests/admission_core.rs
+++ b/tests/admission_core.rs
@@ -298,14 +298,13 @@
                     running -= 1;
                     queue.finish(Duration::from_secs(1))
                 }
-                QueueEvent::Finish => Vec::new(),
                 QueueEvent::Abandon(pick) if !waiting.is_empty() => {
                     let ticket = waiting.swap_remove(pick as usize % waiting.len());
                     prop_assert!(queue.abandon(ticket));
                     prop_assert!(!queue.abandon(ticket));
                     Vec::new()
                 }
-                QueueEvent::Abandon(_) => Vec::new(),
+                QueueEvent::Finish | QueueEvent::Abandon(_) => Vec::new(),
                 QueueEvent::Limit(value) => {
                     limit = value as usize;
                     queue.set_limit(limit)
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use arbutusmount::{AskRequest, OperatorClient, OperatorError};
+use arbutusmount::{OperatorClient, OperatorError};
 use async_std::task;
 use rig::{AGENT_TOKEN, EngineKnobs, FleetSpec, ProcessFleet, TEAM_TOKEN, reference_text};
 use serde_json::Value;
@@ -37,7 +37,7 @@
 
 async fn call(daemon: SocketAddr, token: &str, seed: u64, tokens: u32) -> CallEnd {
     let message = format!("Question {seed}");
-    let ask: AskRequest = chat_request(&message, seed, tokens);
+    let ask = chat_request(&message, seed, tokens);
     let start = Instant::now();
     let mut first = None;
     let mut text = String::new();
