--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,6 +3,7 @@
 use crate::admission::{ADMISSION_TABLE, AdmissionSettings};
 use crate::check::{CheckError, CheckFault, FieldKind, FieldRule, check_document};
 use crate::ids::{DomainId, InstanceId};
+use crate::routing::{ROUTING_TABLE, RoutingSettings};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -50,6 +51,9 @@
     /// Limits, fairness and overload.
     #[serde(default)]
     pub admission: AdmissionSettings,
+    /// Routing policy and resuming.
+    #[serde(default)]
+    pub routing: RoutingSettings,
     /// Logging.
     #[serde(default)]
     pub log: LogSettings,
@@ -225,6 +229,7 @@
     FieldRule::optional("timing", FieldKind::Object(TIMING_TABLE)),
     FieldRule::optional("bounds", FieldKind::Object(BOUND_TABLE)),
     FieldRule::optional("admission", FieldKind::Object(ADMISSION_TABLE)),
+    FieldRule::optional("routing", FieldKind::Object(ROUTING_TABLE)),
     FieldRule::optional("log", FieldKind::Object(LOG_TABLE)),
     FieldRule::optional("traces", FieldKind::Object(TRACE_TABLE)),
 ];
