--- a/rig/src/fleet/layout.rs
+++ b/rig/src/fleet/layout.rs
@@ -68,6 +68,8 @@
     pub timing: TimingSettings,
     /// Routing settings of the daemons.
     pub routing: RoutingSettings,
+    /// Further settings of the daemons: top-level fields that replace those made here.
+    pub settings: serde_json::Value,
 }
 
 impl Default for FleetSpec {
@@ -86,6 +88,7 @@
             domains: vec!["bangna", "lat-krabang", "rangsit"],
             timing,
             routing: RoutingSettings::default(),
+            settings: serde_json::json!({}),
         }
     }
 }
--- a/rig/src/fleet/running.rs
+++ b/rig/src/fleet/running.rs
@@ -190,7 +190,7 @@
     }
 
     fn start_daemon(&self, name: &str, domain: &str, seat: DaemonSeat) -> ProcessHandle {
-        let settings = serde_json::json!({
+        let mut settings = serde_json::json!({
             "instance": name,
             "failure_domain": domain,
             "listen": seat.listen,
@@ -202,6 +202,9 @@
             "routing": self.spec.routing,
             "log": { "level": "debug" },
         });
+        for (field, value) in self.spec.settings.as_object().into_iter().flatten() {
+            settings[field] = value.clone();
+        }
         let path = self.folder.join(format!("{name}.json"));
         std::fs::write(&path, settings.to_string()).expect("the fleet's folder is writable");
         let arguments = ["--settings".to_owned(), path.display().to_string()];
