--- a/rig/src/args.rs
+++ b/rig/src/args.rs
@@ -11,6 +11,7 @@
 use pico_args::Arguments;
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 /// Result of a subcommand; the error is shown to the person who gave it.
@@ -22,7 +23,7 @@
 Usage:
   rig demo                                          run the demo
   rig engine --listen ADDR --instance NAME [--weights ADDR] [--knobs JSON]
-  rig service --listen ADDR [--knobs JSON]
+  rig service --listen ADDR [--ledger FILE] [--knobs JSON]
   rig platform --listen ADDR [--knobs JSON]
   rig proxy --listen ADDR --target ADDR
 ";
@@ -94,9 +95,15 @@
 
 fn run_service(arguments: &mut Arguments) -> Result<()> {
     let listen: SocketAddr = read_value(arguments, "--listen")?;
+    let ledger: Option<PathBuf> = arguments
+        .opt_value_from_str("--ledger")
+        .map_err(|e| e.to_string())?;
     let knobs: ServiceKnobs = read_knobs(arguments)?;
+    let service = match ledger {
+        None => ServiceStandIn::new(knobs),
+        Some(path) => ServiceStandIn::with_ledger(knobs, &path).map_err(|e| e.to_string())?,
+    };
     task::block_on(async {
-        let service = ServiceStandIn::new(knobs);
         service
             .serve(bind(listen).await?)
             .await
--- a/rig/src/fleet/running.rs
+++ b/rig/src/fleet/running.rs
@@ -3,6 +3,7 @@
 use crate::fleet::layout::{DaemonSeat, FleetSpec, OPERATOR_TOKEN, ProgramPaths};
 use crate::fleet::ports::free_address;
 use crate::fleet::process::ProcessHandle;
+use crate::service::{RunRecord, read_ledger};
 use crate::web::{admin_get, admin_send};
 use arbutusmount::{
     FleetDeclaration, InstanceRole, InstanceRow, InstanceState, OperatorClient, PlanRequest,
@@ -199,6 +200,7 @@
             "peer_key": PEER_KEY,
             "operator_token_sha256": digest_token(OPERATOR_TOKEN).to_string(),
             "timing": self.spec.timing,
+            "claims": self.spec.claims,
             "log": { "level": "debug" },
         });
         let path = self.folder.join(format!("{name}.json"));
@@ -245,9 +247,15 @@
     async fn add_service(&mut self, index: usize) {
         let address = free_address();
         let name = format!("stock-{index}");
-        let arguments = ["service", "--listen", &address.to_string()]
-            .map(str::to_owned)
-            .to_vec();
+        let ledger = self.ledger_path(index).display().to_string();
+        let arguments = [
+            "service",
+            "--listen",
+            &address.to_string(),
+            "--ledger",
+            &ledger,
+        ];
+        let arguments = arguments.map(str::to_owned).to_vec();
         let row = InstanceRow {
             instance: name.parse().expect("generated names are valid"),
             address,
@@ -292,6 +300,30 @@
         self.engines[index].process = process;
     }
 
+    fn ledger_path(&self, index: usize) -> PathBuf {
+        self.folder.join(format!("stock-{index}.ledger"))
+    }
+
+    /// Runs that a service has recorded, whether or not its process runs.
+    ///
+    /// # Panics
+    /// When the ledger cannot be read.
+    pub fn service_runs(&self, index: usize) -> Vec<RunRecord> {
+        read_ledger(&self.ledger_path(index)).expect("the service wrote its ledger")
+    }
+
+    /// Starts a service's process again, with default knobs, after it has ended.
+    ///
+    /// # Panics
+    /// When it does not start.
+    pub async fn restart_service(&mut self, index: usize) {
+        self.services[index].process.kill();
+        let member = &self.services[index];
+        let process = self.start_rig(&member.row, &member.arguments);
+        wait_serving(member.row.address).await;
+        self.services[index].process = process;
+    }
+
     /// Adds or replaces a row of the instance list.
     ///
     /// # Panics
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -20,5 +20,5 @@
 pub use oracle::{OracleState, reference_answer, reference_text};
 pub use platform::{PlatformKnobs, PlatformStandIn};
 pub use proxy::{DirectionFault, FaultProxy, ProxyFaults};
-pub use service::{RunRecord, ServiceKnobs, ServiceStandIn};
+pub use service::{RunRecord, ServiceKnobs, ServiceStandIn, read_ledger};
 pub use web::{admin_get, admin_send, json_response};
--- a/rig/src/platform/gateway.rs
+++ b/rig/src/platform/gateway.rs
@@ -45,11 +45,20 @@
     }
     let reply = platform.keys().txn(&txn);
     match reply {
-        Some(reply) => platform.reply(&reply).await,
+        Some(reply) => platform.reply_about(&first_key(&txn), &reply).await,
         None => Ok(Response::new(StatusCode::BadRequest)),
     }
 }
 
+/// The key that a transaction compares first, as text.
+fn first_key(txn: &TxnRequest) -> String {
+    let key = txn
+        .compare
+        .first()
+        .and_then(|clause| decode_bytes(&clause.key));
+    String::from_utf8_lossy(&key.unwrap_or_default()).into_owned()
+}
+
 async fn answer_grant(mut request: GatewayRequest) -> tide::Result {
     let grant: LeaseGrantRequest = request.body_json().await?;
     let platform = request.state();
--- a/rig/src/platform/server.rs
+++ b/rig/src/platform/server.rs
@@ -28,6 +28,8 @@
     pub hang: bool,
     /// Let this many writes take effect and lose their replies.
     pub lose_replies: u32,
+    /// Lose only replies to writes of keys that start with this; empty for all replies.
+    pub lose_prefix: String,
     /// Answer reads with the value before the last change.
     pub stale_reads: bool,
     /// Writes allowed a second, 0 for no limit.
@@ -162,10 +164,17 @@
 
     /// Answers a call that has taken effect, unless its reply is to be lost.
     pub(super) async fn reply<T: Serialize>(&self, value: &T) -> tide::Result {
+        self.reply_about("", value).await
+    }
+
+    /// Answers a call about a key, unless its reply is to be lost.
+    pub(super) async fn reply_about<T: Serialize>(&self, key: &str, value: &T) -> tide::Result {
         let lose = {
             let mut knobs = self.0.knobs.lock().expect("knob lock is never poisoned");
-            let lose = knobs.lose_replies > 0;
-            knobs.lose_replies = knobs.lose_replies.saturating_sub(1);
+            let lose = knobs.lose_replies > 0 && key.starts_with(&knobs.lose_prefix);
+            if lose {
+                knobs.lose_replies -= 1;
+            }
             lose
         };
         if lose {
--- a/rig/src/service.rs
+++ b/rig/src/service.rs
@@ -5,7 +5,9 @@
 use async_std::net::TcpListener;
 use async_std::task;
 use serde::{Deserialize, Serialize};
-use std::io;
+use std::fs::{File, OpenOptions};
+use std::io::{self, Write};
+use std::path::Path;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tide::{Request, Response, StatusCode};
@@ -45,6 +47,8 @@
 struct ServiceInner {
     knobs: Mutex<ServiceKnobs>,
     ledger: Mutex<Vec<RunRecord>>,
+    arrivals: Mutex<Vec<String>>,
+    file: Option<Mutex<File>>,
 }
 
 /// A stand-in service; cheap to clone.
@@ -56,11 +60,27 @@
     pub fn new(knobs: ServiceKnobs) -> Self {
         let inner = ServiceInner {
             knobs: Mutex::new(knobs),
-            ledger: Mutex::default(),
+            ..ServiceInner::default()
         };
         Self(Arc::new(inner))
     }
 
+    /// Creates a service whose ledger outlives its process: one JSON line for each run, written
+    /// before the reply.
+    ///
+    /// # Errors
+    /// When the file cannot be read or written.
+    pub fn with_ledger(knobs: ServiceKnobs, path: &Path) -> io::Result<Self> {
+        let file = OpenOptions::new().create(true).append(true).open(path)?;
+        let inner = ServiceInner {
+            knobs: Mutex::new(knobs),
+            ledger: Mutex::new(read_ledger(path)?),
+            file: Some(Mutex::new(file)),
+            ..ServiceInner::default()
+        };
+        Ok(Self(Arc::new(inner)))
+    }
+
     /// Serves on `listener` until the task is cancelled.
     ///
     /// # Errors
@@ -77,6 +97,12 @@
                     .expect("ledger lock is never poisoned");
                 Ok(json_response(StatusCode::Ok, &*ledger))
             });
+        app.at("/admin/arrivals")
+            .get(|request: Request<Self>| async move {
+                let arrivals = request.state().0.arrivals.lock();
+                let arrivals = arrivals.expect("arrival lock is never poisoned");
+                Ok(json_response(StatusCode::Ok, &*arrivals))
+            });
         app.at("/admin/knobs")
             .post(|mut request: Request<Self>| async move {
                 let knobs: ServiceKnobs = request.body_json().await?;
@@ -100,18 +126,48 @@
             .clone()
     }
 
+    /// Notes that a call with this idempotency key has arrived, whether or not it will run.
+    fn note_arrival(&self, key: &str) {
+        let mut arrivals = self
+            .0
+            .arrivals
+            .lock()
+            .expect("arrival lock is never poisoned");
+        arrivals.push(key.to_owned());
+    }
+
     /// Adds a run to the ledger and returns its number, from 1.
     fn record(&self, record: RunRecord) -> usize {
+        if let Some(file) = &self.0.file {
+            let line = serde_json::to_string(&record).expect("run records serialize");
+            let mut file = file.lock().expect("file lock is never poisoned");
+            writeln!(file, "{line}").expect("the ledger is writable");
+        }
         let mut ledger = self.0.ledger.lock().expect("ledger lock is never poisoned");
         ledger.push(record);
         ledger.len()
     }
 }
 
+/// Reads the ledger that a service with [`ServiceStandIn::with_ledger`] has written.
+///
+/// # Errors
+/// When the file cannot be read or holds something else.
+pub fn read_ledger(path: &Path) -> io::Result<Vec<RunRecord>> {
+    let text = std::fs::read_to_string(path)?;
+    let parse = |line| serde_json::from_str(line).map_err(io::Error::other);
+    text.lines().map(parse).collect()
+}
+
 async fn run_call(mut request: Request<ServiceStandIn>) -> tide::Result {
     let body = request.body_string().await?;
     let service = request.state().clone();
     let knobs = service.knobs();
+    let key = request
+        .header("idempotency-key")
+        .map(|values| values.last().as_str().to_owned())
+        .unwrap_or_default();
+    service.note_arrival(&key);
     if knobs.refuse {
         return Ok(Response::new(StatusCode::ServiceUnavailable));
     }
@@ -119,11 +175,8 @@
     if knobs.die_before {
         std::process::exit(70);
     }
-    let key = request
-        .header("idempotency-key")
-        .map(|values| values.last().as_str());
     let record = RunRecord {
-        key: key.unwrap_or_default().to_owned(),
+        key,
         method: request.method().to_string(),
         path: request.url().path().to_owned(),
         body,
--- a/src/api/services.rs
+++ b/src/api/services.rs
@@ -2,25 +2,29 @@
 //! repeated at most once.
 
 use crate::api::auth::authenticate_team;
-use crate::claims::{ClaimOutcome, ClaimRequest, claim_key, settle_claim};
+use crate::claims::{ClaimOutcome, ClaimRequest, ClaimTicket, KeptAnswer};
 use crate::config::{AcceptedConfig, ServiceSpec, TeamSpec};
 use crate::http::{HttpCall, HttpReply, ProblemAnswer, ProblemKind, SendError, read_body};
 use crate::ids::ServiceId;
-use crate::kernel::{KernelContext, PluginEntry, PluginError, PluginHost};
+use crate::kernel::{KernelContext, PluginEntry, PluginError, PluginHost, ProgressGuard};
+use crate::telemetry::TraceContext;
+use async_std::future::timeout;
+use async_std::task;
 use prometheus::IntCounterVec;
+use sha2::{Digest, Sha256};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tide::{Request, Response};
 
-/// Time allowed for a service to answer.
-const SERVICE_TIMEOUT: Duration = Duration::from_secs(10);
 /// When to come back after a refusal for want of a target.
 const NO_TARGET_DELAY: Duration = Duration::from_secs(1);
 /// Targets tried for one call.
 const MAX_TRIES: usize = 3;
 /// Longest idempotency key accepted, in bytes.
 const MAX_KEY_BYTES: usize = 128;
+/// Header of an answer that an earlier call with the same key has got.
+const REPEATED_HEADER: &str = "idempotency-replayed";
 /// Headers passed on to the service.
 const PASSED_HEADERS: [&str; 4] = ["content-type", "accept", "idempotency-key", "traceparent"];
 
@@ -42,7 +46,12 @@
 }
 
 async fn answer_call(mut request: Request<Arc<KernelContext>>, calls: IntCounterVec) -> Response {
-    match run_call(&mut request).await {
+    let outcome = match prepare(&mut request).await {
+        Err(problem) => Err(problem),
+        // The call runs in a task of its own, so that it outlives a caller that hangs up.
+        Ok(call) => task::spawn(run_call(call)).await,
+    };
+    match outcome {
         Ok(response) => {
             calls.with_label_values(&["completed"]).inc();
             response
@@ -63,11 +72,11 @@
     service: Arc<ServiceSpec>,
     template: HttpCall,
     key: Option<String>,
+    trace: TraceContext,
+    _progress: ProgressGuard,
 }
 
-async fn run_call(request: &mut Request<Arc<KernelContext>>) -> Result<Response, ProblemAnswer> {
-    let call = prepare(request).await?;
-    let _progress = call.context.lifecycle.enter();
+async fn run_call(call: ServiceCall) -> Result<Response, ProblemAnswer> {
     let is_repeatable = call
         .service
         .repeatable
@@ -84,6 +93,7 @@
     let (config, team) = authenticate_team(request)?;
     let service = find_service(&config, &team, request.param("service").unwrap_or_default())?;
     let context = Arc::clone(request.state());
+    let progress = context.lifecycle.enter();
     let body = read_body(request, context.settings.bounds.body_bytes).await?;
     let path = request.param("path").unwrap_or_default();
     let query = request
@@ -93,7 +103,8 @@
         .unwrap_or_default();
     let unset = SocketAddr::from(([0, 0, 0, 0], 0));
     let path = format!("/{path}{query}");
-    let mut template = HttpCall::new(unset, request.method(), path).timeout(SERVICE_TIMEOUT);
+    let mut template = HttpCall::new(unset, request.method(), path)
+        .timeout(context.settings.claims.service_limit());
     template.body = body;
     for name in PASSED_HEADERS {
         if let Some(values) = request.header(name) {
@@ -103,7 +114,15 @@
     let key = request
         .header("idempotency-key")
         .map(|values| values.last().as_str().to_owned());
+    let trace = template
+        .headers
+        .iter()
+        .find(|(name, _value)| name == "traceparent")
+        .and_then(|(_name, value)| value.parse().ok())
+        .unwrap_or_else(TraceContext::root);
     Ok(ServiceCall {
+        trace,
+        _progress: progress,
         context,
         team,
         service,
@@ -167,8 +186,8 @@
     let mut last = no_target();
     for address in call.targets() {
         match call.send(address).await {
-            Ok(reply) => match copy_reply(reply).await {
-                Ok(response) => return Ok(response),
+            Ok(reply) => match read_answer(call, reply).await {
+                Ok(answer) => return make_response(&answer),
                 Err(cause) => last = unknown_outcome(&cause),
             },
             Err(SendError::NotSent(_)) => {}
@@ -186,32 +205,64 @@
 /// have reached one.
 async fn run_once(call: &ServiceCall) -> Result<Response, ProblemAnswer> {
     let key = check_key(call)?;
-    let claim = ClaimRequest {
-        team: call.team.team.clone(),
-        service: call.service.service.clone(),
-        key,
-        fingerprint: fingerprint_call(call),
-    };
-    let ticket = match claim_key(&call.context, &claim).await {
-        ClaimOutcome::Claimed(ticket) => ticket,
-        ClaimOutcome::Refused(problem) => return Err(problem),
-    };
+    let (team, service) = (&call.team.team, &call.service.service);
+    let claim = ClaimRequest::new(team, service, key, fingerprint_call(call));
+    match claim_key(call, claim).await? {
+        ClaimOutcome::Claimed(ticket) => dispatch_once(call, ticket).await,
+        ClaimOutcome::Repeated(answer) => {
+            let mut response = make_response(&answer)?;
+            response.insert_header(REPEATED_HEADER, "true");
+            Ok(response)
+        }
+        ClaimOutcome::Refused(refusal) => Err(refusal.to_problem()),
+    }
+}
+
+async fn claim_key(call: &ServiceCall, claim: ClaimRequest) -> Result<ClaimOutcome, ProblemAnswer> {
+    let claims = call.context.claims.get().ok_or_else(|| {
+        ProblemAnswer::not_run(ProblemKind::NotReady, "the daemon is starting")
+            .retry_after(NO_TARGET_DELAY)
+    })?;
+    let mut span = call.context.traces.start("claim", call.trace);
+    let outcome = claims.claim(claim).await;
+    match &outcome {
+        ClaimOutcome::Claimed(ticket) => span.set("attempt", ticket.attempt()),
+        ClaimOutcome::Repeated(_) => span.set("repeated", true),
+        ClaimOutcome::Refused(refusal) => span.fail(refusal.name()),
+    }
+    Ok(outcome)
+}
+
+/// Sends a claimed call to the first target that takes the connection.
+async fn dispatch_once(call: &ServiceCall, ticket: ClaimTicket) -> Result<Response, ProblemAnswer> {
     for address in call.targets() {
+        if !ticket.may_dispatch() {
+            break;
+        }
         match call.send_fresh(address).await {
             Err(SendError::NotSent(_)) => {}
             Err(cause) => return Err(unknown_outcome(&cause)),
-            Ok(reply) => {
-                return copy_reply(reply)
-                    .await
-                    .map_err(|cause| unknown_outcome(&cause));
-            }
+            Ok(reply) => return complete(call, reply, ticket).await,
         }
     }
-    settle_claim(&call.context, ticket).await;
+    ticket.end_not_run();
     Err(no_target())
 }
 
-fn check_key(call: &ServiceCall) -> Result<Arc<str>, ProblemAnswer> {
+async fn complete(
+    call: &ServiceCall,
+    reply: HttpReply,
+    ticket: ClaimTicket,
+) -> Result<Response, ProblemAnswer> {
+    let answer = read_answer(call, reply)
+        .await
+        .map_err(|cause| unknown_outcome(&cause))?;
+    let response = make_response(&answer);
+    ticket.end_completed(answer);
+    response
+}
+
+fn check_key(call: &ServiceCall) -> Result<&str, ProblemAnswer> {
     let bad = |detail: String| ProblemAnswer::not_run(ProblemKind::BadRequest, detail);
     let key = call.key.as_deref().ok_or_else(|| {
         bad("calls of this method may not be repeated and need an Idempotency-Key".to_owned())
@@ -222,31 +273,46 @@
             "Idempotency-Key must be 1 to {limit} visible characters"
         )));
     }
-    Ok(Arc::from(key))
+    Ok(key)
 }
 
 /// Digest of what the call asks for, so that a key cannot stand for two different calls.
-fn fingerprint_call(call: &ServiceCall) -> String {
-    use sha2::{Digest, Sha256};
+fn fingerprint_call(call: &ServiceCall) -> u64 {
+    let template = &call.template;
     let mut hash = Sha256::new();
-    hash.update(call.template.method.as_ref());
-    hash.update([0]);
-    hash.update(&call.template.path);
-    hash.update([0]);
-    hash.update(&call.template.body);
-    hash.finalize()
-        .iter()
-        .fold(String::new(), |text, byte| text + &format!("{byte:02x}"))
+    for part in [
+        template.method.as_ref().as_bytes(),
+        template.path.as_bytes(),
+        &template.body,
+    ] {
+        hash.update((part.len() as u64).to_be_bytes());
+        hash.update(part);
+    }
+    let mut head = [0; 8];
+    head.copy_from_slice(&hash.finalize()[..8]);
+    u64::from_be_bytes(head)
 }
 
-async fn copy_reply(reply: HttpReply) -> Result<Response, SendError> {
-    let status = tide::StatusCode::try_from(reply.status());
-    let mut response =
-        Response::new(status.map_err(|cause| SendError::BadReply(cause.to_string()))?);
+async fn read_answer(call: &ServiceCall, reply: HttpReply) -> Result<KeptAnswer, SendError> {
+    let status = reply.status();
     let form = reply.header("content-type").map(ToOwned::to_owned);
-    response.set_body(reply.bytes().await?);
-    if let Some(form) = form {
-        response.insert_header("content-type", form);
+    let body = timeout(call.template.timeout, reply.bytes()).await;
+    let body = body.map_err(|_elapsed| SendError::TimedOut)??;
+    Ok(KeptAnswer { status, form, body })
+}
+
+/// The target's answer as it goes to the caller.
+fn make_response(answer: &KeptAnswer) -> Result<Response, ProblemAnswer> {
+    let status = tide::StatusCode::try_from(answer.status).map_err(|cause| {
+        ProblemAnswer::unknown(
+            ProblemKind::TargetFailed,
+            format!("malformed reply: {cause}"),
+        )
+    })?;
+    let mut response = Response::new(status);
+    response.set_body(answer.body.clone());
+    if let Some(form) = &answer.form {
+        response.insert_header("content-type", form.as_str());
     }
     Ok(response)
 }
--- /dev/null
+++ b/src/claims/key.rs
@@ -0,0 +1,172 @@
+//! Idempotency keys: what identifies a call, and the page of the store that its claim belongs to.
+
+use crate::ids::{ServiceId, TeamId};
+use sha2::{Digest, Sha256};
+use std::fmt;
+use std::str::FromStr;
+
+/// Number of shards; each has one home daemon at a time.
+pub const SHARD_COUNT: usize = 16;
+/// Pages for keys without a time; a multiple of [`SHARD_COUNT`].
+pub const BUCKET_COUNT: u16 = 128;
+/// Length of the window of key times that share a page, in milliseconds.
+pub const WINDOW_MS: u64 = 10_000;
+/// Windows whose pages exist at once; a page is reused after this many windows.
+pub const WINDOW_SLOTS: u64 = 750;
+/// Windows for which a dated key is accepted after its own.
+pub const RETAINED_WINDOWS: u64 = 720;
+/// Windows by which a key's time may lie ahead of the daemon's clock.
+pub const AHEAD_WINDOWS: u64 = 6;
+/// Time for which the claim of an undated key is kept, in seconds.
+pub const UNDATED_RETENTION_S: u64 = 24 * 3_600;
+
+const DIGEST_BYTES: usize = 16;
+/// Position of the version digit in the text of a UUID.
+const VERSION_POSITION: usize = 14;
+/// Positions of the hyphens in the text of a UUID.
+const HYPHENS: [usize; 4] = [8, 13, 18, 23];
+const UUID_LENGTH: usize = 36;
+
+/// Digest of a team, service and idempotency key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct KeyDigest(pub [u8; DIGEST_BYTES]);
+
+impl KeyDigest {
+    /// Digest of a key; equal keys of different teams or services have different digests.
+    pub fn compute(team: &TeamId, service: &ServiceId, key: &str) -> Self {
+        let mut hash = Sha256::new();
+        for part in [team.as_str(), service.as_str(), key] {
+            hash.update((part.len() as u64).to_be_bytes());
+            hash.update(part);
+        }
+        let mut digest = [0; DIGEST_BYTES];
+        digest.copy_from_slice(&hash.finalize()[..DIGEST_BYTES]);
+        Self(digest)
+    }
+
+    fn number(self) -> u16 {
+        u16::from_be_bytes([self.0[0], self.0[1]])
+    }
+}
+
+impl fmt::Display for KeyDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+/// Random number of one attempt to run a call; never used twice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ClaimAttempt(pub u64);
+
+impl fmt::Display for ClaimAttempt {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for ClaimAttempt {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
+/// A place for a page in the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum PageSlot {
+    /// Page of dated keys of one shard and window; reused for later windows.
+    Dated {
+        /// Shard.
+        shard: u16,
+        /// Window modulo [`WINDOW_SLOTS`].
+        slot: u64,
+    },
+    /// Page of undated keys.
+    Undated {
+        /// Bucket, below [`BUCKET_COUNT`].
+        bucket: u16,
+    },
+}
+
+impl PageSlot {
+    /// Shard that the page belongs to, below [`SHARD_COUNT`].
+    pub fn shard(self) -> usize {
+        match self {
+            Self::Dated { shard, .. } => usize::from(shard),
+            Self::Undated { bucket } => usize::from(bucket) % SHARD_COUNT,
+        }
+    }
+}
+
+/// Prints the page's key in the store.
+impl fmt::Display for PageSlot {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Dated { shard, slot } => write!(f, "arbutusmount/claims/v1/d/{shard}/{slot}"),
+            Self::Undated { bucket } => write!(f, "arbutusmount/claims/v1/u/{bucket}"),
+        }
+    }
+}
+
+/// The claim that a call needs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ClaimRequest {
+    /// Digest of the key.
+    pub digest: KeyDigest,
+    /// Window of the key's time; `None` when the key has no time.
+    pub window: Option<u64>,
+    /// Digest of the call, so that one key cannot stand for two different calls.
+    pub fingerprint: u64,
+}
+
+impl ClaimRequest {
+    /// The claim of a call. A key that is a UUID of version 7 carries its time.
+    ///
+    /// ```
+    /// # use arbutusmount::ClaimRequest;
+    /// let (team, service) = ("dispatch".parse().unwrap(), "bays".parse().unwrap());
+    /// let dated = "0197f2a4-8c00-7abc-8def-0123456789ab";
+    /// assert!(ClaimRequest::new(&team, &service, dated, 1).window.is_some());
+    /// assert!(ClaimRequest::new(&team, &service, "order-17", 1).window.is_none());
+    /// ```
+    pub fn new(team: &TeamId, service: &ServiceId, key: &str, fingerprint: u64) -> Self {
+        Self {
+            digest: KeyDigest::compute(team, service, key),
+            window: key_time_ms(key).map(|millis| millis / WINDOW_MS),
+            fingerprint,
+        }
+    }
+
+    /// Page that holds the claim.
+    pub fn slot(&self) -> PageSlot {
+        match self.window {
+            Some(window) => PageSlot::Dated {
+                shard: self.digest.number() % SHARD_COUNT as u16,
+                slot: window % WINDOW_SLOTS,
+            },
+            None => PageSlot::Undated {
+                bucket: self.digest.number() % BUCKET_COUNT,
+            },
+        }
+    }
+}
+
+/// Unix time in milliseconds that a UUID of version 7 starts with (RFC 9562, section 5.7).
+fn key_time_ms(key: &str) -> Option<u64> {
+    let bytes = key.as_bytes();
+    let is_uuid = bytes.len() == UUID_LENGTH
+        && bytes.iter().enumerate().all(|(index, byte)| {
+            if HYPHENS.contains(&index) {
+                *byte == b'-'
+            } else {
+                byte.is_ascii_hexdigit()
+            }
+        });
+    if !is_uuid || bytes[VERSION_POSITION] != b'7' {
+        return None;
+    }
+    let digits = format!("{}{}", &key[..HYPHENS[0]], &key[HYPHENS[0] + 1..HYPHENS[1]]);
+    u64::from_str_radix(&digits, 16).ok()
+}
--- /dev/null
+++ b/src/claims/metrics.rs
@@ -0,0 +1,81 @@
+//! Metrics of the claim protocol.
+
+use crate::claims::node::ClaimDecision;
+use crate::claims::writer::WriterCounts;
+use crate::telemetry::MetricSet;
+use prometheus::{HistogramVec, IntCounterVec, IntGaugeVec};
+
+/// Metrics of the claim protocol.
+#[derive(Debug, Clone)]
+pub struct ClaimMetrics {
+    claims: IntCounterVec,
+    calls: IntCounterVec,
+    batched: IntCounterVec,
+    latency: HistogramVec,
+    sizes: IntGaugeVec,
+}
+
+impl ClaimMetrics {
+    /// Registers the metrics.
+    ///
+    /// # Errors
+    /// When a name is taken.
+    pub fn register(set: &MetricSet) -> Result<Self, prometheus::Error> {
+        Ok(Self {
+            claims: set.counter("claims_total", "Claims by outcome.", &["outcome"])?,
+            calls: set.counter(
+                "claim_store_calls_total",
+                "Calls of the store for claims by kind: read, write, committed, conflict, failed.",
+                &["kind"],
+            )?,
+            batched: set.counter(
+                "claim_batched_changes_total",
+                "Claims and releases in committed writes; over committed writes, the batch size.",
+                &[],
+            )?,
+            latency: set.latency("claim_seconds", "Time to claim a key.", &[])?,
+            sizes: set.gauge(
+                "claim_memory",
+                "Claims cached (rows) and answers kept (bytes).",
+                &["kind"],
+            )?,
+        })
+    }
+
+    pub(super) fn count_claim(&self, decision: &ClaimDecision, seconds: f64) {
+        let outcome = match decision {
+            ClaimDecision::Dispatch => "granted",
+            ClaimDecision::Repeat(_) => "repeated",
+            ClaimDecision::Refuse(refusal) => refusal.name(),
+        };
+        self.claims.with_label_values(&[outcome]).inc();
+        self.latency.with_label_values::<&str>(&[]).observe(seconds);
+    }
+
+    pub(super) fn count_writes(&self, counts: WriterCounts) {
+        let table = [
+            ("read", counts.reads),
+            ("write", counts.writes),
+            ("committed", counts.committed),
+            ("conflict", counts.conflicts),
+            ("failed", counts.failures),
+        ];
+        for (kind, count) in table {
+            if count > 0 {
+                self.calls.with_label_values(&[kind]).inc_by(count);
+            }
+        }
+        if counts.changes > 0 {
+            self.batched
+                .with_label_values::<&str>(&[])
+                .inc_by(counts.changes);
+        }
+    }
+
+    pub(super) fn set_sizes(&self, rows: usize, bytes: usize) {
+        for (kind, size) in [("rows", rows), ("bytes", bytes)] {
+            let size = i64::try_from(size).unwrap_or(i64::MAX);
+            self.sizes.with_label_values(&[kind]).set(size);
+        }
+    }
+}
--- a/src/claims/mod.rs
+++ b/src/claims/mod.rs
@@ -1,6 +1,30 @@
 //! Claims on idempotency keys: a call that may not be repeated is dispatched only after its key
 //! was claimed in the store, so that it runs at most once.
 
-mod claim;
+mod attempts;
+mod cache;
+mod home;
+mod key;
+mod metrics;
+mod node;
+mod page;
+mod plugin;
+mod refusal;
+mod service;
+mod settings;
+mod wire;
+mod writer;
 
-pub use claim::{ClaimOutcome, ClaimRecord, ClaimRequest, ClaimTicket, claim_key, settle_claim};
+pub use attempts::{AttemptState, KeptAnswer};
+pub use home::choose_home;
+pub use key::{
+    BUCKET_COUNT, ClaimAttempt, ClaimRequest, KeyDigest, PageSlot, SHARD_COUNT,
+    UNDATED_RETENTION_S, WINDOW_MS, WINDOW_SLOTS,
+};
+pub use metrics::ClaimMetrics;
+pub use node::{ClaimAction, ClaimDecision, ClaimEvent, ClaimNode};
+pub use page::{ClaimPage, ClaimRow, ClaimVerdict, MAX_PAGE_ROWS, PageChange};
+pub use refusal::ClaimRefusal;
+pub use service::{ClaimOutcome, ClaimService, ClaimTicket};
+pub use settings::{CLAIM_TABLE, ClaimSettings};
+pub use writer::{ChangeOrigin, ClaimTime, PageWriter, WriterCounts, WriterStep};
--- /dev/null
+++ b/src/claims/settings.rs
@@ -0,0 +1,78 @@
+//! Settings of the claim protocol.
+
+use crate::check::{FieldKind, FieldRule};
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Settings of the claim protocol; daemons may differ in them.
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+#[serde(default)]
+pub struct ClaimSettings {
+    /// Shortest time between two writes of one shard, in milliseconds.
+    pub write_spacing_ms: u64,
+    /// Time allowed for a claim, in milliseconds; the call is refused after it.
+    pub claim_ms: u64,
+    /// Time allowed for another daemon to answer, in milliseconds.
+    pub peer_ms: u64,
+    /// Longest time from the start of a claim to the dispatch of its call, in milliseconds.
+    pub dispatch_ms: u64,
+    /// Time allowed for a service to answer, in milliseconds.
+    pub service_ms: u64,
+    /// Whether claims go through the home of their shard; without it each daemon writes its own.
+    pub forward: bool,
+}
+
+impl Default for ClaimSettings {
+    fn default() -> Self {
+        Self {
+            write_spacing_ms: 80,
+            claim_ms: 2_500,
+            peer_ms: 600,
+            dispatch_ms: 5_000,
+            service_ms: 10_000,
+            forward: true,
+        }
+    }
+}
+
+impl ClaimSettings {
+    /// Shortest time between two writes of one shard.
+    pub fn write_spacing(&self) -> Duration {
+        Duration::from_millis(self.write_spacing_ms)
+    }
+
+    /// Time allowed for a claim.
+    pub fn claim_limit(&self) -> Duration {
+        Duration::from_millis(self.claim_ms)
+    }
+
+    /// Time allowed for another daemon to answer.
+    pub fn peer_limit(&self) -> Duration {
+        Duration::from_millis(self.peer_ms)
+    }
+
+    /// Longest time from the start of a claim to the dispatch of its call.
+    pub fn dispatch_limit(&self) -> Duration {
+        Duration::from_millis(self.dispatch_ms)
+    }
+
+    /// Time allowed for a service to answer.
+    pub fn service_limit(&self) -> Duration {
+        Duration::from_millis(self.service_ms)
+    }
+}
+
+/// Longest time accepted, in milliseconds.
+const MAX_MS: u64 = 600_000;
+const MILLIS: FieldKind = FieldKind::Number(1, MAX_MS);
+
+/// Fields of [`ClaimSettings`].
+pub const CLAIM_TABLE: &[FieldRule] = &[
+    FieldRule::optional("write_spacing_ms", FieldKind::Number(0, MAX_MS)),
+    FieldRule::optional("claim_ms", MILLIS),
+    FieldRule::optional("peer_ms", MILLIS),
+    FieldRule::optional("dispatch_ms", MILLIS),
+    FieldRule::optional("service_ms", MILLIS),
+    FieldRule::optional("forward", FieldKind::Flag),
+];
--- /dev/null
+++ b/src/claims/wire.rs
@@ -0,0 +1,239 @@
+//! Messages between daemons about claims.
+
+use crate::claims::attempts::{AttemptState, KeptAnswer};
+use crate::claims::key::{ClaimAttempt, ClaimRequest, KeyDigest};
+use crate::claims::page::{ClaimRow, ClaimVerdict, PageChange};
+use prost::Message;
+use std::sync::Arc;
+
+/// A question to another daemon.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum PeerQuestion {
+    /// Write this change into its page.
+    Change(PageChange),
+    /// What became of this attempt of yours?
+    Report(ClaimAttempt),
+}
+
+/// Kind of a question or verdict or state, as a number on the wire.
+mod kind {
+    pub(super) const CLAIM: u32 = 1;
+    pub(super) const RELEASE: u32 = 2;
+    pub(super) const REPORT: u32 = 3;
+
+    pub(super) const GRANTED: u32 = 1;
+    pub(super) const TAKEN: u32 = 2;
+    pub(super) const RELEASED: u32 = 3;
+    pub(super) const TOO_OLD: u32 = 4;
+    pub(super) const PAGE_FULL: u32 = 5;
+    pub(super) const OVERLOADED: u32 = 6;
+    pub(super) const STORE_DOWN: u32 = 7;
+
+    pub(super) const WAITING: u32 = 1;
+    pub(super) const RUNNING: u32 = 2;
+    pub(super) const NOT_RUN: u32 = 3;
+    pub(super) const COMPLETED: u32 = 4;
+    pub(super) const UNKNOWN: u32 = 5;
+}
+
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+struct QuestionBody {
+    #[prost(uint32, tag = "1")]
+    kind: u32,
+    #[prost(bytes = "vec", tag = "2")]
+    digest: Vec<u8>,
+    #[prost(uint64, optional, tag = "3")]
+    window: Option<u64>,
+    #[prost(fixed64, tag = "4")]
+    fingerprint: u64,
+    #[prost(fixed64, tag = "5")]
+    attempt: u64,
+    #[prost(string, tag = "6")]
+    owner: String,
+    #[prost(fixed64, optional, tag = "7")]
+    supersedes: Option<u64>,
+}
+
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+struct VerdictBody {
+    #[prost(uint32, tag = "1")]
+    kind: u32,
+    #[prost(fixed64, tag = "2")]
+    fingerprint: u64,
+    #[prost(fixed64, tag = "3")]
+    attempt: u64,
+    #[prost(string, tag = "4")]
+    owner: String,
+    #[prost(uint64, tag = "5")]
+    claimed_s: u64,
+}
+
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+struct StateBody {
+    #[prost(uint32, tag = "1")]
+    kind: u32,
+    #[prost(message, optional, tag = "2")]
+    answer: Option<AnswerBody>,
+}
+
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+struct AnswerBody {
+    #[prost(uint32, tag = "1")]
+    status: u32,
+    #[prost(string, optional, tag = "2")]
+    form: Option<String>,
+    #[prost(bytes = "vec", tag = "3")]
+    body: Vec<u8>,
+}
+
+/// Encodes a question.
+pub(super) fn encode_question(question: &PeerQuestion) -> Vec<u8> {
+    let body = match question {
+        PeerQuestion::Report(attempt) => QuestionBody {
+            kind: kind::REPORT,
+            attempt: attempt.0,
+            ..QuestionBody::default()
+        },
+        PeerQuestion::Change(change) => encode_change(change),
+    };
+    body.encode_to_vec()
+}
+
+fn encode_change(change: &PageChange) -> QuestionBody {
+    let claim = change.claim();
+    let body = QuestionBody {
+        digest: claim.digest.0.to_vec(),
+        window: claim.window,
+        fingerprint: claim.fingerprint,
+        ..QuestionBody::default()
+    };
+    match change {
+        PageChange::Release { attempt, .. } => QuestionBody {
+            kind: kind::RELEASE,
+            attempt: attempt.0,
+            ..body
+        },
+        PageChange::Claim {
+            attempt,
+            owner,
+            supersedes,
+            ..
+        } => QuestionBody {
+            kind: kind::CLAIM,
+            attempt: attempt.0,
+            owner: owner.to_string(),
+            supersedes: supersedes.map(|attempt| attempt.0),
+            ..body
+        },
+    }
+}
+
+/// Decodes a question; `None` when it is malformed.
+pub(super) fn decode_question(bytes: &[u8]) -> Option<PeerQuestion> {
+    let body = QuestionBody::decode(bytes).ok()?;
+    let attempt = ClaimAttempt(body.attempt);
+    if body.kind == kind::REPORT {
+        return Some(PeerQuestion::Report(attempt));
+    }
+    let claim = ClaimRequest {
+        digest: KeyDigest(body.digest.try_into().ok()?),
+        window: body.window,
+        fingerprint: body.fingerprint,
+    };
+    let change = match body.kind {
+        kind::RELEASE => PageChange::Release { claim, attempt },
+        kind::CLAIM => PageChange::Claim {
+            claim,
+            attempt,
+            owner: body.owner.parse().ok()?,
+            supersedes: body.supersedes.map(ClaimAttempt),
+        },
+        _ => return None,
+    };
+    Some(PeerQuestion::Change(change))
+}
+
+/// Encodes a verdict.
+pub(super) fn encode_verdict(verdict: &ClaimVerdict) -> Vec<u8> {
+    let plain = |kind| VerdictBody {
+        kind,
+        ..VerdictBody::default()
+    };
+    let body = match verdict {
+        ClaimVerdict::Granted => plain(kind::GRANTED),
+        ClaimVerdict::Released => plain(kind::RELEASED),
+        ClaimVerdict::TooOld => plain(kind::TOO_OLD),
+        ClaimVerdict::PageFull => plain(kind::PAGE_FULL),
+        ClaimVerdict::Overloaded => plain(kind::OVERLOADED),
+        ClaimVerdict::StoreDown => plain(kind::STORE_DOWN),
+        ClaimVerdict::Taken(row) => VerdictBody {
+            kind: kind::TAKEN,
+            fingerprint: row.fingerprint,
+            attempt: row.attempt.0,
+            owner: row.owner.to_string(),
+            claimed_s: row.claimed_s,
+        },
+    };
+    body.encode_to_vec()
+}
+
+/// Decodes a verdict; `None` when it is malformed.
+pub(super) fn decode_verdict(bytes: &[u8]) -> Option<ClaimVerdict> {
+    let body = VerdictBody::decode(bytes).ok()?;
+    Some(match body.kind {
+        kind::GRANTED => ClaimVerdict::Granted,
+        kind::RELEASED => ClaimVerdict::Released,
+        kind::TOO_OLD => ClaimVerdict::TooOld,
+        kind::PAGE_FULL => ClaimVerdict::PageFull,
+        kind::OVERLOADED => ClaimVerdict::Overloaded,
+        kind::STORE_DOWN => ClaimVerdict::StoreDown,
+        kind::TAKEN => ClaimVerdict::Taken(ClaimRow {
+            fingerprint: body.fingerprint,
+            attempt: ClaimAttempt(body.attempt),
+            owner: body.owner.parse().ok()?,
+            claimed_s: body.claimed_s,
+        }),
+        _ => return None,
+    })
+}
+
+/// Encodes the state of an attempt.
+pub(super) fn encode_state(state: &AttemptState) -> Vec<u8> {
+    let (kind, answer) = match state {
+        AttemptState::Waiting => (kind::WAITING, None),
+        AttemptState::Running => (kind::RUNNING, None),
+        AttemptState::NotRun => (kind::NOT_RUN, None),
+        AttemptState::Unknown => (kind::UNKNOWN, None),
+        AttemptState::Completed(answer) => (kind::COMPLETED, answer.as_ref()),
+    };
+    let answer = answer.map(|answer| AnswerBody {
+        status: u32::from(answer.status),
+        form: answer.form.clone(),
+        body: answer.body.clone(),
+    });
+    StateBody { kind, answer }.encode_to_vec()
+}
+
+/// Decodes the state of an attempt; `None` when it is malformed.
+pub(super) fn decode_state(bytes: &[u8]) -> Option<AttemptState> {
+    let body = StateBody::decode(bytes).ok()?;
+    Some(match body.kind {
+        kind::WAITING => AttemptState::Waiting,
+        kind::RUNNING => AttemptState::Running,
+        kind::NOT_RUN => AttemptState::NotRun,
+        kind::UNKNOWN => AttemptState::Unknown,
+        kind::COMPLETED => AttemptState::Completed(match body.answer {
+            None => None,
+            Some(answer) => Some(Arc::new(KeptAnswer {
+                status: answer.status.try_into().ok()?,
+                form: answer.form,
+                body: answer.body,
+            })),
+        }),
+        _ => return None,
+    })
+}
--- /dev/null
+++ b/src/claims/writer.rs
@@ -0,0 +1,390 @@
+//! Writes the pages of one shard: changes that wait for the same page share one compare-and-swap.
+
+use crate::claims::cache::{CachedPage, PageCache};
+use crate::claims::key::PageSlot;
+use crate::claims::page::{ClaimPage, ClaimVerdict, PageChange};
+use crate::store::{ExpectedRevision, StoreError, StoreRecord, SwapOutcome};
+use crate::units::MonoTime;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Changes that may wait for one shard.
+pub const MAX_QUEUED: usize = 2_048;
+/// Tries of one batch before its changes are refused.
+const MAX_TRIES: u32 = 6;
+/// Tries of one batch that the store failed to answer or refused.
+const MAX_FAILED_TRIES: u32 = 2;
+/// Time without tries after the store failed; changes are refused at once meanwhile.
+const DOWN_PAUSE: Duration = Duration::from_millis(500);
+
+/// Time as the claim protocol sees it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ClaimTime {
+    /// Monotonic clock, for delays.
+    pub mono: MonoTime,
+    /// Unix time in milliseconds, for the age of keys.
+    pub unix_ms: u64,
+}
+
+/// Who wants to know the verdict on a change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum ChangeOrigin {
+    /// An operation of this daemon.
+    Own(u64),
+    /// A message of another daemon.
+    Peer(u64),
+}
+
+/// Verdicts by origin.
+pub type Verdicts = Vec<(ChangeOrigin, ClaimVerdict)>;
+
+/// What the writer wants done next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum WriterStep {
+    /// Nothing until a change is submitted or the store answers.
+    Idle,
+    /// Nothing before this time.
+    WaitUntil(MonoTime),
+    /// Read the page.
+    Read(PageSlot),
+    /// Write the page.
+    Swap {
+        /// Page.
+        slot: PageSlot,
+        /// Revision expected.
+        expected: ExpectedRevision,
+        /// New value.
+        value: Vec<u8>,
+    },
+    /// Hand out verdicts.
+    Answer(Verdicts),
+}
+
+/// Counts of what a writer did.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct WriterCounts {
+    /// Reads of pages.
+    pub reads: u64,
+    /// Writes sent.
+    pub writes: u64,
+    /// Writes that took effect.
+    pub committed: u64,
+    /// Changes that they carried.
+    pub changes: u64,
+    /// Writes that found another revision.
+    pub conflicts: u64,
+    /// Reads and writes that failed.
+    pub failures: u64,
+}
+
+impl WriterCounts {
+    /// Adds the counts of another writer.
+    pub fn add(&mut self, other: Self) {
+        self.reads += other.reads;
+        self.writes += other.writes;
+        self.committed += other.committed;
+        self.changes += other.changes;
+        self.conflicts += other.conflicts;
+        self.failures += other.failures;
+    }
+}
+
+#[derive(Debug)]
+struct QueuedChange {
+    origin: ChangeOrigin,
+    change: PageChange,
+}
+
+/// A page that was sent to the store, and what it means for the batch once it has taken effect.
+#[derive(Debug)]
+struct WrittenPage {
+    page: ClaimPage,
+    verdicts: Verdicts,
+}
+
+/// A batch on its way into a page.
+#[derive(Debug)]
+struct PageFlight {
+    slot: PageSlot,
+    batch: Vec<QueuedChange>,
+    written: Option<WrittenPage>,
+    tries: u32,
+    failed_tries: u32,
+    retry_at: Option<MonoTime>,
+}
+
+/// Writer of one shard's pages.
+#[derive(Debug)]
+pub struct PageWriter {
+    spacing: Duration,
+    queue: VecDeque<QueuedChange>,
+    answers: Verdicts,
+    cache: PageCache,
+    flight: Option<PageFlight>,
+    next_write: MonoTime,
+    down_until: MonoTime,
+    counts: WriterCounts,
+}
+
+impl PageWriter {
+    /// Creates a writer that starts at most one batch in each `spacing`.
+    pub fn new(spacing: Duration) -> Self {
+        Self {
+            spacing,
+            queue: VecDeque::new(),
+            answers: Vec::new(),
+            cache: PageCache::default(),
+            flight: None,
+            next_write: MonoTime::default(),
+            down_until: MonoTime::default(),
+            counts: WriterCounts::default(),
+        }
+    }
+
+    /// Counts since the last call.
+    pub fn take_counts(&mut self) -> WriterCounts {
+        std::mem::take(&mut self.counts)
+    }
+
+    /// Claims cached.
+    pub fn cached_rows(&self) -> usize {
+        self.cache.rows()
+    }
+
+    /// Queues a change; its verdict comes from a later [`PageWriter::poll`].
+    pub fn submit(&mut self, origin: ChangeOrigin, change: PageChange, now: ClaimTime) {
+        let verdict = if now.mono < self.down_until {
+            self.answer_from_cache(&change)
+        } else if self.queue.len() >= MAX_QUEUED {
+            ClaimVerdict::Overloaded
+        } else {
+            self.queue.push_back(QueuedChange { origin, change });
+            return;
+        };
+        self.answers.push((origin, verdict));
+    }
+
+    /// When polling will next lead to a step by itself; `None` when only an event will.
+    pub fn wait_until(&self) -> Option<MonoTime> {
+        match &self.flight {
+            Some(flight) => flight.retry_at,
+            None => (!self.queue.is_empty()).then_some(self.next_write),
+        }
+    }
+
+    /// What to do next. Poll again after each step but `Idle` and `WaitUntil`.
+    pub fn poll(&mut self, now: ClaimTime) -> WriterStep {
+        if !self.answers.is_empty() {
+            return WriterStep::Answer(std::mem::take(&mut self.answers));
+        }
+        if self.flight.is_some() {
+            return self.resume_flight(now);
+        }
+        if self.queue.is_empty() {
+            return WriterStep::Idle;
+        }
+        if now.mono < self.next_write {
+            return WriterStep::WaitUntil(self.next_write);
+        }
+        self.start_flight(now)
+    }
+
+    fn resume_flight(&mut self, now: ClaimTime) -> WriterStep {
+        let Some(flight) = &mut self.flight else {
+            return WriterStep::Idle;
+        };
+        match flight.retry_at {
+            None => WriterStep::Idle,
+            Some(at) if now.mono < at => WriterStep::WaitUntil(at),
+            Some(_) => {
+                flight.retry_at = None;
+                self.write_flight(now)
+            }
+        }
+    }
+
+    /// Takes the changes for the page of the first one in the queue.
+    fn start_flight(&mut self, now: ClaimTime) -> WriterStep {
+        let Some(first) = self.queue.front() else {
+            return WriterStep::Idle;
+        };
+        let slot = first.change.claim().slot();
+        let (batch, rest) = std::mem::take(&mut self.queue)
+            .into_iter()
+            .partition(|queued| queued.change.claim().slot() == slot);
+        self.queue = rest;
+        self.flight = Some(PageFlight {
+            slot,
+            batch: Vec::from(batch as VecDeque<QueuedChange>),
+            written: None,
+            tries: 0,
+            failed_tries: 0,
+            retry_at: None,
+        });
+        self.write_flight(now)
+    }
+
+    /// Applies the batch to the page as last seen and writes it, unless nothing changes.
+    fn write_flight(&mut self, now: ClaimTime) -> WriterStep {
+        let Some(flight) = &mut self.flight else {
+            return WriterStep::Idle;
+        };
+        let Some(cached) = self.cache.get(flight.slot) else {
+            self.counts.reads += 1;
+            return WriterStep::Read(flight.slot);
+        };
+        let mut page = cached.page.clone();
+        let verdicts = apply_batch(&mut page, &flight.batch, now);
+        if page == cached.page {
+            self.flight = None;
+            return WriterStep::Answer(verdicts);
+        }
+        let step = WriterStep::Swap {
+            slot: flight.slot,
+            expected: cached.expected,
+            value: page.encode(),
+        };
+        flight.written = Some(WrittenPage { page, verdicts });
+        flight.tries += 1;
+        self.counts.writes += 1;
+        self.next_write = now.mono.after(self.spacing);
+        step
+    }
+
+    /// Takes the answer to [`WriterStep::Read`].
+    pub fn page_read(
+        &mut self,
+        outcome: Result<Option<StoreRecord>, StoreError>,
+        now: ClaimTime,
+        rng: &mut fastrand::Rng,
+    ) {
+        match outcome {
+            Err(_cause) => self.fail_flight(now, rng),
+            Ok(present) => {
+                if self.learn(present.as_ref()) {
+                    self.retry_flight(now.mono);
+                } else {
+                    self.give_up();
+                }
+            }
+        }
+    }
+
+    /// Takes the answer to [`WriterStep::Swap`].
+    pub fn page_swapped(
+        &mut self,
+        outcome: Result<SwapOutcome, StoreError>,
+        now: ClaimTime,
+        rng: &mut fastrand::Rng,
+    ) {
+        match outcome {
+            Err(_cause) => self.fail_flight(now, rng),
+            Ok(SwapOutcome::Swapped(revision)) => self.commit_flight(revision),
+            Ok(SwapOutcome::Conflict(present)) => {
+                self.counts.conflicts += 1;
+                let is_known = self.learn(present.as_ref());
+                let tries = self.flight.as_ref().map_or(0, |flight| flight.tries);
+                if !is_known || tries >= MAX_TRIES {
+                    self.give_up();
+                } else {
+                    let pause = self.spacing.mul_f64(rng.f64());
+                    self.retry_flight(now.mono.after(pause));
+                }
+            }
+        }
+    }
+
+    /// Takes over the page in the store; false when it is malformed. A lost write of this batch is
+    /// found here: its claims already stand in the page under their own attempts.
+    fn learn(&mut self, present: Option<&StoreRecord>) -> bool {
+        let Some(slot) = self.flight.as_ref().map(|flight| flight.slot) else {
+            return true;
+        };
+        let cached = match present {
+            None => Some(CachedPage::new(
+                ExpectedRevision::Absent,
+                ClaimPage::default(),
+            )),
+            Some(record) => ClaimPage::decode(&record.value)
+                .map(|page| CachedPage::new(ExpectedRevision::Exactly(record.revision), page)),
+        };
+        let is_known = cached.is_some();
+        if let Some(cached) = cached {
+            self.cache.put(slot, cached);
+        }
+        is_known
+    }
+
+    fn commit_flight(&mut self, revision: u64) {
+        let Some(flight) = self.flight.take() else {
+            return;
+        };
+        let Some(written) = flight.written else {
+            return;
+        };
+        self.counts.committed += 1;
+        self.counts.changes += flight.batch.len() as u64;
+        self.answers.extend(written.verdicts);
+        let expected = ExpectedRevision::Exactly(revision);
+        self.cache
+            .put(flight.slot, CachedPage::new(expected, written.page));
+    }
+
+    /// Tries the same write again: if the unanswered one took effect, this one conflicts and the
+    /// page shows it; if not, it never will once this one has taken effect.
+    fn fail_flight(&mut self, now: ClaimTime, rng: &mut fastrand::Rng) {
+        self.counts.failures += 1;
+        let Some(flight) = &mut self.flight else {
+            return;
+        };
+        flight.failed_tries += 1;
+        if flight.failed_tries < MAX_FAILED_TRIES {
+            let pause = self.spacing.mul_f64(0.5 + rng.f64());
+            self.retry_flight(now.mono.after(pause));
+            return;
+        }
+        self.down_until = now.mono.after(DOWN_PAUSE.mul_f64(0.75 + 0.5 * rng.f64()));
+        self.give_up();
+        for queued in std::mem::take(&mut self.queue) {
+            let verdict = self.answer_from_cache(&queued.change);
+            self.answers.push((queued.origin, verdict));
+        }
+    }
+
+    fn retry_flight(&mut self, at: MonoTime) {
+        if let Some(flight) = &mut self.flight {
+            flight.retry_at = Some(at);
+        }
+    }
+
+    /// Answers the batch without a write.
+    fn give_up(&mut self) {
+        let batch = self.flight.take().map(|flight| flight.batch);
+        for queued in batch.unwrap_or_default() {
+            let verdict = self.answer_from_cache(&queued.change);
+            self.answers.push((queued.origin, verdict));
+        }
+    }
+
+    /// The verdict while the store does not answer: a claim seen in the page stands there, but the
+    /// lack of one proves nothing.
+    fn answer_from_cache(&mut self, change: &PageChange) -> ClaimVerdict {
+        let PageChange::Claim { claim, attempt, .. } = change else {
+            return ClaimVerdict::StoreDown;
+        };
+        let cached = self.cache.get(claim.slot());
+        match cached.and_then(|cached| cached.page.find(claim)) {
+            Some(row) if row.attempt == *attempt => ClaimVerdict::Granted,
+            Some(row) => ClaimVerdict::Taken(row.clone()),
+            None => ClaimVerdict::StoreDown,
+        }
+    }
+}
+
+fn apply_batch(page: &mut ClaimPage, batch: &[QueuedChange], now: ClaimTime) -> Verdicts {
+    let now_s = now.unix_ms / 1_000;
+    batch
+        .iter()
+        .map(|queued| (queued.origin, page.apply(&queued.change, now_s)))
+        .collect()
+}
--- a/src/kernel/context.rs
+++ b/src/kernel/context.rs
@@ -1,5 +1,6 @@
 //! What all plug-ins share.
 
+use crate::claims::ClaimService;
 use crate::config::ConfigCell;
 use crate::engine::EngineClient;
 use crate::http::ConnectionPool;
@@ -10,7 +11,7 @@
 use crate::settings::DaemonSettings;
 use crate::store::StoreClient;
 use crate::telemetry::{MetricSet, TraceSink};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 /// Shared state of one daemon. Fields are read-mostly and safe to use from any thread.
 #[derive(Debug)]
@@ -41,6 +42,8 @@
     pub targets: TargetTable,
     /// Messages to other daemons.
     pub peers: PeerTransport,
+    /// Claims on idempotency keys, once their plug-in is installed.
+    pub claims: OnceLock<Arc<ClaimService>>,
     /// Phase and requests in progress.
     pub lifecycle: Arc<LifecycleCell>,
 }
@@ -69,6 +72,7 @@
             config: ConfigCell::new(),
             targets: TargetTable::default(),
             peers,
+            claims: OnceLock::new(),
             lifecycle: Arc::default(),
             pool,
             settings,
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -8,6 +8,6 @@
 
 pub use context::KernelContext;
 pub use daemon::{DaemonError, DaemonHandle, run_daemon, start_daemon};
-pub use lifecycle::{DaemonPhase, LifecycleCell};
+pub use lifecycle::{DaemonPhase, LifecycleCell, ProgressGuard};
 pub use plugin::{PluginEntry, PluginError, PluginHost, WebApp};
 pub use timer::{MonoClock, TimerJob, TimerService, TimerSpec};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,7 +27,13 @@
     ConfirmReply, IncompleteMessage, ModelStatus, PlanRequest, StatusReply,
 };
 pub use check::{CheckError, CheckFault, FieldKind, FieldRule, check_document};
-pub use claims::{ClaimOutcome, ClaimRecord, ClaimRequest, ClaimTicket};
+pub use claims::{
+    AttemptState, BUCKET_COUNT, ChangeOrigin, ClaimAction, ClaimAttempt, ClaimDecision, ClaimEvent,
+    ClaimMetrics, ClaimNode, ClaimOutcome, ClaimPage, ClaimRefusal, ClaimRequest, ClaimRow,
+    ClaimService, ClaimSettings, ClaimTicket, ClaimTime, ClaimVerdict, KeptAnswer, KeyDigest,
+    MAX_PAGE_ROWS, PageChange, PageSlot, PageWriter, SHARD_COUNT, UNDATED_RETENTION_S, WINDOW_MS,
+    WINDOW_SLOTS, WriterCounts, WriterStep, choose_home,
+};
 pub use config::{
     AcceptedConfig, AdoptOutcome, CONFIG_KEY, ConfigCell, ConfigDocument, EngineOffer,
     FleetDeclaration, FleetPlan, ModelEntry, ModelSpec, PlacementError, PlanChange, PlanCost,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,7 @@
 //! Daemon settings: a checked JSON file that each process reads once at start.
 
 use crate::check::{CheckError, CheckFault, FieldKind, FieldRule, check_document};
+use crate::claims::{CLAIM_TABLE, ClaimSettings};
 use crate::ids::{DomainId, InstanceId};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -46,6 +47,9 @@
     /// Bounds on memory and request size.
     #[serde(default)]
     pub bounds: BoundSettings,
+    /// Claims on idempotency keys.
+    #[serde(default)]
+    pub claims: ClaimSettings,
     /// Logging.
     #[serde(default)]
     pub log: LogSettings,
@@ -220,6 +224,7 @@
     FieldRule::required("operator_token_sha256", FieldKind::Digest),
     FieldRule::optional("timing", FieldKind::Object(TIMING_TABLE)),
     FieldRule::optional("bounds", FieldKind::Object(BOUND_TABLE)),
+    FieldRule::optional("claims", FieldKind::Object(CLAIM_TABLE)),
     FieldRule::optional("log", FieldKind::Object(LOG_TABLE)),
     FieldRule::optional("traces", FieldKind::Object(TRACE_TABLE)),
 ];
