--- a/src/kernel/context.rs
+++ b/src/kernel/context.rs
@@ -1,6 +1,7 @@
 //! What all plug-ins share.
 
 use crate::admission::AdmissionGate;
+use crate::claims::ClaimService;
 use crate::config::ConfigCell;
 use crate::engine::EngineClient;
 use crate::http::ConnectionPool;
@@ -11,7 +12,7 @@
 use crate::settings::DaemonSettings;
 use crate::store::StoreClient;
 use crate::telemetry::{MetricSet, TraceSink};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 /// Shared state of one daemon. Fields are read-mostly and safe to use from any thread.
 #[derive(Debug)]
@@ -46,6 +47,8 @@
     pub peers: PeerTransport,
     /// Limits, fairness and overload.
     pub admission: AdmissionGate,
+    /// Claims on idempotency keys, once their plug-in is installed.
+    pub claims: OnceLock<Arc<ClaimService>>,
     /// Phase and requests in progress.
     pub lifecycle: Arc<LifecycleCell>,
 }
@@ -79,6 +82,7 @@
             targets: TargetTable::default(),
             routing: RoutingState::default(),
             peers,
+            claims: OnceLock::new(),
             lifecycle: Arc::default(),
             pool,
             settings,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -2,6 +2,7 @@
 
 use crate::admission::{ADMISSION_TABLE, AdmissionSettings};
 use crate::check::{CheckError, CheckFault, FieldKind, FieldRule, check_document};
+use crate::claims::{CLAIM_TABLE, ClaimSettings};
 use crate::ids::{DomainId, InstanceId};
 use crate::routing::{ROUTING_TABLE, RoutingSettings};
 use serde::{Deserialize, Serialize};
@@ -54,6 +55,9 @@
     /// Routing policy and resuming.
     #[serde(default)]
     pub routing: RoutingSettings,
+    /// Claims on idempotency keys.
+    #[serde(default)]
+    pub claims: ClaimSettings,
     /// Logging.
     #[serde(default)]
     pub log: LogSettings,
@@ -230,6 +234,7 @@
     FieldRule::optional("bounds", FieldKind::Object(BOUND_TABLE)),
     FieldRule::optional("admission", FieldKind::Object(ADMISSION_TABLE)),
     FieldRule::optional("routing", FieldKind::Object(ROUTING_TABLE)),
+    FieldRule::optional("claims", FieldKind::Object(CLAIM_TABLE)),
     FieldRule::optional("log", FieldKind::Object(LOG_TABLE)),
     FieldRule::optional("traces", FieldKind::Object(TRACE_TABLE)),
 ];
