--- a/src/api/operator.rs
+++ b/src/api/operator.rs
@@ -2,21 +2,22 @@
 
 use crate::api::auth::authenticate_operator;
 use crate::config::{
-    CONFIG_KEY, ConfigDocument, FleetDeclaration, FleetPlan, adopt_record, make_plan,
+    CONFIG_KEY, ChangeEntry, CommitOutcome, ConfigBundle, FleetDeclaration, FleetPlan, PlanInputs,
+    PlanVerdict, check_plan, commit_document, compare_documents, fetch_bundle, judge_plan,
+    make_plan, offer_bundle, read_head,
 };
 use crate::http::{ProblemAnswer, ProblemKind, read_body};
-use crate::ids::{ConfigRevision, InstanceId, ModelId, PlanId, VersionId};
+use crate::ids::{ConfigRevision, InstanceId, ModelId, VersionId};
 use crate::kernel::{KernelContext, PluginEntry, PluginError, PluginHost};
-use crate::store::{ExpectedRevision, StoreError, StoreRecord, SwapOutcome};
+use crate::store::StoreError;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 use tide::{Body, Request, Response, StatusCode};
 
 /// When to come back while the store is out of reach.
 const STORE_DELAY: Duration = Duration::from_secs(2);
-/// Rate assumed for the weight store, in bytes a second.
-const WEIGHT_RATE: u64 = 100 << 20;
 
 /// Body of `POST /operator/plan`.
 #[derive(Debug, Clone, PartialEq)]
@@ -34,6 +35,9 @@
 pub struct ConfirmReply {
     /// Revision at which the plan took effect.
     pub revision: ConfigRevision,
+    /// Revision in force now, when a later change has superseded the plan.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub superseded_by: Option<ConfigRevision>,
 }
 
 /// Reply to the status question.
@@ -113,94 +117,155 @@
     problem.retry_after(STORE_DELAY)
 }
 
-/// The document in the store and its revision.
+/// The newest configuration known: the store's, or the one in force when the store is behind.
 async fn read_current(
-    context: &KernelContext,
-) -> Result<(ConfigRevision, Option<ConfigDocument>), ProblemAnswer> {
-    let read = context.store.get(CONFIG_KEY).await;
-    // A failed read has changed nothing, whatever became of it.
-    let record = read.map_err(|cause| {
-        ProblemAnswer::not_run(ProblemKind::NotReady, cause.to_string()).retry_after(STORE_DELAY)
-    })?;
-    let Some(record) = record else {
-        return Ok((ConfigRevision(0), None));
+    context: &Arc<KernelContext>,
+) -> Result<Option<Arc<ConfigBundle>>, ProblemAnswer> {
+    let not_run = |detail: String| {
+        ProblemAnswer::not_run(ProblemKind::NotReady, detail).retry_after(STORE_DELAY)
     };
-    let document = serde_json::from_slice(&record.value).map_err(|cause| {
-        let detail = format!("the stored configuration is malformed: {cause}");
-        ProblemAnswer::not_run(ProblemKind::Conflict, detail)
-    })?;
-    Ok((ConfigRevision(record.revision), Some(document)))
+    // A failed read has changed nothing, whatever became of it.
+    let record = context.store.get(CONFIG_KEY).await;
+    let record = record.map_err(|cause| not_run(cause.to_string()))?;
+    let revision = record.as_ref().map_or(0, |record| record.revision);
+    if let Some(record) = record
+        && ConfigRevision(revision) > context.config.revision()
+    {
+        let malformed = |cause| {
+            let detail = format!("the stored configuration is malformed: {cause}");
+            ProblemAnswer::not_run(ProblemKind::Conflict, detail)
+        };
+        let head = read_head(&record.value).map_err(malformed)?;
+        let bundle = fetch_bundle(context, ConfigRevision(revision), head).await;
+        let bundle = bundle.ok_or_else(|| not_run("the configuration is changing".to_owned()))?;
+        offer_bundle(context, bundle);
+    }
+    Ok(context.config.bundle())
 }
 
 async fn plan(mut request: Request<Arc<KernelContext>>) -> Result<FleetPlan, ProblemAnswer> {
     authenticate_operator(&request)?;
     let wanted: PlanRequest = read_json(&mut request).await?;
     let context = request.state();
-    let (base, current) = read_current(context).await?;
+    let bundle = read_current(context).await?;
+    let conflict = |detail: String| ProblemAnswer::not_run(ProblemKind::Conflict, detail);
+    let current = bundle.as_ref().map(|bundle| bundle.assemble()).transpose();
+    let current = current.map_err(|cause| conflict(cause.to_string()))?;
     let engines = context.instances.load().engine_offers();
     let name = format!("plan-{:016x}", fastrand::u64(..));
-    let plan: PlanId = name.parse().expect("generated plan names are valid");
-    let identity = (plan, wanted.author);
-    make_plan(
-        base,
-        current.as_ref(),
-        wanted.declaration,
-        &engines,
-        identity,
-        WEIGHT_RATE,
-    )
-    .map_err(|cause| ProblemAnswer::not_run(ProblemKind::Conflict, cause.to_string()))
+    let inputs = PlanInputs {
+        base: bundle.map_or(ConfigRevision(0), |bundle| bundle.revision),
+        current: current.as_ref(),
+        engines: &engines,
+        load: &read_load(context),
+        plan: name.parse().expect("generated plan names are valid"),
+        author: wanted.author,
+    };
+    make_plan(inputs, wanted.declaration).map_err(|cause| conflict(cause.to_string()))
+}
+
+/// Requests in progress on each engine, by its newest report.
+fn read_load(context: &KernelContext) -> BTreeMap<InstanceId, u32> {
+    let targets = context.targets.all();
+    let load = targets.iter().filter_map(|target| {
+        let report = target.report()?;
+        Some((target.instance.clone(), report.running + report.queued))
+    });
+    load.collect()
 }
 
 async fn confirm(mut request: Request<Arc<KernelContext>>) -> Result<ConfirmReply, ProblemAnswer> {
     authenticate_operator(&request)?;
     let plan: FleetPlan = read_json(&mut request).await?;
     let context = request.state();
-    let value = serde_json::to_vec(&plan.document).expect("documents serialize");
-    let expected = match plan.base {
-        ConfigRevision(0) => ExpectedRevision::Absent,
-        ConfigRevision(revision) => ExpectedRevision::Exactly(revision),
+    let outcome = match check_plan(&plan.document) {
+        Ok(()) => write_plan(context, &plan).await,
+        Err(detail) => Err(ProblemAnswer::not_run(ProblemKind::BadRequest, detail)),
     };
-    let swapped = context.store.swap(CONFIG_KEY, expected, &value, None).await;
-    match swapped.map_err(|cause| store_problem(&cause))? {
-        SwapOutcome::Swapped(revision) => {
-            let key = CONFIG_KEY.to_owned();
-            adopt_record(
-                context,
-                &StoreRecord {
-                    key,
-                    value,
-                    revision,
-                    lease: None,
-                },
-            );
-            Ok(ConfirmReply {
-                revision: ConfigRevision(revision),
-            })
-        }
-        SwapOutcome::Conflict(present) => settle_conflict(&plan, present),
-    }
+    count_confirm(context, &outcome);
+    outcome
 }
 
-/// Tells apart a plan that has taken effect before and one that lost to another change.
-fn settle_conflict(
+async fn write_plan(
+    context: &Arc<KernelContext>,
     plan: &FleetPlan,
-    present: Option<StoreRecord>,
 ) -> Result<ConfirmReply, ProblemAnswer> {
-    let lost = |detail: String| ProblemAnswer::not_run(ProblemKind::Conflict, detail);
-    let record = present.ok_or_else(|| lost("the configuration was deleted".to_owned()))?;
-    let document: ConfigDocument = serde_json::from_slice(&record.value)
-        .map_err(|cause| lost(format!("the stored configuration is malformed: {cause}")))?;
-    if document.plan == plan.document.plan {
-        return Ok(ConfirmReply {
-            revision: ConfigRevision(record.revision),
-        });
+    if context.config.revision() < plan.base {
+        read_current(context).await?;
+    }
+    let base = context.config.bundle();
+    if let Some(bundle) = &base {
+        let name = &plan.document.plan;
+        let verdict = judge_plan(name, plan.base, bundle.revision, &bundle.head);
+        if verdict != PlanVerdict::Open {
+            return answer_verdict(plan, verdict);
+        }
+    }
+    let known = base
+        .as_ref()
+        .map_or(ConfigRevision(0), |bundle| bundle.revision);
+    if known != plan.base {
+        let detail = format!("revision {} has not reached this daemon yet", plan.base);
+        let problem = ProblemAnswer::not_run(ProblemKind::NotReady, detail);
+        return Err(problem.retry_after(STORE_DELAY));
+    }
+    let current = base.as_ref().and_then(|bundle| bundle.assemble().ok());
+    let changes = compare_documents(current.as_ref(), &plan.document);
+    let lines: Vec<String> = changes.iter().rev().map(ToString::to_string).collect();
+    let entry = ChangeEntry::new(&plan.document.plan, &plan.document.author, &lines);
+    match commit_document(context, base.as_deref(), &plan.document, entry).await {
+        CommitOutcome::Settled(verdict) => answer_verdict(plan, verdict),
+        CommitOutcome::NotWritten(cause) | CommitOutcome::Unknown(cause) => {
+            Err(store_problem(&cause))
+        }
     }
-    let detail = format!(
-        "{} confirmed {} at revision {}; make a new plan",
-        document.author, document.plan, record.revision
-    );
-    Err(lost(detail))
+}
+
+fn answer_verdict(plan: &FleetPlan, verdict: PlanVerdict) -> Result<ConfirmReply, ProblemAnswer> {
+    match verdict {
+        PlanVerdict::Effective {
+            revision,
+            superseded_by,
+        } => Ok(ConfirmReply {
+            revision,
+            superseded_by,
+        }),
+        PlanVerdict::Lost { changes } => {
+            let detail = describe_changes(plan, &changes);
+            Err(ProblemAnswer::not_run(ProblemKind::Conflict, detail))
+        }
+        PlanVerdict::Open => {
+            let detail = "the store has not moved past the plan's base".to_owned();
+            Err(ProblemAnswer::unknown(ProblemKind::TimedOut, detail).retry_after(STORE_DELAY))
+        }
+    }
+}
+
+/// Says who changed what since the plan's base.
+fn describe_changes(plan: &FleetPlan, changes: &[ChangeEntry]) -> String {
+    let describe = |entry: &ChangeEntry| {
+        let (author, revision) = (&entry.author, entry.revision);
+        let lines = entry.changes.join(", ");
+        format!(
+            "{author} confirmed {} at revision {revision} ({lines})",
+            entry.plan
+        )
+    };
+    let lines: Vec<String> = changes.iter().map(describe).collect();
+    let since = plan.base;
+    format!(
+        "the configuration has changed since revision {since}: {}; make a new plan",
+        lines.join("; ")
+    )
+}
+
+fn count_confirm(context: &KernelContext, outcome: &Result<ConfirmReply, ProblemAnswer>) {
+    let label = if outcome.is_ok() {
+        "effective"
+    } else {
+        "refused"
+    };
+    context.config.count_confirm(label);
 }
 
 fn status(request: &Request<Arc<KernelContext>>) -> Result<StatusReply, ProblemAnswer> {
--- a/src/config/accepted.rs
+++ b/src/config/accepted.rs
@@ -7,10 +7,11 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-/// A model with the placements that serve its declared version.
+/// A model with the placements of the version that serves: the declared one, or its predecessor
+/// until enough copies of the declared one are loaded.
 #[derive(Debug, Clone)]
 pub struct ModelEntry {
-    /// Declared model.
+    /// Model in the version that serves.
     pub spec: ModelSpec,
     /// Engines that hold its layers, in declared order.
     pub placements: Vec<StagePlacement>,
@@ -88,11 +89,11 @@
 }
 
 fn index_model(spec: &ModelSpec, document: &ConfigDocument) -> (ModelId, Arc<ModelEntry>) {
+    let spec = document.serving_spec(spec);
     let serves = |row: &&StagePlacement| row.model == spec.model && row.version == spec.version;
     let placements = document.placements.iter().filter(serves).cloned().collect();
-    let entry = ModelEntry {
-        spec: spec.clone(),
-        placements,
-    };
-    (spec.model.clone(), Arc::new(entry))
+    (
+        spec.model.clone(),
+        Arc::new(ModelEntry { spec, placements }),
+    )
 }
--- a/src/config/cell.rs
+++ b/src/config/cell.rs
@@ -1,9 +1,12 @@
 //! Holds the configuration in force; readers never wait and revisions never go back.
 
 use crate::config::AcceptedConfig;
+use crate::config::metrics::ConfigMetrics;
+use crate::config::sections::ConfigBundle;
+use crate::config::state::{AdoptionState, OfferOutcome};
 use crate::ids::ConfigRevision;
 use arc_swap::ArcSwapOption;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, OnceLock};
 
 /// What became of an offered configuration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -18,6 +21,8 @@
 #[derive(Debug, Default)]
 pub struct ConfigCell {
     current: ArcSwapOption<AcceptedConfig>,
+    state: Mutex<AdoptionState>,
+    metrics: OnceLock<ConfigMetrics>,
 }
 
 impl ConfigCell {
@@ -54,4 +59,44 @@
         });
         outcome
     }
+
+    /// Adopts a bundle when it is newer than the one in force and complete.
+    pub fn offer(&self, bundle: ConfigBundle) -> OfferOutcome {
+        self.with_state(|state| {
+            let outcome = state.offer(bundle);
+            if let OfferOutcome::Adopted(config) = &outcome {
+                self.adopt(config);
+            }
+            outcome
+        })
+    }
+
+    /// Sets the metrics that adoption counts in; the first ones stay.
+    pub(super) fn set_metrics(&self, metrics: ConfigMetrics) {
+        self.metrics.get_or_init(|| metrics);
+    }
+
+    /// Metrics of adoption; present from the time that the plug-in is installed.
+    pub(super) fn metrics(&self) -> &ConfigMetrics {
+        self.metrics
+            .get()
+            .expect("the adoption plug-in sets its metrics first")
+    }
+
+    /// Counts a confirm by its outcome.
+    pub fn count_confirm(&self, outcome: &str) {
+        let confirms = &self.metrics().confirms;
+        confirms.with_label_values(&[outcome]).inc();
+    }
+
+    /// Reads or changes the adoption state.
+    pub fn with_state<T>(&self, act: impl FnOnce(&mut AdoptionState) -> T) -> T {
+        let mut state = self.state.lock().expect("adoption lock is never poisoned");
+        act(&mut state)
+    }
+
+    /// The configuration in force, in the form in which it travels.
+    pub fn bundle(&self) -> Option<Arc<ConfigBundle>> {
+        self.with_state(|state| state.bundle().cloned())
+    }
 }
--- a/src/config/declaration.rs
+++ b/src/config/declaration.rs
@@ -23,6 +23,35 @@
     /// Teams that may call.
     #[serde(default)]
     pub teams: Vec<TeamSpec>,
+    /// How changes of models are carried out.
+    #[serde(default)]
+    pub rollout: RolloutSpec,
+}
+
+/// How changes of models are carried out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(default)]
+pub struct RolloutSpec {
+    /// Rate limit of the weight store, in bytes a second.
+    pub weight_bytes_per_second: u64,
+    /// Engines that may load from the weight store at once.
+    pub loads_at_once: u32,
+    /// Longest wait for an engine's requests to end before its stage is replaced, in seconds.
+    pub drain_seconds: u64,
+    /// Time after which an engine that is missing from the instance list is replaced, in seconds.
+    pub replace_seconds: u64,
+}
+
+impl Default for RolloutSpec {
+    fn default() -> Self {
+        Self {
+            weight_bytes_per_second: 100 << 20,
+            loads_at_once: 4,
+            drain_seconds: 60,
+            replace_seconds: 15,
+        }
+    }
 }
 
 /// One model in one version.
@@ -81,13 +110,13 @@
     #[serde(default = "default_weight")]
     pub weight: u32,
     /// Limit on prompt plus generated tokens a second; absent means none.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub tokens_per_second: Option<f64>,
     /// Models the team may use; empty means all.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub models: Vec<ModelId>,
     /// Services the team may use; empty means all.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub services: Vec<ServiceId>,
 }
 
@@ -142,6 +171,16 @@
     FieldRule::optional("services", FieldKind::List(&FieldKind::Id)),
 ];
 
+/// Longest span in a rollout, in seconds.
+const MAX_SECONDS: u64 = 86_400;
+
+const ROLLOUT_TABLE: &[FieldRule] = &[
+    FieldRule::optional("weight_bytes_per_second", FieldKind::Number(1, u64::MAX)),
+    FieldRule::optional("loads_at_once", FieldKind::Number(1, MAX_REPLICAS)),
+    FieldRule::optional("drain_seconds", FieldKind::Number(0, MAX_SECONDS)),
+    FieldRule::optional("replace_seconds", FieldKind::Number(1, MAX_SECONDS)),
+];
+
 const DECLARATION_TABLE: &[FieldRule] = &[
     FieldRule::optional("models", FieldKind::List(&FieldKind::Object(MODEL_TABLE))),
     FieldRule::optional(
@@ -149,6 +188,7 @@
         FieldKind::List(&FieldKind::Object(SERVICE_TABLE)),
     ),
     FieldRule::optional("teams", FieldKind::List(&FieldKind::Object(TEAM_TABLE))),
+    FieldRule::optional("rollout", FieldKind::Object(ROLLOUT_TABLE)),
 ];
 
 impl FleetDeclaration {
--- a/src/config/plan.rs
+++ b/src/config/plan.rs
@@ -1,11 +1,15 @@
 //! Plans: what a declaration would change and what that would cost, made against a revision.
 
+use crate::check::CheckError;
+use crate::config::placement::count_copies;
 use crate::config::{
-    ConfigDocument, EngineOffer, FleetDeclaration, PlacementError, StagePlacement, place_models,
+    ConfigDocument, EngineOffer, FleetDeclaration, ModelSpec, PlacementError, StagePlacement,
+    place_models,
 };
-use crate::ids::{ConfigRevision, PlanId};
+use crate::ids::{ConfigRevision, InstanceId, ModelId, PlanId, VersionId};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, HashSet};
+use std::fmt;
 use std::sync::Arc;
 
 /// Result of making a plan.
@@ -37,16 +41,54 @@
     },
 }
 
+impl fmt::Display for PlanChange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let stage = |row: &StagePlacement| {
+            let (model, version, layers) = (&row.model, &row.version, row.layers);
+            format!("{}  {model} {version} layers {layers}", row.instance)
+        };
+        match self {
+            Self::Load(row) => write!(f, "load    {}", stage(row)),
+            Self::Unload(row) => write!(f, "unload  {}", stage(row)),
+            Self::Add { item } => write!(f, "add     {item}"),
+            Self::Remove { item } => write!(f, "remove  {item}"),
+            Self::Modify { item } => write!(f, "modify  {item}"),
+        }
+    }
+}
+
+/// Complete copies of a model before, during and after the change.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct CapacityChange {
+    /// Model.
+    pub model: ModelId,
+    /// Version that serves until the declared one is loaded.
+    pub serving: VersionId,
+    /// Copies placed now.
+    pub before: u32,
+    /// Copies that serve while engines load; the plan promises not to fall below.
+    pub during: u32,
+    /// Copies placed afterwards.
+    pub after: u32,
+}
+
 /// What a plan costs.
 #[derive(Debug, Clone, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct PlanCost {
-    /// Bytes that engines fetch from the weight store.
+    /// Bytes that engines fetch from the weight store, all steps together.
     pub weight_bytes: u64,
     /// Time to fetch them at the weight store's rate limit, in seconds.
     pub load_seconds: f64,
     /// Engines that serve nothing while they load.
     pub engines_loading: u32,
+    /// Requests now in progress on engines that give up or replace their stage; they are let finish.
+    #[serde(default)]
+    pub requests_to_drain: u32,
+    /// Copies of the models that change.
+    #[serde(default)]
+    pub capacity: Vec<CapacityChange>,
 }
 
 /// A plan: the document that would take effect, and what that changes and costs.
@@ -63,57 +105,103 @@
     pub document: ConfigDocument,
 }
 
-/// Makes a plan that replaces `current` by `declaration`.
+/// What a plan is made from.
+#[derive(Debug)]
+pub struct PlanInputs<'a> {
+    /// Revision that the plan is made against, 0 when there is no configuration yet.
+    pub base: ConfigRevision,
+    /// Document at that revision.
+    pub current: Option<&'a ConfigDocument>,
+    /// Engines listed.
+    pub engines: &'a [EngineOffer],
+    /// Requests in progress on each engine.
+    pub load: &'a BTreeMap<InstanceId, u32>,
+    /// Name of the plan.
+    pub plan: PlanId,
+    /// Operator who asks for it.
+    pub author: Arc<str>,
+}
+
+/// Makes a plan that replaces the current document by `declaration`.
 ///
 /// # Errors
 /// [`PlacementError`] when the engines cannot hold the declared models.
-pub fn make_plan(
-    base: ConfigRevision,
-    current: Option<&ConfigDocument>,
-    declaration: FleetDeclaration,
-    engines: &[EngineOffer],
-    identity: (PlanId, Arc<str>),
-    weight_bytes_per_second: u64,
-) -> Result<FleetPlan> {
-    let held = current.map_or(&[][..], |document| &document.placements);
-    let placements = place_models(&declaration, engines, held)?;
-    let mut changes = compare_placements(held, &placements);
-    let empty = FleetDeclaration::default();
-    let before = current.map_or(&empty, |document| &document.declaration);
-    changes.extend(compare_declarations(before, &declaration));
-    let cost = add_costs(&changes, &declaration, weight_bytes_per_second);
-    let (plan, author) = identity;
+pub fn make_plan(inputs: PlanInputs<'_>, declaration: FleetDeclaration) -> Result<FleetPlan> {
+    let placed = place_models(&declaration, inputs.engines, inputs.current)?;
     let document = ConfigDocument {
-        plan,
-        author,
+        plan: inputs.plan,
+        author: inputs.author,
         declaration,
-        placements,
+        placements: placed.placements,
+        serving: placed.serving,
     };
+    let changes = compare_documents(inputs.current, &document);
+    let cost = add_costs(inputs.current, &document, &changes, inputs.load);
     Ok(FleetPlan {
-        base,
+        base: inputs.base,
         changes,
         cost,
         document,
     })
 }
 
+/// Checks what a plan would put in force, as it may have been edited since it was made.
+///
+/// # Errors
+/// Every fault of the declaration, or a description of the first row that does not fit it.
+pub fn check_plan(document: &ConfigDocument) -> std::result::Result<(), String> {
+    let text = serde_json::to_string(&document.declaration).expect("declarations serialize");
+    FleetDeclaration::parse(&text).map_err(|errors| {
+        let lines: Vec<String> = errors.iter().map(CheckError::to_string).collect();
+        lines.join("; ")
+    })?;
+    let mut engines = HashSet::new();
+    for row in &document.placements {
+        let models = &document.declaration.models;
+        let spec = models.iter().find(|spec| spec.model == row.model);
+        let spec = spec.ok_or_else(|| format!("placement of undeclared model {}", row.model))?;
+        let serving = document.serving_spec(spec);
+        let known = [spec, &serving]
+            .into_iter()
+            .any(|version| version.version == row.version && row.layers.to <= version.layers);
+        if !known || row.layers.is_empty() {
+            return Err(format!(
+                "placement on {} does not fit its model",
+                row.instance
+            ));
+        }
+        if !engines.insert(&row.instance) {
+            return Err(format!("engine {} is placed twice", row.instance));
+        }
+    }
+    Ok(())
+}
+
+/// What differs between two documents.
+pub fn compare_documents(
+    before: Option<&ConfigDocument>,
+    after: &ConfigDocument,
+) -> Vec<PlanChange> {
+    let held = before.map_or(&[][..], |document| &document.placements);
+    let mut changes = compare_placements(held, &after.placements);
+    let empty = FleetDeclaration::default();
+    let declared = before.map_or(&empty, |document| &document.declaration);
+    changes.extend(compare_declarations(declared, &after.declaration));
+    changes
+}
+
 fn compare_placements(before: &[StagePlacement], after: &[StagePlacement]) -> Vec<PlanChange> {
-    let unloads = before
-        .iter()
-        .filter(|row| !after.contains(row))
-        .cloned()
-        .map(PlanChange::Unload);
-    let loads = after
-        .iter()
-        .filter(|row| !before.contains(row))
-        .cloned()
-        .map(PlanChange::Load);
-    unloads.chain(loads).collect()
+    let old: HashSet<&StagePlacement> = before.iter().collect();
+    let new: HashSet<&StagePlacement> = after.iter().collect();
+    let unloads = before.iter().filter(|row| !new.contains(row)).cloned();
+    let loads = after.iter().filter(|row| !old.contains(row)).cloned();
+    let unloads = unloads.map(PlanChange::Unload);
+    unloads.chain(loads.map(PlanChange::Load)).collect()
 }
 
 fn compare_declarations(before: &FleetDeclaration, after: &FleetDeclaration) -> Vec<PlanChange> {
     let mut changes = Vec::new();
-    let name_model = |spec: &crate::config::ModelSpec| format!("model {}", spec.model);
+    let name_model = |spec: &ModelSpec| format!("model {}", spec.model);
     changes.extend(compare_items(&before.models, &after.models, name_model));
     let name_service = |spec: &crate::config::ServiceSpec| format!("service {}", spec.service);
     changes.extend(compare_items(
@@ -123,6 +211,11 @@
     ));
     let name_team = |spec: &crate::config::TeamSpec| format!("team {}", spec.team);
     changes.extend(compare_items(&before.teams, &after.teams, name_team));
+    if before.rollout != after.rollout {
+        changes.push(PlanChange::Modify {
+            item: "rollout".to_owned(),
+        });
+    }
     changes
 }
 
@@ -131,32 +224,96 @@
     after: &[T],
     name: impl Fn(&T) -> String,
 ) -> Vec<PlanChange> {
-    let names: BTreeSet<String> = before.iter().chain(after).map(&name).collect();
-    let find = |list: &[T], wanted: &str| list.iter().position(|item| name(item) == wanted);
-    let compare = |item: String| match (find(before, &item), find(after, &item)) {
+    let mut pairs: BTreeMap<String, (Option<&T>, Option<&T>)> = BTreeMap::new();
+    for item in before {
+        pairs.entry(name(item)).or_default().0 = Some(item);
+    }
+    for item in after {
+        pairs.entry(name(item)).or_default().1 = Some(item);
+    }
+    let compare = |(item, pair): (String, (Option<&T>, Option<&T>))| match pair {
         (None, Some(_)) => Some(PlanChange::Add { item }),
         (Some(_), None) => Some(PlanChange::Remove { item }),
-        (Some(old), Some(new)) if before[old] != after[new] => Some(PlanChange::Modify { item }),
+        (Some(old), Some(new)) if old != new => Some(PlanChange::Modify { item }),
         _ => None,
     };
-    names.into_iter().filter_map(compare).collect()
+    pairs.into_iter().filter_map(compare).collect()
 }
 
-fn add_costs(changes: &[PlanChange], declaration: &FleetDeclaration, rate: u64) -> PlanCost {
+fn add_costs(
+    before: Option<&ConfigDocument>,
+    after: &ConfigDocument,
+    changes: &[PlanChange],
+    load: &BTreeMap<InstanceId, u32>,
+) -> PlanCost {
     let mut cost = PlanCost::default();
     for change in changes {
-        if let PlanChange::Load(row) = change {
-            let spec = declaration
-                .models
-                .iter()
-                .find(|spec| spec.model == row.model);
-            let layer_bytes = spec.map_or(0, |spec| spec.layer_bytes);
-            cost.weight_bytes += layer_bytes * u64::from(row.layers.len());
-            cost.engines_loading += 1;
+        match change {
+            PlanChange::Load(row) => {
+                let bytes = after
+                    .layer_bytes(row)
+                    .saturating_mul(u64::from(row.layers.len()));
+                cost.weight_bytes = cost.weight_bytes.saturating_add(bytes);
+                cost.engines_loading += 1;
+            }
+            PlanChange::Unload(row) => {
+                cost.requests_to_drain += load.get(&row.instance).copied().unwrap_or(0);
+            }
+            _ => {}
         }
     }
-    if rate > 0 {
-        cost.load_seconds = cost.weight_bytes as f64 / rate as f64;
+    for spec in &after.declaration.models {
+        cost.weight_bytes = cost.weight_bytes.saturating_add(later_bytes(after, spec));
+        cost.capacity.extend(compare_capacity(before, after, spec));
     }
+    let rate = after.declaration.rollout.weight_bytes_per_second.max(1);
+    cost.load_seconds = cost.weight_bytes as f64 / rate as f64;
     cost
 }
+
+/// Bytes of the copies that can only be placed once the old version has gone.
+fn later_bytes(after: &ConfigDocument, spec: &ModelSpec) -> u64 {
+    let placed = copies_of(after, spec, &spec.version);
+    let copy = spec.layer_bytes.saturating_mul(u64::from(spec.layers));
+    copy.saturating_mul(u64::from(spec.replicas.saturating_sub(placed)))
+}
+
+fn compare_capacity(
+    before: Option<&ConfigDocument>,
+    after: &ConfigDocument,
+    spec: &ModelSpec,
+) -> Option<CapacityChange> {
+    let old = before.and_then(|document| {
+        let models = &document.declaration.models;
+        let declared = models.iter().find(|old| old.model == spec.model)?;
+        Some((document, document.serving_spec(declared)))
+    });
+    let placed = old.as_ref().map_or(0, |(document, serving)| {
+        copies_of(document, serving, &serving.version)
+    });
+    let serving = after.serving_spec(spec);
+    let kept_rows: Vec<StagePlacement> = after
+        .placements
+        .iter()
+        .filter(|row| before.is_some_and(|document| document.placements.contains(row)))
+        .filter(|row| row.model == spec.model && row.version == serving.version)
+        .cloned()
+        .collect();
+    let change = CapacityChange {
+        model: spec.model.clone(),
+        serving: serving.version.clone(),
+        before: placed,
+        during: count_copies(&kept_rows, serving.layers),
+        after: spec.replicas,
+    };
+    let same_version = old.is_some_and(|(_, old)| old.version == spec.version);
+    let unchanged = same_version && change.before == change.during && change.during == change.after;
+    (!unchanged).then_some(change)
+}
+
+fn copies_of(document: &ConfigDocument, spec: &ModelSpec, version: &VersionId) -> u32 {
+    let rows = document.placements.iter();
+    let rows = rows.filter(|row| row.model == spec.model && row.version == *version);
+    let rows: Vec<StagePlacement> = rows.cloned().collect();
+    count_copies(&rows, spec.layers)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,9 +29,15 @@
 pub use check::{CheckError, CheckFault, FieldKind, FieldRule, check_document};
 pub use claims::{ClaimOutcome, ClaimRecord, ClaimRequest, ClaimTicket};
 pub use config::{
-    AcceptedConfig, AdoptOutcome, CONFIG_KEY, ConfigCell, ConfigDocument, EngineOffer,
-    FleetDeclaration, FleetPlan, ModelEntry, ModelSpec, PlacementError, PlanChange, PlanCost,
-    ServiceSpec, StagePlacement, TeamSpec, TokenDigest, digest_token, make_plan, place_models,
+    AcceptedConfig, AdoptOutcome, AdoptionState, BackoffLimits, BundleError, CONFIG_KEY,
+    CapacityChange, ChangeEntry, ConfigBundle, ConfigCell, ConfigDocument, ConfigHead,
+    ConfigNotice, ConfigPull, ConfigReply, ConfigRequest, EngineOffer, FleetDeclaration, FleetPlan,
+    MARK_KEY, ModelEntry, ModelSpec, NoticeStep, OfferOutcome, PlacementError, PlacementPlan,
+    PlanChange, PlanCost, PlanInputs, PlanVerdict, RankedRouter, RetryBackoff, RolloutSpec,
+    SectionDigest, SectionMap, ServiceSpec, ServingVersion, StagePlacement, StoreDuty, StoreStep,
+    TeamSpec, TokenDigest, WATCHERS, advance_document, check_plan, compare_documents, count_copies,
+    digest_token, extend_recent, fit_models, judge_plan, make_plan, place_models, rank_routers,
+    read_head, store_duty,
 };
 pub use engine::{
     ActivationReply, ActivationRequest, CancelRequest, ChainStage, EngineClient, EngineError,
@@ -59,7 +65,9 @@
 pub use platform::{
     InstanceClient, InstanceList, InstanceRole, InstanceRow, InstanceState, InstanceTable,
 };
-pub use reconcile::{LeaderCell, LeaderState};
+pub use reconcile::{
+    DrainTable, EngineView, LeaderCell, LeaderState, OrderPlan, PlannedOrder, plan_orders,
+};
 pub use routing::{
     AnswerEvent, AnswerStream, AttemptFailure, ChainChoice, ChainQuery, DeliveryState,
     DeliveryStep, FinalAnswer, FlightGuard, GenerationRequest, TargetState, TargetTable,
@@ -70,10 +78,10 @@
 };
 pub use store::{
     CompareClause, EventKind, ExpectedRevision, KeyValue, LeaseGrantReply, LeaseGrantRequest,
-    LeaseKeepAliveReply, LeaseRequest, RangeReply, RangeRequest, ReplyHeader, StoreClient,
-    StoreError, StoreEvent, StoreRecord, StoreWatch, SwapOutcome, TxnOperation, TxnOperationReply,
-    TxnReply, TxnRequest, WatchCreate, WatchFrame, WatchReply, WatchRequest, WireEvent, WireInt,
-    decode_bytes, encode_bytes,
+    LeaseKeepAliveReply, LeaseRequest, RangeReply, RangeRequest, ReplyHeader, StoreBatch,
+    StoreClient, StoreError, StoreEvent, StoreRecord, StoreWatch, SwapOutcome, TxnOperation,
+    TxnOperationReply, TxnReply, TxnRequest, WatchCreate, WatchFrame, WatchReply, WatchRequest,
+    WireEvent, WireInt, decode_bytes, encode_bytes,
 };
 pub use telemetry::{
     LogError, MetricSet, SpanGuard, SpanOutcome, SpanRecord, TraceContext, TraceSink, init_logging,
--- a/src/reconcile/leader.rs
+++ b/src/reconcile/leader.rs
@@ -1,18 +1,37 @@
 //! The reconciler's lease: at most one daemon at a time believes that it holds it.
 
+use crate::config::{BackoffLimits, RetryBackoff, WATCHERS, own_rank, read_store};
 use crate::ids::{FenceNumber, LeaseId};
 use crate::kernel::KernelContext;
-use crate::store::{ExpectedRevision, SwapOutcome};
+use crate::store::{ExpectedRevision, StoreError, SwapOutcome};
 use crate::units::MonoTime;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// Key that names the reconciler.
 const LEADER_KEY: &str = "arbutusmount/reconciler";
+/// Role for which daemons are ranked.
+const LEADER_ROLE: &str = "reconciler";
 /// Time to live of the reconciler's lease.
 const LEASE_TTL: Duration = Duration::from_secs(6);
-/// Time before the end of the lease from which no order is sent.
+/// Time before the end of the lease from which no order is sent. It is longer than
+/// [`super::run::ORDER_LIMIT`], so that the last order of a holder ends before a successor's first.
 const LEASE_MARGIN: Duration = Duration::from_secs(3);
+/// Period of renewing the lease.
+const RENEW_PERIOD: Duration = Duration::from_secs(1);
+/// Period of looking whether the lease is free, for the daemons first in line; the others look less
+/// often the further down the line they are.
+const CAMPAIGN_PERIOD: Duration = Duration::from_secs(1);
+/// Longest period of looking.
+const CAMPAIGN_LONGEST: Duration = Duration::from_secs(60);
+/// Age of the newest read of the store, by any daemon, from which nobody campaigns: the watchers
+/// find out first when the store is back.
+const CAMPAIGN_AGE: Duration = Duration::from_secs(5);
+/// Delays while the store does not answer.
+const LEADER_BACKOFF: BackoffLimits = BackoffLimits {
+    first: Duration::from_secs(2),
+    longest: Duration::from_secs(8),
+};
 
 /// The lease that this daemon holds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -25,74 +44,146 @@
     pub valid_until: MonoTime,
 }
 
+#[derive(Debug)]
+struct LeaderInner {
+    held: Option<LeaderState>,
+    next_call: MonoTime,
+    backoff: RetryBackoff,
+    rng: fastrand::Rng,
+}
+
 /// Whether this daemon is the reconciler.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct LeaderCell {
-    state: Mutex<Option<LeaderState>>,
+    inner: Mutex<LeaderInner>,
+}
+
+impl Default for LeaderCell {
+    fn default() -> Self {
+        Self {
+            inner: Mutex::new(LeaderInner {
+                held: None,
+                next_call: MonoTime(0),
+                backoff: RetryBackoff::new(LEADER_BACKOFF),
+                rng: fastrand::Rng::new(),
+            }),
+        }
+    }
 }
 
 impl LeaderCell {
     /// Fencing number while this daemon may send orders.
     pub fn fence(&self, now: MonoTime) -> Option<FenceNumber> {
-        let state = self.state.lock().expect("leader lock is never poisoned");
-        state
-            .filter(|held| now < held.valid_until)
+        let held = self.with(|inner| inner.held);
+        held.filter(|held| now < held.valid_until)
             .map(|held| held.fence)
     }
 
-    /// Renews the lease, or tries to get it when no daemon holds it.
-    pub async fn refresh(&self, context: &KernelContext) {
-        let held = *self.state.lock().expect("leader lock is never poisoned");
-        let next = match held {
-            Some(held) => renew(context, held).await,
-            None => campaign(context).await,
+    /// Gives up: another daemon has been seen to hold a higher fencing number.
+    pub fn step_down(&self) {
+        let held = self.with(|inner| inner.held.take());
+        if held.is_some() {
+            log::info!("this daemon gives up the reconciler's lease: a higher number was seen");
+        }
+    }
+
+    /// Renews the lease, or tries to get it when no daemon holds it; a call at most once a period.
+    pub async fn refresh(&self, context: &Arc<KernelContext>) {
+        let now = context.clock.now();
+        let (held, due) = self.with(|inner| (inner.held, inner.next_call));
+        if now < due {
+            return;
+        }
+        let (outcome, period) = match held {
+            Some(held) => (renew(context, held).await, RENEW_PERIOD),
+            None => (campaign(context).await, campaign_period(context)),
         };
-        let mut state = self.state.lock().expect("leader lock is never poisoned");
-        if state.is_some() != next.is_some() {
+        self.settle(held, outcome, period, context.clock.now());
+    }
+
+    fn settle(
+        &self,
+        held: Option<LeaderState>,
+        outcome: Result<Option<LeaderState>, StoreError>,
+        period: Duration,
+        now: MonoTime,
+    ) {
+        let (next, pause) = self.with(|inner| {
+            let LeaderInner { backoff, rng, .. } = inner;
+            let pause = backoff.settle(outcome.is_ok(), rng);
+            // A lease that cannot be renewed may still be alive; its validity ends by itself.
+            let kept = held.filter(|held| now < held.valid_until);
+            let next = outcome.unwrap_or(kept);
+            inner.held = next;
+            // While it is held, the next attempt must not wait until it has lapsed.
+            let pause = match next {
+                Some(_) => period.min(pause.unwrap_or(period)),
+                None => pause.unwrap_or(period),
+            };
+            inner.next_call = now.after(pause);
+            (next, pause)
+        });
+        if held.is_some() != next.is_some() {
             let verb = if next.is_some() { "holds" } else { "lost" };
-            log::info!("this daemon {verb} the reconciler's lease");
+            log::info!("this daemon {verb} the reconciler's lease; next call in {pause:?}");
         }
-        *state = next;
+    }
+
+    fn with<T>(&self, act: impl FnOnce(&mut LeaderInner) -> T) -> T {
+        let mut inner = self.inner.lock().expect("leader lock is never poisoned");
+        act(&mut inner)
     }
 }
 
+fn campaign_period(context: &KernelContext) -> Duration {
+    let rank = own_rank(context, LEADER_ROLE);
+    let places = u32::try_from(rank.saturating_sub(WATCHERS) + 1).unwrap_or(u32::MAX);
+    CAMPAIGN_PERIOD.saturating_mul(places).min(CAMPAIGN_LONGEST)
+}
+
 /// End of validity of a lease that was granted or renewed by a call sent at `sent`.
 fn valid_until(sent: MonoTime) -> MonoTime {
-    sent.after(LEASE_TTL.checked_sub(LEASE_MARGIN).unwrap())
+    sent.after(LEASE_TTL.saturating_sub(LEASE_MARGIN))
 }
 
-async fn renew(context: &KernelContext, held: LeaderState) -> Option<LeaderState> {
+/// Renews the lease and catches up with the configuration, so that orders follow the newest one.
+async fn renew(
+    context: &Arc<KernelContext>,
+    held: LeaderState,
+) -> Result<Option<LeaderState>, StoreError> {
     let sent = context.clock.now();
-    match context.store.keep_alive(held.lease).await {
-        Ok(true) => Some(LeaderState {
-            valid_until: valid_until(sent),
-            ..held
-        }),
-        // The lease may still be alive; its validity ends by itself when it cannot be renewed.
-        Err(_) if sent < held.valid_until => Some(held),
-        Ok(false) | Err(_) => None,
+    let alive = context.store.keep_alive(held.lease).await?;
+    if !alive || !read_store(context).await {
+        return Ok(alive.then_some(held));
     }
+    Ok(Some(LeaderState {
+        valid_until: valid_until(sent),
+        ..held
+    }))
 }
 
-async fn campaign(context: &KernelContext) -> Option<LeaderState> {
-    if context.store.get(LEADER_KEY).await.ok()?.is_some() {
-        return None;
+async fn campaign(context: &Arc<KernelContext>) -> Result<Option<LeaderState>, StoreError> {
+    let now = context.clock.now();
+    if context.config.with_state(|state| state.store_age(now)) > CAMPAIGN_AGE {
+        return Ok(None);
+    }
+    if context.store.get(LEADER_KEY).await?.is_some() || !read_store(context).await {
+        return Ok(None);
     }
     let sent = context.clock.now();
-    let lease = context.store.grant(LEASE_TTL).await.ok()?;
+    let lease = context.store.grant(LEASE_TTL).await?;
     let name = context.settings.instance.as_str().as_bytes();
     let expected = ExpectedRevision::Absent;
-    match context
+    let swapped = context
         .store
         .swap(LEADER_KEY, expected, name, Some(lease))
-        .await
-        .ok()?
-    {
-        SwapOutcome::Swapped(revision) => Some(LeaderState {
+        .await?;
+    match swapped {
+        SwapOutcome::Swapped(revision) => Ok(Some(LeaderState {
             lease,
             fence: FenceNumber(revision),
             valid_until: valid_until(sent),
-        }),
-        SwapOutcome::Conflict(_) => None,
+        })),
+        SwapOutcome::Conflict(_) => Ok(None),
     }
 }
--- a/src/reconcile/mod.rs
+++ b/src/reconcile/mod.rs
@@ -2,6 +2,9 @@
 //! sends absolute, repeatable orders that carry its fencing number.
 
 mod leader;
+mod observe;
 mod orders;
+mod run;
 
 pub use leader::{LeaderCell, LeaderState};
+pub use orders::{DrainTable, EngineView, OrderPlan, PlannedOrder, plan_orders};
--- a/src/reconcile/orders.rs
+++ b/src/reconcile/orders.rs
@@ -1,73 +1,164 @@
-//! Plug-in that compares what engines report with what is declared, and orders the difference.
+//! Decides which orders bring the engines from what they report to what is placed.
 
-use crate::config::{AcceptedConfig, StagePlacement};
-use crate::engine::{EngineOrder, EngineReport, HeldStage};
-use crate::ids::FenceNumber;
-use crate::kernel::{KernelContext, PluginEntry, PluginError, PluginHost, TimerSpec};
-use crate::reconcile::LeaderCell;
-use std::sync::Arc;
+use crate::config::{ConfigDocument, StagePlacement};
+use crate::engine::HeldStage;
+use crate::ids::{InstanceId, ModelId};
+use crate::units::MonoTime;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Period of reconciliation.
-const RECONCILE_PERIOD: Duration = Duration::from_millis(500);
+/// An engine as it was last observed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EngineView {
+    /// Name.
+    pub instance: InstanceId,
+    /// Address.
+    pub address: SocketAddr,
+    /// Stages that it holds or loads.
+    pub stages: Vec<HeldStage>,
+    /// Requests in progress or waiting on it.
+    pub busy: u32,
+}
+
+/// An order to send: the complete state that the engine should reach.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlannedOrder {
+    /// Engine.
+    pub instance: InstanceId,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Stage to hold; absent to hold none.
+    pub stage: Option<HeldStage>,
+    /// Size of one layer's weights, in bytes.
+    pub layer_bytes: u64,
+}
 
-inventory::submit! {
-    PluginEntry { name: "reconcile", install }
+/// Orders to send now, and what still has to wait.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct OrderPlan {
+    /// Orders, those needed most first.
+    pub orders: Vec<PlannedOrder>,
+    /// Engines that load now.
+    pub loading: usize,
+    /// Engines whose load waits for its turn at the weight store.
+    pub queued: usize,
+    /// Engines that finish requests before their stage is replaced.
+    pub draining: usize,
 }
 
-fn install(host: &mut PluginHost) -> Result<(), PluginError> {
-    let leader = Arc::new(LeaderCell::default());
-    let spec = TimerSpec::new("reconcile", RECONCILE_PERIOD);
-    host.add_timer(spec, move |context, _now| {
-        let leader = Arc::clone(&leader);
-        async move {
-            leader.refresh(&context).await;
-            send_orders(&context, &leader).await;
+/// Since when engines have been waiting for their requests to end.
+#[derive(Debug, Clone, Default)]
+pub struct DrainTable(HashMap<InstanceId, MonoTime>);
+
+impl DrainTable {
+    /// True while the engine's requests may still finish.
+    fn waits(&mut self, view: &EngineView, limit: Duration, now: MonoTime) -> bool {
+        let serves = view.stages.iter().any(|stage| stage.ready);
+        if !serves || view.busy == 0 {
+            return false;
         }
-    });
-    Ok(())
+        let since = *self.0.entry(view.instance.clone()).or_insert(now);
+        now.since(since) < limit
+    }
+
+    fn forget(&mut self, instance: &InstanceId) {
+        self.0.remove(instance);
+    }
 }
 
-async fn send_orders(context: &KernelContext, leader: &LeaderCell) {
-    let Some(config) = context.config.load() else {
-        return;
-    };
-    for placement in &config.document().placements {
-        let Some(fence) = leader.fence(context.clock.now()) else {
-            return;
-        };
-        let report = context.engines.report(placement.address).await;
-        if report.is_ok_and(|report| needs_order(&report, placement)) {
-            let order = make_order(&config, placement, fence);
-            if let Err(cause) = context.engines.order(placement.address, &order).await {
-                log::debug!("order to {} failed: {cause}", placement.instance);
+/// Plans orders for the observed engines. An engine that is not in `engines` gets none.
+///
+/// An order for what an engine holds or loads already is left out. A stage that serves is replaced
+/// only when its requests have ended or the drain limit has passed. At most as many engines load at
+/// once as the rollout allows, those of models with the fewest loaded stages first.
+pub fn plan_orders(
+    document: &ConfigDocument,
+    engines: &[EngineView],
+    drains: &mut DrainTable,
+    now: MonoTime,
+) -> OrderPlan {
+    let rows = document.placements.iter().map(|row| (&row.instance, row));
+    let placed: HashMap<&InstanceId, &StagePlacement> = rows.collect();
+    let rollout = &document.declaration.rollout;
+    let limit = Duration::from_secs(rollout.drain_seconds);
+    let mut plan = OrderPlan::default();
+    let mut loads: Vec<PlannedOrder> = Vec::new();
+    let mut ready: BTreeMap<ModelId, usize> = BTreeMap::new();
+    for view in engines {
+        let row = placed.get(&view.instance).copied();
+        match compare_stage(view, row) {
+            StageMatch::Ready => {
+                let model = row.map(|row| row.model.clone());
+                *ready
+                    .entry(model.expect("a ready stage is placed"))
+                    .or_default() += 1;
+                drains.forget(&view.instance);
             }
+            StageMatch::Loading => {
+                plan.loading += 1;
+                drains.forget(&view.instance);
+            }
+            StageMatch::Empty => drains.forget(&view.instance),
+            StageMatch::Differs if drains.waits(view, limit, now) => plan.draining += 1,
+            StageMatch::Differs => match row {
+                None => plan.orders.push(make_order(document, view, None)),
+                Some(row) => loads.push(make_order(document, view, Some(row))),
+            },
         }
     }
+    let need = |order: &PlannedOrder| {
+        let model = order.stage.as_ref().map(|stage| &stage.model);
+        let loaded = model.and_then(|model| ready.get(model)).copied();
+        (loaded.unwrap_or(0), order.instance.clone())
+    };
+    loads.sort_by_cached_key(need);
+    let turns = (rollout.loads_at_once as usize).saturating_sub(plan.loading);
+    plan.queued = loads.len().saturating_sub(turns);
+    loads.truncate(turns);
+    plan.loading += loads.len();
+    plan.orders.extend(loads);
+    plan
 }
 
-/// True when the engine neither holds nor loads the placed stage.
-fn needs_order(report: &EngineReport, placement: &StagePlacement) -> bool {
-    !report.stages.iter().any(|held| held.matches(placement))
+/// How an engine's stages compare with what is placed on it.
+enum StageMatch {
+    Ready,
+    Loading,
+    Empty,
+    Differs,
+}
+
+fn compare_stage(view: &EngineView, row: Option<&StagePlacement>) -> StageMatch {
+    let Some(row) = row else {
+        return if view.stages.is_empty() {
+            StageMatch::Empty
+        } else {
+            StageMatch::Differs
+        };
+    };
+    match view.stages.iter().find(|held| held.matches(row)) {
+        Some(held) if held.ready => StageMatch::Ready,
+        Some(_) => StageMatch::Loading,
+        None => StageMatch::Differs,
+    }
 }
 
 fn make_order(
-    config: &AcceptedConfig,
-    placement: &StagePlacement,
-    fence: FenceNumber,
-) -> EngineOrder {
-    let layer_bytes = config
-        .model(&placement.model)
-        .map_or(0, |entry| entry.spec.layer_bytes);
-    let stage = HeldStage {
-        model: placement.model.clone(),
-        version: placement.version.clone(),
-        layers: placement.layers,
+    document: &ConfigDocument,
+    view: &EngineView,
+    row: Option<&StagePlacement>,
+) -> PlannedOrder {
+    let stage = row.map(|row| HeldStage {
+        model: row.model.clone(),
+        version: row.version.clone(),
+        layers: row.layers,
         ready: false,
-    };
-    EngineOrder {
-        fence,
-        stage: Some(stage),
-        layer_bytes,
+    });
+    PlannedOrder {
+        instance: view.instance.clone(),
+        address: view.address,
+        stage,
+        layer_bytes: row.map_or(0, |row| document.layer_bytes(row)),
     }
 }
--- /dev/null
+++ b/src/reconcile/run.rs
@@ -0,0 +1,254 @@
+//! Plug-in that compares what engines report with what is placed, and orders the difference.
+
+use crate::config::{
+    BackoffLimits, ChangeEntry, CommitOutcome, ConfigBundle, ConfigDocument, PlanVerdict,
+    RetryBackoff, StagePlacement, advance_document, commit_document, compare_documents,
+};
+use crate::engine::{EngineError, EngineOrder, OrderReply};
+use crate::ids::{FenceNumber, InstanceId, PlanId};
+use crate::kernel::{KernelContext, PluginEntry, PluginError, PluginHost, TimerSpec};
+use crate::reconcile::observe::{MissingTable, observe_engines};
+use crate::reconcile::{DrainTable, EngineView, LeaderCell, PlannedOrder, plan_orders};
+use crate::units::MonoTime;
+use async_std::future::timeout;
+use futures_util::future::join_all;
+use prometheus::{IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Period of reconciliation.
+const RECONCILE_PERIOD: Duration = Duration::from_millis(500);
+/// Longest time that an order may take; shorter than the margin at the end of the lease.
+pub(super) const ORDER_LIMIT: Duration = Duration::from_secs(2);
+/// Delays after an engine has refused an order or not answered it.
+const ORDER_BACKOFF: BackoffLimits = BackoffLimits {
+    first: Duration::from_millis(500),
+    longest: Duration::from_secs(8),
+};
+/// Author of placement changes in the history of the configuration.
+const AUTHOR: &str = "reconciler";
+
+inventory::submit! {
+    PluginEntry { name: "reconcile", install }
+}
+
+fn install(host: &mut PluginHost) -> Result<(), PluginError> {
+    let reconciler = Reconciler::new(&host.context)?;
+    let reconciler = Arc::new(async_std::sync::Mutex::new(reconciler));
+    let spec = TimerSpec::new("reconcile", RECONCILE_PERIOD);
+    host.add_timer(spec, move |context, _now| {
+        let reconciler = Arc::clone(&reconciler);
+        async move { reconciler.lock().await.step(&context).await }
+    });
+    Ok(())
+}
+
+/// Metrics of the reconciler.
+#[derive(Debug)]
+struct ReconcileMetrics {
+    leader: IntGauge,
+    orders: IntCounterVec,
+    engines: IntGaugeVec,
+    placements: IntCounter,
+    store_calls: IntGauge,
+}
+
+impl ReconcileMetrics {
+    fn new(context: &KernelContext) -> prometheus::Result<Self> {
+        let set = &context.metrics;
+        let leader = set.gauge("reconcile_leader", "1 while this daemon reconciles", &[])?;
+        let placements = set.counter(
+            "reconcile_placement_changes_total",
+            "Placement changes written without a change of the declaration",
+            &[],
+        )?;
+        let calls = set.gauge("store_calls", "Calls made to the store so far", &[])?;
+        Ok(Self {
+            leader: leader.with_label_values::<&str>(&[]),
+            orders: set.counter("reconcile_orders_total", "Orders by outcome", &["outcome"])?,
+            engines: set.gauge(
+                "reconcile_engines",
+                "Engines that are loading, waiting to load or draining",
+                &["state"],
+            )?,
+            placements: placements.with_label_values::<&str>(&[]),
+            store_calls: calls.with_label_values::<&str>(&[]),
+        })
+    }
+}
+
+/// Delay of an engine that did not take an order.
+#[derive(Debug)]
+struct OrderDelay {
+    backoff: RetryBackoff,
+    until: MonoTime,
+}
+
+/// How an order ended.
+type OrderResult = (InstanceId, Result<OrderReply, EngineError>);
+
+/// State of the reconciler on this daemon.
+#[derive(Debug)]
+struct Reconciler {
+    leader: LeaderCell,
+    drains: DrainTable,
+    missing: MissingTable,
+    delays: HashMap<InstanceId, OrderDelay>,
+    round: usize,
+    rng: fastrand::Rng,
+    metrics: ReconcileMetrics,
+}
+
+impl Reconciler {
+    fn new(context: &KernelContext) -> prometheus::Result<Self> {
+        Ok(Self {
+            leader: LeaderCell::default(),
+            drains: DrainTable::default(),
+            missing: MissingTable::default(),
+            delays: HashMap::new(),
+            round: 0,
+            rng: fastrand::Rng::new(),
+            metrics: ReconcileMetrics::new(context)?,
+        })
+    }
+
+    async fn step(&mut self, context: &Arc<KernelContext>) {
+        self.leader.refresh(context).await;
+        self.metrics
+            .store_calls
+            .set(context.store.calls().cast_signed());
+        let leads = self.leader.fence(context.clock.now()).is_some();
+        self.metrics.leader.set(i64::from(leads));
+        if !leads {
+            self.drains = DrainTable::default();
+            self.missing = MissingTable::default();
+            return;
+        }
+        let Some(bundle) = context.config.bundle() else {
+            return;
+        };
+        let Ok(document) = bundle.assemble() else {
+            return;
+        };
+        self.round = self.round.wrapping_add(1);
+        let views = observe_engines(context, &document, self.round).await;
+        if !self
+            .change_placement(context, &bundle, &document, &views)
+            .await
+        {
+            self.send_orders(context, &document, &views).await;
+        }
+    }
+
+    /// Writes the placement that should follow; true when there was one to write.
+    async fn change_placement(
+        &mut self,
+        context: &Arc<KernelContext>,
+        bundle: &ConfigBundle,
+        document: &ConfigDocument,
+        views: &[EngineView],
+    ) -> bool {
+        let now = context.clock.now();
+        let limit = Duration::from_secs(document.declaration.rollout.replace_seconds);
+        let live = context.instances.load().engine_offers();
+        let offers = self.missing.offers(document, live, limit, now);
+        let is_loaded = |row: &StagePlacement| {
+            let of_row = |view: &&EngineView| view.instance == row.instance;
+            let view = views.iter().find(of_row);
+            view.is_some_and(|view| {
+                view.stages
+                    .iter()
+                    .any(|held| held.ready && held.matches(row))
+            })
+        };
+        let Some(next) = advance_document(document, &offers, is_loaded) else {
+            return false;
+        };
+        let name = format!("placement-{:016x}", self.rng.u64(..));
+        let plan: PlanId = name.parse().expect("generated plan names are valid");
+        let changes = compare_documents(Some(document), &next);
+        let lines: Vec<String> = changes.iter().map(ToString::to_string).collect();
+        let entry = ChangeEntry::new(&plan, &Arc::from(AUTHOR), &lines);
+        let outcome = commit_document(context, Some(bundle), &next, entry).await;
+        if let CommitOutcome::Settled(PlanVerdict::Effective { revision, .. }) = outcome {
+            self.metrics.placements.inc();
+            log::info!(
+                "placement changed at revision {revision}: {}",
+                lines.join(", ")
+            );
+        }
+        true
+    }
+
+    async fn send_orders(
+        &mut self,
+        context: &KernelContext,
+        document: &ConfigDocument,
+        views: &[EngineView],
+    ) {
+        let now = context.clock.now();
+        let plan = plan_orders(document, views, &mut self.drains, now);
+        let set = |state: &str, count: usize| {
+            let gauge = self.metrics.engines.with_label_values(&[state]);
+            gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+        };
+        set("loading", plan.loading);
+        set("queued", plan.queued);
+        set("draining", plan.draining);
+        let Some(fence) = self.leader.fence(now) else {
+            return;
+        };
+        let is_due = |order: &PlannedOrder| {
+            let delay = self.delays.get(&order.instance);
+            delay.is_none_or(|delay| delay.until <= now)
+        };
+        let due: Vec<PlannedOrder> = plan.orders.into_iter().filter(is_due).collect();
+        let sends = due
+            .into_iter()
+            .map(|order| send_order(context, order, fence));
+        let results = join_all(sends).await;
+        let now = context.clock.now();
+        for result in results {
+            self.take_result(result, now);
+        }
+    }
+
+    fn take_result(&mut self, (instance, result): OrderResult, now: MonoTime) {
+        let label = match &result {
+            Ok(OrderReply::Accepted) => "accepted",
+            Ok(OrderReply::Fenced) => "fenced",
+            Err(_) => "failed",
+        };
+        self.metrics.orders.with_label_values(&[label]).inc();
+        match result {
+            Ok(OrderReply::Accepted) => {
+                self.delays.remove(&instance);
+                return;
+            }
+            Ok(OrderReply::Fenced) => self.leader.step_down(),
+            Err(cause) => log::debug!("order to {instance} failed: {cause}"),
+        }
+        let delay = self.delays.entry(instance).or_insert_with(|| OrderDelay {
+            backoff: RetryBackoff::new(ORDER_BACKOFF),
+            until: now,
+        });
+        delay.until = now.after(delay.backoff.fail(&mut self.rng));
+    }
+}
+
+async fn send_order(
+    context: &KernelContext,
+    order: PlannedOrder,
+    fence: FenceNumber,
+) -> OrderResult {
+    let wanted = EngineOrder {
+        fence,
+        stage: order.stage,
+        layer_bytes: order.layer_bytes,
+    };
+    let call = Box::pin(context.engines.order(order.address, &wanted));
+    let sent = timeout(ORDER_LIMIT, call).await;
+    let elapsed = || Err(EngineError::Send(crate::http::SendError::TimedOut));
+    (order.instance, sent.unwrap_or_else(|_elapsed| elapsed()))
+}
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -93,6 +93,15 @@
     }
 }
 
+/// Keys written and deleted together with a compare-and-swap.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct StoreBatch {
+    /// Keys to write, with their values.
+    pub puts: Vec<(String, Arc<[u8]>)>,
+    /// Keys to delete.
+    pub deletes: Vec<String>,
+}
+
 /// Outcome of a compare-and-swap that the store has answered.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum SwapOutcome {
@@ -169,7 +178,36 @@
             value: encode_bytes(value),
             lease: WireInt(lease.map_or(0, |lease| lease.0)),
         };
-        self.run_swap(key, expected, put).await
+        self.run_swap(key, expected, vec![put]).await
+    }
+
+    /// Writes `value` and further keys, and deletes others, when the key is as expected. Atomic: all
+    /// of it or nothing. The further keys must differ from `key` and from each other.
+    ///
+    /// # Errors
+    /// As for [`StoreClient::swap`].
+    pub async fn swap_all(
+        &self,
+        key: &str,
+        expected: ExpectedRevision,
+        value: &[u8],
+        batch: &StoreBatch,
+    ) -> Result<SwapOutcome> {
+        let put = |key: &str, value: &[u8]| TxnOperation::Put {
+            key: encode_bytes(key.as_bytes()),
+            value: encode_bytes(value),
+            lease: WireInt(0),
+        };
+        let delete = |key: &String| {
+            TxnOperation::Delete(RangeRequest {
+                key: encode_bytes(key.as_bytes()),
+                ..RangeRequest::default()
+            })
+        };
+        let mut operations = vec![put(key, value)];
+        operations.extend(batch.puts.iter().map(|(key, value)| put(key, value)));
+        operations.extend(batch.deletes.iter().map(delete));
+        self.run_swap(key, expected, operations).await
     }
 
     /// Deletes the key when it is as expected. Atomic.
@@ -182,7 +220,7 @@
             key: key_bytes,
             ..RangeRequest::default()
         };
-        self.run_swap(key, expected, TxnOperation::Delete(range))
+        self.run_swap(key, expected, vec![TxnOperation::Delete(range)])
             .await
     }
 
@@ -250,7 +288,7 @@
         &self,
         key: &str,
         expected: ExpectedRevision,
-        operation: TxnOperation,
+        operations: Vec<TxnOperation>,
     ) -> Result<SwapOutcome> {
         let key = encode_bytes(key.as_bytes());
         let clause = CompareClause {
@@ -265,7 +303,7 @@
         });
         let txn = TxnRequest {
             compare: vec![clause],
-            success: vec![operation],
+            success: operations,
             failure: vec![read_back],
         };
         let reply: TxnReply = self.post("/v3/kv/txn", &txn).await?;
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -4,7 +4,7 @@
 mod watch;
 mod wire;
 
-pub use client::{ExpectedRevision, StoreClient, StoreError, StoreRecord, SwapOutcome};
+pub use client::{ExpectedRevision, StoreBatch, StoreClient, StoreError, StoreRecord, SwapOutcome};
 pub use watch::{StoreEvent, StoreWatch};
 pub use wire::{
     CompareClause, EventKind, KeyValue, LeaseGrantReply, LeaseGrantRequest, LeaseKeepAliveReply,
