Add the load tool and the throughput bound

Cause: no figure of throughput or latency could be given, and nothing to hold one against.

Change: `rig load` sends open-loop load (Poisson, bursts, recorded steps; log-normal lengths, shared prefixes, keyed service calls, several teams that keep the address answer) to a fleet in one program or of processes, checks each answer against the reference and each service call against the services' ledgers, and sums up latency from the intended start. `rig experiment` runs variants side by side. Stand-in engines get links with a delay and a rate for each destination. The bound is the smaller one of a maximum flow over the layer graph and a bound on layer work.

Ruled out: the path bound alone.

--- a/rig/src/args.rs
+++ b/rig/src/args.rs
@@ -2,16 +2,23 @@
 
 use crate::demo::run_demo;
 use crate::engine::{EngineKnobs, EngineStandIn};
+use crate::load::{
+    ExperimentSpec, RunSpec, RunSummary, RunTarget, find_programs, run_experiment, run_load,
+};
 use crate::platform::{PlatformKnobs, PlatformStandIn};
 use crate::proxy::FaultProxy;
 use crate::service::{ServiceKnobs, ServiceStandIn};
-use arbutusmount::InstanceId;
+use arbutusmount::{CheckError, InstanceId};
 use async_std::net::TcpListener;
 use async_std::task;
 use pico_args::Arguments;
 use serde::de::DeserializeOwned;
+use std::fs::OpenOptions;
+use std::io::Write;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::Arc;
 
 /// Result of a subcommand; the error is shown to the person who gave it.
 type Result<T> = std::result::Result<T, String>;
@@ -25,6 +32,9 @@
   rig service --listen ADDR [--knobs JSON]
   rig platform --listen ADDR [--knobs JSON]
   rig proxy --listen ADDR --target ADDR
+  rig load --run FILE [--daemon ADDR]... --out FILE [--requests FILE]
+                                                    send one run's load and sum it up
+  rig experiment FILE --out FILE                    run variants side by side
 ";
 
 /// Runs the program.
@@ -46,6 +56,8 @@
         Some("service") => run_service(arguments),
         Some("platform") => run_platform(arguments),
         Some("proxy") => run_proxy(arguments),
+        Some("load") => run_load_file(arguments),
+        Some("experiment") => run_experiment_file(arguments),
         Some(other) => Err(format!("unknown subcommand {other}\n{HELP}")),
         None => {
             print!("{HELP}");
@@ -128,3 +140,59 @@
         Ok(())
     })
 }
+
+fn read_file(path: &Path) -> Result<String> {
+    std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+fn list_errors(path: &Path, errors: &[CheckError]) -> String {
+    let lines: Vec<String> = errors.iter().map(ToString::to_string).collect();
+    format!("{} is invalid:\n{}", path.display(), lines.join("\n"))
+}
+
+/// Appends values to a file, one JSON document a line.
+fn append_lines<T: serde::Serialize>(path: &Path, values: &[T]) -> Result<()> {
+    let file = OpenOptions::new().create(true).append(true).open(path);
+    let mut file = file.map_err(|e| format!("{}: {e}", path.display()))?;
+    for value in values {
+        let line = serde_json::to_string(value).map_err(|e| e.to_string())?;
+        writeln!(file, "{line}").map_err(|e| e.to_string())?;
+    }
+    Ok(())
+}
+
+fn run_load_file(arguments: &mut Arguments) -> Result<()> {
+    let path: PathBuf = read_value(arguments, "--run")?;
+    let out: PathBuf = read_value(arguments, "--out")?;
+    let requests: Option<PathBuf> = arguments
+        .opt_value_from_str("--requests")
+        .map_err(|e| e.to_string())?;
+    let variant: Option<String> = arguments
+        .opt_value_from_str("--variant")
+        .map_err(|e| e.to_string())?;
+    let daemons: Vec<SocketAddr> = arguments
+        .values_from_str("--daemon")
+        .map_err(|e| e.to_string())?;
+    let spec = RunSpec::parse(&read_file(&path)?).map_err(|errors| list_errors(&path, &errors))?;
+    let target = if daemons.is_empty() {
+        RunTarget::OwnFleet(find_programs())
+    } else {
+        RunTarget::Daemons(daemons)
+    };
+    let (summary, records) = task::block_on(run_load(&spec, &target))?;
+    let summary = RunSummary {
+        variant: Arc::from(variant.unwrap_or_default()),
+        ..summary
+    };
+    println!("{summary}");
+    append_lines(&out, &[summary])?;
+    requests.map_or(Ok(()), |path| append_lines(&path, &records))
+}
+
+fn run_experiment_file(arguments: &mut Arguments) -> Result<()> {
+    let path: PathBuf = arguments.free_from_str().map_err(|e| e.to_string())?;
+    let out: PathBuf = read_value(arguments, "--out")?;
+    let spec = ExperimentSpec::parse(&read_file(&path)?);
+    let spec = spec.map_err(|errors| list_errors(&path, &errors))?;
+    run_experiment(&spec, &out)
+}
--- a/rig/src/engine/generate.rs
+++ b/rig/src/engine/generate.rs
@@ -144,6 +144,7 @@
             activation,
             ..request
         },
+        prefill.max(1),
     )
     .await
 }
@@ -151,9 +152,10 @@
 async fn hand_on(
     engine: &EngineStandIn,
     request: ActivationRequest,
+    activations: u32,
 ) -> Result<ActivationReply, StageFault> {
     let next = &request.work.chain[request.stage];
-    task::sleep(engine.link_delay()).await;
+    task::sleep(engine.link_delay(&next.instance, activations)).await;
     // Stages further back give up earlier, so that the fault names the stage that caused it.
     let remaining = (request.work.chain.len() - request.stage) as u32;
     let call = HttpCall::new(next.address, Method::Post, "/v1/activation")
--- a/rig/src/engine/mod.rs
+++ b/rig/src/engine/mod.rs
@@ -5,6 +5,8 @@
 mod generate;
 mod holding;
 mod kv;
+mod link;
 mod server;
 
+pub use link::LinkKnobs;
 pub use server::{EngineKnobs, EngineStandIn, LedgerEntry};
--- a/rig/src/engine/server.rs
+++ b/rig/src/engine/server.rs
@@ -4,6 +4,7 @@
 use crate::engine::generate::{StageFault, generate, run_stage};
 use crate::engine::holding::StageHolding;
 use crate::engine::kv::KvCache;
+use crate::engine::link::{LinkKnobs, LinkLines};
 use crate::web::json_response;
 use arbutusmount::{
     ActivationRequest, AttemptNumber, CancelRequest, ConnectionCount, ConnectionPool, EngineOrder,
@@ -14,7 +15,7 @@
 use async_std::net::TcpListener;
 use async_std::task;
 use serde::{Deserialize, Serialize};
-use std::collections::{HashSet, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -51,6 +52,8 @@
     pub slow_percent: u64,
     /// Delay of each hand-over to the next stage, in milliseconds.
     pub link_ms: u64,
+    /// Links to the engines named here, in place of `link_ms`.
+    pub links: BTreeMap<Arc<str>, LinkKnobs>,
     /// Age of load reports, in milliseconds.
     pub report_lag_ms: u64,
     /// True to refuse orders that carry an old fencing number.
@@ -73,6 +76,7 @@
             kv_tokens: 1 << 20,
             slow_percent: 100,
             link_ms: 0,
+            links: BTreeMap::new(),
             report_lag_ms: 0,
             honours_fencing: true,
             refuse: false,
@@ -112,6 +116,7 @@
     cache: Mutex<KvCache>,
     ledger: Mutex<VecDeque<LedgerEntry>>,
     cancelled: Mutex<CancelledSet>,
+    lines: LinkLines,
     reports: Mutex<VecDeque<(Instant, EngineReport)>>,
 }
 
@@ -147,6 +152,7 @@
             knobs: Mutex::new(knobs),
             ledger: Mutex::default(),
             cancelled: Mutex::default(),
+            lines: LinkLines::default(),
             reports: Mutex::default(),
         }))
     }
@@ -202,8 +208,19 @@
         &self.0.pool
     }
 
-    pub(super) fn link_delay(&self) -> Duration {
-        Duration::from_millis(self.knobs().link_ms)
+    /// Time until this many activations have arrived at another engine.
+    pub(super) fn link_delay(&self, destination: &InstanceId, activations: u32) -> Duration {
+        let knobs = self.0.knobs.lock().expect("knob lock is never poisoned");
+        let (link, default) = (
+            knobs.links.get(destination.as_str()).copied(),
+            knobs.link_ms,
+        );
+        drop(knobs);
+        link.map_or(Duration::from_millis(default), |link| {
+            self.0
+                .lines
+                .enqueue(destination.as_str(), link, activations)
+        })
     }
 
     pub(super) fn fault(&self, cause: &str) -> StageFault {
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -1,9 +1,11 @@
 //! Stand-ins for the systems around arbutusmount, a fault-injecting proxy, a load tool and a demo.
 
 mod args;
+mod bound;
 mod demo;
 mod engine;
 mod fleet;
+mod load;
 mod oracle;
 mod platform;
 mod proxy;
@@ -11,12 +13,20 @@
 mod web;
 
 pub use args::run_program;
+pub use bound::{StageRate, TokenWork, flow_bound, link_rate};
 pub use demo::run_demo;
-pub use engine::{EngineKnobs, EngineStandIn, LedgerEntry};
+pub use engine::{EngineKnobs, EngineStandIn, LedgerEntry, LinkKnobs};
 pub use fleet::{
     AGENT_TOKEN, DaemonSeat, FleetSpec, OPERATOR_TOKEN, ProcessFleet, ProcessHandle, ProgramPaths,
     TEAM_TOKEN, free_address, sample_declaration, wait_until,
 };
+pub use load::{
+    ArrivalKind, ArrivalSpec, ArrivalStep, EngineKind, ExperimentSpec, FaultKind, FaultSpec,
+    LatencyBook, LengthSpec, Percentiles, PlannedRequest, ProcessUsage, RequestKind,
+    RequestOutcome, RequestRecord, RunMode, RunSpec, RunSummary, RunTarget, TeamLoad, TeamSummary,
+    draw_length, jain_index, mean_lengths, plan_arrivals, plan_workload, read_usage,
+    run_experiment, run_load,
+};
 pub use oracle::{OracleState, reference_answer, reference_text};
 pub use platform::{PlatformKnobs, PlatformStandIn};
 pub use proxy::{DirectionFault, FaultProxy, ProxyFaults};
--- /dev/null
+++ b/rig/src/load/fleet.rs
@@ -0,0 +1,411 @@
+//! The fleet of a run: platform, engines, services and daemons, in this process or as processes.
+
+use crate::engine::EngineStandIn;
+use crate::fleet::{OPERATOR_TOKEN, ProcessHandle, ProgramPaths, free_address, wait_until};
+use crate::load::spec::{RunMode, RunSpec, merge_json};
+use crate::load::usage::{ProcessUsage, read_usage};
+use crate::platform::{PlatformKnobs, PlatformStandIn};
+use crate::service::{RunRecord, ServiceKnobs, ServiceStandIn};
+use crate::web::{admin_get, admin_send};
+use arbutusmount::{
+    DaemonSettings, FleetDeclaration, InstanceRole, InstanceRow, InstanceState, OperatorClient,
+    PlanRequest, RequestId, StagePlacement, digest_token, start_daemon,
+};
+use async_std::net::TcpListener;
+use async_std::task;
+use http_types::Method;
+use serde::Serialize;
+use serde_json::{Value, json};
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Result of starting or steering a fleet.
+pub(super) type Result<T> = std::result::Result<T, String>;
+
+/// Name of the model.
+pub(super) const MODEL: &str = "helpdesk";
+/// Version of the model.
+pub(super) const VERSION: &str = "v1";
+/// Bytes of one layer's weights.
+const LAYER_BYTES: u64 = 1_000;
+/// Longest wait for a process to serve or the fleet to be ready.
+const READY_LIMIT: Duration = Duration::from_secs(40);
+
+/// One part of a fleet: its address, and its process unless it runs in this one.
+struct FleetPart {
+    address: SocketAddr,
+    process: Option<ProcessHandle>,
+}
+
+/// A running fleet; its processes end when it is dropped.
+pub(super) struct LoadFleet {
+    platform: FleetPart,
+    engines: Vec<FleetPart>,
+    services: Vec<FleetPart>,
+    daemons: Vec<FleetPart>,
+    programs: Option<ProgramPaths>,
+    folder: PathBuf,
+    /// Placements of the declared model.
+    pub(super) placements: Vec<StagePlacement>,
+}
+
+/// Bearer token of a team.
+pub(super) fn team_token(team: &str) -> String {
+    format!("{team}-secret")
+}
+
+/// Puts a name before the cause of an error.
+fn named<E: std::fmt::Display>(name: &str) -> impl Fn(E) -> String {
+    move |cause| format!("{name}: {cause}")
+}
+
+impl LoadFleet {
+    /// Starts the fleet of a run and waits until every stage is ready.
+    pub(super) async fn start(spec: &RunSpec, programs: Option<ProgramPaths>) -> Result<Self> {
+        let programs = match spec.mode {
+            RunMode::InProcess => None,
+            RunMode::Processes => {
+                let missing = "the mode processes needs arbutusmountd beside rig";
+                Some(programs.ok_or_else(|| missing.to_owned())?)
+            }
+        };
+        let folder = std::env::temp_dir().join(format!("arbutusmount-load-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).map_err(named("temporary folder"))?;
+        let platform = start_platform(programs.as_ref(), &folder).await?;
+        let mut fleet = Self {
+            platform,
+            engines: Vec::new(),
+            services: Vec::new(),
+            daemons: Vec::new(),
+            programs,
+            folder,
+            placements: Vec::new(),
+        };
+        for index in 0..spec.engine_count() {
+            fleet.add_engine(spec, index).await?;
+        }
+        for index in 0..spec.services {
+            fleet.add_service(spec, index).await?;
+        }
+        for index in 0..spec.daemons {
+            fleet.add_daemon(spec, index).await?;
+        }
+        fleet.declare(spec).await?;
+        Ok(fleet)
+    }
+
+    fn start_rig(&self, name: &str, arguments: &[&str]) -> Result<Option<ProcessHandle>> {
+        let Some(programs) = &self.programs else {
+            return Ok(None);
+        };
+        let log = self.folder.join(format!("{name}.log"));
+        let arguments: Vec<String> = arguments.iter().map(ToString::to_string).collect();
+        let started = ProcessHandle::start(&programs.rig, &arguments, &log);
+        started.map(Some).map_err(named(name))
+    }
+
+    async fn add_engine(&mut self, spec: &RunSpec, index: usize) -> Result<()> {
+        let address = free_address();
+        let name = RunSpec::engine_name(index);
+        let knobs = spec.engine_knobs(index)?;
+        let text = serde_json::to_string(&knobs).map_err(named(&name))?;
+        let (listen, weights) = (address.to_string(), self.platform.address.to_string());
+        let arguments = [
+            "engine",
+            "--listen",
+            &listen,
+            "--instance",
+            &name,
+            "--weights",
+            &weights,
+            "--knobs",
+            &text,
+        ];
+        let process = self.start_rig(&name, &arguments)?;
+        if process.is_none() {
+            let instance = name.parse().map_err(named(&name))?;
+            let engine = EngineStandIn::new(instance, Some(self.platform.address), knobs);
+            let listener = TcpListener::bind(address).await.map_err(named(&name))?;
+            task::spawn(engine.serve(listener));
+        }
+        let bytes = u64::from(spec.engine_kind(index).layers) * LAYER_BYTES;
+        let domain = spec.engine_domain(index);
+        let row = make_row(&name, address, InstanceRole::Engine, domain)?;
+        let row = InstanceRow {
+            memory_bytes: bytes,
+            ..row
+        };
+        self.engines.push(FleetPart { address, process });
+        self.list(&row).await
+    }
+
+    async fn add_service(&mut self, spec: &RunSpec, index: usize) -> Result<()> {
+        let address = free_address();
+        let name = format!("stock-{index}");
+        let listen = address.to_string();
+        let process = self.start_rig(&name, &["service", "--listen", &listen])?;
+        if process.is_none() {
+            let listener = TcpListener::bind(address).await.map_err(named(&name))?;
+            task::spawn(ServiceStandIn::new(ServiceKnobs::default()).serve(listener));
+        }
+        let domain = &spec.domains[index % spec.domains.len()];
+        let row = make_row(&name, address, InstanceRole::Service, domain)?;
+        let service = "stock".parse().map_err(named(&name))?;
+        let row = InstanceRow {
+            service: Some(service),
+            ..row
+        };
+        self.services.push(FleetPart { address, process });
+        self.list(&row).await
+    }
+
+    async fn add_daemon(&mut self, spec: &RunSpec, index: usize) -> Result<()> {
+        let (listen, peer_listen) = (free_address(), free_address());
+        let name = format!("router-{index}");
+        let domain = &spec.domains[index % spec.domains.len()];
+        let platform = self.platform.address;
+        let mut settings = json!({
+            "instance": name,
+            "failure_domain": domain,
+            "listen": listen,
+            "peer_listen": peer_listen,
+            "platform": { "store": platform, "instances": platform },
+            "peer_key": "load",
+            "operator_token_sha256": digest_token(OPERATOR_TOKEN).to_string(),
+        });
+        merge_json(&mut settings, &Value::Object(spec.settings.clone()));
+        let text = settings.to_string();
+        let process = if let Some(programs) = &self.programs {
+            let path = self.folder.join(format!("{name}.json"));
+            std::fs::write(&path, &text).map_err(named(&name))?;
+            let arguments = ["--settings".to_owned(), path.display().to_string()];
+            let log = self.folder.join(format!("{name}.log"));
+            let started = ProcessHandle::start(&programs.daemon, &arguments, &log);
+            Some(started.map_err(named(&name))?)
+        } else {
+            let settings = DaemonSettings::parse(&text).map_err(|errors| {
+                let lines: Vec<String> = errors.iter().map(ToString::to_string).collect();
+                lines.join("\n")
+            })?;
+            start_daemon(settings).await.map_err(named(&name))?;
+            None
+        };
+        let row = make_row(&name, listen, InstanceRole::Router, domain)?;
+        let row = InstanceRow {
+            peer_address: Some(peer_listen),
+            ..row
+        };
+        self.daemons.push(FleetPart {
+            address: listen,
+            process,
+        });
+        self.list(&row).await
+    }
+
+    async fn list(&self, row: &InstanceRow) -> Result<()> {
+        wait_serving(row.address).await;
+        let platform = self.platform.address;
+        let sent = admin_send(platform, Method::Put, "/admin/instances", row).await;
+        sent.map_err(named("instance list"))
+    }
+
+    async fn declare(&mut self, spec: &RunSpec) -> Result<()> {
+        let client = OperatorClient::new(OPERATOR_TOKEN);
+        let daemon = self.daemons[0].address;
+        let wanted = PlanRequest {
+            author: Arc::from("load"),
+            declaration: make_declaration(spec)?,
+        };
+        wait_until("the fleet can be planned", READY_LIMIT, || async {
+            client.plan(daemon, &wanted).await.is_ok()
+        })
+        .await;
+        let plan = client.plan(daemon, &wanted).await.map_err(named("plan"))?;
+        let confirmed = client.confirm(daemon, &plan).await;
+        confirmed.map_err(named("confirm"))?;
+        let daemons = self.daemon_addresses();
+        wait_until("all daemons see all stages", READY_LIMIT, || async {
+            for daemon in &daemons {
+                if !sees_all_stages(&client, *daemon).await {
+                    return false;
+                }
+            }
+            true
+        })
+        .await;
+        self.placements = plan.document.placements;
+        Ok(())
+    }
+
+    /// Addresses of the daemons.
+    pub(super) fn daemon_addresses(&self) -> Vec<SocketAddr> {
+        self.daemons.iter().map(|part| part.address).collect()
+    }
+
+    /// Ends an engine's process.
+    pub(super) fn kill_engine(&mut self, index: usize) {
+        kill(&mut self.engines[index]);
+    }
+
+    /// Stops an engine's process without ending it.
+    pub(super) fn freeze_engine(&mut self, index: usize) {
+        if let Some(process) = &self.engines[index].process {
+            process.freeze();
+        }
+    }
+
+    /// Ends a daemon's process.
+    pub(super) fn kill_daemon(&mut self, index: usize) {
+        kill(&mut self.daemons[index]);
+    }
+
+    /// Changes knobs of an engine.
+    pub(super) async fn set_engine_knobs(&self, index: usize, knobs: &Value) -> Result<()> {
+        send_knobs(self.engines[index].address, knobs).await
+    }
+
+    /// Changes knobs of the platform.
+    pub(super) async fn set_platform_knobs(&self, knobs: &Value) -> Result<()> {
+        send_knobs(self.platform.address, knobs).await
+    }
+
+    /// Requests of which an engine has run steps.
+    pub(super) async fn engine_requests(&self, index: usize) -> HashSet<String> {
+        #[derive(serde::Deserialize)]
+        struct LedgerRow {
+            request: RequestId,
+        }
+        let address = self.engines[index].address;
+        let rows: std::result::Result<Vec<LedgerRow>, _> = admin_get(address, "/v1/ledger").await;
+        let rows = rows.unwrap_or_default();
+        rows.iter().map(|row| row.request.to_string()).collect()
+    }
+
+    /// Runs that all services have counted.
+    pub(super) async fn service_runs(&self) -> Vec<RunRecord> {
+        let mut runs = Vec::new();
+        for part in &self.services {
+            let ledger = admin_get(part.address, "/admin/ledger").await;
+            runs.extend(ledger.unwrap_or_else(|_cause| Vec::<RunRecord>::new()));
+        }
+        runs
+    }
+
+    /// What the daemons' processes have used; this process when they run in it.
+    pub(super) fn usage(&self) -> ProcessUsage {
+        let parts = [&self.engines, &self.services, &self.daemons];
+        let parts = parts.into_iter().flatten().chain([&self.platform]);
+        let mut total = read_usage(std::process::id());
+        for process in parts.filter_map(|part| part.process.as_ref()) {
+            let usage = read_usage(process.id());
+            total.processor += usage.processor;
+            total.resident_kib += usage.resident_kib;
+        }
+        total
+    }
+}
+
+impl Drop for LoadFleet {
+    fn drop(&mut self) {
+        if std::fs::remove_dir_all(&self.folder).is_err() {
+            // Only logs are left behind.
+        }
+    }
+}
+
+fn kill(part: &mut FleetPart) {
+    if let Some(process) = &mut part.process {
+        process.kill();
+    }
+}
+
+async fn start_platform(
+    programs: Option<&ProgramPaths>,
+    folder: &std::path::Path,
+) -> Result<FleetPart> {
+    let address = free_address();
+    let process = if let Some(programs) = programs {
+        let arguments = ["platform", "--listen", &address.to_string()].map(str::to_owned);
+        let log = folder.join("platform.log");
+        let started = ProcessHandle::start(&programs.rig, &arguments, &log);
+        Some(started.map_err(named("platform"))?)
+    } else {
+        let listener = TcpListener::bind(address)
+            .await
+            .map_err(named("platform"))?;
+        task::spawn(PlatformStandIn::new(PlatformKnobs::default()).serve(listener));
+        None
+    };
+    wait_serving(address).await;
+    Ok(FleetPart { address, process })
+}
+
+async fn wait_serving(address: SocketAddr) {
+    let what = format!("{address} serves");
+    wait_until(&what, READY_LIMIT, || async {
+        async_std::net::TcpStream::connect(address).await.is_ok()
+    })
+    .await;
+}
+
+async fn sees_all_stages(client: &OperatorClient, daemon: SocketAddr) -> bool {
+    let status = client.status(daemon).await;
+    status.is_ok_and(|status| {
+        let ready = status
+            .models
+            .iter()
+            .all(|model| model.ready == model.stages);
+        ready && !status.models.is_empty()
+    })
+}
+
+async fn send_knobs<T: Serialize>(address: SocketAddr, knobs: &T) -> Result<()> {
+    let sent = admin_send(address, Method::Post, "/admin/knobs", knobs).await;
+    sent.map_err(named("knobs"))
+}
+
+fn make_row(
+    name: &str,
+    address: SocketAddr,
+    role: InstanceRole,
+    domain: &str,
+) -> Result<InstanceRow> {
+    Ok(InstanceRow {
+        instance: name.parse().map_err(named(name))?,
+        address,
+        peer_address: None,
+        role,
+        failure_domain: domain.parse().map_err(named(name))?,
+        state: InstanceState::Live,
+        memory_bytes: 0,
+        service: None,
+    })
+}
+
+fn make_declaration(spec: &RunSpec) -> Result<FleetDeclaration> {
+    let teams = spec.teams.iter().map(|load| {
+        json!({
+            "team": load.team,
+            "token_sha256": digest_token(&team_token(&load.team)).to_string(),
+            "priority": load.priority,
+            "weight": load.weight,
+        })
+    });
+    let services = if spec.services > 0 {
+        json!([{ "service": "stock" }])
+    } else {
+        json!([])
+    };
+    let text = json!({
+        "models": [{
+            "model": MODEL, "version": VERSION, "layers": spec.layers,
+            "layer_bytes": LAYER_BYTES, "replicas": spec.replicas, "floor": 0,
+        }],
+        "services": services,
+        "teams": teams.collect::<Vec<_>>(),
+    });
+    FleetDeclaration::parse(&text.to_string()).map_err(|errors| format!("{errors:?}"))
+}
--- /dev/null
+++ b/rig/src/load/mod.rs
@@ -0,0 +1,28 @@
+//! The load tool: open-loop callers of several teams against a fleet of stand-ins, measured
+//! against the throughput that the hardware allows.
+
+mod arrivals;
+mod book;
+mod caller;
+mod experiment;
+mod faults;
+mod fleet;
+mod lengths;
+mod recovery;
+mod run;
+mod spec;
+mod summary;
+mod usage;
+mod workload;
+
+pub use arrivals::{ArrivalKind, ArrivalSpec, ArrivalStep, plan_arrivals};
+pub use book::{LatencyBook, RequestOutcome, RequestRecord};
+pub use experiment::{ExperimentSpec, run_experiment};
+pub use faults::{FaultKind, FaultSpec};
+pub use lengths::{LengthSpec, draw_length};
+pub(crate) use run::find_programs;
+pub use run::{RunTarget, run_load};
+pub use spec::{EngineKind, RunMode, RunSpec, TeamLoad};
+pub use summary::{Percentiles, RunSummary, TeamSummary, jain_index};
+pub use usage::{ProcessUsage, read_usage};
+pub use workload::{PlannedRequest, RequestKind, mean_lengths, plan_workload};
