--- a/rig/src/engine/mod.rs
+++ b/rig/src/engine/mod.rs
@@ -7,6 +7,7 @@
 mod kv;
 mod link;
 mod server;
+mod session;
 
 pub use link::LinkKnobs;
 pub use server::{EngineKnobs, EngineStandIn, LedgerEntry};
--- a/rig/src/engine/server.rs
+++ b/rig/src/engine/server.rs
@@ -5,11 +5,12 @@
 use crate::engine::holding::StageHolding;
 use crate::engine::kv::KvCache;
 use crate::engine::link::{LinkKnobs, LinkLines};
+use crate::engine::session::SessionTable;
 use crate::web::json_response;
 use arbutusmount::{
     ActivationRequest, AttemptNumber, CancelRequest, ConnectionCount, ConnectionPool, EngineOrder,
-    EngineReport, GenerateRequest, InstanceId, LayerRange, RequestId, StreamRecord, TokenPosition,
-    encode_event, serve_http, sse_response,
+    EngineReport, GenerateRequest, InstanceId, LayerRange, RequestId, StageProgress, StreamRecord,
+    TokenPosition, encode_event, serve_http, sse_response,
 };
 use async_std::channel::{Receiver, bounded};
 use async_std::net::TcpListener;
@@ -118,6 +119,9 @@
     cancelled: Mutex<CancelledSet>,
     lines: LinkLines,
     reports: Mutex<VecDeque<(Instant, EngineReport)>>,
+    sessions: SessionTable,
+    /// Drawn when the engine started.
+    incarnation: u64,
 }
 
 /// A stand-in engine; cheap to clone.
@@ -154,6 +158,8 @@
             cancelled: Mutex::default(),
             lines: LinkLines::default(),
             reports: Mutex::default(),
+            sessions: SessionTable::default(),
+            incarnation: fastrand::u64(1..),
         }))
     }
 
@@ -175,6 +181,7 @@
                     &request.state().lagged_report(),
                 ))
             });
+        app.at("/v1/progress/:request").get(answer_progress);
         app.at("/v1/ledger")
             .get(|request: Request<Self>| async move {
                 Ok(json_response(StatusCode::Ok, &request.state().ledger()))
@@ -230,6 +237,10 @@
         }
     }
 
+    pub(super) fn sessions(&self) -> &SessionTable {
+        &self.0.sessions
+    }
+
     pub(super) fn extend_cache(&self, request: RequestId, context_tokens: u32) -> u32 {
         let mut cache = self.0.cache.lock().expect("cache lock is never poisoned");
         cache.extend(request, context_tokens)
@@ -288,11 +299,13 @@
             stages,
             queued,
             running,
+            sessions: self.0.sessions.count(),
             step_micros: layers * cost.layer_micros,
             item_micros: layers * cost.item_micros,
             max_batch: cost.max_batch as u32,
             age_ms: 0,
             leaving: self.knobs().leaving,
+            incarnation: self.0.incarnation,
         }
     }
 
@@ -373,6 +386,22 @@
     }
 }
 
+async fn answer_progress(request: Request<EngineStandIn>) -> tide::Result {
+    let wanted: RequestId = request
+        .param("request")?
+        .parse()
+        .map_err(|_cause| tide::Error::from_str(StatusCode::BadRequest, "malformed request id"))?;
+    let engine = request.state();
+    let (queued, running) = engine.0.batcher.load();
+    let progress = StageProgress {
+        queued,
+        running,
+        incarnation: engine.0.incarnation,
+        ..engine.0.sessions.progress(wanted)
+    };
+    Ok(json_response(StatusCode::Ok, &progress))
+}
+
 async fn answer_cancel(mut request: Request<EngineStandIn>) -> tide::Result {
     let cancel: CancelRequest = request.body_json().await?;
     request.state().cancel(cancel);
