Measure what decisions, state and idle daemons cost by size

Cause: nothing told what a daemon costs at the target size.

Change: `rig capacity core` measures times and bytes of decisions and state, `rig capacity daemons` processor time, memory and metered traffic of real daemons by engines, daemons and teams, `rig capacity path` the processor time of the request path by tokens; each with a linear fit and its largest residual. Experiments may build on a run file. Stand-in engines no longer copy their knobs for each load report: with hundreds of links that copying took more time than the run.

--- a/rig/src/args.rs
+++ b/rig/src/args.rs
@@ -1,5 +1,8 @@
 //! Arguments and subcommands of the program.
 
+use crate::capacity::{
+    measure_daemons, measure_decisions, measure_memory, measure_request_path, render_points,
+};
 use crate::demo::run_demo;
 use crate::engine::{EngineKnobs, EngineStandIn};
 use crate::load::{
@@ -35,6 +38,7 @@
   rig load --run FILE [--daemon ADDR]... --out FILE [--requests FILE]
                                                     send one run's load and sum it up
   rig experiment FILE --out FILE                    run variants side by side
+  rig capacity core|daemons|path --out FILE         measure what a daemon costs by size
 ";
 
 /// Runs the program.
@@ -58,6 +62,7 @@
         Some("proxy") => run_proxy(arguments),
         Some("load") => run_load_file(arguments),
         Some("experiment") => run_experiment_file(arguments),
+        Some("capacity") => run_capacity(arguments),
         Some(other) => Err(format!("unknown subcommand {other}\n{HELP}")),
         None => {
             print!("{HELP}");
@@ -192,7 +197,26 @@
 fn run_experiment_file(arguments: &mut Arguments) -> Result<()> {
     let path: PathBuf = arguments.free_from_str().map_err(|e| e.to_string())?;
     let out: PathBuf = read_value(arguments, "--out")?;
-    let spec = ExperimentSpec::parse(&read_file(&path)?);
+    let folder = path.parent().unwrap_or(Path::new("."));
+    let spec = ExperimentSpec::parse(&read_file(&path)?, |name| read_file(&folder.join(name)));
     let spec = spec.map_err(|errors| list_errors(&path, &errors))?;
     run_experiment(&spec, &out)
 }
+
+fn run_capacity(arguments: &mut Arguments) -> Result<()> {
+    let part: String = arguments.free_from_str().map_err(|e| e.to_string())?;
+    let out: PathBuf = read_value(arguments, "--out")?;
+    let programs = || find_programs().ok_or("arbutusmountd is not built");
+    let points = match &*part {
+        "core" => {
+            let mut points = measure_memory();
+            points.extend(measure_decisions());
+            points
+        }
+        "daemons" => task::block_on(measure_daemons(&programs()?))?,
+        "path" => task::block_on(measure_request_path(&programs()?))?,
+        other => return Err(format!("unknown part {other}; core, daemons or path")),
+    };
+    print!("{}", render_points(&points));
+    append_lines(&out, &points)
+}
--- a/rig/src/engine/server.rs
+++ b/rig/src/engine/server.rs
@@ -217,12 +217,12 @@
 
     /// Time until this many activations have arrived at another engine.
     pub(super) fn link_delay(&self, destination: &InstanceId, activations: u32) -> Duration {
-        let knobs = self.0.knobs.lock().expect("knob lock is never poisoned");
-        let (link, default) = (
-            knobs.links.get(destination.as_str()).copied(),
-            knobs.link_ms,
-        );
-        drop(knobs);
+        let (link, default) = self.with_knobs(|knobs| {
+            (
+                knobs.links.get(destination.as_str()).copied(),
+                knobs.link_ms,
+            )
+        });
         link.map_or(Duration::from_millis(default), |link| {
             self.0
                 .lines
@@ -281,11 +281,11 @@
     }
 
     fn knobs(&self) -> EngineKnobs {
-        self.0
-            .knobs
-            .lock()
-            .expect("knob lock is never poisoned")
-            .clone()
+        self.with_knobs(EngineKnobs::clone)
+    }
+
+    fn with_knobs<T>(&self, read: impl FnOnce(&EngineKnobs) -> T) -> T {
+        read(&self.0.knobs.lock().expect("knob lock is never poisoned"))
     }
 
     fn report(&self) -> EngineReport {
@@ -304,13 +304,13 @@
             item_micros: layers * cost.item_micros,
             max_batch: cost.max_batch as u32,
             age_ms: 0,
-            leaving: self.knobs().leaving,
+            leaving: self.with_knobs(|knobs| knobs.leaving),
             incarnation: self.0.incarnation,
         }
     }
 
     fn lagged_report(&self) -> EngineReport {
-        let lag = Duration::from_millis(self.knobs().report_lag_ms);
+        let lag = Duration::from_millis(self.with_knobs(|knobs| knobs.report_lag_ms));
         let reports = self
             .0
             .reports
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod args;
 mod bound;
+mod capacity;
 mod demo;
 mod engine;
 mod fleet;
@@ -14,6 +15,10 @@
 
 pub use args::run_program;
 pub use bound::{StageRate, TokenWork, flow_bound, link_rate};
+pub use capacity::{
+    CapacityPoint, LinearFit, fit_line, measure_daemons, measure_decisions, measure_memory,
+    measure_request_path, render_points,
+};
 pub use demo::run_demo;
 pub use engine::{EngineKnobs, EngineStandIn, LedgerEntry, LinkKnobs};
 pub use fleet::{
--- a/rig/src/load/experiment.rs
+++ b/rig/src/load/experiment.rs
@@ -22,7 +22,8 @@
     pub run: Value,
 }
 
-/// An experiment: every variant at every load with every seed.
+/// An experiment: every variant at every load with every seed. The file may name a run file as
+/// `base`, relative to itself, into which `run` is merged.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct ExperimentSpec {
@@ -37,6 +38,7 @@
 }
 
 const EXPERIMENT_TABLE: &[FieldRule] = &[
+    FieldRule::optional("base", FieldKind::Text),
     FieldRule::required(
         "variants",
         FieldKind::List(&FieldKind::Object(VARIANT_TABLE)),
@@ -48,11 +50,15 @@
 const VARIANT_TABLE: &[FieldRule] = &[FieldRule::required("name", FieldKind::Id)];
 
 impl ExperimentSpec {
-    /// Reads an experiment file and checks every run that it makes.
+    /// Reads an experiment file and checks every run that it makes. `read_base` reads the file that
+    /// the experiment names as its base.
     ///
     /// # Errors
     /// Every fault of the document, each with its JSON path.
-    pub fn parse(text: &str) -> Result<Self> {
+    pub fn parse(
+        text: &str,
+        read_base: impl Fn(&str) -> std::result::Result<String, String>,
+    ) -> Result<Self> {
         let mut value: Value = serde_json::from_str(text).map_err(|cause| {
             let fault = CheckFault::NotJson(cause.to_string());
             vec![CheckError {
@@ -69,7 +75,10 @@
             }
         }
         let mut value = check_document(&value.to_string(), EXPERIMENT_TABLE)?;
-        value["run"] = run;
+        value["run"] = match value["base"].as_str() {
+            Some(name) => merge_base(name, &read_base, &run)?,
+            None => run,
+        };
         for (index, change) in changes.into_iter().enumerate() {
             value["variants"][index]["run"] = change;
         }
@@ -105,6 +114,18 @@
     }
 }
 
+fn merge_base(
+    name: &str,
+    read_base: impl Fn(&str) -> std::result::Result<String, String>,
+    run: &Value,
+) -> Result<Value> {
+    let bad = |cause: String| vec![conflict("$.base", cause)];
+    let text = read_base(name).map_err(bad)?;
+    let mut base = serde_json::from_str(&text).map_err(|cause| bad(cause.to_string()))?;
+    merge_json(&mut base, run);
+    Ok(base)
+}
+
 fn take_object(value: &mut Value, name: &str, path: &str) -> Result<Value> {
     let taken = value
         .as_object_mut()
--- a/rig/src/load/fleet.rs
+++ b/rig/src/load/fleet.rs
@@ -2,35 +2,31 @@
 
 use crate::engine::EngineStandIn;
 use crate::fleet::{OPERATOR_TOKEN, ProcessHandle, ProgramPaths, free_address, wait_until};
+use crate::load::declare::{LAYER_BYTES, make_declaration, make_row, named};
+use crate::load::meters::{TrafficGroup, TrafficMeters};
 use crate::load::spec::{RunMode, RunSpec, merge_json};
 use crate::load::usage::{ProcessUsage, read_usage};
 use crate::platform::{PlatformKnobs, PlatformStandIn};
 use crate::service::{RunRecord, ServiceKnobs, ServiceStandIn};
 use crate::web::{admin_get, admin_send};
 use arbutusmount::{
-    DaemonSettings, FleetDeclaration, InstanceRole, InstanceRow, InstanceState, OperatorClient,
-    PlanRequest, RequestId, StagePlacement, digest_token, start_daemon,
+    DaemonSettings, InstanceRole, InstanceRow, OperatorClient, PlanRequest, RequestId,
+    StagePlacement, digest_token, start_daemon,
 };
 use async_std::net::TcpListener;
 use async_std::task;
 use http_types::Method;
 use serde::Serialize;
 use serde_json::{Value, json};
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
 /// Result of starting or steering a fleet.
-pub(super) type Result<T> = std::result::Result<T, String>;
+pub(crate) type Result<T> = std::result::Result<T, String>;
 
-/// Name of the model.
-pub(super) const MODEL: &str = "helpdesk";
-/// Version of the model.
-pub(super) const VERSION: &str = "v1";
-/// Bytes of one layer's weights.
-const LAYER_BYTES: u64 = 1_000;
 /// Longest wait for a process to serve or the fleet to be ready.
 const READY_LIMIT: Duration = Duration::from_secs(40);
 
@@ -41,47 +37,55 @@
 }
 
 /// A running fleet; its processes end when it is dropped.
-pub(super) struct LoadFleet {
+pub(crate) struct LoadFleet {
     platform: FleetPart,
     engines: Vec<FleetPart>,
     services: Vec<FleetPart>,
     daemons: Vec<FleetPart>,
+    /// Programs, unless everything runs in this process.
     programs: Option<ProgramPaths>,
+    mode: RunMode,
     folder: PathBuf,
+    /// Meters of the daemons' traffic.
+    pub(crate) meters: TrafficMeters,
     /// Placements of the declared model.
     pub(super) placements: Vec<StagePlacement>,
 }
 
-/// Bearer token of a team.
-pub(super) fn team_token(team: &str) -> String {
-    format!("{team}-secret")
-}
-
-/// Puts a name before the cause of an error.
-fn named<E: std::fmt::Display>(name: &str) -> impl Fn(E) -> String {
-    move |cause| format!("{name}: {cause}")
-}
-
 impl LoadFleet {
     /// Starts the fleet of a run and waits until every stage is ready.
     pub(super) async fn start(spec: &RunSpec, programs: Option<ProgramPaths>) -> Result<Self> {
+        Self::start_metered(spec, programs, false).await
+    }
+
+    /// Starts a fleet, with meters before what the daemons talk to when `metered`.
+    pub(crate) async fn start_metered(
+        spec: &RunSpec,
+        programs: Option<ProgramPaths>,
+        metered: bool,
+    ) -> Result<Self> {
         let programs = match spec.mode {
             RunMode::InProcess => None,
-            RunMode::Processes => {
-                let missing = "the mode processes needs arbutusmountd beside rig";
+            RunMode::Processes | RunMode::Daemons => {
+                let missing = "processes need arbutusmountd beside rig";
                 Some(programs.ok_or_else(|| missing.to_owned())?)
             }
         };
         let folder = std::env::temp_dir().join(format!("arbutusmount-load-{}", std::process::id()));
         std::fs::create_dir_all(&folder).map_err(named("temporary folder"))?;
-        let platform = start_platform(programs.as_ref(), &folder).await?;
+        let stand_ins = programs
+            .as_ref()
+            .filter(|_| spec.mode == RunMode::Processes);
+        let platform = start_platform(stand_ins, &folder).await?;
         let mut fleet = Self {
             platform,
             engines: Vec::new(),
             services: Vec::new(),
             daemons: Vec::new(),
             programs,
+            mode: spec.mode,
             folder,
+            meters: TrafficMeters::new(metered),
             placements: Vec::new(),
         };
         for index in 0..spec.engine_count() {
@@ -98,7 +102,8 @@
     }
 
     fn start_rig(&self, name: &str, arguments: &[&str]) -> Result<Option<ProcessHandle>> {
-        let Some(programs) = &self.programs else {
+        let own = self.mode == RunMode::Processes;
+        let Some(programs) = self.programs.as_ref().filter(|_| own) else {
             return Ok(None);
         };
         let log = self.folder.join(format!("{name}.log"));
@@ -133,7 +138,8 @@
         }
         let bytes = u64::from(spec.engine_kind(index).layers) * LAYER_BYTES;
         let domain = spec.engine_domain(index);
-        let row = make_row(&name, address, InstanceRole::Engine, domain)?;
+        let listed = self.meters.wrap(TrafficGroup::Engines, address).await?;
+        let row = make_row(&name, listed, InstanceRole::Engine, domain)?;
         let row = InstanceRow {
             memory_bytes: bytes,
             ..row
@@ -167,6 +173,7 @@
         let name = format!("router-{index}");
         let domain = &spec.domains[index % spec.domains.len()];
         let platform = self.platform.address;
+        let platform = self.meters.wrap(TrafficGroup::Platform, platform).await?;
         let mut settings = json!({
             "instance": name,
             "failure_domain": domain,
@@ -195,7 +202,7 @@
         };
         let row = make_row(&name, listen, InstanceRole::Router, domain)?;
         let row = InstanceRow {
-            peer_address: Some(peer_listen),
+            peer_address: Some(self.meters.wrap(TrafficGroup::Peers, peer_listen).await?),
             ..row
         };
         self.daemons.push(FleetPart {
@@ -241,7 +248,7 @@
     }
 
     /// Addresses of the daemons.
-    pub(super) fn daemon_addresses(&self) -> Vec<SocketAddr> {
+    pub(crate) fn daemon_addresses(&self) -> Vec<SocketAddr> {
         self.daemons.iter().map(|part| part.address).collect()
     }
 
@@ -294,7 +301,19 @@
         runs
     }
 
-    /// What the daemons' processes have used; this process when they run in it.
+    /// What each daemon's process has used; empty when they run in this one.
+    pub(crate) fn daemon_usage(&self) -> Vec<ProcessUsage> {
+        let processes = self.daemons.iter().filter_map(|part| part.process.as_ref());
+        processes.map(|process| read_usage(process.id())).collect()
+    }
+
+    /// Calls that the platform has counted, by kind.
+    pub(crate) async fn platform_calls(&self) -> BTreeMap<String, u64> {
+        let calls = admin_get(self.platform.address, "/admin/calls").await;
+        calls.unwrap_or_default()
+    }
+
+    /// What this process and those of the fleet have used.
     pub(super) fn usage(&self) -> ProcessUsage {
         let parts = [&self.engines, &self.services, &self.daemons];
         let parts = parts.into_iter().flatten().chain([&self.platform]);
@@ -366,46 +385,3 @@
     let sent = admin_send(address, Method::Post, "/admin/knobs", knobs).await;
     sent.map_err(named("knobs"))
 }
-
-fn make_row(
-    name: &str,
-    address: SocketAddr,
-    role: InstanceRole,
-    domain: &str,
-) -> Result<InstanceRow> {
-    Ok(InstanceRow {
-        instance: name.parse().map_err(named(name))?,
-        address,
-        peer_address: None,
-        role,
-        failure_domain: domain.parse().map_err(named(name))?,
-        state: InstanceState::Live,
-        memory_bytes: 0,
-        service: None,
-    })
-}
-
-fn make_declaration(spec: &RunSpec) -> Result<FleetDeclaration> {
-    let teams = spec.teams.iter().map(|load| {
-        json!({
-            "team": load.team,
-            "token_sha256": digest_token(&team_token(&load.team)).to_string(),
-            "priority": load.priority,
-            "weight": load.weight,
-        })
-    });
-    let services = if spec.services > 0 {
-        json!([{ "service": "stock" }])
-    } else {
-        json!([])
-    };
-    let text = json!({
-        "models": [{
-            "model": MODEL, "version": VERSION, "layers": spec.layers,
-            "layer_bytes": LAYER_BYTES, "replicas": spec.replicas, "floor": 0,
-        }],
-        "services": services,
-        "teams": teams.collect::<Vec<_>>(),
-    });
-    FleetDeclaration::parse(&text.to_string()).map_err(|errors| format!("{errors:?}"))
-}
--- a/rig/src/load/run.rs
+++ b/rig/src/load/run.rs
@@ -4,8 +4,9 @@
 use crate::fleet::ProgramPaths;
 use crate::load::book::{RequestOutcome, RequestRecord, micros};
 use crate::load::caller::{CallerRules, TeamCaller};
+use crate::load::declare::{MODEL, VERSION, team_token};
 use crate::load::faults::FaultSpec;
-use crate::load::fleet::{LoadFleet, MODEL, Result, VERSION, team_token};
+use crate::load::fleet::{LoadFleet, Result};
 use crate::load::recovery::{FaultMoment, summarise_recovery};
 use crate::load::spec::RunSpec;
 use crate::load::summary::{RunSummary, summarise};
@@ -77,7 +78,7 @@
         (RunTarget::OwnFleet(_), Some(fleet)) => fleet.daemon_addresses(),
         (RunTarget::OwnFleet(_), None) => Vec::new(),
     };
-    let before = (fleet.as_ref().map(LoadFleet::usage), machine_time());
+    let before = (fleet.as_ref().map(fleet_times), machine_time());
     let start = Instant::now();
     let sender = LoadSender::new(spec, &daemons, start);
     let faults = bring_faults(spec, fleet.as_mut(), start);
@@ -86,9 +87,10 @@
     let elapsed = start.elapsed().as_secs_f64();
     records.sort_by_key(|record| record.number);
     let mut summary = summarise(spec, &records, bound);
-    if let (Some(fleet), Some(usage)) = (&fleet, before.0) {
-        let used = fleet.usage().processor.saturating_sub(usage.processor);
-        summary.own_cores = used.as_secs_f64() / elapsed;
+    if let (Some(fleet), Some((own, daemons))) = (&fleet, before.0) {
+        let (own_after, daemons_after) = fleet_times(fleet);
+        summary.own_cores = own_after.saturating_sub(own).as_secs_f64() / elapsed;
+        summary.daemon_cores = daemons_after.saturating_sub(daemons).as_secs_f64() / elapsed;
         summary.service_faults = count_service_faults(&records, &fleet.service_runs().await);
         for moment in moments? {
             let new_bound = fleet_bound(spec, fleet, work, std::slice::from_ref(&moment.fault))?;
@@ -101,6 +103,16 @@
     Ok((summary, records))
 }
 
+/// Processor time of the whole run, and of its daemons where they are processes.
+fn fleet_times(fleet: &LoadFleet) -> (Duration, Duration) {
+    let daemons = fleet
+        .daemon_usage()
+        .iter()
+        .map(|usage| usage.processor)
+        .sum();
+    (fleet.usage().processor, daemons)
+}
+
 /// The bound of a placed fleet, with these faults in force.
 fn fleet_bound(
     spec: &RunSpec,
@@ -217,7 +229,7 @@
             start,
             close: start + spec.duration() + GRACE,
             model: (Arc::from(MODEL), Arc::from(VERSION), spec.layers),
-            restart_gap: spec.restart_gap_ms.map(Duration::from_millis),
+            restart_gap: spec.restart_gap(),
         };
         Self {
             callers: spec.teams.iter().map(caller).collect(),
@@ -239,6 +251,7 @@
             records.push(record);
         }
         progress.cancel().await;
+        eprintln!();
         records
     }
 
--- a/rig/src/load/spec.rs
+++ b/rig/src/load/spec.rs
@@ -23,6 +23,8 @@
     InProcess,
     /// Each daemon and stand-in as a process.
     Processes,
+    /// Each daemon as a process, the stand-ins in the load tool's own.
+    Daemons,
 }
 
 /// One kind of accelerator.
@@ -227,7 +229,10 @@
 const RUN_TABLE: &[FieldRule] = &[
     FieldRule::required("name", FieldKind::Id),
     FieldRule::required("seed", FieldKind::Number(0, u64::MAX)),
-    FieldRule::optional("mode", FieldKind::Choice(&["in_process", "processes"])),
+    FieldRule::optional(
+        "mode",
+        FieldKind::Choice(&["in_process", "processes", "daemons"]),
+    ),
     FieldRule::required("duration_ms", FieldKind::Number(100, MAX_MS)),
     FieldRule::required("warmup_ms", MILLIS),
     FieldRule::optional("load_percent", FieldKind::Rate),
@@ -348,6 +353,11 @@
         format!("engine-{index:03}")
     }
 
+    /// Longest time that callers wait between tokens before they start over elsewhere.
+    pub fn restart_gap(&self) -> Option<Duration> {
+        self.restart_gap_ms.map(Duration::from_millis)
+    }
+
     /// Link between two engines.
     pub fn link(&self, from: usize, to: usize) -> LinkKnobs {
         if self.engine_domain(from) == self.engine_domain(to) {
@@ -363,7 +373,9 @@
     /// When the run's own knobs for the engine do not fit.
     pub fn engine_knobs(&self, index: usize) -> std::result::Result<EngineKnobs, String> {
         let kind = self.engine_kind(index);
-        let others = (0..self.engine_count()).filter(|other| *other != index);
+        let is_limited = |link: LinkKnobs| link.delay_micros > 0 || link.per_second > 0.0;
+        let has_links = is_limited(self.near) || is_limited(self.far);
+        let others = (0..self.engine_count()).filter(|other| has_links && *other != index);
         let links = others.map(|other| {
             let name = Arc::from(Self::engine_name(other));
             (name, self.link(index, other))
--- a/rig/src/load/summary.rs
+++ b/rig/src/load/summary.rs
@@ -123,6 +123,9 @@
     pub cache_hit_percent: Option<f64>,
     /// Cores that the run's own processes used.
     pub own_cores: f64,
+    /// Cores that the daemons used; 0 when they run in this process.
+    #[serde(default)]
+    pub daemon_cores: f64,
     /// Cores that the whole machine used meanwhile.
     pub machine_cores: f64,
     /// Longest delay of a request behind its intended start, in milliseconds.
@@ -238,6 +241,7 @@
         teams,
         cache_hit_percent: None,
         own_cores: 0.0,
+        daemon_cores: 0.0,
         machine_cores: 0.0,
         sender_lag_ms: lag.max().unwrap_or(0) as f64 / 1_000.0,
         timeline: make_timeline(records, to),
--- a/rig/src/proxy.rs
+++ b/rig/src/proxy.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use std::io;
 use std::net::{Shutdown, SocketAddr};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -51,6 +52,7 @@
 struct ProxyInner {
     faults: Mutex<ProxyFaults>,
     open: Mutex<Vec<(TcpStream, TcpStream)>>,
+    bytes: AtomicU64,
 }
 
 /// A proxy before one target; cheap to clone.
@@ -81,6 +83,11 @@
         self.address
     }
 
+    /// Bytes that have passed so far, both directions together.
+    pub fn bytes(&self) -> u64 {
+        self.inner.bytes.load(Ordering::Relaxed)
+    }
+
     /// Replaces the faults; they apply to open connections too.
     pub fn set(&self, faults: ProxyFaults) {
         *self
@@ -182,6 +189,7 @@
             if to.write_all(&buffer[..count]).await.is_err() {
                 break;
             }
+            self.inner.bytes.fetch_add(count as u64, Ordering::Relaxed);
         }
         for stream in [from, to] {
             if stream.shutdown(Shutdown::Both).is_err() {
--- a/rig/tests/load.rs
+++ b/rig/tests/load.rs
@@ -288,15 +288,19 @@
 
 #[test]
 fn experiment_changes_runs_and_checks_them() {
-    let run: Value = serde_json::from_str(TODAY).unwrap();
     let text = |change: Value| {
         let variants = json!([{ "name": "v", "run": change }]);
-        json!({ "run": run, "variants": variants, "loads": [50], "seeds": [7] }).to_string()
+        json!({ "base": "today.json", "variants": variants, "loads": [50], "seeds": [7] })
+            .to_string()
     };
-    let good = ExperimentSpec::parse(&text(
-        json!({ "settings": { "routing": { "policy": "x" } } }),
-    ));
-    let bad = ExperimentSpec::parse(&text(json!({ "daemons": 0 })));
+    let read_base = |name: &str| match name {
+        "today.json" => Ok(TODAY.to_owned()),
+        other => Err(format!("{other} is missing")),
+    };
+    let settings = json!({ "settings": { "routing": { "policy": "x" } } });
+    let good = ExperimentSpec::parse(&text(settings), read_base);
+    let bad = ExperimentSpec::parse(&text(json!({ "daemons": 0 })), read_base);
+    let missing = ExperimentSpec::parse(&text(json!({})).replace("today", "other"), read_base);
 
     let good = good.unwrap();
     let made = RunSpec::parse(&good.run_text(&good.variants[0], 50.0, 7)).unwrap();
@@ -304,6 +308,7 @@
     assert_eq!((made.seed, made.load_percent), (7, 50.0));
     assert_eq!(made.settings["routing"]["policy"], "x");
     assert_eq!(paths(&bad.unwrap_err()), ["$.run.daemons"]);
+    assert_eq!(paths(&missing.unwrap_err()), ["$.base"]);
 }
 
 #[async_std::test]
