--- a/rig/src/engine/server.rs
+++ b/rig/src/engine/server.rs
@@ -4,6 +4,7 @@
 use crate::engine::generate::{StageFault, generate, run_stage};
 use crate::engine::holding::StageHolding;
 use crate::engine::kv::KvCache;
+use crate::engine::link::{LinkKnobs, LinkLines};
 use crate::engine::session::SessionTable;
 use crate::web::json_response;
 use arbutusmount::{
@@ -15,7 +16,7 @@
 use async_std::net::TcpListener;
 use async_std::task;
 use serde::{Deserialize, Serialize};
-use std::collections::{HashSet, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -52,6 +53,8 @@
     pub slow_percent: u64,
     /// Delay of each hand-over to the next stage, in milliseconds.
     pub link_ms: u64,
+    /// Links to the engines named here, in place of `link_ms`.
+    pub links: BTreeMap<Arc<str>, LinkKnobs>,
     /// Age of load reports, in milliseconds.
     pub report_lag_ms: u64,
     /// True to refuse orders that carry an old fencing number.
@@ -74,6 +77,7 @@
             kv_tokens: 1 << 20,
             slow_percent: 100,
             link_ms: 0,
+            links: BTreeMap::new(),
             report_lag_ms: 0,
             honours_fencing: true,
             refuse: false,
@@ -113,6 +117,7 @@
     cache: Mutex<KvCache>,
     ledger: Mutex<VecDeque<LedgerEntry>>,
     cancelled: Mutex<CancelledSet>,
+    lines: LinkLines,
     reports: Mutex<VecDeque<(Instant, EngineReport)>>,
     sessions: SessionTable,
     /// Drawn when the engine started.
@@ -151,6 +156,7 @@
             knobs: Mutex::new(knobs),
             ledger: Mutex::default(),
             cancelled: Mutex::default(),
+            lines: LinkLines::default(),
             reports: Mutex::default(),
             sessions: SessionTable::default(),
             incarnation: fastrand::u64(1..),
@@ -209,8 +215,19 @@
         &self.0.pool
     }
 
-    pub(super) fn link_delay(&self) -> Duration {
-        Duration::from_millis(self.knobs().link_ms)
+    /// Time until this many activations have arrived at another engine.
+    pub(super) fn link_delay(&self, destination: &InstanceId, activations: u32) -> Duration {
+        let (link, default) = self.with_knobs(|knobs| {
+            (
+                knobs.links.get(destination.as_str()).copied(),
+                knobs.link_ms,
+            )
+        });
+        link.map_or(Duration::from_millis(default), |link| {
+            self.0
+                .lines
+                .enqueue(destination.as_str(), link, activations)
+        })
     }
 
     pub(super) fn fault(&self, cause: &str) -> StageFault {
@@ -264,11 +281,11 @@
     }
 
     fn knobs(&self) -> EngineKnobs {
-        self.0
-            .knobs
-            .lock()
-            .expect("knob lock is never poisoned")
-            .clone()
+        self.with_knobs(EngineKnobs::clone)
+    }
+
+    fn with_knobs<T>(&self, read: impl FnOnce(&EngineKnobs) -> T) -> T {
+        read(&self.0.knobs.lock().expect("knob lock is never poisoned"))
     }
 
     fn report(&self) -> EngineReport {
@@ -287,13 +304,13 @@
             item_micros: layers * cost.item_micros,
             max_batch: cost.max_batch as u32,
             age_ms: 0,
-            leaving: self.knobs().leaving,
+            leaving: self.with_knobs(|knobs| knobs.leaving),
             incarnation: self.0.incarnation,
         }
     }
 
     fn lagged_report(&self) -> EngineReport {
-        let lag = Duration::from_millis(self.knobs().report_lag_ms);
+        let lag = Duration::from_millis(self.with_knobs(|knobs| knobs.report_lag_ms));
         let reports = self
             .0
             .reports
