Give each program that starts fleets a loopback address of its own

Cause: a run of the tests failed with a refused connection to the platform stand-in: the port had been chosen by binding port 0 and was free to be taken, by an outgoing connection or another program, until the process bound it.

Ruled out: the platform stand-in dying; its log had no panic.

Change: addresses come from a loopback address made from the process identifier, with ports below the range of outgoing connections.

--- a/rig/src/fleet/ports.rs
+++ b/rig/src/fleet/ports.rs
@@ -1,26 +1,41 @@
 //! Free loopback addresses for the processes of a fleet.
+//!
+//! Every program that starts fleets has a loopback address of its own, made from its process
+//! identifier, and takes ports below the range from which the operating system serves outgoing
+//! connections. So neither another program nor a connection can take an address between its choice
+//! and its use.
 
-use std::collections::HashSet;
-use std::net::{SocketAddr, TcpListener};
-use std::sync::{Mutex, OnceLock};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU16, Ordering};
 
-fn handed_out() -> &'static Mutex<HashSet<u16>> {
-    static PORTS: OnceLock<Mutex<HashSet<u16>>> = OnceLock::new();
-    PORTS.get_or_init(Mutex::default)
+/// First port handed out.
+const FIRST_PORT: u16 = 10_000;
+/// Port after the last one handed out; outgoing connections use higher ones.
+const END_PORT: u16 = 32_000;
+/// Second byte of the first address used, above those that other programs commonly use.
+const FIRST_NETWORK: u8 = 64;
+/// Networks used; process identifiers have up to 22 bits.
+const NETWORKS: u32 = 64;
+
+/// This process's own loopback address.
+fn own_ip() -> Ipv4Addr {
+    let id = std::process::id();
+    let network = FIRST_NETWORK + ((id >> 16) % NETWORKS) as u8;
+    let [_, _, high, low] = id.to_be_bytes();
+    Ipv4Addr::new(127, network, high, low)
 }
 
-/// A loopback address that was free a moment ago and that this process has not handed out before.
+/// A loopback address that is free and that this process has not handed out before.
 ///
 /// # Panics
-/// When the operating system has no free port.
+/// When the process has used up its ports.
 pub fn free_address() -> SocketAddr {
+    static NEXT_PORT: AtomicU16 = AtomicU16::new(FIRST_PORT);
     loop {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
-        let address = listener
-            .local_addr()
-            .expect("a bound listener has an address");
-        let mut ports = handed_out().lock().expect("port lock is never poisoned");
-        if ports.insert(address.port()) {
+        let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        assert!(port < END_PORT, "no port is left");
+        let address = SocketAddr::from((own_ip(), port));
+        if TcpListener::bind(address).is_ok() {
             return address;
         }
     }
