--- a/src/config/adoption.rs
+++ b/src/config/adoption.rs
@@ -252,7 +252,7 @@
 /// Brings a bundle into force here when it is newer, and tells peers about it.
 pub fn offer_bundle(context: &Arc<KernelContext>, bundle: ConfigBundle) {
     let revision = bundle.revision;
-    match context.config.offer(bundle) {
+    match context.config.offer(bundle, context.clock.now()) {
         OfferOutcome::Stale => {}
         OfferOutcome::Broken(cause) => log::error!("configuration at revision {revision}: {cause}"),
         OfferOutcome::Adopted(_) => {
--- a/src/config/cell.rs
+++ b/src/config/cell.rs
@@ -5,6 +5,7 @@
 use crate::config::sections::ConfigBundle;
 use crate::config::state::{AdoptionState, OfferOutcome};
 use crate::ids::ConfigRevision;
+use crate::units::MonoTime;
 use arc_swap::ArcSwapOption;
 use std::sync::{Arc, Mutex, OnceLock};
 
@@ -61,9 +62,9 @@
     }
 
     /// Adopts a bundle when it is newer than the one in force and complete.
-    pub fn offer(&self, bundle: ConfigBundle) -> OfferOutcome {
+    pub fn offer(&self, bundle: ConfigBundle, now: MonoTime) -> OfferOutcome {
         self.with_state(|state| {
-            let outcome = state.offer(bundle);
+            let outcome = state.offer(bundle, now);
             if let OfferOutcome::Adopted(config) = &outcome {
                 self.adopt(config);
             }
--- a/src/config/gossip.rs
+++ b/src/config/gossip.rs
@@ -7,19 +7,19 @@
 use crate::kernel::{KernelContext, PluginHost, TimerSpec};
 use crate::peer::PeerTopic;
 use crate::platform::InstanceRole;
+use crate::units::MonoTime;
 use async_std::task;
 use futures_util::future::join_all;
 use prost::Message;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 /// Peers told at once after an adoption.
 pub const PUSH_PEERS: usize = 4;
-/// Period of the exchange with one random peer.
-pub const EXCHANGE_PERIOD: Duration = Duration::from_secs(1);
-/// Period of the exchange while there is no configuration.
-const START_PERIOD: Duration = Duration::from_millis(200);
+/// Period of checking whether the next exchange is due.
+const EXCHANGE_TICK: Duration = Duration::from_millis(50);
 /// Time allowed for a notice.
 const NOTICE_LIMIT: Duration = Duration::from_millis(800);
 /// Time allowed for a whole configuration.
@@ -30,12 +30,19 @@
     host.add_handler(PeerTopic::Config, |context, payload| async move {
         answer_peer(&context, &payload)
     });
-    let spec = TimerSpec::new("config exchange", START_PERIOD);
-    host.add_timer(spec, |context, _now| async move {
-        exchange_notice(&context).await;
-        if context.config.revision().0 > 0 {
-            let rest = EXCHANGE_PERIOD.saturating_sub(START_PERIOD);
-            task::sleep(rest).await;
+    let last_exchange = Arc::new(AtomicU64::new(0));
+    let spec = TimerSpec::new("config exchange", EXCHANGE_TICK);
+    host.add_timer(spec, move |context, now| {
+        let last_exchange = Arc::clone(&last_exchange);
+        async move {
+            let period = context
+                .config
+                .with_state(|state| state.exchange_period(now));
+            let last = MonoTime(last_exchange.load(Ordering::Relaxed));
+            if now.since(last) >= period {
+                last_exchange.store(now.0, Ordering::Relaxed);
+                exchange_notice(&context).await;
+            }
         }
     });
 }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -27,6 +27,7 @@
 pub use digest::{TokenDigest, digest_token};
 pub use document::{ChangeEntry, ConfigDocument, ServingVersion, StagePlacement, extend_recent};
 pub use duty::{RankedRouter, StoreDuty, WATCHERS, rank_routers, store_duty};
+pub use gossip::PUSH_PEERS;
 pub use messages::{ConfigNotice, ConfigPull, ConfigReply, ConfigRequest};
 pub use placement::{
     EngineOffer, PlacementError, PlacementPlan, count_copies, fit_models, place_models,
@@ -37,4 +38,4 @@
 };
 pub use rollout::advance_document;
 pub use sections::{BundleError, ConfigBundle, ConfigHead, SectionDigest, SectionMap, read_head};
-pub use state::{AdoptionState, NoticeStep, OfferOutcome, StoreStep};
+pub use state::{AdoptionState, NoticeStep, OfferOutcome, StoreStep, exchange_period};
--- a/src/config/state.rs
+++ b/src/config/state.rs
@@ -12,6 +12,24 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Period of the exchange with one random peer.
+const EXCHANGE_PERIOD: Duration = Duration::from_secs(1);
+/// Period of the exchange after an adoption, and while there is no configuration.
+const FAST_PERIOD: Duration = Duration::from_millis(200);
+/// Time after an adoption for which exchanges are fast.
+const FAST_SPAN: Duration = Duration::from_secs(5);
+
+/// Time until the next exchange with a random peer, by the time since the last adoption.
+///
+/// A daemon that has just adopted a configuration meets more peers for a while: a push alone dies
+/// out early when messages are lost.
+pub fn exchange_period(since_adoption: Option<Duration>) -> Duration {
+    match since_adoption {
+        Some(since) if since >= FAST_SPAN => EXCHANGE_PERIOD,
+        _ => FAST_PERIOD,
+    }
+}
+
 /// What became of an offered configuration.
 #[derive(Debug, Clone)]
 pub enum OfferOutcome {
@@ -50,6 +68,7 @@
 pub struct AdoptionState {
     bundle: Option<Arc<ConfigBundle>>,
     store_seen: Option<MonoTime>,
+    adopted: Option<MonoTime>,
     pulling: bool,
 }
 
@@ -71,7 +90,7 @@
     }
 
     /// Adopts a bundle when it is newer than what is in force and complete.
-    pub fn offer(&mut self, bundle: ConfigBundle) -> OfferOutcome {
+    pub fn offer(&mut self, bundle: ConfigBundle, now: MonoTime) -> OfferOutcome {
         if bundle.revision <= self.revision() {
             return OfferOutcome::Stale;
         }
@@ -81,6 +100,7 @@
                 let config = AcceptedConfig::new(bundle.revision, document);
                 self.bundle = Some(Arc::new(bundle));
                 self.store_seen = None;
+                self.adopted = Some(now);
                 OfferOutcome::Adopted(Arc::new(config))
             }
         }
@@ -106,6 +126,11 @@
             .map_or(Duration::MAX, |seen| now.since(seen))
     }
 
+    /// Time until the next exchange with a random peer.
+    pub fn exchange_period(&self, now: MonoTime) -> Duration {
+        exchange_period(self.adopted.map(|adopted| now.since(adopted)))
+    }
+
     /// What this daemon tells its peers.
     pub fn notice(&self, now: MonoTime) -> ConfigNotice {
         let age = |seen| now.since(seen).as_millis() as u64;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,12 +32,12 @@
     AcceptedConfig, AdoptOutcome, AdoptionState, BackoffLimits, BundleError, CONFIG_KEY,
     CapacityChange, ChangeEntry, ConfigBundle, ConfigCell, ConfigDocument, ConfigHead,
     ConfigNotice, ConfigPull, ConfigReply, ConfigRequest, EngineOffer, FleetDeclaration, FleetPlan,
-    MARK_KEY, ModelEntry, ModelSpec, NoticeStep, OfferOutcome, PlacementError, PlacementPlan,
-    PlanChange, PlanCost, PlanInputs, PlanVerdict, RankedRouter, RetryBackoff, RolloutSpec,
-    SectionDigest, SectionMap, ServiceSpec, ServingVersion, StagePlacement, StoreDuty, StoreStep,
-    TeamSpec, TokenDigest, WATCHERS, advance_document, check_plan, compare_documents, count_copies,
-    digest_token, extend_recent, fit_models, judge_plan, make_plan, place_models, rank_routers,
-    read_head, store_duty,
+    MARK_KEY, ModelEntry, ModelSpec, NoticeStep, OfferOutcome, PUSH_PEERS, PlacementError,
+    PlacementPlan, PlanChange, PlanCost, PlanInputs, PlanVerdict, RankedRouter, RetryBackoff,
+    RolloutSpec, SectionDigest, SectionMap, ServiceSpec, ServingVersion, StagePlacement, StoreDuty,
+    StoreStep, TeamSpec, TokenDigest, WATCHERS, advance_document, check_plan, compare_documents,
+    count_copies, digest_token, exchange_period, extend_recent, fit_models, judge_plan, make_plan,
+    place_models, rank_routers, read_head, store_duty,
 };
 pub use engine::{
     ActivationReply, ActivationRequest, CancelRequest, ChainStage, EngineClient, EngineError,
