Show plans and what is loading as text; test the line of store readers

Cause: the command line printed a plan's changes as JSON lines and the status without the version that loads. Nothing tested that a change is learned when every watcher is cut off from the store and the daemon that wrote it has died, or a confirm that the store never answers.

Change: plan prints a table of changes and costs, confirm the revision and whether a later one has superseded it, status the version that serves and the one that loads (--json for programs).

--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -9,5 +9,5 @@
 mod wire;
 
 pub use addresses::{AddressAnswer, AddressRow};
-pub use operator::{ConfirmReply, ModelStatus, PlanRequest, StatusReply};
+pub use operator::{ConfirmReply, ModelStatus, NextVersion, PlanRequest, StatusReply};
 pub use wire::{ChatChoice, ChatMessage, ChatRequest, ChatResponse, ChatUsage, IncompleteMessage};
--- a/src/api/operator.rs
+++ b/src/api/operator.rs
@@ -2,9 +2,9 @@
 
 use crate::api::auth::authenticate_operator;
 use crate::config::{
-    CONFIG_KEY, ChangeEntry, CommitOutcome, ConfigBundle, FleetDeclaration, FleetPlan, PlanInputs,
-    PlanVerdict, check_plan, commit_document, compare_documents, fetch_bundle, judge_plan,
-    make_plan, offer_bundle, read_head,
+    CONFIG_KEY, ChangeEntry, CommitOutcome, ConfigBundle, ConfigDocument, FleetDeclaration,
+    FleetPlan, ModelSpec, PlanInputs, PlanVerdict, StagePlacement, check_plan, commit_document,
+    compare_documents, fetch_bundle, judge_plan, make_plan, offer_bundle, read_head,
 };
 use crate::http::{ProblemAnswer, ProblemKind, read_body};
 use crate::ids::{ConfigRevision, InstanceId, ModelId, VersionId};
@@ -66,6 +66,21 @@
     pub stages: usize,
     /// Stages that their engines report as loaded.
     pub ready: usize,
+    /// The declared version, while another one serves.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub next: Option<NextVersion>,
+}
+
+/// How far the declared version of a model is loaded while its predecessor serves.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct NextVersion {
+    /// Declared version.
+    pub version: VersionId,
+    /// Stages placed so far.
+    pub stages: usize,
+    /// Stages that their engines report as loaded.
+    pub ready: usize,
 }
 
 inventory::submit! {
@@ -272,32 +287,59 @@
     authenticate_operator(request)?;
     let context = request.state();
     let config = context.config.load();
-    let models = config.iter().flat_map(|config| config.models());
+    let models = config.iter().flat_map(|config| {
+        let document = config.document();
+        let models = document.declaration.models.iter();
+        models.map(|spec| model_status(context, document, spec))
+    });
     Ok(StatusReply {
         instance: context.settings.instance.clone(),
         phase: context.lifecycle.phase().to_string(),
         revision: context.config.revision(),
-        models: models.map(|entry| model_status(context, entry)).collect(),
+        models: models.collect(),
     })
 }
 
-fn model_status(context: &KernelContext, entry: &crate::config::ModelEntry) -> ModelStatus {
-    let is_ready = |row: &&crate::config::StagePlacement| {
-        let report = context
-            .targets
-            .get(&row.instance)
-            .and_then(|target| target.report());
+fn model_status(
+    context: &KernelContext,
+    document: &ConfigDocument,
+    spec: &ModelSpec,
+) -> ModelStatus {
+    let serving = document.serving_spec(spec).version;
+    let (stages, ready) = count_stages(context, document, &spec.model, &serving);
+    let next = (serving != spec.version).then(|| {
+        let (stages, ready) = count_stages(context, document, &spec.model, &spec.version);
+        NextVersion {
+            version: spec.version.clone(),
+            stages,
+            ready,
+        }
+    });
+    ModelStatus {
+        model: spec.model.clone(),
+        version: serving,
+        stages,
+        ready,
+        next,
+    }
+}
+
+/// Placed stages of a version, and how many of them their engines report as loaded.
+fn count_stages(
+    context: &KernelContext,
+    document: &ConfigDocument,
+    model: &ModelId,
+    version: &VersionId,
+) -> (usize, usize) {
+    let is_loaded = |row: &&StagePlacement| {
+        let target = context.targets.get(&row.instance);
+        let report = target.and_then(|target| target.report());
         report.is_some_and(|report| {
-            report
-                .stages
-                .iter()
-                .any(|held| held.ready && held.matches(row))
+            let mut stages = report.stages.iter();
+            stages.any(|held| held.ready && held.matches(row))
         })
     };
-    ModelStatus {
-        model: entry.spec.model.clone(),
-        version: entry.spec.version.clone(),
-        stages: entry.placements.len(),
-        ready: entry.placements.iter().filter(is_ready).count(),
-    }
+    let rows = document.placements.iter();
+    let rows = rows.filter(|row| row.model == *model && row.version == *version);
+    (rows.clone().count(), rows.filter(is_loaded).count())
 }
--- a/src/config/adoption.rs
+++ b/src/config/adoption.rs
@@ -26,7 +26,7 @@
 /// Prefix of the keys of sections.
 const SECTION_PREFIX: &str = "arbutusmount/section/";
 /// Period of checking what this daemon should do about the store.
-const DUTY_PERIOD: Duration = Duration::from_millis(200);
+const DUTY_PERIOD: Duration = Duration::from_millis(400);
 /// Longest time without an event before a watcher reads the revision, in case the watch is dead.
 const WATCH_RECHECK: Duration = Duration::from_millis(1_500);
 /// Sections that are read one by one; more are read together.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,7 +24,7 @@
 
 pub use api::{
     AddressAnswer, AddressRow, ChatChoice, ChatMessage, ChatRequest, ChatResponse, ChatUsage,
-    ConfirmReply, IncompleteMessage, ModelStatus, PlanRequest, StatusReply,
+    ConfirmReply, IncompleteMessage, ModelStatus, NextVersion, PlanRequest, StatusReply,
 };
 pub use check::{CheckError, CheckFault, FieldKind, FieldRule, check_document};
 pub use claims::{ClaimOutcome, ClaimRecord, ClaimRequest, ClaimTicket};
@@ -57,7 +57,9 @@
     DaemonError, DaemonHandle, DaemonPhase, KernelContext, LifecycleCell, MonoClock, PluginEntry,
     PluginError, PluginHost, TimerJob, TimerService, TimerSpec, WebApp, run_daemon, start_daemon,
 };
-pub use operator::{AskRequest, OperatorClient, OperatorCommand, OperatorError, run_command};
+pub use operator::{
+    AskRequest, OperatorClient, OperatorCommand, OperatorError, plan_text, run_command, status_text,
+};
 pub use peer::{
     FrameKind, HandshakeError, PeerError, PeerFrame, PeerHandlers, PeerTopic, PeerTransport,
     serve_peers,
--- a/src/operator/command.rs
+++ b/src/operator/command.rs
@@ -18,7 +18,8 @@
                                          show what a declaration would change and cost
   arbutusmount confirm --daemon ADDR PLAN
                                          put a plan into effect
-  arbutusmount status --daemon ADDR      show revision and readiness
+  arbutusmount status --daemon ADDR [--json]
+                                         show the revision and what is loading
   arbutusmount addresses --daemon ADDR   show which daemons the team should use
   arbutusmount ask --daemon ADDR --model NAME [--max-tokens N] [--seed N] TEXT
                                          ask a question and stream the answer
@@ -60,6 +61,8 @@
     Status {
         /// Daemon to ask.
         daemon: SocketAddr,
+        /// True to print JSON.
+        json: bool,
     },
     /// Show the addresses that the team should use.
     Addresses {
@@ -110,6 +113,7 @@
                 file: arguments.free_from_str()?,
             },
             Some("status") => Self::Status {
+                json: arguments.contains("--json"),
                 daemon: arguments.value_from_str("--daemon")?,
             },
             Some("addresses") => Self::Addresses {
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -2,8 +2,10 @@
 
 mod client;
 mod command;
+mod report;
 mod run;
 
 pub use client::{AskRequest, OperatorClient, OperatorError};
 pub use command::OperatorCommand;
+pub use report::{plan_text, status_text};
 pub use run::run_command;
--- a/src/operator/run.rs
+++ b/src/operator/run.rs
@@ -1,12 +1,12 @@
 //! Runs the commands of the command line.
 
-use crate::api::{ChatMessage, ChatRequest, PlanRequest};
+use crate::api::{ChatMessage, ChatRequest, ConfirmReply, PlanRequest};
 use crate::check::CheckError;
 use crate::config::{FleetDeclaration, FleetPlan, digest_token};
 use crate::operator::client::Result;
+use crate::operator::report::{plan_text, status_text};
 use crate::operator::{AskRequest, OperatorClient, OperatorCommand, OperatorError};
 use crate::settings::DaemonSettings;
-use std::fmt::Write as _;
 use std::io::Write as _;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -43,10 +43,16 @@
         OperatorCommand::Confirm { daemon, file } => {
             let plan: FleetPlan = serde_json::from_str(&read_file(&file)?)
                 .map_err(|cause| OperatorError::Invalid(format!("not a plan: {cause}")))?;
-            let reply = client.confirm(daemon, &plan).await?;
-            print(&format!("in effect at revision {}\n", reply.revision))
+            show_confirm(client.confirm(daemon, &plan).await?)
+        }
+        OperatorCommand::Status { daemon, json } => {
+            let status = client.status(daemon).await?;
+            if json {
+                print_json(&status)
+            } else {
+                print(&status_text(&status))
+            }
         }
-        OperatorCommand::Status { daemon } => print_json(&client.status(daemon).await?),
         OperatorCommand::Addresses { daemon } => print_json(&client.addresses(daemon).await?),
         OperatorCommand::Ask {
             daemon,
@@ -92,29 +98,28 @@
         .await
 }
 
+/// Shows a plan to the person who asked, and writes it to the file or to standard output.
 fn show_plan(plan: &FleetPlan, out: Option<&Path>) -> Result<()> {
     let Some(out) = out else {
+        eprint!("{}", plan_text(plan));
         return print_json(plan);
     };
     let text = serde_json::to_string_pretty(plan).expect("plans serialize");
     std::fs::write(out, text).map_err(|cause| file_error(out, &cause))?;
-    let mut summary = format!(
-        "plan {} against revision {}\n",
-        plan.document.plan, plan.base
-    );
-    for change in &plan.changes {
-        let line = serde_json::to_string(change).expect("changes serialize");
-        writeln!(summary, "  {line}").expect("writing to memory succeeds");
+    print(&plan_text(plan))
+}
+
+fn show_confirm(reply: ConfirmReply) -> Result<()> {
+    let ConfirmReply {
+        revision,
+        superseded_by,
+    } = reply;
+    match superseded_by {
+        None => print(&format!("in effect at revision {revision}\n")),
+        Some(later) => print(&format!(
+            "took effect at revision {revision}; superseded, revision {later} is in force\n"
+        )),
     }
-    let cost = &plan.cost;
-    let (bytes, seconds) = (cost.weight_bytes, cost.load_seconds);
-    let engines = cost.engines_loading;
-    writeln!(
-        summary,
-        "cost: {bytes} bytes, {seconds:.1} s, {engines} engines loading"
-    )
-    .expect("writing to memory succeeds");
-    print(&summary)
 }
 
 /// Asks for addresses first, then connects to one of them, trying the others if that fails.
--- a/src/reconcile/run.rs
+++ b/src/reconcile/run.rs
@@ -153,14 +153,11 @@
         let limit = Duration::from_secs(document.declaration.rollout.replace_seconds);
         let live = context.instances.load().engine_offers();
         let offers = self.missing.offers(document, live, limit, now);
+        let views = views.iter().map(|view| (&view.instance, &view.stages));
+        let held: HashMap<_, _> = views.collect();
         let is_loaded = |row: &StagePlacement| {
-            let of_row = |view: &&EngineView| view.instance == row.instance;
-            let view = views.iter().find(of_row);
-            view.is_some_and(|view| {
-                view.stages
-                    .iter()
-                    .any(|held| held.ready && held.matches(row))
-            })
+            let stages = held.get(&row.instance);
+            stages.is_some_and(|stages| stages.iter().any(|held| held.ready && held.matches(row)))
         };
         let Some(next) = advance_document(document, &offers, is_loaded) else {
             return false;
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -3,14 +3,14 @@
 mod support;
 
 use arbutusmount::{
-    ConfigRevision, ConnectionPool, FleetDeclaration, FleetPlan, HttpCall, OperatorClient,
-    OperatorError, PlanRequest, TeamSpec,
+    ConfigRevision, ConnectionPool, FleetDeclaration, FleetPlan, HttpCall, InstanceId,
+    OperatorClient, OperatorError, PlanRequest, RankedRouter, TeamSpec, WATCHERS, rank_routers,
 };
 use futures_lite::future::zip;
 use http_types::Method;
 use rig::{
-    FaultProxy, FleetSpec, OPERATOR_TOKEN, ProcessFleet, ProxyFaults, free_address, reference_text,
-    sample_declaration, wait_until,
+    EngineKnobs, FaultProxy, FleetSpec, OPERATOR_TOKEN, ProcessFleet, ProxyFaults, free_address,
+    reference_text, sample_declaration, wait_until,
 };
 use serde_json::json;
 use std::net::SocketAddr;
@@ -33,9 +33,10 @@
 }
 
 impl ProxiedFleet {
-    async fn start(daemons: usize) -> Self {
+    async fn start(daemons: usize, engines: usize) -> Self {
         let spec = FleetSpec {
             daemons: 0,
+            engines: vec![(EngineKnobs::default(), 8_000); engines],
             services: 0,
             ..FleetSpec::default()
         };
@@ -50,8 +51,16 @@
         proxied
     }
 
+    /// A fleet without engines, whose configuration is a list of teams.
     async fn declared(daemons: usize) -> Self {
-        let proxied = Self::start(daemons).await;
+        let proxied = Self::start(daemons, 0).await;
+        proxied.fleet.declare(&teams_only()).await;
+        proxied
+    }
+
+    /// A fleet that serves the sample model.
+    async fn serving(daemons: usize) -> Self {
+        let proxied = Self::start(daemons, 3).await;
         proxied.fleet.declare(&sample_declaration(1)).await;
         proxied
     }
@@ -118,9 +127,17 @@
     OperatorClient::new(OPERATOR_TOKEN)
 }
 
-/// The sample declaration with one more team.
+/// The sample declaration without models and services.
+fn teams_only() -> FleetDeclaration {
+    FleetDeclaration {
+        teams: sample_declaration(1).teams,
+        ..FleetDeclaration::default()
+    }
+}
+
+/// The declaration of teams with one more.
 fn with_team(name: &str) -> FleetDeclaration {
-    let mut declaration = sample_declaration(1);
+    let mut declaration = teams_only();
     let digest = arbutusmount::digest_token(name).to_string();
     declaration.teams.push(TeamSpec {
         team: name.parse().expect("the team name is valid"),
@@ -177,14 +194,14 @@
 #[async_std::test]
 async fn daemon_started_alone_in_an_outage_is_not_ready() {
     // Arrange
-    let mut proxied = ProxiedFleet::start(0).await;
+    let mut proxied = ProxiedFleet::start(0, 0).await;
     proxied.set_platform(json!({ "outage": true })).await;
 
     // Act
     proxied.add_daemon().await;
     let in_outage = ready_status(proxied.address(0)).await;
     proxied.set_platform(json!({ "outage": false })).await;
-    proxied.fleet.declare(&sample_declaration(1)).await;
+    proxied.fleet.declare(&teams_only()).await;
 
     // Assert
     assert_eq!(in_outage, Some(503));
@@ -296,11 +313,92 @@
 }
 
 #[async_std::test]
-async fn plan_edited_into_an_invalid_declaration_is_refused() {
+async fn confirm_in_a_hanging_store_is_unknown_and_can_be_repeated() {
     // Arrange
     let proxied = ProxiedFleet::declared(1).await;
+    let plan = proxied.plan(0, "somchai", with_team("audit")).await;
+    proxied.set_platform(json!({ "hang": true })).await;
+
+    // Act
+    let hanging = operator().confirm(proxied.address(0), &plan).await;
+    proxied.set_platform(json!({ "hang": false })).await;
+    let repeated = operator().confirm(proxied.address(0), &plan).await;
+
+    // Assert
+    let Err(OperatorError::Problem { body, .. }) = hanging else {
+        panic!("nobody knows what became of the plan: {hanging:?}");
+    };
+    assert!(body.contains("\"unknown\""), "{body}");
+    let revision = repeated.expect("the plan is confirmed").revision;
+    proxied.wait_revision(&[0], revision).await;
+}
+
+/// Daemons in the order in which they take on the watch of the store.
+fn watch_order(fleet: &ProcessFleet) -> Vec<usize> {
+    let daemons = fleet.daemons.iter();
+    let routers: Vec<RankedRouter> = daemons
+        .map(|daemon| RankedRouter {
+            instance: daemon.row.instance.clone(),
+            domain: daemon.row.failure_domain.clone(),
+        })
+        .collect();
+    let ranked = rank_routers("config watcher", &routers);
+    let index = |name: &InstanceId| routers.iter().position(|r| r.instance == *name);
+    ranked.iter().filter_map(index).collect()
+}
+
+#[async_std::test]
+async fn next_in_line_reads_the_store_when_no_watcher_reaches_it() {
+    // Arrange: the watchers are cut off from the store, and the daemon that confirms is killed
+    // before it has learned that its write took effect.
+    let mut proxied = ProxiedFleet::declared(5).await;
+    let order = watch_order(&proxied.fleet);
+    let (watchers, confirming, next) = (&order[..WATCHERS], order[4], order[3]);
+    let plan = proxied
+        .plan(confirming, "somchai", with_team("audit"))
+        .await;
+    for watcher in watchers {
+        proxied.cut_store(*watcher);
+    }
+    proxied.set_platform(json!({ "lose_replies": 1_000 })).await;
+    let before = proxied.revision(next).await.expect("the daemon answers");
+
+    // Act
+    let address = proxied.address(confirming);
+    let confirm = async_std::task::spawn(async move { operator().confirm(address, &plan).await });
+    wait_until("the write has taken effect", START_LIMIT, || async {
+        proxied.fleet.platform_calls().await["lost"].as_u64() > Some(0)
+    })
+    .await;
+    proxied.fleet.daemons[confirming].process.kill();
+    proxied.set_platform(json!({ "lose_replies": 0 })).await;
+
+    // Assert
+    let rest: Vec<usize> = order.iter().copied().filter(|d| *d != confirming).collect();
+    let start = Instant::now();
+    wait_until("the survivors have the change", ADOPTION_LIMIT, || async {
+        for daemon in &rest {
+            if proxied.revision(*daemon).await <= Some(before) {
+                return false;
+            }
+        }
+        true
+    })
+    .await;
+    println!(
+        "in force on {} survivors after {:?}",
+        rest.len(),
+        start.elapsed()
+    );
+    assert!(confirm.await.is_err(), "its daemon was killed");
+}
+
+#[async_std::test]
+async fn plan_edited_into_an_invalid_declaration_is_refused() {
+    // Arrange
+    let proxied = ProxiedFleet::serving(1).await;
     let before = proxied.revision(0).await;
-    let mut plan = proxied.plan(0, "somchai", with_team("audit")).await;
+    let mut plan = proxied.plan(0, "somchai", sample_declaration(1)).await;
     plan.document.declaration.models[0].floor = 9;
 
     // Act
@@ -337,7 +435,7 @@
 #[async_std::test]
 async fn store_outage_leaves_traffic_alone_and_recovery_meets_no_stampede() {
     // Arrange
-    let proxied = ProxiedFleet::declared(8).await;
+    let proxied = ProxiedFleet::serving(8).await;
     let steady = call_rate(&proxied.fleet, Duration::from_secs(4)).await;
 
     // Act
@@ -350,7 +448,7 @@
     let in_outage = call_rate(&proxied.fleet, Duration::from_secs(8)).await;
     proxied.set_platform(json!({ "outage": false })).await;
     let recovering = call_rate(&proxied.fleet, Duration::from_secs(2)).await;
-    let plan = proxied.plan(0, "somchai", with_team("audit")).await;
+    let plan = proxied.plan(0, "somchai", sample_declaration(1)).await;
     let confirmed = operator().confirm(proxied.address(0), &plan).await;
 
     // Assert
