Find the stage at fault by observed gaps and probes, and resume around it

Cause: waits were fixed (1.5 s between tokens, 10 s to the first), the engine's own 600 ms stage timeout named the culprit, and when nobody named it every engine of the chain was given up with its KV cache.

Change: one state machine without sockets or clock runs a request over its attempts. A token is late after three mean gaps and four deviations; the chain's engines are then asked for their progress on the request (`GET /v1/progress/{request}`), which tells a crashed, frozen or slow engine from a broken link or a long queue. Without a finding the wait doubles. Engines of slow or cut stages are used again when nothing else is left; engines lost before the last token may have been replaced and are too. A restarted engine is told by its incarnation number. Failed engines are closed for all requests, at most half of them in full. A request that was given to an engine and got no token ends as `unknown`, no longer as `not_run`.

Ruled out: blaming only the later end of a silent link.

--- a/src/api/chat.rs
+++ b/src/api/chat.rs
@@ -267,32 +267,39 @@
 
 /// The final answer as a problem; `None` when it is complete.
 fn find_problem(answer: &FinalAnswer) -> Option<ProblemAnswer> {
-    let describe = |kind, detail: String, partial: bool| {
+    let describe = |kind, detail: String, outcome: RunOutcome| {
         let problem = ProblemAnswer::not_run(kind, detail);
-        let outcome = if partial {
-            RunOutcome::Partial
-        } else {
-            RunOutcome::NotRun
-        };
         ProblemAnswer { outcome, ..problem }.retry_after(NO_CHAIN_DELAY)
     };
     match answer {
         FinalAnswer::Complete { .. } => None,
-        FinalAnswer::NoChain { partial } => {
+        FinalAnswer::NoChain { outcome } => {
             let detail = "no open engines hold all layers of the model".to_owned();
-            Some(describe(ProblemKind::NoTarget, detail, *partial))
+            Some(describe(ProblemKind::NoTarget, detail, *outcome))
         }
-        FinalAnswer::Exhausted { partial, failure } => {
+        FinalAnswer::Exhausted { outcome, failure } => {
             let detail = format!("all attempts failed, the last one by {failure:?}");
-            Some(describe(ProblemKind::TargetFailed, detail, *partial))
+            Some(describe(ProblemKind::TargetFailed, detail, *outcome))
         }
-        FinalAnswer::TimedOut { partial } => {
+        FinalAnswer::TimedOut { outcome } => {
             let detail = "the time allowed for the request has run out".to_owned();
-            Some(describe(ProblemKind::TimedOut, detail, *partial))
+            Some(describe(ProblemKind::TimedOut, detail, *outcome))
+        }
+        FinalAnswer::Poisoned { outcome } => {
+            let detail = "targets crash when they run this request";
+            let problem = ProblemAnswer::not_run(ProblemKind::Poison, detail);
+            Some(ProblemAnswer {
+                outcome: *outcome,
+                ..problem
+            })
         }
         FinalAnswer::CallerGone => {
             let detail = "the caller closed its connection".to_owned();
-            Some(describe(ProblemKind::TargetFailed, detail, true))
+            Some(describe(
+                ProblemKind::TargetFailed,
+                detail,
+                RunOutcome::Partial,
+            ))
         }
     }
 }
--- a/src/engine/wire.rs
+++ b/src/engine/wire.rs
@@ -249,3 +249,16 @@
     /// Number drawn when the engine started; another one means that it has restarted.
     pub incarnation: u64,
 }
+
+impl StageProgress {
+    /// Progress of a request that the engine does not know.
+    pub const UNKNOWN: Self = Self {
+        attempt: AttemptNumber(0),
+        position: TokenPosition(0),
+        phase: StagePhase::Unknown,
+        since_micros: 0,
+        queued: 0,
+        running: 0,
+        incarnation: 0,
+    };
+}
--- a/src/routing/answer.rs
+++ b/src/routing/answer.rs
@@ -1,5 +1,6 @@
 //! The answer to a request as a bounded stream of events. Dropping it cancels the generation.
 
+use crate::http::RunOutcome;
 use crate::kernel::KernelContext;
 use crate::routing::{AttemptFailure, FinalAnswer, GenerationRequest, run_generation};
 use async_std::channel::{Receiver, Sender, bounded};
@@ -28,7 +29,7 @@
     /// Waits for the next event.
     pub async fn next(&mut self) -> AnswerEvent {
         let lost = FinalAnswer::Exhausted {
-            partial: true,
+            outcome: RunOutcome::Unknown,
             failure: AttemptFailure::Stalled,
         };
         self.events.recv().await.unwrap_or(AnswerEvent::End(lost))
--- a/src/routing/attempt.rs
+++ b/src/routing/attempt.rs
@@ -1,30 +1,29 @@
-//! Runs a generation: attempts on chains until the answer is complete or cannot be completed.
+//! Runs the state machine of a request on the engines: the asynchronous shell around it.
 
 use crate::config::ModelEntry;
-use crate::engine::{
-    CancelRequest, ChainStage, EngineError, EngineEvent, EngineStream, GenerateRequest,
-    PipelineWork,
-};
+use crate::engine::{CancelRequest, ChainStage, GenerateRequest, PipelineWork};
 use crate::ids::{AttemptNumber, InstanceId, RequestId};
 use crate::kernel::KernelContext;
+use crate::routing::poison_gossip::spread;
+use crate::routing::probing::{ProbeQuery, probe_stages};
+use crate::routing::source::AttemptSource;
 use crate::routing::{
-    AnswerEvent, AttemptFailure, ChainChoice, ChainQuery, DeliveryState, DeliveryStep, FinalAnswer,
-    FlightGuard, choose_chain,
+    AnswerEvent, AttemptEvent, AttemptMachine, AttemptNotice, AttemptStep, ChainChoice, ChainQuery,
+    ChainWish, FinalAnswer, FlightGuard, MachineSpec, PoisonEntry, PoisonFingerprint, StageFault,
+    StageProbe, TargetReservation, TargetState, choose_chain,
 };
-use crate::telemetry::TraceContext;
+use crate::telemetry::{SpanGuard, TraceContext};
 use crate::units::MonoTime;
 use async_std::channel::Sender;
-use async_std::future::timeout;
 use async_std::task;
+use futures_lite::future::{Boxed, FutureExt, or};
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Attempts allowed for one request.
-const MAX_ATTEMPTS: u32 = 8;
-/// Longest wait for the next token before the attempt counts as stalled.
-const TOKEN_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Longest wait for the first token of an attempt.
-const FIRST_TOKEN_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time for which a request that may crash engines has them for itself.
+const RESERVE_TIME: Duration = Duration::from_secs(2);
+/// Time for which the suspicion against a request is remembered.
+const SUSPECT_TIME: Duration = Duration::from_secs(30);
 
 /// One generation to run.
 #[derive(Debug, Clone)]
@@ -47,180 +46,89 @@
     pub trace: TraceContext,
 }
 
-/// How one attempt ended.
-enum AttemptEnd {
-    Final(FinalAnswer),
-    Failed(AttemptFailure),
-}
-
-/// What a generation carries from attempt to attempt.
-struct GenerationState {
-    delivery: DeliveryState,
-    excluded: Vec<InstanceId>,
-    warm: Vec<InstanceId>,
-}
-
 /// Runs a generation to its final outcome, delivering tokens to `sink` as they come.
 pub async fn run_generation(
-    context: &KernelContext,
+    context: &Arc<KernelContext>,
     generation: &GenerationRequest,
     sink: &Sender<AnswerEvent>,
 ) -> FinalAnswer {
-    let mut state = GenerationState {
-        delivery: DeliveryState::new(generation.request),
-        excluded: Vec::new(),
-        warm: Vec::new(),
-    };
-    let mut last_failure = None;
-    for _ in 0..MAX_ATTEMPTS {
-        let Some(chain) = find_chain(context, generation, &state) else {
-            let partial = !state.delivery.delivered().is_empty();
-            return FinalAnswer::NoChain { partial };
-        };
-        match run_attempt(context, generation, &mut state, &chain, sink).await {
-            AttemptEnd::Final(answer) => return answer,
-            AttemptEnd::Failed(failure) => {
-                note_failure(context, &mut state, &chain, &failure);
-                last_failure = Some(failure);
-            }
-        }
-    }
-    let partial = !state.delivery.delivered().is_empty();
-    let failure = last_failure.unwrap_or(AttemptFailure::Stalled);
-    FinalAnswer::Exhausted { partial, failure }
-}
-
-fn find_chain(
-    context: &KernelContext,
-    generation: &GenerationRequest,
-    state: &GenerationState,
-) -> Option<Vec<ChainStage>> {
-    let graph = context
-        .routing
-        .graphs
-        .graph(&generation.entry, &context.targets);
-    let query = ChainQuery {
-        excluded: &state.excluded,
-        warm: &state.warm,
-        desperate: false,
-        now: context.clock.now(),
-    };
-    let policy = context.settings.routing.policy;
-    match choose_chain(&graph, &query, policy, &mut fastrand::Rng::new()) {
-        ChainChoice::Chain(chain) => {
-            let edges = graph.edges();
-            let stages = chain.iter().map(|index| edges[*index].stage.clone());
-            Some(stages.collect())
+    let suspicion = known_crashes(context, generation);
+    let mut machine = AttemptMachine::new(machine_spec(context, generation, suspicion));
+    let mut run = GenerationRun::new(context, generation);
+    let mut step = machine.start();
+    loop {
+        for notice in machine.take_notices() {
+            run.take_notice(&notice);
         }
-        ChainChoice::NoChain { .. } | ChainChoice::Reserved => None,
-    }
-}
-
-/// Excludes the engine at fault and keeps the others of the chain as preferred.
-fn note_failure(
-    context: &KernelContext,
-    state: &mut GenerationState,
-    chain: &[ChainStage],
-    failure: &AttemptFailure,
-) {
-    let head = chain.first().map(|stage| stage.instance.clone());
-    let culprit = match failure {
-        AttemptFailure::StageFailed { instance, .. } => Some(instance.clone()),
-        AttemptFailure::HeadLost(_) | AttemptFailure::Refused(_) => head,
-        AttemptFailure::Stalled | AttemptFailure::OutOfOrder => None,
-    };
-    state.warm = chain.iter().map(|stage| stage.instance.clone()).collect();
-    match culprit {
-        Some(instance) => {
-            if let Some(target) = context.targets.get(&instance) {
-                target.health.fail(context.clock.now(), false);
+        let event = match step {
+            AttemptStep::Finish(answer) => {
+                run.finish(&answer).await;
+                return answer;
             }
-            state.warm.retain(|other| *other != instance);
-            state.excluded.push(instance);
-        }
-        // Which stage stalled is not known, so none of them is used again.
-        None => state.excluded.append(&mut state.warm),
+            AttemptStep::FindChain(wish) => run.find_chain(&wish),
+            AttemptStep::Open { attempt, chain } => {
+                run.open(attempt, chain, machine.delivered());
+                run.wait(None).await
+            }
+            AttemptStep::Wait { until } => run.wait(Some(until)).await,
+            AttemptStep::Probe {
+                stages,
+                limit,
+                until,
+            } => {
+                run.probe(stages, limit);
+                run.wait(Some(until)).await
+            }
+            AttemptStep::Deliver(text) => run.deliver(text, sink).await,
+        };
+        step = machine.handle(event, context.clock.now());
     }
 }
 
-async fn run_attempt(
+fn machine_spec(
     context: &KernelContext,
     generation: &GenerationRequest,
-    state: &mut GenerationState,
-    chain: &[ChainStage],
-    sink: &Sender<AnswerEvent>,
-) -> AttemptEnd {
-    let attempt = state.delivery.start_attempt();
-    let mut span = context.traces.start("attempt", generation.trace);
-    span.set("attempt", attempt);
-    span.set("chain", describe_chain(chain));
-    let guards: Vec<FlightGuard> = chain
-        .iter()
-        .filter_map(|stage| context.targets.get(&stage.instance))
-        .map(|target| target.enter())
-        .collect();
-    let request = make_request(generation, &state.delivery, attempt, chain);
-    let end = match context.engines.generate(&request).await {
-        Ok(stream) => {
-            let canceller = Canceller {
-                context,
-                request: &request,
-                armed: true,
-            };
-            read_stream(context, generation, state, stream, sink, canceller).await
-        }
-        Err(EngineError::Refused(status)) => AttemptEnd::Failed(AttemptFailure::Refused(status)),
-        Err(EngineError::Send(cause)) => {
-            AttemptEnd::Failed(AttemptFailure::HeadLost(cause.to_string()))
-        }
-    };
-    if let AttemptEnd::Failed(failure) = &end {
-        span.fail(format!("{failure:?}"));
+    suspicion: u32,
+) -> MachineSpec {
+    let settings = &context.settings.routing;
+    MachineSpec {
+        request: generation.request,
+        max_tokens: generation.max_tokens,
+        deadline: generation.deadline,
+        floor: settings.token_floor(),
+        ceiling: settings.token_ceiling(),
+        first_token: settings.first_token(),
+        poison_crashes: settings.poison_crashes,
+        suspicion,
     }
-    drop(guards);
-    end
-}
-
-fn describe_chain(chain: &[ChainStage]) -> String {
-    let stages = chain
-        .iter()
-        .map(|stage| format!("{}:{}", stage.instance, stage.layers));
-    stages.collect::<Vec<_>>().join(" ")
 }
 
-fn make_request(
-    generation: &GenerationRequest,
-    delivery: &DeliveryState,
-    attempt: AttemptNumber,
-    chain: &[ChainStage],
-) -> GenerateRequest {
-    let spec = &generation.entry.spec;
-    GenerateRequest {
-        work: PipelineWork {
-            request: generation.request,
-            attempt,
-            model: spec.model.clone(),
-            version: spec.version.clone(),
-            chain: chain.to_vec(),
-            priority: generation.priority,
-        },
-        prompt: Arc::clone(&generation.prompt),
-        prefix: delivery.delivered().to_vec(),
-        seed: generation.seed,
-        max_tokens: generation.max_tokens,
+/// Crashes known under requests of the same content.
+fn known_crashes(context: &KernelContext, generation: &GenerationRequest) -> u32 {
+    let poison = &context.routing.poison;
+    if poison.is_empty() {
+        return 0;
     }
+    let fingerprint = PoisonFingerprint::new(&generation.entry, &generation.prompt);
+    poison.crashes(fingerprint, context.clock.now())
 }
 
-/// Cancels an attempt on its engines when it is dropped before it has completed.
-struct Canceller<'a> {
-    context: &'a KernelContext,
-    request: &'a GenerateRequest,
-    armed: bool,
+/// One attempt in progress. Dropping it cancels it on its engines.
+struct RunningAttempt {
+    source: AttemptSource,
+    request: Arc<GenerateRequest>,
+    context: Arc<KernelContext>,
+    targets: Vec<Arc<TargetState>>,
+    /// Incarnations of the engines when the attempt began, as far as known.
+    incarnations: Vec<(InstanceId, u64)>,
+    span: SpanGuard,
+    is_complete: bool,
+    _guards: Vec<FlightGuard>,
 }
 
-impl Drop for Canceller<'_> {
+impl Drop for RunningAttempt {
     fn drop(&mut self) {
-        if !self.armed {
+        if self.is_complete {
             return;
         }
         let work = &self.request.work;
@@ -240,44 +148,322 @@
     }
 }
 
-async fn read_stream(
-    context: &KernelContext,
-    generation: &GenerationRequest,
-    state: &mut GenerationState,
-    mut stream: EngineStream,
-    sink: &Sender<AnswerEvent>,
-    mut canceller: Canceller<'_>,
-) -> AttemptEnd {
-    let mut limit = FIRST_TOKEN_TIMEOUT;
-    loop {
-        let left = generation.deadline.since(context.clock.now());
-        if left.is_zero() {
-            let partial = !state.delivery.delivered().is_empty();
-            return AttemptEnd::Final(FinalAnswer::TimedOut { partial });
+/// The sockets, timers and counters of one request.
+struct GenerationRun<'a> {
+    context: &'a Arc<KernelContext>,
+    generation: &'a GenerationRequest,
+    attempt: Option<RunningAttempt>,
+    reserved: Vec<TargetReservation>,
+    probe: Option<Boxed<Vec<StageProbe>>>,
+    last_token: Option<MonoTime>,
+    resume: Option<SpanGuard>,
+    has_failed: bool,
+}
+
+impl<'a> GenerationRun<'a> {
+    fn new(context: &'a Arc<KernelContext>, generation: &'a GenerationRequest) -> Self {
+        Self {
+            context,
+            generation,
+            attempt: None,
+            reserved: Vec::new(),
+            probe: None,
+            last_token: None,
+            resume: None,
+            has_failed: false,
+        }
+    }
+
+    fn find_chain(&mut self, wish: &ChainWish) -> AttemptEvent {
+        let context = self.context;
+        // Gives up the attempt before, and its place on the engines.
+        self.attempt = None;
+        self.reserved.clear();
+        if known_crashes(context, self.generation) >= context.settings.routing.poison_crashes {
+            return AttemptEvent::Condemned;
         }
-        let record = match timeout(limit.min(left), stream.next()).await {
-            Err(_elapsed) if limit < left => return AttemptEnd::Failed(AttemptFailure::Stalled),
-            Err(_elapsed) => continue,
-            Ok(EngineEvent::Lost(cause)) => {
-                return AttemptEnd::Failed(AttemptFailure::HeadLost(cause));
+        let graphs = &context.routing.graphs;
+        let graph = graphs.graph(&self.generation.entry, &context.targets);
+        let now = context.clock.now();
+        let query = ChainQuery {
+            excluded: &wish.excluded,
+            warm: &wish.warm,
+            desperate: wish.desperate,
+            alone: wish.alone,
+            now,
+        };
+        let policy = context.settings.routing.policy;
+        match choose_chain(&graph, &query, policy, &mut fastrand::Rng::new()) {
+            ChainChoice::NoChain { .. } => AttemptEvent::NoChain,
+            ChainChoice::Reserved => AttemptEvent::Reserved,
+            ChainChoice::Chain(chain) => {
+                let edges: Vec<_> = chain.iter().map(|index| &graph.edges()[*index]).collect();
+                let targets = edges.iter().map(|edge| &edge.target);
+                if wish.alone && !self.reserve(targets, now) {
+                    return AttemptEvent::Reserved;
+                }
+                AttemptEvent::Chain(edges.iter().map(|edge| edge.stage.clone()).collect())
             }
-            Ok(EngineEvent::Record(record)) => record,
+        }
+    }
+
+    fn reserve<'t>(
+        &mut self,
+        targets: impl Iterator<Item = &'t Arc<TargetState>>,
+        now: MonoTime,
+    ) -> bool {
+        let until = now.after(RESERVE_TIME);
+        for target in targets {
+            let Some(reservation) = target.reserve(now, until) else {
+                self.reserved.clear();
+                return false;
+            };
+            self.reserved.push(reservation);
+        }
+        true
+    }
+
+    fn open(&mut self, attempt: AttemptNumber, chain: Vec<ChainStage>, prefix: &[Arc<str>]) {
+        let context = self.context;
+        let is_resume = attempt.0 > 1;
+        let mut span = context.traces.start("attempt", self.generation.trace);
+        span.set("attempt", attempt);
+        span.set("chain", describe_chain(&chain));
+        let targets: Vec<_> = chain
+            .iter()
+            .filter_map(|stage| context.targets.get(&stage.instance))
+            .collect();
+        let now = context.clock.now();
+        for target in &targets {
+            target.health.begin(now);
+        }
+        let request = Arc::new(self.make_request(attempt, chain, prefix));
+        self.probe = None;
+        self.attempt = Some(RunningAttempt {
+            source: AttemptSource::open(context.engines.clone(), Arc::clone(&request)),
+            request,
+            context: Arc::clone(context),
+            _guards: targets.iter().map(TargetState::enter).collect(),
+            incarnations: targets.iter().map(read_incarnation).collect(),
+            targets,
+            span,
+            is_complete: false,
+        });
+        context
+            .routing
+            .count(|metrics| metrics.count_attempt(is_resume));
+    }
+
+    fn make_request(
+        &self,
+        attempt: AttemptNumber,
+        chain: Vec<ChainStage>,
+        prefix: &[Arc<str>],
+    ) -> GenerateRequest {
+        let generation = self.generation;
+        let spec = &generation.entry.spec;
+        GenerateRequest {
+            work: PipelineWork {
+                request: generation.request,
+                attempt,
+                model: spec.model.clone(),
+                version: spec.version.clone(),
+                chain,
+                priority: generation.priority,
+            },
+            prompt: Arc::clone(&generation.prompt),
+            prefix: prefix.to_vec(),
+            seed: generation.seed,
+            max_tokens: generation.max_tokens,
+        }
+    }
+
+    fn probe(&mut self, stages: Vec<ChainStage>, limit: Duration) {
+        let context = Arc::clone(self.context);
+        let request = self.generation.request;
+        let parent = self.attempt.as_ref().map(|attempt| attempt.span.context());
+        let parent = parent.unwrap_or(self.generation.trace);
+        let attempt = self.attempt.as_ref();
+        let query = ProbeQuery {
+            request,
+            known: attempt.map_or_else(Vec::new, |attempt| attempt.incarnations.clone()),
+            stages,
+            limit,
+            parent,
         };
-        match state.delivery.accept(record) {
-            DeliveryStep::Ignore => {}
-            DeliveryStep::Deliver(text) => {
-                limit = TOKEN_TIMEOUT;
-                if sink.send(AnswerEvent::Token(text)).await.is_err() {
-                    return AttemptEnd::Final(FinalAnswer::CallerGone);
+        let probe = async move { probe_stages(&context, &query).await };
+        self.probe = Some(probe.boxed());
+    }
+
+    /// Waits for the next record, answer of a probe or point in time, whichever is first.
+    async fn wait(&mut self, until: Option<MonoTime>) -> AttemptEvent {
+        let now = self.context.clock.now();
+        let attempt = &mut self.attempt;
+        let record = async {
+            match attempt {
+                Some(attempt) => attempt.source.next().await,
+                None => std::future::pending().await,
+            }
+        };
+        let probe = &mut self.probe;
+        let probed = async {
+            match probe.as_mut() {
+                Some(answers) => AttemptEvent::Probed(answers.await),
+                None => std::future::pending().await,
+            }
+        };
+        let timer = async {
+            match until {
+                Some(until) => task::sleep(until.since(now)).await,
+                None => std::future::pending().await,
+            }
+            AttemptEvent::Timer
+        };
+        let event = or(record, or(probed, timer)).await;
+        if matches!(event, AttemptEvent::Probed(_)) {
+            self.probe = None;
+        }
+        event
+    }
+
+    async fn deliver(&mut self, text: Arc<str>, sink: &Sender<AnswerEvent>) -> AttemptEvent {
+        let now = self.context.clock.now();
+        self.probe = None;
+        if self.has_failed
+            && let Some(last) = self.last_token
+        {
+            let span = now.since(last);
+            self.context
+                .routing
+                .count(|metrics| metrics.observe_recovery(span));
+        }
+        self.has_failed = false;
+        self.resume = None;
+        self.last_token = Some(now);
+        match sink.send(AnswerEvent::Token(text)).await {
+            Ok(()) => AttemptEvent::Delivered,
+            Err(_gone) => AttemptEvent::CallerGone,
+        }
+    }
+
+    fn take_notice(&mut self, notice: &AttemptNotice) {
+        match notice {
+            AttemptNotice::Fault {
+                instance,
+                fault,
+                detection,
+            } => {
+                self.note_fault(instance.as_str(), *fault, *detection);
+                if fault.concerns_engine()
+                    && let Some(target) = self.context.targets.get(instance)
+                {
+                    eject(self.context, &target);
                 }
             }
-            DeliveryStep::Failed(failure) => return AttemptEnd::Failed(failure),
-            DeliveryStep::Complete(cause) => {
-                canceller.armed = false;
-                let tokens = state.delivery.delivered().len() as u32;
-                stream.finish().await;
-                return AttemptEnd::Final(FinalAnswer::Complete { cause, tokens });
+            AttemptNotice::Worked => {
+                self.reserved.clear();
+                if let Some(attempt) = &self.attempt {
+                    for target in &attempt.targets {
+                        target.health.succeed();
+                    }
+                }
             }
+            AttemptNotice::Suspected(crashes) => self.suspect(*crashes),
+            AttemptNotice::Cleared => self.clear_suspicion(),
         }
     }
+
+    fn note_fault(&mut self, instance: &str, fault: StageFault, detection: Duration) {
+        self.has_failed = true;
+        let routing = &self.context.routing;
+        routing.count(|metrics| metrics.count_fault(fault, detection));
+        let parent = self.generation.trace;
+        if let Some(attempt) = &mut self.attempt {
+            attempt.span.fail(format!("{instance} {}", fault.name()));
+        }
+        let traces = &self.context.traces;
+        let resume = self
+            .resume
+            .get_or_insert_with(|| traces.start("resume", parent));
+        resume.set("fault", format!("{instance} {}", fault.name()));
+        resume.set("detection_us", detection.as_micros());
+    }
+
+    fn fingerprint(&self) -> PoisonFingerprint {
+        PoisonFingerprint::new(&self.generation.entry, &self.generation.prompt)
+    }
+
+    fn suspect(&self, crashes: u32) {
+        let settings = &self.context.settings.routing;
+        let is_poison = crashes >= settings.poison_crashes;
+        let ttl = if is_poison {
+            settings.poison_time()
+        } else {
+            SUSPECT_TIME
+        };
+        let now = self.context.clock.now();
+        let entry = PoisonEntry {
+            crashes,
+            until: now.after(ttl),
+        };
+        let fingerprint = self.fingerprint();
+        self.context.routing.poison.note(fingerprint, entry, now);
+        spread(self.context, fingerprint, crashes, ttl);
+        let event = if is_poison { "poisoned" } else { "suspected" };
+        self.context
+            .routing
+            .count(|metrics| metrics.count_suspect(event));
+        if is_poison {
+            log::warn!("requests with fingerprint {fingerprint} are refused: {crashes} crashes");
+        }
+    }
+
+    fn clear_suspicion(&self) {
+        let fingerprint = self.fingerprint();
+        let limit = self.context.settings.routing.poison_crashes;
+        self.context.routing.poison.clear(fingerprint, limit);
+        spread(self.context, fingerprint, 0, Duration::ZERO);
+        self.context
+            .routing
+            .count(|metrics| metrics.count_suspect("cleared"));
+    }
+
+    async fn finish(&mut self, answer: &FinalAnswer) {
+        if let FinalAnswer::Poisoned { .. } = answer {
+            let routing = &self.context.routing;
+            routing.count(|metrics| metrics.count_suspect("refused"));
+        }
+        if let FinalAnswer::Complete { .. } = answer
+            && let Some(mut attempt) = self.attempt.take()
+        {
+            attempt.is_complete = true;
+            let done = AttemptSource::finished();
+            std::mem::replace(&mut attempt.source, done).finish().await;
+        }
+    }
+}
+
+fn read_incarnation(target: &Arc<TargetState>) -> (InstanceId, u64) {
+    let report = target.report();
+    let incarnation = report.map_or(0, |report| report.incarnation);
+    (target.instance.clone(), incarnation)
+}
+
+fn describe_chain(chain: &[ChainStage]) -> String {
+    let stages = chain
+        .iter()
+        .map(|stage| format!("{}:{}", stage.instance, stage.layers));
+    stages.collect::<Vec<_>>().join(" ")
+}
+
+/// Closes an engine for a while, or only shortly when half of the engines are closed already.
+fn eject(context: &KernelContext, target: &TargetState) {
+    let now = context.clock.now();
+    let targets = context.targets.all();
+    let closed = targets.iter().filter(|t| !t.health.admits(now)).count();
+    let is_capped = (closed + 1) * 2 > targets.len();
+    target.health.fail(now, is_capped);
+    context
+        .routing
+        .count(|metrics| metrics.count_ejection(is_capped));
 }
--- a/src/routing/delivery.rs
+++ b/src/routing/delivery.rs
@@ -1,6 +1,7 @@
 //! Delivery of one answer across attempts: which tokens reach the caller and when to resume.
 
 use crate::engine::{FinishCause, StreamRecord};
+use crate::http::RunOutcome;
 use crate::ids::{AttemptNumber, InstanceId, RequestId, TokenPosition};
 use std::sync::Arc;
 
@@ -49,13 +50,13 @@
     },
     /// No chain could be found or kept.
     NoChain {
-        /// True when tokens had been delivered before.
-        partial: bool,
+        /// How far the request had come.
+        outcome: RunOutcome,
     },
     /// The attempts are used up.
     Exhausted {
-        /// True when tokens had been delivered before.
-        partial: bool,
+        /// How far the request had come.
+        outcome: RunOutcome,
         /// Last failure.
         failure: AttemptFailure,
     },
@@ -63,8 +64,13 @@
     CallerGone,
     /// The time allowed has run out.
     TimedOut {
-        /// True when tokens had been delivered before.
-        partial: bool,
+        /// How far the request had come.
+        outcome: RunOutcome,
+    },
+    /// The request crashes the targets that run it.
+    Poisoned {
+        /// How far the request had come.
+        outcome: RunOutcome,
     },
 }
 
--- /dev/null
+++ b/src/routing/gaps.rs
@@ -0,0 +1,46 @@
+//! Time between tokens as observed, and how long to wait for the next one.
+
+use std::time::Duration;
+
+/// Weight of a new sample in the mean.
+const MEAN_GAIN: f64 = 0.125;
+/// Weight of a new sample in the deviation.
+const DEVIATION_GAIN: f64 = 0.25;
+/// Mean gaps to wait for a token.
+const MEAN_FACTOR: f64 = 3.0;
+/// Deviations to wait on top of that.
+const DEVIATION_FACTOR: f64 = 4.0;
+
+/// Running mean and mean deviation of the gaps between tokens.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct GapEstimate {
+    samples: u32,
+    mean_micros: f64,
+    deviation_micros: f64,
+}
+
+impl GapEstimate {
+    /// Adds an observed gap.
+    pub fn observe(&mut self, gap: Duration) {
+        let sample = gap.as_micros() as f64;
+        if self.samples == 0 {
+            self.mean_micros = sample;
+            self.deviation_micros = sample / 2.0;
+        } else {
+            let error = sample - self.mean_micros;
+            self.mean_micros += MEAN_GAIN * error;
+            self.deviation_micros += DEVIATION_GAIN * (error.abs() - self.deviation_micros);
+        }
+        self.samples += 1;
+    }
+
+    /// Time after which a token counts as late, within `floor` and `ceiling`; `None` before the
+    /// first sample.
+    pub fn limit(&self, floor: Duration, ceiling: Duration) -> Option<Duration> {
+        if self.samples == 0 {
+            return None;
+        }
+        let micros = MEAN_FACTOR * self.mean_micros + DEVIATION_FACTOR * self.deviation_micros;
+        Some(Duration::from_micros(micros as u64).clamp(floor, ceiling))
+    }
+}
--- a/src/routing/graph.rs
+++ b/src/routing/graph.rs
@@ -4,7 +4,7 @@
 use crate::config::ModelEntry;
 use crate::engine::ChainStage;
 use crate::ids::ModelId;
-use crate::routing::{FlowWeights, TargetState, TargetTable};
+use crate::routing::{FlowWeights, StageKey, TargetState, TargetTable};
 use crate::units::LayerRange;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use std::collections::{BTreeSet, HashMap};
@@ -23,6 +23,8 @@
     pub stage: ChainStage,
     /// Layers that the engine holds.
     pub held: LayerRange,
+    /// Identifies the stage that the engine must have loaded.
+    pub key: StageKey,
     /// Engine.
     pub target: Arc<TargetState>,
 }
@@ -137,6 +139,7 @@
                 layers,
             },
             held: row.layers,
+            key: StageKey::new(&row.model, &row.version, row.layers),
             target,
         });
     }
--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -1,8 +1,10 @@
 //! Load of an engine: what it reported, corrected by what this daemon knows better.
 
 use crate::engine::EngineReport;
-use crate::units::MonoTime;
+use crate::ids::{ModelId, VersionId};
+use crate::units::{LayerRange, MonoTime};
 use std::collections::VecDeque;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
 /// Samples of this daemon's own requests kept for each engine.
@@ -12,6 +14,19 @@
 /// Largest batch assumed for an engine without a report.
 const DEFAULT_BATCH: u32 = 8;
 
+/// Digest of a model, a version and a layer range, compared in place of them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StageKey(u64);
+
+impl StageKey {
+    /// Digest of a stage.
+    pub fn new(model: &ModelId, version: &VersionId, layers: LayerRange) -> Self {
+        let mut hasher = DefaultHasher::new();
+        (model, version, layers).hash(&mut hasher);
+        Self(hasher.finish())
+    }
+}
+
 /// Load of one engine, published to requests.
 #[derive(Debug, Clone)]
 pub struct TargetLoad {
@@ -19,6 +34,8 @@
     pub report: Arc<EngineReport>,
     /// Requests of other daemons at the time of the report.
     pub others: u32,
+    /// Stages that the engine has loaded.
+    pub ready: Vec<StageKey>,
 }
 
 /// Time of one step and of each further item, for the whole range that an engine holds.
--- /dev/null
+++ b/src/routing/metrics.rs
@@ -0,0 +1,88 @@
+//! Metrics of routing and resuming.
+
+use crate::routing::StageFault;
+use crate::telemetry::MetricSet;
+use prometheus::{HistogramVec, IntCounterVec};
+use std::time::Duration;
+
+/// Metrics of attempts, faults and suspects. All labels have few values.
+#[derive(Debug, Clone)]
+pub struct RoutingMetrics {
+    attempts: IntCounterVec,
+    faults: IntCounterVec,
+    detection: HistogramVec,
+    recovery: HistogramVec,
+    ejections: IntCounterVec,
+    suspects: IntCounterVec,
+}
+
+impl RoutingMetrics {
+    /// Registers the metrics.
+    ///
+    /// # Errors
+    /// When a name is taken.
+    pub fn register(set: &MetricSet) -> Result<Self, prometheus::Error> {
+        let fault = &["fault"];
+        Ok(Self {
+            attempts: set.counter(
+                "routing_attempts_total",
+                "Attempts started, by whether they resume an answer.",
+                &["kind"],
+            )?,
+            faults: set.counter("routing_faults_total", "Stages found at fault.", fault)?,
+            detection: set.latency(
+                "routing_detection_seconds",
+                "Time from the last sign of progress to finding the stage at fault.",
+                fault,
+            )?,
+            recovery: set.latency(
+                "routing_recovery_seconds",
+                "Time from the last token before a fault to the next one.",
+                &[],
+            )?,
+            ejections: set.counter(
+                "routing_ejections_total",
+                "Engines closed after a failure, in full or shortened by the cap.",
+                &["kind"],
+            )?,
+            suspects: set.counter(
+                "routing_suspects_total",
+                "Requests suspected of crashing targets, by what became of them.",
+                &["event"],
+            )?,
+        })
+    }
+
+    /// Counts an attempt.
+    pub fn count_attempt(&self, is_resume: bool) {
+        let kind = if is_resume { "resume" } else { "first" };
+        self.attempts.with_label_values(&[kind]).inc();
+    }
+
+    /// Counts a stage at fault and the time it took to find.
+    pub fn count_fault(&self, fault: StageFault, detection: Duration) {
+        let labels = [fault.name()];
+        self.faults.with_label_values(&labels).inc();
+        let seconds = detection.as_secs_f64();
+        self.detection.with_label_values(&labels).observe(seconds);
+    }
+
+    /// Records the time from the last token before a fault to the next one.
+    pub fn observe_recovery(&self, span: Duration) {
+        let labels: [&str; 0] = [];
+        self.recovery
+            .with_label_values(&labels)
+            .observe(span.as_secs_f64());
+    }
+
+    /// Counts an engine that was closed after a failure.
+    pub fn count_ejection(&self, is_capped: bool) {
+        let kind = if is_capped { "capped" } else { "full" };
+        self.ejections.with_label_values(&[kind]).inc();
+    }
+
+    /// Counts an event of a suspected request: `suspected`, `cleared`, `poisoned` or `refused`.
+    pub fn count_suspect(&self, event: &str) {
+        self.suspects.with_label_values(&[event]).inc();
+    }
+}
--- a/src/routing/policy.rs
+++ b/src/routing/policy.rs
@@ -7,6 +7,8 @@
 
 /// Factor on the cost of an engine without the request's KV cache when another one has it.
 const COLD_FACTOR: f64 = 2.0;
+/// Cost of each request on an engine for one that wants to run alone, in microseconds.
+const BUSY_MICROS: f64 = 1e9;
 /// Draws of a stage at one boundary before the draw of a chain is given up.
 const MAX_DRAWS: usize = 4;
 
@@ -19,6 +21,8 @@
     pub warm: &'a [InstanceId],
     /// True to use engines that are closed after failures too, as nothing else is left.
     pub desperate: bool,
+    /// True to prefer engines without any request of this daemon.
+    pub alone: bool,
     /// Time now.
     pub now: MonoTime,
 }
@@ -48,8 +52,9 @@
 impl ChainQuery<'_> {
     fn state(&self, edge: &StageEdge) -> EdgeState {
         let target = &edge.target;
-        let usable = !target.is_leaving() && (self.desperate || target.health.admits(self.now));
-        if !usable || self.excluded.contains(&target.instance) {
+        let usable =
+            self.desperate || (target.health.admits(self.now) && target.is_ready(edge.key));
+        if target.is_leaving() || !usable || self.excluded.contains(&target.instance) {
             EdgeState::Closed
         } else if target.is_reserved(self.now) {
             EdgeState::Reserved
@@ -96,6 +101,11 @@
     rng: &mut fastrand::Rng,
 ) -> ChainChoice {
     let expected = |edge: &StageEdge| expected_micros(query, edge);
+    if query.alone {
+        return shortest_chain(graph, query, rng, |edge| {
+            BUSY_MICROS * f64::from(edge.target.in_flight()) + expected(edge)
+        });
+    }
     if !query.warm.is_empty() {
         return shortest_chain(graph, query, rng, expected);
     }
--- a/src/routing/targets.rs
+++ b/src/routing/targets.rs
@@ -2,7 +2,7 @@
 
 use crate::engine::EngineReport;
 use crate::ids::InstanceId;
-use crate::routing::{TargetHealth, TargetLoad};
+use crate::routing::{StageKey, TargetHealth, TargetLoad};
 use crate::units::MonoTime;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use std::collections::HashMap;
@@ -74,13 +74,26 @@
     /// Publishes a load report received now, when this daemon had `own_then` requests on the
     /// engine at the time the report was made.
     pub fn publish(&self, report: EngineReport, own_then: u32) {
+        let ready = report.stages.iter().filter(|stage| stage.ready);
         let load = TargetLoad {
+            ready: ready
+                .map(|stage| StageKey::new(&stage.model, &stage.version, stage.layers))
+                .collect(),
             others: report.sessions.saturating_sub(own_then),
             report: Arc::new(report),
         };
         self.load.store(Some(Arc::new(load)));
     }
 
+    /// Takes note that the engine has restarted and holds nothing until it reports again.
+    pub fn mark_restarted(&self, incarnation: u64) {
+        let report = EngineReport {
+            incarnation,
+            ..EngineReport::default()
+        };
+        self.publish(report, 0);
+    }
+
     /// Sets whether the engine is leaving.
     pub fn set_leaving(&self, leaving: bool) {
         self.leaving.store(leaving, Ordering::Release);
@@ -93,6 +106,12 @@
             || load.as_ref().is_some_and(|load| load.report.leaving)
     }
 
+    /// True unless the newest report shows that the engine has not loaded the stage.
+    pub fn is_ready(&self, key: StageKey) -> bool {
+        let load = self.load.load();
+        load.as_ref().is_none_or(|load| load.ready.contains(&key))
+    }
+
     /// True when the engine may get new requests.
     pub fn is_open(&self, now: MonoTime) -> bool {
         !self.is_leaving() && self.health.admits(now) && !self.is_reserved(now)
--- a/tests/policies.rs
+++ b/tests/policies.rs
@@ -1,8 +1,9 @@
 //! Policies that choose chains, without sockets or clocks.
 
 use arbutusmount::{
-    ChainChoice, ChainQuery, EngineReport, ModelEntry, ModelGraph, ModelSpec, MonoTime, OwnHistory,
-    PolicyName, StagePlacement, TargetTable, choose_chain, weigh_flows,
+    ChainChoice, ChainQuery, EngineReport, HeldStage, LayerRange, ModelEntry, ModelGraph,
+    ModelSpec, MonoTime, OwnHistory, PolicyName, StagePlacement, TargetTable, choose_chain,
+    weigh_flows,
 };
 use std::sync::Arc;
 use std::time::Duration;
@@ -40,8 +41,21 @@
     targets
 }
 
+/// Ranges that the engines of these tests may hold.
+const RANGES: [(u32, u32); 3] = [(0, 24), (0, 12), (12, 24)];
+
+fn held_stage((from, to): (u32, u32)) -> HeldStage {
+    HeldStage {
+        model: "helpdesk".parse().expect("valid name"),
+        version: "v1".parse().expect("valid name"),
+        layers: LayerRange::new(from, to),
+        ready: true,
+    }
+}
+
 fn report(step_micros: u64, sessions: u32) -> EngineReport {
     EngineReport {
+        stages: RANGES.map(held_stage).to_vec(),
         step_micros,
         item_micros: step_micros / 20,
         max_batch: 16,
@@ -55,6 +69,7 @@
         excluded: &[],
         warm: &[],
         desperate: false,
+        alone: false,
         now,
     }
 }
