Refuse requests that crash their targets, and try suspects alone

Cause: a prompt that crashes each target that runs it was resumed up to eight times, and once for each time that its caller sent it again.

Change: a crash (connection refused afterwards, or another incarnation number) under a request without a token since the last one makes it a suspect. Suspects run on engines that no daemon gives new requests to until the first token, after all of them were seen alive. A token clears the suspicion everywhere.

Ruled out: reserving engines on the own daemon alone. In tests/poison.rs (tail crashes, three daemons) an innocent request's trial on one daemon met the poison's trial of another on one engine, and the innocent one was refused. Trials are now agreed with the other daemons.

--- a/rig/src/engine/generate.rs
+++ b/rig/src/engine/generate.rs
@@ -1,5 +1,6 @@
 //! The generation loop of the first stage, and the work of the stages behind it.
 
+use crate::engine::mischief::Distorted;
 use crate::engine::server::{EngineStandIn, LedgerEntry};
 use crate::oracle::{OracleState, read_token, run_layers};
 use arbutusmount::{
@@ -15,9 +16,21 @@
 
 /// Time that a stage waits for each stage behind it.
 const STAGE_TIMEOUT: Duration = Duration::from_millis(600);
+/// Exit code of an engine that a prompt has crashed.
+const CRASH_CODE: i32 = 70;
 /// Bytes of prompt text counted as one token.
 const BYTES_PER_TOKEN: usize = 4;
 
+/// An activation as the stand-ins exchange it.
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+pub(super) struct StageHandOff {
+    #[serde(flatten)]
+    pub(super) activation: ActivationRequest,
+    /// True when the prompt is one that makes engines exit.
+    pub(super) marked: bool,
+}
+
 /// Body of a failed activation reply: which stage failed and why.
 #[derive(Debug, Clone)]
 #[derive(Serialize, Deserialize)]
@@ -35,6 +48,7 @@
     events: Sender<StreamRecord>,
 ) {
     let work = &request.work;
+    let marked = engine.is_marked(&request.prompt);
     let mut state = OracleState::new(&work.model, &work.version, request.seed, &request.prompt);
     request.prefix.iter().for_each(|token| state.push(token));
     let prompt_tokens = request.prompt.len().div_ceil(BYTES_PER_TOKEN) as u32;
@@ -53,17 +67,21 @@
             context_tokens: prompt_tokens + position,
             activation: state.activation(),
         };
-        match run_stage(&engine, activation).await {
+        let handed = StageHandOff { activation, marked };
+        match run_stage(&engine, handed).await {
             Err(fault) => break broken(work, fault),
             Ok(reply) => match read_token(reply.activation) {
                 None => break finish(work, FinishCause::Stop, position),
                 Some(token) => {
                     state.push(&token);
-                    if events
-                        .send(make_token(work, position, token))
-                        .await
-                        .is_err()
-                    {
+                    let record = make_token(work, position, token);
+                    let Distorted { records, ends } = engine.mischief().distort(record);
+                    for record in records {
+                        if events.send(record).await.is_err() {
+                            return;
+                        }
+                    }
+                    if ends {
                         return;
                     }
                     position += 1;
@@ -109,8 +127,15 @@
 /// Runs this engine's stage, then hands the activation on; returns what leaves the last stage.
 pub(super) async fn run_stage(
     engine: &EngineStandIn,
-    request: ActivationRequest,
+    handed: StageHandOff,
 ) -> Result<ActivationReply, StageFault> {
+    let StageHandOff {
+        activation: request,
+        marked,
+    } = handed;
+    if marked && request.stage == engine.crash_stage() {
+        std::process::exit(CRASH_CODE);
+    }
     let work = &request.work;
     let stage = work
         .chain
@@ -154,6 +179,10 @@
         activation,
         ..request
     };
+    let handed = StageHandOff {
+        activation: handed,
+        marked,
+    };
     let reply = hand_on(engine, handed).await;
     engine.sessions().enter(identity, step, StagePhase::Done);
     reply
@@ -161,14 +190,15 @@
 
 async fn hand_on(
     engine: &EngineStandIn,
-    request: ActivationRequest,
+    handed: StageHandOff,
 ) -> Result<ActivationReply, StageFault> {
+    let request = &handed.activation;
     let next = &request.work.chain[request.stage];
     task::sleep(engine.link_delay()).await;
     // Stages further back give up earlier, so that the fault names the stage that caused it.
     let remaining = (request.work.chain.len() - request.stage) as u32;
     let call = HttpCall::new(next.address, Method::Post, "/v1/activation")
-        .json(&request)
+        .json(&handed)
         .timeout(STAGE_TIMEOUT * remaining);
     let fault = |cause: String| StageFault {
         instance: next.instance.clone(),
--- a/rig/src/engine/mod.rs
+++ b/rig/src/engine/mod.rs
@@ -5,7 +5,9 @@
 mod generate;
 mod holding;
 mod kv;
+mod mischief;
 mod server;
 mod session;
 
+pub use mischief::StreamMischief;
 pub use server::{EngineKnobs, EngineStandIn, LedgerEntry};
--- a/rig/src/engine/server.rs
+++ b/rig/src/engine/server.rs
@@ -1,15 +1,16 @@
 //! The engine's HTTP interface and state.
 
 use crate::engine::batcher::{StepBatcher, StepCost};
-use crate::engine::generate::{StageFault, generate, run_stage};
+use crate::engine::generate::{StageFault, StageHandOff, generate, run_stage};
 use crate::engine::holding::StageHolding;
 use crate::engine::kv::KvCache;
+use crate::engine::mischief::StreamMischief;
 use crate::engine::session::SessionTable;
 use crate::web::json_response;
 use arbutusmount::{
-    ActivationRequest, AttemptNumber, CancelRequest, ConnectionCount, ConnectionPool, EngineOrder,
-    EngineReport, GenerateRequest, InstanceId, LayerRange, RequestId, StageProgress, StreamRecord,
-    TokenPosition, encode_event, serve_http, sse_response,
+    AttemptNumber, CancelRequest, ConnectionCount, ConnectionPool, EngineOrder, EngineReport,
+    GenerateRequest, InstanceId, LayerRange, RequestId, StageProgress, StreamRecord, TokenPosition,
+    encode_event, serve_http, sse_response,
 };
 use async_std::channel::{Receiver, bounded};
 use async_std::net::TcpListener;
@@ -62,6 +63,10 @@
     pub leaving: bool,
     /// Exit at once when a prompt contains this text; empty for never.
     pub crash_marker: Arc<str>,
+    /// Index of the stage at which a marked prompt makes its engine exit.
+    pub crash_stage: usize,
+    /// Faults in the records that the engine streams.
+    pub mischief: StreamMischief,
 }
 
 impl Default for EngineKnobs {
@@ -79,6 +84,8 @@
             refuse: false,
             leaving: false,
             crash_marker: Arc::from(""),
+            crash_stage: 0,
+            mischief: StreamMischief::None,
         }
     }
 }
@@ -209,6 +216,21 @@
         &self.0.pool
     }
 
+    /// True when a prompt is one that makes engines exit.
+    pub(super) fn is_marked(&self, prompt: &str) -> bool {
+        let marker = self.knobs().crash_marker;
+        !marker.is_empty() && prompt.contains(&*marker)
+    }
+
+    /// Stage index at which a marked prompt makes its engine exit.
+    pub(super) fn crash_stage(&self) -> usize {
+        self.knobs().crash_stage
+    }
+
+    pub(super) fn mischief(&self) -> StreamMischief {
+        self.knobs().mischief
+    }
+
     pub(super) fn link_delay(&self) -> Duration {
         Duration::from_millis(self.knobs().link_ms)
     }
@@ -340,9 +362,6 @@
     let wanted: GenerateRequest = request.body_json().await?;
     let engine = request.state().clone();
     let knobs = engine.knobs();
-    if !knobs.crash_marker.is_empty() && wanted.prompt.contains(&*knobs.crash_marker) {
-        std::process::exit(70);
-    }
     let layers = wanted.work.chain.first().map(|stage| stage.layers);
     let runs = layers.is_some_and(|layers| engine.holding().can_run(&wanted.work, layers));
     if knobs.refuse || !runs {
@@ -362,7 +381,7 @@
 }
 
 async fn answer_activation(mut request: Request<EngineStandIn>) -> tide::Result {
-    let activation: ActivationRequest = request.body_json().await?;
+    let activation: StageHandOff = request.body_json().await?;
     match run_stage(request.state(), activation).await {
         Ok(reply) => Ok(json_response(StatusCode::Ok, &reply)),
         Err(fault) => Ok(json_response(StatusCode::BadGateway, &fault)),
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -12,7 +12,7 @@
 
 pub use args::run_program;
 pub use demo::run_demo;
-pub use engine::{EngineKnobs, EngineStandIn, LedgerEntry};
+pub use engine::{EngineKnobs, EngineStandIn, LedgerEntry, StreamMischief};
 pub use fleet::{
     AGENT_TOKEN, DaemonSeat, FleetSpec, OPERATOR_TOKEN, ProcessFleet, ProcessHandle, ProgramPaths,
     TEAM_TOKEN, free_address, sample_declaration, wait_until,
--- a/src/routing/attempt.rs
+++ b/src/routing/attempt.rs
@@ -7,10 +7,11 @@
 use crate::routing::poison_gossip::spread;
 use crate::routing::probing::{ProbeQuery, probe_stages};
 use crate::routing::source::AttemptSource;
+use crate::routing::trial::EngineTrial;
 use crate::routing::{
     AnswerEvent, AttemptEvent, AttemptMachine, AttemptNotice, AttemptStep, ChainChoice, ChainQuery,
     ChainWish, FinalAnswer, FlightGuard, MachineSpec, PoisonEntry, PoisonFingerprint, StageFault,
-    StageProbe, TargetReservation, TargetState, choose_chain,
+    StageProbe, TargetState, choose_chain,
 };
 use crate::telemetry::{SpanGuard, TraceContext};
 use crate::units::MonoTime;
@@ -20,8 +21,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Time for which a request that may crash engines has them for itself.
-const RESERVE_TIME: Duration = Duration::from_secs(2);
+/// Longest pause after a trial was refused.
+const TRIAL_PAUSE: Duration = Duration::from_millis(20);
 /// Time for which the suspicion against a request is remembered.
 const SUSPECT_TIME: Duration = Duration::from_secs(30);
 
@@ -65,7 +66,7 @@
                 run.finish(&answer).await;
                 return answer;
             }
-            AttemptStep::FindChain(wish) => run.find_chain(&wish),
+            AttemptStep::FindChain(wish) => run.find_chain(&wish).await,
             AttemptStep::Open { attempt, chain } => {
                 run.open(attempt, chain, machine.delivered());
                 run.wait(None).await
@@ -153,7 +154,7 @@
     context: &'a Arc<KernelContext>,
     generation: &'a GenerationRequest,
     attempt: Option<RunningAttempt>,
-    reserved: Vec<TargetReservation>,
+    trial: Option<EngineTrial>,
     probe: Option<Boxed<Vec<StageProbe>>>,
     last_token: Option<MonoTime>,
     resume: Option<SpanGuard>,
@@ -166,7 +167,7 @@
             context,
             generation,
             attempt: None,
-            reserved: Vec::new(),
+            trial: None,
             probe: None,
             last_token: None,
             resume: None,
@@ -174,11 +175,11 @@
         }
     }
 
-    fn find_chain(&mut self, wish: &ChainWish) -> AttemptEvent {
+    async fn find_chain(&mut self, wish: &ChainWish) -> AttemptEvent {
         let context = self.context;
         // Gives up the attempt before, and its place on the engines.
         self.attempt = None;
-        self.reserved.clear();
+        self.trial = None;
         if known_crashes(context, self.generation) >= context.settings.routing.poison_crashes {
             return AttemptEvent::Condemned;
         }
@@ -198,29 +199,23 @@
             ChainChoice::Reserved => AttemptEvent::Reserved,
             ChainChoice::Chain(chain) => {
                 let edges: Vec<_> = chain.iter().map(|index| &graph.edges()[*index]).collect();
-                let targets = edges.iter().map(|edge| &edge.target);
-                if wish.alone && !self.reserve(targets, now) {
+                let stages = edges.iter().map(|edge| edge.stage.clone()).collect();
+                let targets = edges.iter().map(|edge| Arc::clone(&edge.target));
+                if wish.alone && !self.begin_trial(targets.collect()).await {
                     return AttemptEvent::Reserved;
                 }
-                AttemptEvent::Chain(edges.iter().map(|edge| edge.stage.clone()).collect())
+                AttemptEvent::Chain(stages)
             }
         }
     }
 
-    fn reserve<'t>(
-        &mut self,
-        targets: impl Iterator<Item = &'t Arc<TargetState>>,
-        now: MonoTime,
-    ) -> bool {
-        let until = now.after(RESERVE_TIME);
-        for target in targets {
-            let Some(reservation) = target.reserve(now, until) else {
-                self.reserved.clear();
-                return false;
-            };
-            self.reserved.push(reservation);
+    async fn begin_trial(&mut self, targets: Vec<Arc<TargetState>>) -> bool {
+        self.trial = EngineTrial::begin(self.context, &targets).await;
+        if self.trial.is_none() {
+            // Two daemons that refuse each other must not meet again in step.
+            task::sleep(TRIAL_PAUSE.mul_f64(fastrand::f64())).await;
         }
-        true
+        self.trial.is_some()
     }
 
     fn open(&mut self, attempt: AttemptNumber, chain: Vec<ChainStage>, prefix: &[Arc<str>]) {
@@ -361,7 +356,7 @@
                 }
             }
             AttemptNotice::Worked => {
-                self.reserved.clear();
+                self.trial = None;
                 if let Some(attempt) = &self.attempt {
                     for target in &attempt.targets {
                         target.health.succeed();
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -20,6 +20,7 @@
 mod source;
 mod state;
 mod targets;
+mod trial;
 
 pub use answer::{AnswerEvent, AnswerStream, start_generation};
 pub use attempt::{GenerationRequest, run_generation};
@@ -39,3 +40,4 @@
 pub use settings::{PolicyError, PolicyName, ROUTING_TABLE, RoutingSettings};
 pub use state::RoutingState;
 pub use targets::{FlightGuard, TargetReservation, TargetState, TargetTable};
+pub use trial::GrantTable;
--- a/src/routing/poison_gossip.rs
+++ b/src/routing/poison_gossip.rs
@@ -3,6 +3,7 @@
 use crate::kernel::{KernelContext, PluginEntry, PluginError, PluginHost, TimerSpec};
 use crate::peer::PeerTopic;
 use crate::platform::InstanceRole;
+use crate::routing::trial::join_trial;
 use crate::routing::{PoisonEntry, PoisonFingerprint};
 use async_std::task;
 use prost::Message;
@@ -20,7 +21,7 @@
 /// One fingerprint as it travels; times are relative, as daemons share no clock.
 #[derive(Clone, Copy, PartialEq)]
 #[derive(Message)]
-struct PoisonRow {
+pub(super) struct PoisonRow {
     #[prost(uint64, tag = "1")]
     high: u64,
     #[prost(uint64, tag = "2")]
@@ -32,12 +33,36 @@
     ttl_ms: u64,
 }
 
-/// Fingerprints of one daemon.
+/// Engines that a request wants for itself, because it may crash them.
 #[derive(Clone, PartialEq)]
 #[derive(Message)]
-struct PoisonNotice {
+pub(super) struct TrialRow {
+    /// Request identifier, upper half.
+    #[prost(uint64, tag = "1")]
+    pub(super) high: u64,
+    /// Request identifier, lower half.
+    #[prost(uint64, tag = "2")]
+    pub(super) low: u64,
+    /// Engine names; none ends the trial.
+    #[prost(string, repeated, tag = "3")]
+    pub(super) instances: Vec<String>,
+    /// Longest time of the trial, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub(super) ttl_ms: u64,
+}
+
+/// What daemons tell each other about requests that crash engines.
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+pub(super) struct PoisonNotice {
     #[prost(message, repeated, tag = "1")]
-    rows: Vec<PoisonRow>,
+    pub(super) rows: Vec<PoisonRow>,
+    /// Trial that the sender wants to begin or has ended.
+    #[prost(message, optional, tag = "2")]
+    pub(super) trial: Option<TrialRow>,
+    /// True in a reply that refuses the trial.
+    #[prost(bool, tag = "3")]
+    pub(super) refused: bool,
 }
 
 inventory::submit! {
@@ -46,10 +71,13 @@
 
 fn install(host: &mut PluginHost) -> Result<(), PluginError> {
     host.add_handler(PeerTopic::Poison, |context, payload| async move {
+        let mut reply = make_notice(&context);
         if let Ok(notice) = PoisonNotice::decode(payload.as_slice()) {
             merge(&context, &notice);
+            let trial = notice.trial.as_ref();
+            reply.refused = trial.is_some_and(|row| !join_trial(&context, row));
         }
-        make_notice(&context).encode_to_vec()
+        reply.encode_to_vec()
     });
     host.add_timer(
         TimerSpec::new("poison sync", SYNC_PERIOD),
@@ -75,6 +103,7 @@
     let row = |(key, entry): (_, PoisonEntry)| make_row(key, entry.crashes, entry.until.since(now));
     PoisonNotice {
         rows: entries.map(row).collect(),
+        ..PoisonNotice::default()
     }
 }
 
@@ -97,7 +126,8 @@
     }
 }
 
-fn other_daemons(context: &KernelContext) -> Vec<SocketAddr> {
+/// Addresses of the other daemons that the instance list names.
+pub(super) fn other_daemons(context: &KernelContext) -> Vec<SocketAddr> {
     let list = context.instances.load();
     let others = list
         .instances
@@ -134,6 +164,7 @@
 ) {
     let notice = PoisonNotice {
         rows: vec![make_row(fingerprint, crashes, ttl)],
+        ..PoisonNotice::default()
     };
     for address in other_daemons(context) {
         let (context, payload) = (Arc::clone(context), notice.encode_to_vec());
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -1,7 +1,7 @@
 //! Shared state of routing in one daemon, and the plug-in that registers its metrics.
 
 use crate::kernel::{PluginEntry, PluginError, PluginHost};
-use crate::routing::{GraphTable, PoisonTable, RoutingMetrics};
+use crate::routing::{GrantTable, GraphTable, PoisonTable, RoutingMetrics};
 use std::sync::OnceLock;
 
 inventory::submit! {
@@ -23,6 +23,8 @@
     pub graphs: GraphTable,
     /// Requests that crash targets.
     pub poison: PoisonTable,
+    /// Engines reserved for trials of other daemons.
+    pub grants: GrantTable,
     metrics: OnceLock<RoutingMetrics>,
 }
 
