--- a/rig/src/capacity/decisions.rs
+++ b/rig/src/capacity/decisions.rs
@@ -177,6 +177,7 @@
         excluded: &[],
         warm: &[],
         desperate: false,
+        alone: false,
         now,
     };
     let mut rng = fastrand::Rng::with_seed(1);
