Agree on the members among daemons and drain without cutting a request

Cause: a daemon that shut down stayed in the other daemons' address answers until the platform's list said that it was leaving, a killed one until the list dropped it, and a shutdown cancelled the listener while the last bytes of answers were still being written and kept connections stood open.

Change: a SWIM-like protocol without sockets or clocks (src/membership): probes, probes through three others, suspicion with a time to refute, incarnation numbers, statements on the probes, digests of the table for repair. Death is declared by each daemon's own clock; another daemon's word only raises suspicion, so that one mistaken daemon removes nobody. A daemon that was alone withdraws its verdicts, a paused one extends its deadlines. The view is published by arc-swap as `context.members`. Connections count as busy from the first byte of a request to the last byte of its answer; a draining daemon says `connection: close`, serves until answers naming it have expired, closes idle connections and waits for the others, up to `membership.drain_limit_ms`. Leaving targets are marked and the marks shared among daemons.

Ruled out: trusting a gossiped death (a daemon cut off for a minute then removed all others everywhere for some periods); counting requests in the handlers (drops the count before the body is written); ending at a second SIGTERM (it would cut what the first one promised to finish).

--- /dev/null
+++ b/benches/membership.rs
@@ -0,0 +1,83 @@
+//! Cost of membership by number of daemons: bytes and processor time of one daemon in steady state,
+//! and periods until a departure, a death and a healed partition are known everywhere.
+//!
+//! `cargo bench --bench membership` prints a table; sizes can be given as arguments.
+
+#[path = "../tests/support/member_net.rs"]
+mod member_net;
+
+use member_net::{MemberNet, PERIOD, name_of};
+use std::collections::BTreeSet;
+use std::time::Instant;
+
+/// Seed of the network.
+const SEED: u64 = 7;
+/// Periods over which the steady state is measured.
+const STEADY_PERIODS: u32 = 50;
+/// Longest wait for agreement, in periods.
+const MAX_PERIODS: u32 = 400;
+/// Framing of one message: length prefix and frame fields.
+const FRAME_BYTES: f64 = 16.0;
+/// Headers of one TCP segment and of its share of acknowledgements.
+const SEGMENT_BYTES: f64 = 52.0 + 26.0;
+
+fn agree(net: &mut MemberNet, members: std::ops::Range<usize>) -> String {
+    let wanted: BTreeSet<_> = members.map(name_of).collect();
+    for periods in 0..MAX_PERIODS {
+        if net.agrees_on(&wanted) {
+            return periods.to_string();
+        }
+        net.run_periods(1);
+    }
+    "not".to_owned()
+}
+
+fn measure(count: usize) {
+    let mut net = MemberNet::new(count, SEED);
+    let formed = agree(&mut net, 0..count);
+    net.run_periods(60);
+    let (messages, bytes) = net.sent;
+    let start = Instant::now();
+    net.run_periods(STEADY_PERIODS);
+    let spent = start.elapsed().as_secs_f64();
+    let daemon_seconds = PERIOD.as_secs_f64() * f64::from(STEADY_PERIODS) * count as f64;
+    let messages = (net.sent.0 - messages) as f64;
+    let payload = (net.sent.1 - bytes) as f64;
+    // Each message is sent by one daemon and received by another.
+    let wire = 2.0 * (payload + messages * (FRAME_BYTES + SEGMENT_BYTES)) / daemon_seconds;
+    let core = 100.0 * spent / daemon_seconds;
+    net.leave(count - 1);
+    let left = agree(&mut net, 0..count - 1);
+    net.crash(count - 2);
+    let dead = agree_apart(&mut net, count - 2, count - 1);
+    let mean = payload / messages;
+    println!("{count:>5} {mean:>8.0} {wire:>9.0} {core:>8.4} {formed:>7} {left:>6} {dead:>6}");
+}
+
+/// Periods until all but the leaving member agree on the first `count` members.
+fn agree_apart(net: &mut MemberNet, count: usize, leaving: usize) -> String {
+    let wanted: BTreeSet<_> = (0..count).map(name_of).collect();
+    for periods in 0..MAX_PERIODS {
+        if net.agrees_apart(leaving, &wanted) {
+            return periods.to_string();
+        }
+        net.run_periods(1);
+    }
+    "not".to_owned()
+}
+
+fn main() {
+    let sizes: Vec<usize> = std::env::args()
+        .filter_map(|text| text.parse().ok())
+        .collect();
+    let sizes = if sizes.is_empty() {
+        vec![8, 64, 430, 1_000]
+    } else {
+        sizes
+    };
+    println!("period {PERIOD:?}; agreement in periods");
+    println!(" size  B/message  wire B/s   core %  formed  leave  crash");
+    for count in sizes {
+        measure(count);
+    }
+}
--- a/rig/src/fleet/layout.rs
+++ b/rig/src/fleet/layout.rs
@@ -1,7 +1,7 @@
 //! What a fleet consists of.
 
 use crate::engine::EngineKnobs;
-use arbutusmount::{FleetDeclaration, TimingSettings, digest_token};
+use arbutusmount::{FleetDeclaration, MemberSettings, TimingSettings, digest_token};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -66,6 +66,8 @@
     pub domains: Vec<&'static str>,
     /// Timeouts and periods of the daemons.
     pub timing: TimingSettings,
+    /// Membership, address answer and shutdown of the daemons.
+    pub membership: MemberSettings,
 }
 
 impl Default for FleetSpec {
@@ -83,6 +85,7 @@
             services: 1,
             domains: vec!["bangna", "lat-krabang", "rangsit"],
             timing,
+            membership: MemberSettings::default(),
         }
     }
 }
--- a/rig/src/fleet/mod.rs
+++ b/rig/src/fleet/mod.rs
@@ -1,10 +1,12 @@
 //! Starts fleets of real processes on loopback: platform, engines, services and daemons.
 
+mod caller;
 mod layout;
 mod ports;
 mod process;
 mod running;
 
+pub use caller::{AddressCaller, CallOutcome};
 pub use layout::{
     AGENT_TOKEN, DaemonSeat, FleetSpec, OPERATOR_TOKEN, ProgramPaths, TEAM_TOKEN,
     sample_declaration,
--- a/rig/src/fleet/process.rs
+++ b/rig/src/fleet/process.rs
@@ -69,6 +69,18 @@
         None
     }
 
+    /// As [`Self::wait`], while other tasks of this thread go on.
+    pub async fn wait_async(&mut self, limit: Duration) -> Option<ExitStatus> {
+        let start = Instant::now();
+        while start.elapsed() < limit {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return Some(status);
+            }
+            async_std::task::sleep(EXIT_POLL).await;
+        }
+        None
+    }
+
     /// True while the process runs.
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
--- a/rig/src/fleet/running.rs
+++ b/rig/src/fleet/running.rs
@@ -3,6 +3,7 @@
 use crate::fleet::layout::{DaemonSeat, FleetSpec, OPERATOR_TOKEN, ProgramPaths};
 use crate::fleet::ports::free_address;
 use crate::fleet::process::ProcessHandle;
+use crate::proxy::FaultProxy;
 use crate::web::{admin_get, admin_send};
 use arbutusmount::{
     FleetDeclaration, InstanceRole, InstanceRow, InstanceState, OperatorClient, PlanRequest,
@@ -148,6 +149,24 @@
         }
     }
 
+    /// Seat of a daemon that other daemons reach through the returned proxy only.
+    ///
+    /// # Panics
+    /// When the proxy cannot listen.
+    pub async fn proxied_seat(&self) -> (DaemonSeat, FaultProxy) {
+        let seat = self.plain_seat();
+        let proxy = FaultProxy::start(free_address(), seat.peer_listen).await;
+        let proxy = proxy.expect("a proxy listens on a free address");
+        let peer_listed = proxy.address();
+        (
+            DaemonSeat {
+                peer_listed,
+                ..seat
+            },
+            proxy,
+        )
+    }
+
     fn domain(&self, index: usize) -> &'static str {
         self.spec.domains[index % self.spec.domains.len()]
     }
@@ -199,6 +218,7 @@
             "peer_key": PEER_KEY,
             "operator_token_sha256": digest_token(OPERATOR_TOKEN).to_string(),
             "timing": self.spec.timing,
+            "membership": self.spec.membership,
             "log": { "level": "debug" },
         });
         let path = self.folder.join(format!("{name}.json"));
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -14,11 +14,11 @@
 pub use demo::run_demo;
 pub use engine::{EngineKnobs, EngineStandIn, LedgerEntry};
 pub use fleet::{
-    AGENT_TOKEN, DaemonSeat, FleetSpec, OPERATOR_TOKEN, ProcessFleet, ProcessHandle, ProgramPaths,
-    TEAM_TOKEN, free_address, sample_declaration, wait_until,
+    AGENT_TOKEN, AddressCaller, CallOutcome, DaemonSeat, FleetSpec, OPERATOR_TOKEN, ProcessFleet,
+    ProcessHandle, ProgramPaths, TEAM_TOKEN, free_address, sample_declaration, wait_until,
 };
 pub use oracle::{OracleState, reference_answer, reference_text};
 pub use platform::{PlatformKnobs, PlatformStandIn};
 pub use proxy::{DirectionFault, FaultProxy, ProxyFaults};
 pub use service::{RunRecord, ServiceKnobs, ServiceStandIn};
-pub use web::{admin_get, admin_send, json_response};
+pub use web::{admin_get, admin_send, admin_text, json_response};
--- a/rig/src/web.rs
+++ b/rig/src/web.rs
@@ -39,6 +39,22 @@
         .map(|(_status, value)| value)
 }
 
+/// Reads text, such as metrics, from a process.
+///
+/// # Errors
+/// [`SendError`] when there is no reply or its status is not 200.
+pub async fn admin_text(address: SocketAddr, path: &str) -> Result<String, SendError> {
+    let call = HttpCall::new(address, Method::Get, path).timeout(ADMIN_TIMEOUT);
+    let reply = admin_pool().send(&call).await?;
+    let status = reply.status();
+    let body = reply.bytes().await?;
+    if status == 200 {
+        Ok(String::from_utf8_lossy(&body).into_owned())
+    } else {
+        Err(SendError::BadReply(format!("status {status}")))
+    }
+}
+
 /// Sends JSON to a stand-in's control interface.
 ///
 /// # Errors
--- a/src/api/addresses.rs
+++ b/src/api/addresses.rs
@@ -3,7 +3,6 @@
 use crate::api::auth::authenticate_team;
 use crate::ids::{DomainId, InstanceId};
 use crate::kernel::{KernelContext, PluginEntry, PluginError, PluginHost};
-use crate::platform::InstanceRole;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -49,8 +48,8 @@
         return Ok(problem.to_response().into());
     }
     let context = request.state();
-    let list = context.instances.load();
-    let rows = list.live(InstanceRole::Router).map(|row| AddressRow {
+    let view = context.members.view();
+    let rows = view.open_daemons().map(|row| AddressRow {
         instance: row.instance.clone(),
         address: row.address,
         failure_domain: row.failure_domain.clone(),
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -5,9 +5,11 @@
 mod problem;
 mod server;
 mod sse;
+mod tracking;
 
 pub use connection::{ConnectionReuse, HttpReply};
 pub use pool::{ConnectionPool, HttpCall, SendError};
 pub use problem::{ProblemAnswer, ProblemKind, RunOutcome};
-pub use server::{CallerWatch, ConnectionCount, read_body, serve_http};
+pub use server::{CallerWatch, read_body, serve_http};
 pub use sse::{SseReader, encode_event, sse_response};
+pub use tracking::ConnectionCount;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -1,19 +1,23 @@
 //! Accept loop: serves a `tide` application over `async-h1`, one task for each connection.
 
 use crate::http::problem::{ProblemAnswer, ProblemKind};
+use crate::http::tracking::{ConnectionCount, TrackedStream};
+use async_h1::server::ConnectionStatus;
+use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
-use futures_lite::{AsyncReadExt, StreamExt};
+use futures_lite::AsyncReadExt;
 use std::io;
 use std::net::Shutdown;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
-use tide::http::Request;
+use tide::http::{Request, Response};
 
 /// Pause after a failed accept, so that a lack of file descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Time for which a caller may keep its side of a closed connection open.
+const CLOSE_LINGER: Duration = Duration::from_secs(1);
+
 /// Watches the caller's connection while its request is served.
 #[derive(Debug, Clone)]
 pub struct CallerWatch(TcpStream);
@@ -30,18 +34,7 @@
     }
 }
 
-/// Number of open connections.
-#[derive(Debug, Clone, Default)]
-pub struct ConnectionCount(Arc<AtomicUsize>);
-
-impl ConnectionCount {
-    /// Connections open now.
-    pub fn get(&self) -> usize {
-        self.0.load(Ordering::Relaxed)
-    }
-}
-
-/// Serves `app` on `listener` until the task is cancelled.
+/// Serves `app` on `listener` until `count` is closed or the task is cancelled.
 ///
 /// # Errors
 /// Only when the listener itself is closed.
@@ -50,22 +43,21 @@
     app: tide::Server<S>,
     count: ConnectionCount,
 ) -> io::Result<()> {
-    let mut incoming = listener.incoming();
-    while let Some(accepted) = incoming.next().await {
-        match accepted {
-            Ok(stream) => {
-                let app = app.clone();
-                let count = count.clone();
-                task::spawn(async move {
-                    count.0.fetch_add(1, Ordering::Relaxed);
-                    serve_connection(stream, app).await;
-                    count.0.fetch_sub(1, Ordering::Relaxed);
-                });
+    loop {
+        // Connections that have arrived are taken before the listener is closed.
+        let accept = async { Some(listener.accept().await) };
+        let closed = async {
+            count.closed().await;
+            None
+        };
+        match futures_lite::future::or(accept, closed).await {
+            Some(Ok((stream, _address))) => {
+                task::spawn(serve_connection(stream, app.clone(), count.clone()));
             }
-            Err(_cause) => task::sleep(ACCEPT_PAUSE).await,
+            Some(Err(_cause)) => task::sleep(ACCEPT_PAUSE).await,
+            None => return Ok(()),
         }
     }
-    Ok(())
 }
 
 /// Reads the body of a request, up to `limit` bytes.
@@ -92,20 +84,59 @@
 async fn serve_connection<S: Clone + Send + Sync + 'static>(
     stream: TcpStream,
     app: tide::Server<S>,
+    count: ConnectionCount,
 ) {
+    let _open = count.enter();
     if stream.set_nodelay(true).is_err() {
         return;
     }
+    let tracked = TrackedStream::new(stream.clone(), &count);
     let watch = CallerWatch(stream.clone());
-    let served = async_h1::accept(stream.clone(), |mut request: Request| {
-        let app = app.clone();
+    let endpoint = |mut request: Request| {
+        let (app, count) = (app.clone(), count.clone());
         request.ext_mut().insert(watch.clone());
-        async move { app.respond(request).await }
-    });
-    if served.await.is_err() {
-        // The caller broke the connection; what is left of it is closed below.
+        async move {
+            let mut response: Response = app.respond(request).await?;
+            if count.is_draining() {
+                response.insert_header("connection", "close");
+            }
+            Ok(response)
+        }
+    };
+    let mut server = async_h1::server::Server::new(tracked.clone(), endpoint);
+    loop {
+        let served = async { server.accept_one().await.ok() };
+        let closing = async {
+            wait_closable(&tracked, &count).await;
+            None
+        };
+        let status = futures_lite::future::or(served, closing).await;
+        tracked.end_request();
+        if status != Some(ConnectionStatus::KeepAlive) {
+            break;
+        }
+    }
+    close_gently(stream).await;
+}
+
+/// Returns once the listener is closed, provided that no request is on the connection then.
+async fn wait_closable(stream: &TrackedStream, count: &ConnectionCount) {
+    count.closed().await;
+    if stream.is_busy() || stream.has_arrivals().await {
+        // Its answer says that the connection closes.
+        std::future::pending::<()>().await;
+    }
+}
+
+/// Ends the sending side, then waits a moment for the caller to close: closing at once could
+/// discard an answer that the caller has not read yet.
+async fn close_gently(mut stream: TcpStream) {
+    if stream.shutdown(Shutdown::Write).is_err() {
+        return;
     }
-    if stream.shutdown(Shutdown::Both).is_err() {
-        // The caller closed it first.
+    let mut sink = [0; 512];
+    let rest = async { while matches!(stream.read(&mut sink).await, Ok(1..)) {} };
+    if timeout(CLOSE_LINGER, rest).await.is_err() {
+        // The caller keeps its side open; it has had time to read the answer.
     }
 }
--- a/src/kernel/context.rs
+++ b/src/kernel/context.rs
@@ -4,6 +4,7 @@
 use crate::engine::EngineClient;
 use crate::http::ConnectionPool;
 use crate::kernel::{LifecycleCell, MonoClock, TimerService};
+use crate::membership::MemberService;
 use crate::peer::PeerTransport;
 use crate::platform::{InstanceClient, InstanceTable};
 use crate::routing::TargetTable;
@@ -41,6 +42,8 @@
     pub targets: TargetTable,
     /// Messages to other daemons.
     pub peers: PeerTransport,
+    /// The daemons as this one sees them.
+    pub members: MemberService,
     /// Phase and requests in progress.
     pub lifecycle: Arc<LifecycleCell>,
 }
@@ -69,6 +72,7 @@
             config: ConfigCell::new(),
             targets: TargetTable::default(),
             peers,
+            members: MemberService::new(&settings, clock),
             lifecycle: Arc::default(),
             pool,
             settings,
--- a/src/kernel/daemon.rs
+++ b/src/kernel/daemon.rs
@@ -4,6 +4,7 @@
 use crate::kernel::{KernelContext, PluginError, PluginHost};
 use crate::peer::serve_peers;
 use crate::settings::DaemonSettings;
+use async_std::future::timeout;
 use async_std::net::TcpListener;
 use async_std::task::{self, JoinHandle};
 use std::fmt;
@@ -23,6 +24,8 @@
     Plugin(PluginError),
     /// Signals could not be registered.
     Signal(io::Error),
+    /// The drain limit ran out with this many connections still in use; they were cut.
+    DrainLimit(usize),
 }
 
 impl fmt::Display for DaemonError {
@@ -31,6 +34,7 @@
             Self::Listen(cause) => write!(f, "cannot listen: {cause}"),
             Self::Plugin(cause) => write!(f, "cannot install a plug-in: {cause}"),
             Self::Signal(cause) => write!(f, "cannot handle signals: {cause}"),
+            Self::DrainLimit(cut) => write!(f, "drain limit ran out, {cut} connections cut"),
         }
     }
 }
@@ -41,6 +45,7 @@
 #[derive(Debug)]
 pub struct DaemonHandle {
     context: Arc<KernelContext>,
+    connections: ConnectionCount,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -53,23 +58,38 @@
         &self.context
     }
 
-    /// Leaves the address answer, waits until kept answers have expired and requests in progress
-    /// are done, then stops listening.
-    pub async fn drain(self) {
-        if self.context.lifecycle.mark_draining() {
-            log::info!("draining: leaving the address answer");
-        }
-        task::sleep(Duration::from_millis(
-            self.context.settings.timing.address_ms,
-        ))
-        .await;
-        while self.context.lifecycle.in_progress() > 0 {
-            task::sleep(DRAIN_POLL).await;
-        }
+    /// Leaves the address answer, serves until kept answers have expired, stops accepting
+    /// connections and waits for the requests in progress.
+    ///
+    /// # Errors
+    /// [`DaemonError::DrainLimit`] when requests were still in progress at the drain limit.
+    pub async fn drain(self) -> Result<()> {
+        let limit = self.context.settings.membership.drain_limit();
+        let drained = timeout(limit, self.serve_out()).await;
+        let cut = self.connections.busy();
         for job in self.tasks {
             job.cancel().await;
         }
+        if drained.is_err() {
+            log::error!("drain limit ran out: {cut} connections cut");
+            return Err(DaemonError::DrainLimit(cut));
+        }
         log::info!("drained: no request in progress");
+        Ok(())
+    }
+
+    async fn serve_out(&self) {
+        let lifecycle = &self.context.lifecycle;
+        if lifecycle.mark_draining() {
+            log::info!("draining: leaving the address answer");
+        }
+        self.connections.drain();
+        task::sleep(self.context.members.leave_time()).await;
+        task::sleep(self.context.settings.timing.address()).await;
+        self.connections.close();
+        while self.connections.get() > 0 || lifecycle.in_progress() > 0 {
+            task::sleep(DRAIN_POLL).await;
+        }
     }
 }
 
@@ -88,8 +108,10 @@
     let mut host = PluginHost::new(Arc::clone(&context));
     host.install_all().map_err(DaemonError::Plugin)?;
     let PluginHost { app, handlers, .. } = host;
+    let connections = ConnectionCount::default();
+    let count = connections.clone();
     let http = task::spawn(async move {
-        if let Err(cause) = serve_http(listener, app, ConnectionCount::default()).await {
+        if let Err(cause) = serve_http(listener, app, count).await {
             log::error!("HTTP listener closed: {cause}");
         }
     });
@@ -99,14 +121,16 @@
     log::info!("{} listens on {}", settings.instance, settings.listen);
     Ok(DaemonHandle {
         context,
+        connections,
         tasks: vec![http, peers],
     })
 }
 
-/// Runs a daemon until SIGTERM or SIGINT, then drains it.
+/// Runs a daemon until SIGTERM or SIGINT, then drains it. Further such signals change nothing:
+/// what is in progress ends, or the drain limit ends it.
 ///
 /// # Errors
-/// [`DaemonError`] when the daemon could not start.
+/// [`DaemonError`] when the daemon could not start or the drain limit ran out.
 pub async fn run_daemon(settings: DaemonSettings) -> Result<()> {
     use futures_lite::StreamExt;
     use signal_hook::consts::{SIGINT, SIGTERM};
@@ -114,6 +138,11 @@
         signal_hook_async_std::Signals::new([SIGTERM, SIGINT]).map_err(DaemonError::Signal)?;
     let handle = start_daemon(settings).await?;
     signals.next().await;
-    handle.drain().await;
-    Ok(())
+    let further = async {
+        while signals.next().await.is_some() {
+            log::warn!("already draining");
+        }
+        std::future::pending().await
+    };
+    futures_lite::future::or(handle.drain(), further).await
 }
--- a/src/kernel/lifecycle.rs
+++ b/src/kernel/lifecycle.rs
@@ -1,5 +1,6 @@
 //! Phase of the daemon's life, read by every part.
 
+use async_std::channel::{Receiver, Sender, bounded};
 use std::fmt;
 use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
 
@@ -29,10 +30,24 @@
 const DRAINING: u8 = 2;
 
 /// Current phase and the number of requests in progress.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct LifecycleCell {
     phase: AtomicU8,
     in_progress: AtomicUsize,
+    drain_sender: Sender<()>,
+    drain_receiver: Receiver<()>,
+}
+
+impl Default for LifecycleCell {
+    fn default() -> Self {
+        let (drain_sender, drain_receiver) = bounded(1);
+        Self {
+            phase: AtomicU8::new(STARTING),
+            in_progress: AtomicUsize::new(0),
+            drain_sender,
+            drain_receiver,
+        }
+    }
 }
 
 impl LifecycleCell {
@@ -55,7 +70,14 @@
 
     /// Starts draining; true when this call did so.
     pub fn mark_draining(&self) -> bool {
-        self.phase.swap(DRAINING, Ordering::AcqRel) != DRAINING
+        let started = self.phase.swap(DRAINING, Ordering::AcqRel) != DRAINING;
+        self.drain_sender.close();
+        started
+    }
+
+    /// Returns once draining has started.
+    pub async fn draining(&self) {
+        while self.drain_receiver.recv().await.is_ok() {}
     }
 
     /// Counts a request as in progress until the guard is dropped.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -51,6 +51,12 @@
     DaemonError, DaemonHandle, DaemonPhase, KernelContext, LifecycleCell, MonoClock, PluginEntry,
     PluginError, PluginHost, TimerJob, TimerService, TimerSpec, WebApp, run_daemon, start_daemon,
 };
+pub use membership::{
+    CallNumber, IncarnationNumber, LeavingMarks, LeavingTarget, MarkRecord, MemberBoard,
+    MemberCall, MemberChange, MemberMessage, MemberProtocol, MemberRecord, MemberRow,
+    MemberService, MemberSettings, MemberState, MemberView, MessageKind, ProtocolCounts,
+    ProtocolTiming, RequestStep,
+};
 pub use operator::{AskRequest, OperatorClient, OperatorCommand, OperatorError, run_command};
 pub use peer::{
     FrameKind, HandshakeError, PeerError, PeerFrame, PeerHandlers, PeerTopic, PeerTransport,
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -1,3 +1,24 @@
 //! Which daemons and targets there are, and which daemons a team should use.
 
+mod gossip;
+mod hash;
 mod listing;
+mod marks;
+mod protocol;
+mod row;
+mod service;
+mod settings;
+mod table;
+mod view;
+mod wire;
+
+pub use marks::{LeavingMarks, LeavingTarget};
+pub use protocol::{
+    CallNumber, MemberCall, MemberProtocol, ProtocolCounts, ProtocolTiming, RequestStep,
+};
+pub use row::{IncarnationNumber, MemberRow, MemberState};
+pub use service::MemberService;
+pub use settings::{MEMBER_TABLE, MemberSettings};
+pub use table::MemberChange;
+pub use view::{MemberBoard, MemberView};
+pub use wire::{MarkRecord, MemberMessage, MemberRecord, MessageKind};
--- /dev/null
+++ b/src/membership/service.rs
@@ -0,0 +1,291 @@
+//! Plug-in that runs the membership protocol over the links between daemons.
+
+use crate::kernel::{
+    DaemonPhase, KernelContext, MonoClock, PluginEntry, PluginError, PluginHost, TimerSpec,
+};
+use crate::membership::marks::LeavingTarget;
+use crate::membership::protocol::{MemberCall, MemberProtocol, ProtocolTiming, RequestStep};
+use crate::membership::row::{IncarnationNumber, MemberRow, MemberState};
+use crate::membership::view::{MemberBoard, MemberView};
+use crate::membership::wire::MemberMessage;
+use crate::peer::PeerTopic;
+use crate::settings::DaemonSettings;
+use crate::units::MonoTime;
+use async_std::task;
+use prometheus::{IntCounterVec, IntGaugeVec};
+use prost::Message;
+use std::collections::BTreeSet;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+inventory::submit! {
+    PluginEntry { name: "membership.service", install }
+}
+
+/// Periods for a failed probe and its relays, and for publishing the view.
+const LEAVE_PERIODS: u32 = 4;
+
+/// Membership of this daemon: the protocol and the view that it publishes.
+#[derive(Debug)]
+pub struct MemberService {
+    protocol: Mutex<MemberProtocol>,
+    board: MemberBoard,
+    clock: MonoClock,
+}
+
+impl MemberService {
+    /// Creates the service of a daemon that knows only itself.
+    pub fn new(settings: &DaemonSettings, clock: MonoClock) -> Self {
+        let own = MemberRow {
+            instance: settings.instance.clone(),
+            incarnation: first_incarnation(),
+            state: MemberState::Alive,
+            ready: false,
+            address: settings.listen,
+            peer_address: settings.peer_listen,
+            failure_domain: settings.failure_domain.clone(),
+        };
+        let timing = ProtocolTiming::new(Duration::from_millis(settings.timing.heartbeat_ms));
+        let protocol = MemberProtocol::new(own, timing, fastrand::u64(..));
+        let board = MemberBoard::default();
+        board.publish(protocol.view());
+        Self {
+            protocol: Mutex::new(protocol),
+            board,
+            clock,
+        }
+    }
+
+    /// The daemons as this one sees them.
+    pub fn view(&self) -> Arc<MemberView> {
+        self.board.load()
+    }
+
+    /// Other daemons that are alive, suspects included.
+    pub fn live_peers(&self) -> Vec<MemberRow> {
+        self.board.live_peers()
+    }
+
+    /// Time after which no other daemon names this one once it is leaving: they have heard of it,
+    /// or, cut off from it, have declared it dead.
+    pub fn leave_time(&self) -> Duration {
+        let protocol = self.lock();
+        protocol.suspicion_time() + protocol.period() * LEAVE_PERIODS
+    }
+
+    /// Targets seen to be leaving by this daemon or by others.
+    pub(super) fn marked_targets(&self) -> BTreeSet<LeavingTarget> {
+        self.lock().marks_mut().targets().cloned().collect()
+    }
+
+    /// Acts on the protocol at the time now, logs the changes and publishes the view.
+    pub(super) fn update<T>(&self, act: impl FnOnce(&mut MemberProtocol, MonoTime) -> T) -> T {
+        let mut protocol = self.lock();
+        let result = act(&mut protocol, self.clock.now());
+        for change in protocol.take_changes() {
+            match change.from {
+                Some(from) => log::info!("{}: {from} to {}", change.instance, change.to),
+                None => log::info!("{}: new, {}", change.instance, change.to),
+            }
+        }
+        let view = protocol.view();
+        if view != *self.board.load() {
+            self.board.publish(view);
+        }
+        result
+    }
+
+    fn lock(&self) -> MutexGuard<'_, MemberProtocol> {
+        self.protocol
+            .lock()
+            .expect("membership lock is never poisoned")
+    }
+}
+
+/// The first incarnation number: seconds of wall-clock time, so that a restarted daemon overrules
+/// what was said about it before. A clock that was set back costs one refutation.
+fn first_incarnation() -> IncarnationNumber {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    IncarnationNumber(since_epoch.map_or(1, |span| span.as_secs().max(1)))
+}
+
+/// Metrics of membership.
+#[derive(Debug, Clone)]
+struct MemberMetrics {
+    members: IntGaugeVec,
+    events: IntCounterVec,
+    bytes: IntCounterVec,
+}
+
+impl MemberMetrics {
+    fn new(host: &PluginHost) -> Result<Self, PluginError> {
+        let set = &host.context.metrics;
+        Ok(Self {
+            members: set.gauge("members", "Daemons by state.", &["state"])?,
+            events: set.counter(
+                "membership_events_total",
+                "Probes, failed probes, suspicions and refutations.",
+                &["event"],
+            )?,
+            bytes: set.counter(
+                "membership_bytes_total",
+                "Bytes of membership messages, without framing.",
+                &["direction"],
+            )?,
+        })
+    }
+
+    fn count_bytes(&self, direction: &str, bytes: usize) {
+        self.bytes
+            .with_label_values(&[direction])
+            .inc_by(bytes as u64);
+    }
+
+    /// Brings gauges and counters up to the protocol's state.
+    fn refresh(&self, service: &MemberService) {
+        let view = service.view();
+        for state in [
+            MemberState::Alive,
+            MemberState::Suspect,
+            MemberState::Leaving,
+            MemberState::Dead,
+        ] {
+            let gauge = self.members.with_label_values(&[&*state.to_string()]);
+            gauge.set(i64::try_from(view.count(state)).unwrap_or(i64::MAX));
+        }
+        let counts = service.lock().counts();
+        for (event, total) in [
+            ("probe", counts.probes),
+            ("probe_failure", counts.failures),
+            ("suspicion", counts.suspicions),
+            ("refutation", counts.refutations),
+        ] {
+            let counter = self.events.with_label_values(&[event]);
+            counter.inc_by(total.saturating_sub(counter.get()));
+        }
+    }
+}
+
+fn install(host: &mut PluginHost) -> Result<(), PluginError> {
+    let metrics = MemberMetrics::new(host)?;
+    let period = Duration::from_millis(host.context.settings.timing.heartbeat_ms);
+    let tick_metrics = metrics.clone();
+    host.add_timer(
+        TimerSpec::new("membership", period),
+        move |context, _now| {
+            tick(&context, &tick_metrics);
+            std::future::ready(())
+        },
+    );
+    let drain_metrics = metrics.clone();
+    let context = Arc::clone(&host.context);
+    task::spawn(async move {
+        context.lifecycle.draining().await;
+        let calls = context.members.update(MemberProtocol::leave);
+        make_calls(&context, &drain_metrics, calls);
+    });
+    host.add_handler(PeerTopic::Membership, move |context, payload| {
+        let metrics = metrics.clone();
+        async move { answer(&context, &metrics, &payload).await }
+    });
+    Ok(())
+}
+
+fn tick(context: &Arc<KernelContext>, metrics: &MemberMetrics) {
+    let is_ready = context.lifecycle.phase() == DaemonPhase::Ready;
+    let calls = context.members.update(|protocol, now| {
+        let mut calls = protocol.tick(now);
+        if is_ready {
+            calls.extend(protocol.set_ready(now));
+        }
+        calls.extend(announce_listed(context, protocol, now));
+        calls
+    });
+    metrics.refresh(&context.members);
+    make_calls(context, metrics, calls);
+}
+
+/// Takes over the addresses under which the platform lists this daemon.
+fn announce_listed(
+    context: &KernelContext,
+    protocol: &mut MemberProtocol,
+    now: MonoTime,
+) -> Vec<MemberCall> {
+    let list = context.instances.load();
+    let own = |row: &&crate::platform::InstanceRow| row.instance == context.settings.instance;
+    match list.instances.iter().find(own) {
+        Some(row) => {
+            let peer_address = row.peer_address.unwrap_or(context.settings.peer_listen);
+            protocol.set_addresses(row.address, peer_address, now)
+        }
+        None => Vec::new(),
+    }
+}
+
+fn make_calls(context: &Arc<KernelContext>, metrics: &MemberMetrics, calls: Vec<MemberCall>) {
+    for call in calls {
+        task::spawn(make_call(Arc::clone(context), metrics.clone(), call));
+    }
+}
+
+async fn make_call(context: Arc<KernelContext>, metrics: MemberMetrics, call: MemberCall) {
+    let reply = exchange(&context, &metrics, &call).await;
+    let further = context
+        .members
+        .update(|protocol, now| protocol.receive_reply(call.number, reply.as_ref(), now));
+    make_calls(&context, &metrics, further);
+}
+
+async fn exchange(
+    context: &KernelContext,
+    metrics: &MemberMetrics,
+    call: &MemberCall,
+) -> Option<MemberMessage> {
+    send(context, metrics, call.address, &call.message, call.limit).await
+}
+
+async fn send(
+    context: &KernelContext,
+    metrics: &MemberMetrics,
+    address: std::net::SocketAddr,
+    message: &MemberMessage,
+    limit: Duration,
+) -> Option<MemberMessage> {
+    let payload = message.encode_to_vec();
+    metrics.count_bytes("sent", payload.len());
+    let called = context
+        .peers
+        .call(address, PeerTopic::Membership, payload, limit);
+    let reply = called.await.ok()?;
+    metrics.count_bytes("received", reply.len());
+    MemberMessage::decode(reply.as_slice()).ok()
+}
+
+/// Answers a request from another daemon; an empty reply is no acknowledgement.
+async fn answer(context: &Arc<KernelContext>, metrics: &MemberMetrics, payload: &[u8]) -> Vec<u8> {
+    metrics.count_bytes("received", payload.len());
+    let Ok(message) = MemberMessage::decode(payload) else {
+        return Vec::new();
+    };
+    let step = context
+        .members
+        .update(|protocol, now| protocol.receive_request(&message, now));
+    let reply = match step {
+        RequestStep::Ignore => return Vec::new(),
+        RequestStep::Reply(reply) => reply,
+        RequestStep::Relay {
+            address,
+            target,
+            limit,
+            message,
+        } => {
+            let answer = send(context, metrics, address, &message, limit).await;
+            context
+                .members
+                .update(|protocol, now| protocol.end_relay(&target, answer.as_ref(), now))
+        }
+    };
+    let payload = reply.encode_to_vec();
+    metrics.count_bytes("sent", payload.len());
+    payload
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -2,6 +2,7 @@
 
 use crate::check::{CheckError, CheckFault, FieldKind, FieldRule, check_document};
 use crate::ids::{DomainId, InstanceId};
+use crate::membership::{MEMBER_TABLE, MemberSettings};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -46,6 +47,9 @@
     /// Bounds on memory and request size.
     #[serde(default)]
     pub bounds: BoundSettings,
+    /// Membership, the address answer and shutdown.
+    #[serde(default)]
+    pub membership: MemberSettings,
     /// Logging.
     #[serde(default)]
     pub log: LogSettings,
@@ -103,6 +107,11 @@
 }
 
 impl TimingSettings {
+    /// Lifetime of an answer to the address question.
+    pub fn address(&self) -> Duration {
+        Duration::from_millis(self.address_ms)
+    }
+
     /// Time allowed for connecting to a target.
     pub fn connect(&self) -> Duration {
         Duration::from_millis(self.connect_ms)
@@ -220,6 +229,7 @@
     FieldRule::required("operator_token_sha256", FieldKind::Digest),
     FieldRule::optional("timing", FieldKind::Object(TIMING_TABLE)),
     FieldRule::optional("bounds", FieldKind::Object(BOUND_TABLE)),
+    FieldRule::optional("membership", FieldKind::Object(MEMBER_TABLE)),
     FieldRule::optional("log", FieldKind::Object(LOG_TABLE)),
     FieldRule::optional("traces", FieldKind::Object(TRACE_TABLE)),
 ];
