--- a/rig/src/fleet/layout.rs
+++ b/rig/src/fleet/layout.rs
@@ -2,7 +2,7 @@
 
 use crate::engine::EngineKnobs;
 use arbutusmount::{
-    ClaimSettings, FleetDeclaration, RoutingSettings, TimingSettings, digest_token,
+    ClaimSettings, FleetDeclaration, MemberSettings, RoutingSettings, TimingSettings, digest_token,
 };
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -74,6 +74,8 @@
     pub settings: serde_json::Value,
     /// Claim settings of the daemons.
     pub claims: ClaimSettings,
+    /// Membership, address answer and shutdown of the daemons.
+    pub membership: MemberSettings,
 }
 
 impl Default for FleetSpec {
@@ -94,6 +96,7 @@
             routing: RoutingSettings::default(),
             settings: serde_json::json!({}),
             claims: ClaimSettings::default(),
+            membership: MemberSettings::default(),
         }
     }
 }
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -22,8 +22,8 @@
 pub use demo::run_demo;
 pub use engine::{EngineKnobs, EngineStandIn, LedgerEntry, LinkKnobs, StreamMischief};
 pub use fleet::{
-    AGENT_TOKEN, DaemonSeat, FleetSpec, OPERATOR_TOKEN, ProcessFleet, ProcessHandle, ProgramPaths,
-    TEAM_TOKEN, free_address, sample_declaration, wait_until,
+    AGENT_TOKEN, AddressCaller, CallOutcome, DaemonSeat, FleetSpec, OPERATOR_TOKEN, ProcessFleet,
+    ProcessHandle, ProgramPaths, TEAM_TOKEN, free_address, sample_declaration, wait_until,
 };
 pub use load::{
     ArrivalKind, ArrivalSpec, ArrivalStep, EngineKind, ExperimentSpec, FaultKind, FaultSpec,
@@ -36,4 +36,4 @@
 pub use platform::{PlatformKnobs, PlatformStandIn};
 pub use proxy::{DirectionFault, FaultProxy, ProxyFaults};
 pub use service::{RunRecord, ServiceKnobs, ServiceStandIn, read_ledger};
-pub use web::{admin_get, admin_send, json_response};
+pub use web::{admin_get, admin_send, admin_text, json_response};
--- a/src/kernel/context.rs
+++ b/src/kernel/context.rs
@@ -6,6 +6,7 @@
 use crate::engine::EngineClient;
 use crate::http::ConnectionPool;
 use crate::kernel::{LifecycleCell, MonoClock, TimerService};
+use crate::membership::MemberService;
 use crate::peer::PeerTransport;
 use crate::platform::{InstanceClient, InstanceTable};
 use crate::routing::{RoutingState, TargetTable};
@@ -49,6 +50,8 @@
     pub admission: AdmissionGate,
     /// Claims on idempotency keys, once their plug-in is installed.
     pub claims: OnceLock<Arc<ClaimService>>,
+    /// The daemons as this one sees them.
+    pub members: MemberService,
     /// Phase and requests in progress.
     pub lifecycle: Arc<LifecycleCell>,
 }
@@ -83,6 +86,7 @@
             routing: RoutingState::default(),
             peers,
             claims: OnceLock::new(),
+            members: MemberService::new(&settings, clock),
             lifecycle: Arc::default(),
             pool,
             settings,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -4,6 +4,7 @@
 use crate::check::{CheckError, CheckFault, FieldKind, FieldRule, check_document};
 use crate::claims::{CLAIM_TABLE, ClaimSettings};
 use crate::ids::{DomainId, InstanceId};
+use crate::membership::{MEMBER_TABLE, MemberSettings};
 use crate::routing::{ROUTING_TABLE, RoutingSettings};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -58,6 +59,9 @@
     /// Claims on idempotency keys.
     #[serde(default)]
     pub claims: ClaimSettings,
+    /// Membership, the address answer and shutdown.
+    #[serde(default)]
+    pub membership: MemberSettings,
     /// Logging.
     #[serde(default)]
     pub log: LogSettings,
@@ -115,6 +119,11 @@
 }
 
 impl TimingSettings {
+    /// Lifetime of an answer to the address question.
+    pub fn address(&self) -> Duration {
+        Duration::from_millis(self.address_ms)
+    }
+
     /// Time allowed for connecting to a target.
     pub fn connect(&self) -> Duration {
         Duration::from_millis(self.connect_ms)
@@ -235,6 +244,7 @@
     FieldRule::optional("admission", FieldKind::Object(ADMISSION_TABLE)),
     FieldRule::optional("routing", FieldKind::Object(ROUTING_TABLE)),
     FieldRule::optional("claims", FieldKind::Object(CLAIM_TABLE)),
+    FieldRule::optional("membership", FieldKind::Object(MEMBER_TABLE)),
     FieldRule::optional("log", FieldKind::Object(LOG_TABLE)),
     FieldRule::optional("traces", FieldKind::Object(TRACE_TABLE)),
 ];
