Report several runs as a table and plots

Cause: results were JSON lines that nobody could compare.

Ruled out: drawing text by a font library; the SVG backend names the font and needs none.

--- a/rig/src/args.rs
+++ b/rig/src/args.rs
@@ -10,6 +10,7 @@
 };
 use crate::platform::{PlatformKnobs, PlatformStandIn};
 use crate::proxy::FaultProxy;
+use crate::report::{group_runs, read_summaries, render_recovery, render_runs, write_plots};
 use crate::service::{ServiceKnobs, ServiceStandIn};
 use arbutusmount::{CheckError, InstanceId};
 use async_std::net::TcpListener;
@@ -38,6 +39,7 @@
   rig load --run FILE [--daemon ADDR]... --out FILE [--requests FILE]
                                                     send one run's load and sum it up
   rig experiment FILE --out FILE                    run variants side by side
+  rig report FILE... --out DIR                      table and plots of several runs
   rig capacity core|daemons|path --out FILE         measure what a daemon costs by size
 ";
 
@@ -62,6 +64,7 @@
         Some("proxy") => run_proxy(arguments),
         Some("load") => run_load_file(arguments),
         Some("experiment") => run_experiment_file(arguments),
+        Some("report") => run_report(arguments),
         Some("capacity") => run_capacity(arguments),
         Some(other) => Err(format!("unknown subcommand {other}\n{HELP}")),
         None => {
@@ -220,3 +223,29 @@
     print!("{}", render_points(&points));
     append_lines(&out, &points)
 }
+
+fn run_report(arguments: &mut Arguments) -> Result<()> {
+    let folder: PathBuf = read_value(arguments, "--out")?;
+    let mut summaries = Vec::new();
+    while let Some(path) = arguments
+        .opt_free_from_str::<PathBuf>()
+        .map_err(|e| e.to_string())?
+    {
+        let read = read_summaries(&read_file(&path)?);
+        summaries.extend(read.map_err(|cause| format!("{}: {cause}", path.display()))?);
+    }
+    let groups = group_runs(summaries);
+    let plots = write_plots(&groups, &folder)?;
+    let mut text = render_runs(&groups);
+    let recovery = render_recovery(&groups);
+    if !recovery.is_empty() {
+        text = format!("{text}\n{recovery}");
+    }
+    print!("{text}");
+    let table = folder.join("table.md");
+    std::fs::write(&table, &text).map_err(|e| format!("{}: {e}", table.display()))?;
+    for plot in plots {
+        println!("{}", plot.display());
+    }
+    Ok(())
+}
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -10,6 +10,7 @@
 mod oracle;
 mod platform;
 mod proxy;
+mod report;
 mod service;
 mod web;
 
@@ -35,5 +36,6 @@
 pub use oracle::{OracleState, reference_answer, reference_text};
 pub use platform::{PlatformKnobs, PlatformStandIn};
 pub use proxy::{DirectionFault, FaultProxy, ProxyFaults};
+pub use report::{RunGroup, group_runs, read_summaries, render_recovery, render_runs, write_plots};
 pub use service::{RunRecord, ServiceKnobs, ServiceStandIn};
 pub use web::{admin_get, admin_send, json_response};
--- a/rig/src/load/mod.rs
+++ b/rig/src/load/mod.rs
@@ -27,6 +27,7 @@
 pub(crate) use run::find_programs;
 pub use run::{RunTarget, run_load};
 pub use spec::{EngineKind, RunMode, RunSpec, TeamLoad};
+pub(crate) use summary::TIMELINE_MICROS;
 pub use summary::{Percentiles, RunSummary, TeamSummary, jain_index};
 pub use usage::{ProcessUsage, read_usage};
 pub use workload::{PlannedRequest, RequestKind, mean_lengths, plan_workload};
--- /dev/null
+++ b/rig/src/report/mod.rs
@@ -0,0 +1,9 @@
+//! Reports of several runs: a table and plots from their summaries.
+
+mod plots;
+mod read;
+mod table;
+
+pub use plots::write_plots;
+pub use read::{RunGroup, group_runs, read_summaries};
+pub use table::{render_recovery, render_runs};
