--- a/rig/src/capacity/decisions.rs
+++ b/rig/src/capacity/decisions.rs
@@ -130,6 +130,7 @@
         author: Arc::from("capacity"),
         declaration: FleetDeclaration::parse(&declaration.to_string()).expect("valid declaration"),
         placements: make_placements(engines),
+        serving: Vec::new(),
     }
 }
 
--- a/rig/src/load/caller.rs
+++ b/rig/src/load/caller.rs
@@ -192,9 +192,9 @@
                 content: Arc::clone(prompt),
             }],
             max_tokens: Some(max_tokens),
-            max_completion_tokens: None,
             stream: true,
             seed: Some(seed),
+            ..ChatRequest::default()
         };
         self.call(address, Method::Post, "/v1/chat/completions")
             .json(&chat)
--- a/src/kernel/context.rs
+++ b/src/kernel/context.rs
@@ -1,5 +1,7 @@
 //! What all plug-ins share.
 
+use crate::admission::AdmissionGate;
+use crate::claims::ClaimService;
 use crate::config::ConfigCell;
 use crate::engine::EngineClient;
 use crate::http::ConnectionPool;
@@ -10,7 +12,7 @@
 use crate::settings::DaemonSettings;
 use crate::store::StoreClient;
 use crate::telemetry::{MetricSet, TraceSink};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 /// Shared state of one daemon. Fields are read-mostly and safe to use from any thread.
 #[derive(Debug)]
@@ -43,6 +45,10 @@
     pub routing: RoutingState,
     /// Messages to other daemons.
     pub peers: PeerTransport,
+    /// Limits, fairness and overload.
+    pub admission: AdmissionGate,
+    /// Claims on idempotency keys, once their plug-in is installed.
+    pub claims: OnceLock<Arc<ClaimService>>,
     /// Phase and requests in progress.
     pub lifecycle: Arc<LifecycleCell>,
 }
@@ -59,10 +65,14 @@
             InstanceClient::new(Arc::clone(&pool), platform.instances, timing.store());
         let engines = EngineClient::new(Arc::clone(&pool), timing.engine_head());
         let peers = PeerTransport::new(&settings.peer_key, timing.connect());
+        let metrics = MetricSet::new();
+        let ceiling = settings.bounds.requests;
+        let admission = AdmissionGate::new(clock, settings.admission.clone(), ceiling, &metrics);
         Arc::new(Self {
+            admission: admission.expect("a new registry has no metrics yet"),
             clock,
             timers: TimerService::new(clock),
-            metrics: MetricSet::new(),
+            metrics,
             traces: TraceSink::new(&settings),
             store,
             instance_client,
@@ -72,6 +82,7 @@
             targets: TargetTable::default(),
             routing: RoutingState::default(),
             peers,
+            claims: OnceLock::new(),
             lifecycle: Arc::default(),
             pool,
             settings,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! The library holds every part of the daemon; `arbutusmountd` and `arbutusmount` are thin programs
 //! around it.
 
+mod admission;
 mod api;
 mod check;
 mod claims;
@@ -22,16 +23,33 @@
 mod telemetry;
 mod units;
 
+pub use admission::{
+    AdmissionGate, AdmissionOffer, AdmissionPermit, AdmissionRequest, AdmissionSettings,
+    AdmissionStep, AdmissionTicket, BucketOutcome, ConcurrencyLimit, DemandRow, DemandShare,
+    DemandTable, FairQueue, LimitSettings, QueueSettings, TokenBucket,
+};
 pub use api::{
     AddressAnswer, AddressRow, ChatChoice, ChatMessage, ChatRequest, ChatResponse, ChatUsage,
-    ConfirmReply, IncompleteMessage, ModelStatus, PlanRequest, StatusReply,
+    ConfirmReply, IncompleteMessage, ModelStatus, PlanRequest, StatusReply, StreamOptions,
 };
 pub use check::{CheckError, CheckFault, FieldKind, FieldRule, check_document};
-pub use claims::{ClaimOutcome, ClaimRecord, ClaimRequest, ClaimTicket};
+pub use claims::{
+    AttemptState, BUCKET_COUNT, ChangeOrigin, ClaimAction, ClaimAttempt, ClaimDecision, ClaimEvent,
+    ClaimMetrics, ClaimNode, ClaimOutcome, ClaimPage, ClaimRefusal, ClaimRequest, ClaimRow,
+    ClaimService, ClaimSettings, ClaimTicket, ClaimTime, ClaimVerdict, KeptAnswer, KeyDigest,
+    MAX_PAGE_ROWS, PageChange, PageSlot, PageWriter, SHARD_COUNT, UNDATED_RETENTION_S, WINDOW_MS,
+    WINDOW_SLOTS, WriterCounts, WriterStep, choose_home,
+};
 pub use config::{
-    AcceptedConfig, AdoptOutcome, CONFIG_KEY, ConfigCell, ConfigDocument, EngineOffer,
-    FleetDeclaration, FleetPlan, ModelEntry, ModelSpec, PlacementError, PlanChange, PlanCost,
-    ServiceSpec, StagePlacement, TeamSpec, TokenDigest, digest_token, make_plan, place_models,
+    AcceptedConfig, AdoptOutcome, AdoptionState, BackoffLimits, BundleError, CONFIG_KEY,
+    CapacityChange, ChangeEntry, ConfigBundle, ConfigCell, ConfigDocument, ConfigHead,
+    ConfigNotice, ConfigPull, ConfigReply, ConfigRequest, EngineOffer, FleetDeclaration, FleetPlan,
+    MARK_KEY, ModelEntry, ModelSpec, NoticeStep, OfferOutcome, PlacementError, PlacementPlan,
+    PlanChange, PlanCost, PlanInputs, PlanVerdict, RankedRouter, RetryBackoff, RolloutSpec,
+    SectionDigest, SectionMap, ServiceSpec, ServingVersion, StagePlacement, StoreDuty, StoreStep,
+    TeamSpec, TokenDigest, WATCHERS, advance_document, check_plan, compare_documents, count_copies,
+    digest_token, extend_recent, fit_models, judge_plan, make_plan, place_models, rank_routers,
+    read_head, store_duty,
 };
 pub use engine::{
     ActivationReply, ActivationRequest, CancelRequest, ChainStage, EngineClient, EngineError,
@@ -59,23 +77,25 @@
 pub use platform::{
     InstanceClient, InstanceList, InstanceRole, InstanceRow, InstanceState, InstanceTable,
 };
-pub use reconcile::{LeaderCell, LeaderState};
+pub use reconcile::{
+    DrainTable, EngineView, LeaderCell, LeaderState, OrderPlan, PlannedOrder, plan_orders,
+};
 pub use routing::{
     AnswerEvent, AnswerStream, AttemptFailure, ChainChoice, ChainQuery, DeliveryState,
     DeliveryStep, FinalAnswer, FlightGuard, FlowWeights, GenerationRequest, GraphTable, ModelGraph,
     OwnHistory, PolicyError, PolicyName, RoutingSettings, RoutingState, StageEdge, StepRate,
-    TargetHealth, TargetLoad, TargetReservation, TargetState, TargetTable, choose_chain,
-    expected_micros, run_generation, start_generation, weigh_flows,
+    TargetHealth, TargetLoad, TargetReservation, TargetState, TargetTable, TokenMeter,
+    choose_chain, expected_micros, run_generation, start_generation, weigh_flows,
 };
 pub use settings::{
     BoundSettings, DaemonSettings, LogSettings, PlatformSettings, TimingSettings, TraceSettings,
 };
 pub use store::{
     CompareClause, EventKind, ExpectedRevision, KeyValue, LeaseGrantReply, LeaseGrantRequest,
-    LeaseKeepAliveReply, LeaseRequest, RangeReply, RangeRequest, ReplyHeader, StoreClient,
-    StoreError, StoreEvent, StoreRecord, StoreWatch, SwapOutcome, TxnOperation, TxnOperationReply,
-    TxnReply, TxnRequest, WatchCreate, WatchFrame, WatchReply, WatchRequest, WireEvent, WireInt,
-    decode_bytes, encode_bytes,
+    LeaseKeepAliveReply, LeaseRequest, RangeReply, RangeRequest, ReplyHeader, StoreBatch,
+    StoreClient, StoreError, StoreEvent, StoreRecord, StoreWatch, SwapOutcome, TxnOperation,
+    TxnOperationReply, TxnReply, TxnRequest, WatchCreate, WatchFrame, WatchReply, WatchRequest,
+    WireEvent, WireInt, decode_bytes, encode_bytes,
 };
 pub use telemetry::{
     LogError, MetricSet, SpanGuard, SpanOutcome, SpanRecord, TraceContext, TraceSink, init_logging,
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -14,7 +14,7 @@
 mod targets;
 
 pub use answer::{AnswerEvent, AnswerStream, start_generation};
-pub use attempt::{GenerationRequest, run_generation};
+pub use attempt::{GenerationRequest, TokenMeter, run_generation};
 pub use delivery::{AttemptFailure, DeliveryState, DeliveryStep, FinalAnswer};
 pub use flow::{FlowWeights, weigh_flows};
 pub use graph::{GraphTable, ModelGraph, StageEdge};
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,8 @@
 //! Daemon settings: a checked JSON file that each process reads once at start.
 
+use crate::admission::{ADMISSION_TABLE, AdmissionSettings};
 use crate::check::{CheckError, CheckFault, FieldKind, FieldRule, check_document};
+use crate::claims::{CLAIM_TABLE, ClaimSettings};
 use crate::ids::{DomainId, InstanceId};
 use crate::routing::{ROUTING_TABLE, RoutingSettings};
 use serde::{Deserialize, Serialize};
@@ -47,9 +49,15 @@
     /// Bounds on memory and request size.
     #[serde(default)]
     pub bounds: BoundSettings,
+    /// Limits, fairness and overload.
+    #[serde(default)]
+    pub admission: AdmissionSettings,
     /// Routing policy and resuming.
     #[serde(default)]
     pub routing: RoutingSettings,
+    /// Claims on idempotency keys.
+    #[serde(default)]
+    pub claims: ClaimSettings,
     /// Logging.
     #[serde(default)]
     pub log: LogSettings,
@@ -224,7 +232,9 @@
     FieldRule::required("operator_token_sha256", FieldKind::Digest),
     FieldRule::optional("timing", FieldKind::Object(TIMING_TABLE)),
     FieldRule::optional("bounds", FieldKind::Object(BOUND_TABLE)),
+    FieldRule::optional("admission", FieldKind::Object(ADMISSION_TABLE)),
     FieldRule::optional("routing", FieldKind::Object(ROUTING_TABLE)),
+    FieldRule::optional("claims", FieldKind::Object(CLAIM_TABLE)),
     FieldRule::optional("log", FieldKind::Object(LOG_TABLE)),
     FieldRule::optional("traces", FieldKind::Object(TRACE_TABLE)),
 ];
