--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -2,7 +2,7 @@
 //! `cargo bench --bench decisions` prints a table; the figures of docs/CAPACITY.md come from
 //! `rig capacity core`, which measures the same.
 
-use rig::{measure_decisions, measure_memory, render_points};
+use rig::{measure_decisions, measure_memory, measure_state, render_points};
 
 fn main() {
     // Cargo passes `--bench`, and `--test` when the benches are only to be tried.
@@ -11,5 +11,6 @@
     }
     let mut points = measure_memory();
     points.extend(measure_decisions());
+    points.extend(measure_state());
     print!("{}", render_points(&points));
 }
--- a/rig/src/capacity/decisions.rs
+++ b/rig/src/capacity/decisions.rs
@@ -33,7 +33,7 @@
 const COPIES_BYTES: usize = 48 << 20;
 
 /// Time of one operation in nanoseconds: the median of several batches.
-fn time_operation<T>(mut operation: impl FnMut() -> T) -> f64 {
+pub(super) fn time_operation<T>(mut operation: impl FnMut() -> T) -> f64 {
     let mut times = Vec::new();
     for _ in 0..BATCHES {
         let (start, mut count) = (Instant::now(), 0_u32);
@@ -110,7 +110,8 @@
     (Arc::new(entry), table)
 }
 
-fn make_document(teams: usize, engines: usize) -> ConfigDocument {
+/// A document with these numbers of teams and engines.
+pub(super) fn make_document(teams: usize, engines: usize) -> ConfigDocument {
     let team = |index: usize| {
         json!({
             "team": format!("team-{index:04}"),
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -18,7 +18,7 @@
 pub use bound::{StageRate, TokenWork, flow_bound, link_rate};
 pub use capacity::{
     CapacityPoint, LinearFit, fit_line, measure_daemons, measure_decisions, measure_memory,
-    measure_request_path, render_points,
+    measure_request_path, measure_state, render_points,
 };
 pub use demo::run_demo;
 pub use engine::{EngineKnobs, EngineStandIn, LedgerEntry, LinkKnobs};
