--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -10,6 +10,7 @@
 mod oracle;
 mod platform;
 mod proxy;
+mod report;
 mod service;
 mod web;
 
@@ -17,7 +18,7 @@
 pub use bound::{StageRate, TokenWork, flow_bound, link_rate};
 pub use capacity::{
     CapacityPoint, LinearFit, fit_line, measure_daemons, measure_decisions, measure_memory,
-    measure_request_path, render_points,
+    measure_request_path, measure_state, render_points,
 };
 pub use demo::run_demo;
 pub use engine::{EngineKnobs, EngineStandIn, LedgerEntry, LinkKnobs, StreamMischief};
@@ -35,5 +36,6 @@
 pub use oracle::{OracleState, reference_answer, reference_text};
 pub use platform::{PlatformKnobs, PlatformStandIn};
 pub use proxy::{DirectionFault, FaultProxy, ProxyFaults};
+pub use report::{RunGroup, group_runs, read_summaries, render_recovery, render_runs, write_plots};
 pub use service::{RunRecord, ServiceKnobs, ServiceStandIn, read_ledger};
 pub use web::{admin_get, admin_send, admin_text, json_response};
