--- a/rig/src/args.rs
+++ b/rig/src/args.rs
@@ -9,6 +9,7 @@
 use crate::load::{
     ExperimentSpec, RunSpec, RunSummary, RunTarget, find_programs, run_experiment, run_load,
 };
+use crate::overhead::measure_overhead;
 use crate::platform::{PlatformKnobs, PlatformStandIn};
 use crate::proxy::FaultProxy;
 use crate::report::{group_runs, read_summaries, render_recovery, render_runs, write_plots};
@@ -41,6 +42,7 @@
                                                     send one run's load and sum it up
   rig experiment FILE --out FILE                    run variants side by side
   rig report FILE... --out DIR                      table and plots of several runs
+  rig overhead                                      measure what the daemon adds to a request
   rig capacity core|daemons|path --out FILE         measure what a daemon costs by size
 ";
 
@@ -66,6 +68,7 @@
         Some("load") => run_load_file(arguments),
         Some("experiment") => run_experiment_file(arguments),
         Some("report") => run_report(arguments),
+        Some("overhead") => run_overhead(),
         Some("capacity") => run_capacity(arguments),
         Some(other) => Err(format!("unknown subcommand {other}\n{HELP}")),
         None => {
@@ -113,6 +116,11 @@
     })
 }
 
+fn run_overhead() -> Result<()> {
+    let programs = find_programs().ok_or("arbutusmountd is not beside this program")?;
+    task::block_on(measure_overhead(programs))
+}
+
 fn run_service(arguments: &mut Arguments) -> Result<()> {
     let listen: SocketAddr = read_value(arguments, "--listen")?;
     let ledger: Option<PathBuf> = arguments
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod load;
 mod oracle;
+mod overhead;
 mod platform;
 mod proxy;
 mod report;
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -4,7 +4,9 @@
 
 use arbutusmount::{OperatorClient, OperatorError};
 use async_std::task;
-use rig::{AGENT_TOKEN, EngineKnobs, FleetSpec, ProcessFleet, TEAM_TOKEN, reference_text};
+use rig::{
+    AGENT_TOKEN, EngineKnobs, FleetSpec, ProcessFleet, TEAM_TOKEN, read_usage, reference_text,
+};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -70,17 +72,7 @@
 }
 
 fn resident_kib(fleet: &ProcessFleet, daemon: usize) -> u64 {
-    let path = format!("/proc/{}/status", fleet.daemons[daemon].process.id());
-    let status = std::fs::read_to_string(path).expect("the daemon runs");
-    let line = status
-        .lines()
-        .find(|line| line.starts_with("VmRSS:"))
-        .expect("it has memory");
-    let number = line
-        .split_whitespace()
-        .nth(1)
-        .expect("the line has a number");
-    number.parse().expect("it is a number")
+    read_usage(fleet.daemons[daemon].process.id()).resident_kib
 }
 
 async fn flood(daemons: Vec<SocketAddr>, caller: u64, stop: Arc<AtomicBool>) -> Vec<CallEnd> {
