Measure claims, and shed load where the store or the queue is behind

Ruled out: one transaction over several pages (a conflict on one page fails all of them).

Change: 64 pages for undated keys, 1.5 s for a home to answer, and a writer that refuses at once while the store fails or the oldest waiting change is over a second old.

--- a/rig/src/args.rs
+++ b/rig/src/args.rs
@@ -1,5 +1,6 @@
 //! Arguments and subcommands of the program.
 
+use crate::claims_bench::{ClaimBench, run_claims_bench};
 use crate::demo::run_demo;
 use crate::engine::{EngineKnobs, EngineStandIn};
 use crate::platform::{PlatformKnobs, PlatformStandIn};
@@ -13,6 +14,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 /// Result of a subcommand; the error is shown to the person who gave it.
 type Result<T> = std::result::Result<T, String>;
@@ -26,6 +28,8 @@
   rig service --listen ADDR [--ledger FILE] [--knobs JSON]
   rig platform --listen ADDR [--knobs JSON]
   rig proxy --listen ADDR --target ADDR
+  rig claims-bench [--rates N,N] [--daemons N] [--seconds N] [--writes N]
+                   [--delay MS] [--spacing MS] [--seed N]
 ";
 
 /// Runs the program.
@@ -43,6 +47,7 @@
     let name = arguments.subcommand().map_err(|e| e.to_string())?;
     match name.as_deref() {
         Some("demo") => task::block_on(run_demo()),
+        Some("claims-bench") => bench_claims(arguments),
         Some("engine") => run_engine(arguments),
         Some("service") => run_service(arguments),
         Some("platform") => run_platform(arguments),
@@ -71,6 +76,35 @@
     })
 }
 
+fn read_or<T: std::str::FromStr>(
+    arguments: &mut Arguments,
+    name: &'static str,
+    default: T,
+) -> Result<T>
+where
+    T::Err: std::fmt::Display,
+{
+    let given = arguments.opt_value_from_str(name);
+    given
+        .map(|value| value.unwrap_or(default))
+        .map_err(|e| e.to_string())
+}
+
+fn bench_claims(arguments: &mut Arguments) -> Result<()> {
+    let rates: String = read_or(arguments, "--rates", "10,100,500,2000".to_owned())?;
+    let rates: std::result::Result<Vec<u32>, _> = rates.split(',').map(str::parse).collect();
+    let bench = ClaimBench {
+        daemons: read_or(arguments, "--daemons", 8)?,
+        rates: rates.map_err(|e| format!("--rates: {e}"))?,
+        span: Duration::from_secs(read_or(arguments, "--seconds", 10)?),
+        writes_per_second: read_or(arguments, "--writes", 300)?,
+        delay_ms: read_or(arguments, "--delay", 3)?,
+        spacing_ms: read_or(arguments, "--spacing", 80)?,
+        seed: read_or(arguments, "--seed", 1)?,
+    };
+    task::block_on(run_claims_bench(bench))
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(address)
         .await
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for the systems around arbutusmount, a fault-injecting proxy, a load tool and a demo.
 
 mod args;
+mod claims_bench;
 mod demo;
 mod engine;
 mod fleet;
@@ -11,6 +12,7 @@
 mod web;
 
 pub use args::run_program;
+pub use claims_bench::{ClaimBench, run_claims_bench};
 pub use demo::run_demo;
 pub use engine::{EngineKnobs, EngineStandIn, LedgerEntry};
 pub use fleet::{
--- a/src/claims/key.rs
+++ b/src/claims/key.rs
@@ -8,7 +8,7 @@
 /// Number of shards; each has one home daemon at a time.
 pub const SHARD_COUNT: usize = 16;
 /// Pages for keys without a time; a multiple of [`SHARD_COUNT`].
-pub const BUCKET_COUNT: u16 = 128;
+pub const BUCKET_COUNT: u16 = 64;
 /// Length of the window of key times that share a page, in milliseconds.
 pub const WINDOW_MS: u64 = 10_000;
 /// Windows whose pages exist at once; a page is reused after this many windows.
--- a/src/claims/node.rs
+++ b/src/claims/node.rs
@@ -25,7 +25,7 @@
 /// Releases that may wait at once; later ones are left to retries, which ask the owner.
 const MAX_RELEASES: usize = 4_096;
 /// Time for which a home that did not answer is passed over.
-const SUSPECT_PAUSE: Duration = Duration::from_secs(2);
+const SUSPECT_PAUSE: Duration = Duration::from_secs(10);
 /// Earlier attempts that one call may replace.
 const MAX_ROUNDS: u32 = 3;
 /// Tries to release a claim.
--- a/src/claims/settings.rs
+++ b/src/claims/settings.rs
@@ -28,7 +28,7 @@
         Self {
             write_spacing_ms: 80,
             claim_ms: 2_500,
-            peer_ms: 600,
+            peer_ms: 1_500,
             dispatch_ms: 5_000,
             service_ms: 10_000,
             forward: true,
--- a/src/claims/writer.rs
+++ b/src/claims/writer.rs
@@ -14,8 +14,10 @@
 const MAX_TRIES: u32 = 6;
 /// Tries of one batch that the store failed to answer or refused.
 const MAX_FAILED_TRIES: u32 = 2;
-/// Time without tries after the store failed; changes are refused at once meanwhile.
+/// Time without tries after the store failed.
 const DOWN_PAUSE: Duration = Duration::from_millis(500);
+/// Age of the oldest waiting change from which on further ones are refused.
+const MAX_QUEUE_WAIT: Duration = Duration::from_secs(1);
 
 /// Time as the claim protocol sees it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -93,6 +95,7 @@
 struct QueuedChange {
     origin: ChangeOrigin,
     change: PageChange,
+    since: MonoTime,
 }
 
 /// A page that was sent to the store, and what it means for the batch once it has taken effect.
@@ -124,6 +127,8 @@
     cache: PageCache,
     flight: Option<PageFlight>,
     next_write: MonoTime,
+    /// The store's last answer was a failure.
+    is_failing: bool,
     down_until: MonoTime,
     counts: WriterCounts,
 }
@@ -138,6 +143,7 @@
             cache: PageCache::default(),
             flight: None,
             next_write: MonoTime::default(),
+            is_failing: false,
             down_until: MonoTime::default(),
             counts: WriterCounts::default(),
         }
@@ -153,19 +159,31 @@
         self.cache.rows()
     }
 
-    /// Queues a change; its verdict comes from a later [`PageWriter::poll`].
+    /// Queues a change; its verdict comes from a later [`PageWriter::poll`]. While the store fails,
+    /// one batch at a time tries it, and further changes are refused at once.
     pub fn submit(&mut self, origin: ChangeOrigin, change: PageChange, now: ClaimTime) {
-        let verdict = if now.mono < self.down_until {
+        let is_passed_over = self.flight.is_some() || now.mono < self.down_until;
+        let verdict = if self.is_failing && is_passed_over {
             self.answer_from_cache(&change)
-        } else if self.queue.len() >= MAX_QUEUED {
+        } else if self.is_overloaded(now) {
             ClaimVerdict::Overloaded
         } else {
-            self.queue.push_back(QueuedChange { origin, change });
+            self.queue.push_back(QueuedChange {
+                origin,
+                change,
+                since: now.mono,
+            });
             return;
         };
         self.answers.push((origin, verdict));
     }
 
+    fn is_overloaded(&self, now: ClaimTime) -> bool {
+        let oldest = self.queue.front();
+        self.queue.len() >= MAX_QUEUED
+            || oldest.is_some_and(|oldest| now.mono.since(oldest.since) > MAX_QUEUE_WAIT)
+    }
+
     /// When polling will next lead to a step by itself; `None` when only an event will.
     pub fn wait_until(&self) -> Option<MonoTime> {
         match &self.flight {
@@ -270,6 +288,7 @@
         match outcome {
             Err(_cause) => self.fail_flight(now, rng),
             Ok(present) => {
+                self.is_failing = false;
                 if self.learn(present.as_ref()) {
                     self.retry_flight(now.mono);
                 } else {
@@ -286,6 +305,7 @@
         now: ClaimTime,
         rng: &mut fastrand::Rng,
     ) {
+        self.is_failing = outcome.is_err();
         match outcome {
             Err(_cause) => self.fail_flight(now, rng),
             Ok(SwapOutcome::Swapped(revision)) => self.commit_flight(revision),
@@ -345,6 +365,7 @@
     /// page shows it; if not, it never will once this one has taken effect.
     fn fail_flight(&mut self, now: ClaimTime, rng: &mut fastrand::Rng) {
         self.counts.failures += 1;
+        self.is_failing = true;
         let Some(flight) = &mut self.flight else {
             return;
         };
