--- a/rig/src/fleet/layout.rs
+++ b/rig/src/fleet/layout.rs
@@ -1,7 +1,9 @@
 //! What a fleet consists of.
 
 use crate::engine::EngineKnobs;
-use arbutusmount::{ClaimSettings, FleetDeclaration, TimingSettings, digest_token};
+use arbutusmount::{
+    ClaimSettings, FleetDeclaration, RoutingSettings, TimingSettings, digest_token,
+};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -66,6 +68,10 @@
     pub domains: Vec<&'static str>,
     /// Timeouts and periods of the daemons.
     pub timing: TimingSettings,
+    /// Routing settings of the daemons.
+    pub routing: RoutingSettings,
+    /// Further settings of the daemons: top-level fields that replace those made here.
+    pub settings: serde_json::Value,
     /// Claim settings of the daemons.
     pub claims: ClaimSettings,
 }
@@ -85,6 +91,8 @@
             services: 1,
             domains: vec!["bangna", "lat-krabang", "rangsit"],
             timing,
+            routing: RoutingSettings::default(),
+            settings: serde_json::json!({}),
             claims: ClaimSettings::default(),
         }
     }
--- a/rig/src/fleet/running.rs
+++ b/rig/src/fleet/running.rs
@@ -191,7 +191,7 @@
     }
 
     fn start_daemon(&self, name: &str, domain: &str, seat: DaemonSeat) -> ProcessHandle {
-        let settings = serde_json::json!({
+        let mut settings = serde_json::json!({
             "instance": name,
             "failure_domain": domain,
             "listen": seat.listen,
@@ -200,9 +200,13 @@
             "peer_key": PEER_KEY,
             "operator_token_sha256": digest_token(OPERATOR_TOKEN).to_string(),
             "timing": self.spec.timing,
+            "routing": self.spec.routing,
             "claims": self.spec.claims,
             "log": { "level": "debug" },
         });
+        for (field, value) in self.spec.settings.as_object().into_iter().flatten() {
+            settings[field] = value.clone();
+        }
         let path = self.folder.join(format!("{name}.json"));
         std::fs::write(&path, settings.to_string()).expect("the fleet's folder is writable");
         let arguments = ["--settings".to_owned(), path.display().to_string()];
