--- a/src/claims/metrics.rs
+++ b/src/claims/metrics.rs
@@ -1,7 +1,7 @@
 //! Metrics of the claim protocol.
 
-use crate::claims::node::ClaimDecision;
-use crate::claims::writer::WriterCounts;
+use crate::claims::event::ClaimDecision;
+use crate::claims::step::WriterCounts;
 use crate::telemetry::MetricSet;
 use prometheus::{HistogramVec, IntCounterVec, IntGaugeVec};
 
--- a/src/claims/mod.rs
+++ b/src/claims/mod.rs
@@ -3,28 +3,33 @@
 
 mod attempts;
 mod cache;
+mod event;
 mod home;
 mod key;
 mod metrics;
 mod node;
+mod operation;
 mod page;
 mod plugin;
 mod refusal;
 mod service;
 mod settings;
+mod step;
 mod wire;
 mod writer;
 
 pub use attempts::{AttemptState, KeptAnswer};
+pub use event::{ClaimAction, ClaimDecision, ClaimEvent};
 pub use home::choose_home;
 pub use key::{
     BUCKET_COUNT, ClaimAttempt, ClaimRequest, KeyDigest, PageSlot, SHARD_COUNT,
     UNDATED_RETENTION_S, WINDOW_MS, WINDOW_SLOTS,
 };
 pub use metrics::ClaimMetrics;
-pub use node::{ClaimAction, ClaimDecision, ClaimEvent, ClaimNode};
+pub use node::ClaimNode;
 pub use page::{ClaimPage, ClaimRow, ClaimVerdict, MAX_PAGE_ROWS, PageChange};
 pub use refusal::ClaimRefusal;
 pub use service::{ClaimOutcome, ClaimService, ClaimTicket};
 pub use settings::{CLAIM_TABLE, ClaimSettings};
-pub use writer::{ChangeOrigin, ClaimTime, PageWriter, WriterCounts, WriterStep};
+pub use step::{ChangeOrigin, ClaimTime, WriterCounts, WriterStep};
+pub use writer::PageWriter;
--- a/src/claims/node.rs
+++ b/src/claims/node/mod.rs
@@ -4,21 +4,23 @@
 //! the home does not answer. Whoever writes, only a compare-and-swap on the page grants the claim,
 //! so that a wrong choice of home costs time and never lets a call run twice.
 
-use crate::claims::attempts::{AttemptState, AttemptTable, KeptAnswer};
+mod timers;
+
+use crate::claims::attempts::{AttemptState, AttemptTable};
+use crate::claims::event::{ClaimAction, ClaimDecision, ClaimEvent};
 use crate::claims::home::choose_home;
-use crate::claims::key::{
-    AHEAD_WINDOWS, ClaimAttempt, ClaimRequest, PageSlot, RETAINED_WINDOWS, SHARD_COUNT, WINDOW_MS,
-};
+use crate::claims::key::{ClaimAttempt, ClaimRequest, SHARD_COUNT};
+use crate::claims::operation::{Operation, PendingClaim, check_age, explain_state};
 use crate::claims::page::{ClaimRow, ClaimVerdict, PageChange};
 use crate::claims::refusal::ClaimRefusal;
 use crate::claims::settings::ClaimSettings;
-use crate::claims::writer::{ChangeOrigin, ClaimTime, PageWriter, WriterCounts, WriterStep};
+use crate::claims::step::{ChangeOrigin, ClaimTime, WriterCounts, WriterStep};
+use crate::claims::writer::PageWriter;
 use crate::ids::InstanceId;
-use crate::store::{ExpectedRevision, StoreError, StoreRecord, SwapOutcome};
 use crate::units::MonoTime;
 use std::collections::{BTreeSet, HashMap};
-use std::sync::Arc;
 use std::time::Duration;
+use timers::RELEASE_PAUSE;
 
 /// Calls that may wait for their claims at once.
 pub const MAX_WAITING: usize = 4_096;
@@ -28,162 +30,6 @@
 const SUSPECT_PAUSE: Duration = Duration::from_secs(10);
 /// Earlier attempts that one call may replace.
 const MAX_ROUNDS: u32 = 3;
-/// Tries to release a claim.
-const MAX_RELEASE_TRIES: u32 = 8;
-/// Pause before the first repetition of a release; doubles with each.
-const RELEASE_PAUSE: Duration = Duration::from_millis(500);
-/// Timers fire at multiples of this, in microseconds, so that many share one wake-up.
-const TIMER_STEP_US: u64 = 20_000;
-
-/// What happens to the node.
-#[derive(Debug, Clone)]
-pub enum ClaimEvent {
-    /// A caller wants to run a call.
-    Call {
-        /// Claim that it needs.
-        claim: ClaimRequest,
-        /// New attempt.
-        attempt: ClaimAttempt,
-    },
-    /// A dispatched attempt has ended.
-    Ended {
-        /// Claim made.
-        claim: ClaimRequest,
-        /// Attempt.
-        attempt: ClaimAttempt,
-        /// How it ended.
-        end: AttemptState,
-    },
-    /// The home answered [`ClaimAction::AskHome`], or did not.
-    HomeAnswered {
-        /// Operation.
-        operation: u64,
-        /// Verdict; `None` when there was no answer.
-        verdict: Option<ClaimVerdict>,
-    },
-    /// The owner answered [`ClaimAction::AskOwner`], or did not.
-    OwnerAnswered {
-        /// Operation.
-        operation: u64,
-        /// State of the attempt asked for; `None` when there was no answer.
-        state: Option<AttemptState>,
-    },
-    /// Another daemon wants a change written.
-    PeerChange {
-        /// Number to answer under.
-        ticket: u64,
-        /// Change.
-        change: PageChange,
-    },
-    /// The store answered [`ClaimAction::ReadPage`].
-    PageRead {
-        /// Shard whose writer asked.
-        shard: usize,
-        /// Page, if there is one.
-        outcome: Result<Option<StoreRecord>, StoreError>,
-    },
-    /// The store answered [`ClaimAction::SwapPage`].
-    PageSwapped {
-        /// Shard whose writer asked.
-        shard: usize,
-        /// Outcome.
-        outcome: Result<SwapOutcome, StoreError>,
-    },
-    /// Time has passed.
-    Tick,
-}
-
-/// What the node wants done.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum ClaimAction {
-    /// Ask a daemon to write a change.
-    AskHome {
-        /// Operation to answer under.
-        operation: u64,
-        /// Daemon.
-        home: InstanceId,
-        /// Change.
-        change: PageChange,
-    },
-    /// Ask a daemon what became of an attempt of its own.
-    AskOwner {
-        /// Operation to answer under.
-        operation: u64,
-        /// Daemon.
-        owner: InstanceId,
-        /// Attempt.
-        asked: ClaimAttempt,
-    },
-    /// Answer a change of another daemon.
-    AnswerPeer {
-        /// Number of the change.
-        ticket: u64,
-        /// Verdict.
-        verdict: ClaimVerdict,
-    },
-    /// Read a page.
-    ReadPage {
-        /// Shard.
-        shard: usize,
-        /// Page.
-        slot: PageSlot,
-    },
-    /// Write a page by compare-and-swap.
-    SwapPage {
-        /// Shard.
-        shard: usize,
-        /// Page.
-        slot: PageSlot,
-        /// Revision expected.
-        expected: ExpectedRevision,
-        /// New value.
-        value: Vec<u8>,
-    },
-    /// Tell the caller what to do.
-    Decide {
-        /// Attempt.
-        attempt: ClaimAttempt,
-        /// Decision.
-        decision: ClaimDecision,
-    },
-}
-
-/// What an attempt may do.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum ClaimDecision {
-    /// Dispatch the call, once and soon.
-    Dispatch,
-    /// Give the caller the answer of the earlier attempt.
-    Repeat(Arc<KeptAnswer>),
-    /// Refuse the call.
-    Refuse(ClaimRefusal),
-}
-
-/// An operation under way.
-#[derive(Debug)]
-enum Operation {
-    Claim(PendingClaim),
-    Release(PendingRelease),
-}
-
-#[derive(Debug)]
-struct PendingClaim {
-    claim: ClaimRequest,
-    attempt: ClaimAttempt,
-    supersedes: Option<ClaimAttempt>,
-    rounds: u32,
-    at_self: bool,
-    /// Claim of an earlier attempt, whose owner is being asked what became of it.
-    asked: Option<ClaimRow>,
-    deadline: MonoTime,
-}
-
-#[derive(Debug)]
-struct PendingRelease {
-    claim: ClaimRequest,
-    attempt: ClaimAttempt,
-    tries: u32,
-}
 
 /// Claim protocol of one daemon.
 #[derive(Debug)]
@@ -510,88 +356,6 @@
         }
     }
 
-    fn end_attempt(
-        &mut self,
-        claim: ClaimRequest,
-        attempt: ClaimAttempt,
-        end: AttemptState,
-        now: ClaimTime,
-    ) {
-        let has_not_run = end == AttemptState::NotRun;
-        self.attempts.finish(attempt, end);
-        if has_not_run && self.attempts.report(attempt) == AttemptState::NotRun {
-            self.add_release(claim, attempt, now.mono);
-        }
-    }
-
-    fn add_release(&mut self, claim: ClaimRequest, attempt: ClaimAttempt, at: MonoTime) {
-        if self.operations.len() >= MAX_WAITING + MAX_RELEASES {
-            return;
-        }
-        let operation = self.next_operation();
-        let pending = PendingRelease {
-            claim,
-            attempt,
-            tries: 0,
-        };
-        self.add_timer(operation, at);
-        self.operations
-            .insert(operation, Operation::Release(pending));
-    }
-
-    fn delay_release(&mut self, operation: u64, pending: PendingRelease, now: ClaimTime) {
-        if pending.tries < MAX_RELEASE_TRIES {
-            let pause = RELEASE_PAUSE * 2_u32.pow(pending.tries);
-            self.add_timer(operation, now.mono.after(pause));
-            self.operations
-                .insert(operation, Operation::Release(pending));
-        }
-    }
-
-    /// Has `operation` looked at again at a time; later by up to [`TIMER_STEP_US`].
-    fn add_timer(&mut self, operation: u64, at: MonoTime) {
-        let at = MonoTime(at.0.next_multiple_of(TIMER_STEP_US));
-        self.timers.insert((at, operation));
-    }
-
-    fn run_timers(&mut self, now: ClaimTime) {
-        while let Some((at, operation)) = self.timers.first().copied() {
-            if at > now.mono {
-                break;
-            }
-            self.timers.pop_first();
-            match self.operations.get(&operation) {
-                Some(Operation::Claim(pending)) if pending.deadline <= now.mono => {
-                    self.expire_claim(operation, now);
-                }
-                Some(Operation::Claim(pending)) => self.add_timer(operation, pending.deadline),
-                Some(Operation::Release(_)) => self.send_release(operation, now),
-                None => {}
-            }
-        }
-    }
-
-    fn send_release(&mut self, operation: u64, now: ClaimTime) {
-        if let Some(Operation::Release(pending)) = self.operations.get_mut(&operation) {
-            pending.tries += 1;
-            let (claim, attempt) = (pending.claim, pending.attempt);
-            let home = self.route(&claim, now);
-            let change = PageChange::Release { claim, attempt };
-            self.send_change(operation, change, home, now);
-        }
-    }
-
-    fn expire_claim(&mut self, operation: u64, now: ClaimTime) {
-        if let Some(Operation::Claim(pending)) = self.operations.remove(&operation) {
-            let refusal = if pending.asked.is_some() {
-                ClaimRefusal::OutcomeUnknown
-            } else {
-                ClaimRefusal::StoreDown
-            };
-            self.refuse(&pending, refusal, now);
-        }
-    }
-
     fn run_writers(&mut self, now: ClaimTime) {
         for shard in 0..self.writers.len() {
             loop {
@@ -645,28 +409,3 @@
         self.actions.push(ClaimAction::Decide { attempt, decision });
     }
 }
-
-/// The decision on a call whose key an earlier attempt holds; `None` when that never runs.
-fn explain_state(state: AttemptState) -> Option<ClaimDecision> {
-    let refusal = match state {
-        AttemptState::NotRun => return None,
-        AttemptState::Completed(Some(answer)) => return Some(ClaimDecision::Repeat(answer)),
-        AttemptState::Completed(None) => ClaimRefusal::AnswerNotKept,
-        AttemptState::Waiting | AttemptState::Running => ClaimRefusal::InProgress,
-        AttemptState::Unknown => ClaimRefusal::OutcomeUnknown,
-    };
-    Some(ClaimDecision::Refuse(refusal))
-}
-
-/// Refuses keys whose page may be reused, now or on a daemon with a faster clock.
-fn check_age(claim: &ClaimRequest, now: ClaimTime) -> Option<ClaimRefusal> {
-    let window = claim.window?;
-    let current = now.unix_ms / WINDOW_MS;
-    if window > current + AHEAD_WINDOWS {
-        Some(ClaimRefusal::KeyAhead)
-    } else if window + RETAINED_WINDOWS < current {
-        Some(ClaimRefusal::KeyTooOld)
-    } else {
-        None
-    }
-}
--- /dev/null
+++ b/src/claims/node/timers.rs
@@ -0,0 +1,107 @@
+//! Timers of the claim protocol: claims that run out of time, and claims given up.
+
+use crate::claims::attempts::AttemptState;
+use crate::claims::key::{ClaimAttempt, ClaimRequest};
+use crate::claims::node::{ClaimNode, MAX_RELEASES, MAX_WAITING};
+use crate::claims::operation::{Operation, PendingRelease};
+use crate::claims::page::PageChange;
+use crate::claims::refusal::ClaimRefusal;
+use crate::claims::step::ClaimTime;
+use crate::units::MonoTime;
+use std::time::Duration;
+
+/// Tries to release a claim.
+const MAX_RELEASE_TRIES: u32 = 8;
+/// Pause before the first repetition of a release; doubles with each.
+pub(super) const RELEASE_PAUSE: Duration = Duration::from_millis(500);
+/// Timers fire at multiples of this, in microseconds, so that many share one wake-up.
+const TIMER_STEP_US: u64 = 20_000;
+
+impl ClaimNode {
+    pub(super) fn end_attempt(
+        &mut self,
+        claim: ClaimRequest,
+        attempt: ClaimAttempt,
+        end: AttemptState,
+        now: ClaimTime,
+    ) {
+        let has_not_run = end == AttemptState::NotRun;
+        self.attempts.finish(attempt, end);
+        if has_not_run && self.attempts.report(attempt) == AttemptState::NotRun {
+            self.add_release(claim, attempt, now.mono);
+        }
+    }
+
+    pub(super) fn add_release(&mut self, claim: ClaimRequest, attempt: ClaimAttempt, at: MonoTime) {
+        if self.operations.len() >= MAX_WAITING + MAX_RELEASES {
+            return;
+        }
+        let operation = self.next_operation();
+        let pending = PendingRelease {
+            claim,
+            attempt,
+            tries: 0,
+        };
+        self.add_timer(operation, at);
+        self.operations
+            .insert(operation, Operation::Release(pending));
+    }
+
+    pub(super) fn delay_release(
+        &mut self,
+        operation: u64,
+        pending: PendingRelease,
+        now: ClaimTime,
+    ) {
+        if pending.tries < MAX_RELEASE_TRIES {
+            let pause = RELEASE_PAUSE * 2_u32.pow(pending.tries);
+            self.add_timer(operation, now.mono.after(pause));
+            self.operations
+                .insert(operation, Operation::Release(pending));
+        }
+    }
+
+    /// Has `operation` looked at again at a time; later by up to [`TIMER_STEP_US`].
+    pub(super) fn add_timer(&mut self, operation: u64, at: MonoTime) {
+        let at = MonoTime(at.0.next_multiple_of(TIMER_STEP_US));
+        self.timers.insert((at, operation));
+    }
+
+    pub(super) fn run_timers(&mut self, now: ClaimTime) {
+        while let Some((at, operation)) = self.timers.first().copied() {
+            if at > now.mono {
+                break;
+            }
+            self.timers.pop_first();
+            match self.operations.get(&operation) {
+                Some(Operation::Claim(pending)) if pending.deadline <= now.mono => {
+                    self.expire_claim(operation, now);
+                }
+                Some(Operation::Claim(pending)) => self.add_timer(operation, pending.deadline),
+                Some(Operation::Release(_)) => self.send_release(operation, now),
+                None => {}
+            }
+        }
+    }
+
+    fn send_release(&mut self, operation: u64, now: ClaimTime) {
+        if let Some(Operation::Release(pending)) = self.operations.get_mut(&operation) {
+            pending.tries += 1;
+            let (claim, attempt) = (pending.claim, pending.attempt);
+            let home = self.route(&claim, now);
+            let change = PageChange::Release { claim, attempt };
+            self.send_change(operation, change, home, now);
+        }
+    }
+
+    fn expire_claim(&mut self, operation: u64, now: ClaimTime) {
+        if let Some(Operation::Claim(pending)) = self.operations.remove(&operation) {
+            let refusal = if pending.asked.is_some() {
+                ClaimRefusal::OutcomeUnknown
+            } else {
+                ClaimRefusal::StoreDown
+            };
+            self.refuse(&pending, refusal, now);
+        }
+    }
+}
--- a/src/claims/service.rs
+++ b/src/claims/service.rs
@@ -1,16 +1,17 @@
 //! Runs the claim protocol of a daemon: carries out what the state machine wants done.
 
 use crate::claims::attempts::{AttemptState, KeptAnswer};
+use crate::claims::event::{ClaimAction, ClaimDecision, ClaimEvent};
 use crate::claims::key::{ClaimAttempt, ClaimRequest};
 use crate::claims::metrics::ClaimMetrics;
-use crate::claims::node::{ClaimAction, ClaimDecision, ClaimEvent, ClaimNode};
+use crate::claims::node::ClaimNode;
 use crate::claims::page::ClaimVerdict;
 use crate::claims::refusal::ClaimRefusal;
+use crate::claims::step::ClaimTime;
 use crate::claims::wire::{
     PeerQuestion, decode_question, decode_state, decode_verdict, encode_question, encode_state,
     encode_verdict,
 };
-use crate::claims::writer::ClaimTime;
 use crate::ids::InstanceId;
 use crate::kernel::KernelContext;
 use crate::peer::PeerTopic;
@@ -212,7 +213,7 @@
             let service = Arc::clone(self);
             task::spawn(async move {
                 task::sleep(wake.since(now.mono)).await;
-                service.lock().armed = None;
+                service.lock().disarm(wake);
                 service.handle(ClaimEvent::Tick);
             });
         }
@@ -299,6 +300,13 @@
         self.armed = Some(wake);
         Some(wake)
     }
+
+    /// Notes that a wake-up has come; one that an earlier one has overtaken changes nothing.
+    fn disarm(&mut self, wake: MonoTime) {
+        if self.armed == Some(wake) {
+            self.armed = None;
+        }
+    }
 }
 
 fn deliver<T>(sender: &Sender<T>, value: T) {
--- a/tests/claim_schedules.rs
+++ b/tests/claim_schedules.rs
@@ -2,7 +2,7 @@
 //! that crash and start again at any step, writes that take effect without a reply, stale reads,
 //! daemons that disagree on the home, and a clock that is two hours ahead.
 
-#[path = "support/claim_sim.rs"]
+#[path = "support/claim_sim/mod.rs"]
 mod claim_sim;
 
 use claim_sim::{ClaimSim, SimCounts};
--- a/tests/support/claim_sim.rs
+++ b/tests/support/claim_sim/mod.rs
@@ -1,80 +1,27 @@
 //! Simulates daemons that claim keys, their store and a target, under a schedule of choices.
 
+mod schedule;
+mod transit;
+
 use arbutusmount::{
     AttemptState, ClaimAction, ClaimAttempt, ClaimDecision, ClaimEvent, ClaimNode, ClaimPage,
     ClaimRequest, ClaimSettings, ClaimTime, ExpectedRevision, InstanceId, KeptAnswer, KeyDigest,
-    MonoTime, PageChange, PageSlot, RunOutcome, StoreError, StoreRecord, SwapOutcome, WINDOW_MS,
-    WINDOW_SLOTS,
+    MonoTime, PageSlot, RunOutcome, StoreError, StoreRecord, SwapOutcome, WINDOW_MS, WINDOW_SLOTS,
 };
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 
+pub use schedule::SimCounts;
+use schedule::{ChoiceSource, FIRST_WINDOW, make_keys};
+use transit::{PageWrite, Seat, Transit, lose_event, make_record};
+
 /// Daemons.
 const NODES: usize = 3;
 /// Microseconds by which time advances in one step.
 const TIME_STEP_US: u64 = 150_000;
-/// Window of the first dated keys.
-const FIRST_WINDOW: u64 = 100_000;
 /// Steps without faults after which nothing may wait any more.
 const SETTLE_STEPS: usize = 2_000;
 
-/// Choices of a schedule; zeros once they are used up.
-pub struct ChoiceSource {
-    choices: std::vec::IntoIter<u16>,
-}
-
-impl ChoiceSource {
-    pub fn new(choices: Vec<u16>) -> Self {
-        Self {
-            choices: choices.into_iter(),
-        }
-    }
-
-    fn is_empty(&self) -> bool {
-        self.choices.len() == 0
-    }
-
-    fn pick(&mut self, count: usize) -> usize {
-        usize::from(self.choices.next().unwrap_or(0)) % count.max(1)
-    }
-}
-
-/// A daemon in one life of its process.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Seat {
-    node: usize,
-    epoch: u32,
-}
-
-/// A compare-and-swap of a page.
-#[derive(Debug, Clone)]
-struct PageWrite {
-    slot: PageSlot,
-    expected: ExpectedRevision,
-    value: Vec<u8>,
-}
-
-/// Something under way.
-#[derive(Debug, Clone)]
-enum Transit {
-    /// A reply on its way to a daemon.
-    Event(Seat, ClaimEvent),
-    /// A read for a shard.
-    Read(Seat, usize, PageSlot),
-    /// A write for a shard.
-    Swap(Seat, usize, PageWrite),
-    /// A write whose sender has stopped waiting for it.
-    LateSwap(PageWrite),
-    /// A change for a home, under the sender's operation.
-    ToHome(Seat, u64, usize, PageChange),
-    /// A question to an owner, under the sender's operation.
-    ToOwner(Seat, u64, usize, ClaimAttempt),
-    /// A call that its daemon may send to the target.
-    Dispatch(Seat, ClaimAttempt),
-    /// A call that the target has received.
-    Run(ClaimAttempt),
-}
-
 /// What a caller was told.
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum Answer {
@@ -104,34 +51,6 @@
     last_ticket: u64,
 }
 
-/// How often each thing came up.
-#[derive(Debug, Default, Clone, Copy)]
-pub struct SimCounts {
-    pub completed: usize,
-    pub repeated: usize,
-    pub not_run: usize,
-    pub unknown: usize,
-    pub lost: usize,
-    pub superseded: usize,
-    pub conflicts: usize,
-    pub late_writes: usize,
-    pub turned_pages: usize,
-}
-
-impl SimCounts {
-    pub fn add(&mut self, other: &Self) {
-        self.completed += other.completed;
-        self.repeated += other.repeated;
-        self.not_run += other.not_run;
-        self.unknown += other.unknown;
-        self.lost += other.lost;
-        self.superseded += other.superseded;
-        self.conflicts += other.conflicts;
-        self.late_writes += other.late_writes;
-        self.turned_pages += other.turned_pages;
-    }
-}
-
 /// The simulation.
 pub struct ClaimSim {
     choices: ChoiceSource,
@@ -165,27 +84,6 @@
     })))
 }
 
-/// Keys: two dated ones whose windows share a page, and two undated ones that share a page.
-fn make_keys() -> Vec<ClaimRequest> {
-    let windows = [
-        Some(FIRST_WINDOW),
-        Some(FIRST_WINDOW + WINDOW_SLOTS),
-        None,
-        None,
-    ];
-    let keys = windows.into_iter().enumerate().map(|(number, window)| {
-        // The page follows from the first bytes alone.
-        let mut digest = KeyDigest([7; 16]);
-        digest.0[15] = number as u8;
-        ClaimRequest {
-            digest,
-            window,
-            fingerprint: 1,
-        }
-    });
-    keys.collect()
-}
-
 impl ClaimSim {
     pub fn new(choices: Vec<u16>) -> Self {
         let mut choices = ChoiceSource::new(choices);
@@ -680,36 +578,3 @@
         panic!("a free key cannot be claimed");
     }
 }
-
-fn make_record(slot: PageSlot, (revision, value): &(u64, Vec<u8>)) -> StoreRecord {
-    StoreRecord {
-        key: slot.to_string(),
-        value: value.clone(),
-        revision: *revision,
-        lease: None,
-    }
-}
-
-/// The event for who waits for a reply that does not come.
-fn lose_event(event: ClaimEvent) -> ClaimEvent {
-    let lost = || StoreError::UnknownEffect("lost".to_owned());
-    match event {
-        ClaimEvent::PageRead { shard, .. } => ClaimEvent::PageRead {
-            shard,
-            outcome: Err(lost()),
-        },
-        ClaimEvent::PageSwapped { shard, .. } => ClaimEvent::PageSwapped {
-            shard,
-            outcome: Err(lost()),
-        },
-        ClaimEvent::HomeAnswered { operation, .. } => ClaimEvent::HomeAnswered {
-            operation,
-            verdict: None,
-        },
-        ClaimEvent::OwnerAnswered { operation, .. } => ClaimEvent::OwnerAnswered {
-            operation,
-            state: None,
-        },
-        other => other,
-    }
-}
--- /dev/null
+++ b/tests/support/claim_sim/schedule.rs
@@ -0,0 +1,76 @@
+//! Choices of a schedule, its keys, and counts of what it brought about.
+
+use arbutusmount::{ClaimRequest, KeyDigest, WINDOW_SLOTS};
+
+/// Window of the first dated keys.
+pub const FIRST_WINDOW: u64 = 100_000;
+
+/// Choices of a schedule; zeros once they are used up.
+pub struct ChoiceSource {
+    choices: std::vec::IntoIter<u16>,
+}
+
+impl ChoiceSource {
+    pub fn new(choices: Vec<u16>) -> Self {
+        Self {
+            choices: choices.into_iter(),
+        }
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.choices.len() == 0
+    }
+
+    pub fn pick(&mut self, count: usize) -> usize {
+        usize::from(self.choices.next().unwrap_or(0)) % count.max(1)
+    }
+}
+
+/// Keys: two dated ones whose windows share a page, and two undated ones that share a page.
+pub fn make_keys() -> Vec<ClaimRequest> {
+    let windows = [
+        Some(FIRST_WINDOW),
+        Some(FIRST_WINDOW + WINDOW_SLOTS),
+        None,
+        None,
+    ];
+    let keys = windows.into_iter().enumerate().map(|(number, window)| {
+        // The page follows from the first bytes alone.
+        let mut digest = KeyDigest([7; 16]);
+        digest.0[15] = number as u8;
+        ClaimRequest {
+            digest,
+            window,
+            fingerprint: 1,
+        }
+    });
+    keys.collect()
+}
+
+/// How often each thing came up.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct SimCounts {
+    pub completed: usize,
+    pub repeated: usize,
+    pub not_run: usize,
+    pub unknown: usize,
+    pub lost: usize,
+    pub superseded: usize,
+    pub conflicts: usize,
+    pub late_writes: usize,
+    pub turned_pages: usize,
+}
+
+impl SimCounts {
+    pub fn add(&mut self, other: &Self) {
+        self.completed += other.completed;
+        self.repeated += other.repeated;
+        self.not_run += other.not_run;
+        self.unknown += other.unknown;
+        self.lost += other.lost;
+        self.superseded += other.superseded;
+        self.conflicts += other.conflicts;
+        self.late_writes += other.late_writes;
+        self.turned_pages += other.turned_pages;
+    }
+}
