Cut the home or its daemon off from the store under claims

Change: a proxy between the second daemon and the store; a home and a daemon without the store. Counts of the simulation by name.

--- a/tests/claim_schedules.rs
+++ b/tests/claim_schedules.rs
@@ -51,32 +51,28 @@
     // Act
     for _ in 0..300 {
         let choices = (0..500).map(|_| rng.u16(..)).collect();
-        total.add(&ClaimSim::new(choices).run());
+        for (name, count) in ClaimSim::new(choices).run() {
+            *total.entry(name).or_default() += count;
+        }
     }
 
     // Assert
     println!("seed {SEED}: {total:?}");
-    let SimCounts {
-        completed,
-        repeated,
-        not_run,
-        unknown,
-        lost,
-        superseded,
-        conflicts,
-        late_writes,
-        turned_pages,
-    } = total;
-    let counts = [
-        completed,
-        repeated,
-        not_run,
-        unknown,
-        lost,
-        superseded,
-        conflicts,
-        late_writes,
-        turned_pages,
+    let names = [
+        "completed",
+        "repeated",
+        "not run",
+        "unknown",
+        "lost",
+        "superseded",
+        "conflict",
+        "late write",
+        "turned page",
     ];
-    assert!(counts.iter().all(|count| *count > 0), "{total:?}");
+    for name in names {
+        assert!(
+            total.get(name).is_some_and(|count| *count > 0),
+            "{name}: {total:?}"
+        );
+    }
 }
--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -6,11 +6,11 @@
 use arbutusmount::ClaimSettings;
 use async_std::task;
 use calls::{
-    CallReply, FleetTurn, SOON, committed_writes, dated_key, fleet_behind_peer_proxy, key_homed_at,
-    order, order_and_hang_up, order_until, order_until_final, runs_of, seeded_rng, service_fleet,
-    service_spec, wait_arrival, wait_committed,
+    CallReply, FleetTurn, SOON, committed_writes, cut_off, dated_key, key_homed_at, order,
+    order_and_hang_up, order_until, order_until_final, proxied_fleet, runs_of, seeded_rng,
+    service_fleet, service_spec, start_proxy, wait_arrival, wait_committed,
 };
-use rig::{DirectionFault, FaultProxy, FleetSpec, ProxyFaults, free_address, wait_until};
+use rig::{DirectionFault, FleetSpec, ProxyFaults, wait_until};
 use serde_json::json;
 use std::time::{Duration, Instant};
 use test_case::test_case;
@@ -188,12 +188,12 @@
 async fn killed_daemon_leaves_no_second_run(step: KillStep, runs: usize) {
     // Arrange
     let _turn = FleetTurn::wait();
-    let (mut fleet, proxy) = fleet_behind_peer_proxy(service_spec(2, 1)).await;
+    let (mut fleet, proxies) = proxied_fleet(service_spec(2, 1)).await;
     let service = fleet.services[0].row.address;
     let [killed, home] = [0, 1].map(|index: usize| fleet.daemons[index].seat.listen);
     let key = key_homed_at(1, 2, &mut seeded_rng());
     match step {
-        KillStep::Claimed => proxy.set(ProxyFaults {
+        KillStep::Claimed => proxies.peers.set(ProxyFaults {
             to_caller: DirectionFault::Hold,
             ..ProxyFaults::default()
         }),
@@ -226,7 +226,7 @@
         KillStep::Answered => assert!(call.await.unwrap().is_completed()),
     }
     fleet.daemons[0].process.kill();
-    proxy.set(ProxyFaults::default());
+    proxies.peers.set(ProxyFaults::default());
     let retry = order_until_final(home, &key, "a bay").await;
     fleet.restart_daemon(0).await;
     fleet.wait_ready().await;
@@ -256,10 +256,10 @@
         claims,
         ..service_spec(2, 1)
     };
-    let (fleet, proxy) = fleet_behind_peer_proxy(spec).await;
+    let (fleet, proxies) = proxied_fleet(spec).await;
     let [paused, home] = [0, 1].map(|index: usize| fleet.daemons[index].seat.listen);
     let key = key_homed_at(1, 2, &mut seeded_rng());
-    proxy.set(ProxyFaults {
+    proxies.peers.set(ProxyFaults {
         to_caller: DirectionFault::Hold,
         ..ProxyFaults::default()
     });
@@ -271,7 +271,7 @@
     wait_committed(home, before).await;
     fleet.daemons[0].process.freeze();
     let frozen = Instant::now();
-    proxy.set(ProxyFaults::default());
+    proxies.peers.set(ProxyFaults::default());
     wait_until("the time to dispatch is over", SOON, || async {
         frozen.elapsed() > Duration::from_millis(1_100)
     })
@@ -322,8 +322,7 @@
     let _turn = FleetTurn::wait();
     let fleet = service_fleet(service_spec(2, 2)).await;
     for member in &fleet.services {
-        let proxy = FaultProxy::start(free_address(), member.row.address);
-        let proxy = proxy.await.unwrap();
+        let proxy = start_proxy(member.row.address).await;
         proxy.set(ProxyFaults {
             to_caller: DirectionFault::Close,
             ..ProxyFaults::default()
@@ -399,7 +398,7 @@
     };
     let fleet = service_fleet(spec).await;
     let target = fleet.services[0].row.address;
-    let proxy = FaultProxy::start(free_address(), target).await.unwrap();
+    let proxy = start_proxy(target).await;
     let mut row = fleet.services[0].row.clone();
     row.address = proxy.address();
     fleet.list(&row).await;
@@ -448,16 +447,18 @@
     Killed,
     Frozen,
     CutOffFromPeers,
+    CutOffFromStore,
 }
 
 #[test_case(HomeFault::Killed; "killed")]
 #[test_case(HomeFault::Frozen; "frozen")]
 #[test_case(HomeFault::CutOffFromPeers; "cut off from its peers")]
+#[test_case(HomeFault::CutOffFromStore; "cut off from the store")]
 #[async_std::test]
 async fn claims_go_on_without_their_home(fault: HomeFault) {
     // Arrange
     let _turn = FleetTurn::wait();
-    let (mut fleet, proxy) = fleet_behind_peer_proxy(service_spec(2, 1)).await;
+    let (mut fleet, proxies) = proxied_fleet(service_spec(2, 1)).await;
     let daemon = fleet.daemons[0].seat.listen;
     let mut rng = seeded_rng();
     let keys: Vec<String> = (0..3).map(|_| key_homed_at(1, 2, &mut rng)).collect();
@@ -466,13 +467,8 @@
     match fault {
         HomeFault::Killed => fleet.daemons[1].process.kill(),
         HomeFault::Frozen => fleet.daemons[1].process.freeze(),
-        HomeFault::CutOffFromPeers => {
-            proxy.set(ProxyFaults {
-                refuse: true,
-                ..ProxyFaults::default()
-            });
-            proxy.cut();
-        }
+        HomeFault::CutOffFromPeers => cut_off(&proxies.peers),
+        HomeFault::CutOffFromStore => cut_off(&proxies.store),
     }
     let mut replies = Vec::new();
     for key in &keys {
@@ -490,7 +486,7 @@
 async fn lost_claim_reply_and_dying_home_together_run_once() {
     // Arrange: the home's write takes effect, its reply is lost, and then the home dies.
     let _turn = FleetTurn::wait();
-    let (mut fleet, _proxy) = fleet_behind_peer_proxy(service_spec(2, 1)).await;
+    let (mut fleet, _proxies) = proxied_fleet(service_spec(2, 1)).await;
     let daemon = fleet.daemons[0].seat.listen;
     let key = key_homed_at(1, 2, &mut seeded_rng());
     let lose = json!({ "lose_replies": 1, "lose_prefix": CLAIM_PREFIX });
@@ -510,3 +506,20 @@
     assert!(reply.is_completed() && !reply.replayed, "{reply:?}");
     assert_eq!(runs_of(&fleet, &key), 1);
 }
+
+#[async_std::test]
+async fn daemon_without_the_store_claims_through_the_home() {
+    // Arrange
+    let _turn = FleetTurn::wait();
+    let (fleet, proxies) = proxied_fleet(service_spec(2, 1)).await;
+    let key = key_homed_at(0, 2, &mut seeded_rng());
+
+    // Act
+    cut_off(&proxies.store);
+    let reply = order(fleet.daemons[1].seat.listen, &key, "a bay").await;
+
+    // Assert
+    let reply = reply.unwrap();
+    assert!(reply.is_completed(), "{reply:?}");
+    assert_eq!(runs_of(&fleet, &key), 1);
+}
--- a/tests/support/calls.rs
+++ b/tests/support/calls.rs
@@ -8,8 +8,8 @@
 };
 use async_std::future::timeout;
 use rig::{
-    FaultProxy, FleetSpec, ProcessFleet, ProgramPaths, TEAM_TOKEN, admin_get, free_address,
-    wait_until,
+    FaultProxy, FleetSpec, ProcessFleet, ProgramPaths, ProxyFaults, TEAM_TOKEN, admin_get,
+    free_address, wait_until,
 };
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -198,19 +198,44 @@
     }
 }
 
-/// A fleet of two daemons: the second one's peers reach it through the proxy that is returned.
-pub async fn fleet_behind_peer_proxy(spec: FleetSpec) -> (ProcessFleet, FaultProxy) {
+/// Proxies around the second of two daemons.
+pub struct HomeProxies {
+    /// Between its peers and itself.
+    pub peers: FaultProxy,
+    /// Between itself and the key-value service.
+    pub store: FaultProxy,
+}
+
+/// A fleet of two daemons, the second one behind proxies.
+pub async fn proxied_fleet(spec: FleetSpec) -> (ProcessFleet, HomeProxies) {
     let daemons = ProgramPaths::beside(env!("CARGO_BIN_EXE_arbutusmountd"));
     let mut fleet = ProcessFleet::start(FleetSpec { daemons: 1, ..spec }, daemons).await;
     let mut seat = fleet.plain_seat();
-    let proxy = FaultProxy::start(free_address(), seat.peer_listen)
-        .await
-        .expect("the proxy starts");
-    seat.peer_listed = proxy.address();
+    let proxies = HomeProxies {
+        peers: start_proxy(seat.peer_listen).await,
+        store: start_proxy(seat.store).await,
+    };
+    seat.peer_listed = proxies.peers.address();
+    seat.store = proxies.store.address();
     fleet.add_daemon(seat).await;
     declare_service(&fleet).await;
     wait_for_home(&fleet).await;
-    (fleet, proxy)
+    (fleet, proxies)
+}
+
+/// A proxy without faults before `target`.
+pub async fn start_proxy(target: SocketAddr) -> FaultProxy {
+    let proxy = FaultProxy::start(free_address(), target).await;
+    proxy.expect("the proxy starts")
+}
+
+/// Closes all connections of a proxy and refuses new ones.
+pub fn cut_off(proxy: &FaultProxy) {
+    proxy.set(ProxyFaults {
+        refuse: true,
+        ..ProxyFaults::default()
+    });
+    proxy.cut();
 }
 
 /// Waits until the first of two daemons sends claims to the second one.
--- a/tests/support/claim_sim/mod.rs
+++ b/tests/support/claim_sim/mod.rs
@@ -293,9 +293,8 @@
         match decision {
             ClaimDecision::Dispatch => {
                 let seat = call.seat;
-                if !self.dispatched.insert(call.claim.digest) {
-                    self.counts.superseded += 1;
-                }
+                let is_repeated = !self.dispatched.insert(call.claim.digest);
+                self.count("superseded", is_repeated);
                 self.transits.push(Transit::Dispatch(seat, attempt));
             }
             ClaimDecision::Repeat(kept) => {
@@ -313,6 +312,10 @@
         }
     }
 
+    fn count(&mut self, name: &'static str, came_up: bool) {
+        *self.counts.entry(name).or_default() += usize::from(came_up);
+    }
+
     fn take_any(&mut self) -> Option<Transit> {
         if self.transits.is_empty() {
             return None;
@@ -342,7 +345,7 @@
             }
             Transit::LateSwap(write) => {
                 let outcome = self.swap(write);
-                self.counts.late_writes += usize::from(matches!(outcome, SwapOutcome::Swapped(_)));
+                self.count("late write", matches!(outcome, SwapOutcome::Swapped(_)));
             }
             Transit::ToHome(from, operation, home, change) => {
                 if self.nodes[home].node.is_none() {
@@ -398,12 +401,12 @@
             ExpectedRevision::Exactly(revision) => present.is_some_and(|p| p.0 == revision),
         };
         if !holds {
-            self.counts.conflicts += 1;
+            *self.counts.entry("conflict").or_default() += 1;
             return SwapOutcome::Conflict(present.map(|present| make_record(slot, present)));
         }
         let window = |value: &[u8]| ClaimPage::decode(value).map(|page| page.window());
         let is_turn = present.is_some_and(|present| window(&present.1) != window(&value));
-        self.counts.turned_pages += usize::from(is_turn);
+        *self.counts.entry("turned page").or_default() += usize::from(is_turn);
         self.revision += 1;
         history.push((self.revision, value));
         SwapOutcome::Swapped(self.revision)
@@ -532,13 +535,14 @@
                 Answer::NotRun => assert!(!self.runs.contains(attempt), "{attempt} has run"),
                 Answer::Unknown | Answer::Lost => {}
             }
-            match answer {
-                Answer::Completed { by } if by == attempt => self.counts.completed += 1,
-                Answer::Completed { .. } => self.counts.repeated += 1,
-                Answer::NotRun => self.counts.not_run += 1,
-                Answer::Unknown => self.counts.unknown += 1,
-                Answer::Lost => self.counts.lost += 1,
-            }
+            let name = match answer {
+                Answer::Completed { by } if by == attempt => "completed",
+                Answer::Completed { .. } => "repeated",
+                Answer::NotRun => "not run",
+                Answer::Unknown => "unknown",
+                Answer::Lost => "lost",
+            };
+            *self.counts.entry(name).or_default() += 1;
         }
     }
 
--- a/tests/support/claim_sim/schedule.rs
+++ b/tests/support/claim_sim/schedule.rs
@@ -1,6 +1,7 @@
 //! Choices of a schedule, its keys, and counts of what it brought about.
 
 use arbutusmount::{ClaimRequest, KeyDigest, WINDOW_SLOTS};
+use std::collections::BTreeMap;
 
 /// Window of the first dated keys.
 pub const FIRST_WINDOW: u64 = 100_000;
@@ -47,30 +48,5 @@
     keys.collect()
 }
 
-/// How often each thing came up.
-#[derive(Debug, Default, Clone, Copy)]
-pub struct SimCounts {
-    pub completed: usize,
-    pub repeated: usize,
-    pub not_run: usize,
-    pub unknown: usize,
-    pub lost: usize,
-    pub superseded: usize,
-    pub conflicts: usize,
-    pub late_writes: usize,
-    pub turned_pages: usize,
-}
-
-impl SimCounts {
-    pub fn add(&mut self, other: &Self) {
-        self.completed += other.completed;
-        self.repeated += other.repeated;
-        self.not_run += other.not_run;
-        self.unknown += other.unknown;
-        self.lost += other.lost;
-        self.superseded += other.superseded;
-        self.conflicts += other.conflicts;
-        self.late_writes += other.late_writes;
-        self.turned_pages += other.turned_pages;
-    }
-}
+/// How often each thing came up, by name.
+pub type SimCounts = BTreeMap<&'static str, usize>;
