--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -3,6 +3,7 @@
 mod args;
 mod bound;
 mod capacity;
+mod claims_bench;
 mod demo;
 mod engine;
 mod fleet;
@@ -21,6 +22,7 @@
     CapacityPoint, LinearFit, fit_line, measure_daemons, measure_decisions, measure_memory,
     measure_request_path, measure_state, render_points,
 };
+pub use claims_bench::{ClaimBench, run_claims_bench};
 pub use demo::run_demo;
 pub use engine::{EngineKnobs, EngineStandIn, LedgerEntry, LinkKnobs, StreamMischief};
 pub use fleet::{
