--- a/rig/src/args.rs
+++ b/rig/src/args.rs
@@ -1,17 +1,27 @@
 //! Arguments and subcommands of the program.
 
+use crate::capacity::{
+    measure_daemons, measure_decisions, measure_memory, measure_request_path, render_points,
+};
 use crate::demo::run_demo;
 use crate::engine::{EngineKnobs, EngineStandIn};
+use crate::load::{
+    ExperimentSpec, RunSpec, RunSummary, RunTarget, find_programs, run_experiment, run_load,
+};
 use crate::platform::{PlatformKnobs, PlatformStandIn};
 use crate::proxy::FaultProxy;
 use crate::service::{ServiceKnobs, ServiceStandIn};
-use arbutusmount::InstanceId;
+use arbutusmount::{CheckError, InstanceId};
 use async_std::net::TcpListener;
 use async_std::task;
 use pico_args::Arguments;
 use serde::de::DeserializeOwned;
+use std::fs::OpenOptions;
+use std::io::Write;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::Arc;
 
 /// Result of a subcommand; the error is shown to the person who gave it.
 type Result<T> = std::result::Result<T, String>;
@@ -22,9 +32,13 @@
 Usage:
   rig demo                                          run the demo
   rig engine --listen ADDR --instance NAME [--weights ADDR] [--knobs JSON]
-  rig service --listen ADDR [--knobs JSON]
+  rig service --listen ADDR [--ledger FILE] [--knobs JSON]
   rig platform --listen ADDR [--knobs JSON]
   rig proxy --listen ADDR --target ADDR
+  rig load --run FILE [--daemon ADDR]... --out FILE [--requests FILE]
+                                                    send one run's load and sum it up
+  rig experiment FILE --out FILE                    run variants side by side
+  rig capacity core|daemons|path --out FILE         measure what a daemon costs by size
 ";
 
 /// Runs the program.
@@ -46,6 +60,9 @@
         Some("service") => run_service(arguments),
         Some("platform") => run_platform(arguments),
         Some("proxy") => run_proxy(arguments),
+        Some("load") => run_load_file(arguments),
+        Some("experiment") => run_experiment_file(arguments),
+        Some("capacity") => run_capacity(arguments),
         Some(other) => Err(format!("unknown subcommand {other}\n{HELP}")),
         None => {
             print!("{HELP}");
@@ -94,9 +111,15 @@
 
 fn run_service(arguments: &mut Arguments) -> Result<()> {
     let listen: SocketAddr = read_value(arguments, "--listen")?;
+    let ledger: Option<PathBuf> = arguments
+        .opt_value_from_str("--ledger")
+        .map_err(|e| e.to_string())?;
     let knobs: ServiceKnobs = read_knobs(arguments)?;
+    let service = match ledger {
+        None => ServiceStandIn::new(knobs),
+        Some(path) => ServiceStandIn::with_ledger(knobs, &path).map_err(|e| e.to_string())?,
+    };
     task::block_on(async {
-        let service = ServiceStandIn::new(knobs);
         service
             .serve(bind(listen).await?)
             .await
@@ -128,3 +151,78 @@
         Ok(())
     })
 }
+
+fn read_file(path: &Path) -> Result<String> {
+    std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+fn list_errors(path: &Path, errors: &[CheckError]) -> String {
+    let lines: Vec<String> = errors.iter().map(ToString::to_string).collect();
+    format!("{} is invalid:\n{}", path.display(), lines.join("\n"))
+}
+
+/// Appends values to a file, one JSON document a line.
+fn append_lines<T: serde::Serialize>(path: &Path, values: &[T]) -> Result<()> {
+    let file = OpenOptions::new().create(true).append(true).open(path);
+    let mut file = file.map_err(|e| format!("{}: {e}", path.display()))?;
+    for value in values {
+        let line = serde_json::to_string(value).map_err(|e| e.to_string())?;
+        writeln!(file, "{line}").map_err(|e| e.to_string())?;
+    }
+    Ok(())
+}
+
+fn run_load_file(arguments: &mut Arguments) -> Result<()> {
+    let path: PathBuf = read_value(arguments, "--run")?;
+    let out: PathBuf = read_value(arguments, "--out")?;
+    let requests: Option<PathBuf> = arguments
+        .opt_value_from_str("--requests")
+        .map_err(|e| e.to_string())?;
+    let variant: Option<String> = arguments
+        .opt_value_from_str("--variant")
+        .map_err(|e| e.to_string())?;
+    let daemons: Vec<SocketAddr> = arguments
+        .values_from_str("--daemon")
+        .map_err(|e| e.to_string())?;
+    let spec = RunSpec::parse(&read_file(&path)?).map_err(|errors| list_errors(&path, &errors))?;
+    let target = if daemons.is_empty() {
+        RunTarget::OwnFleet(find_programs())
+    } else {
+        RunTarget::Daemons(daemons)
+    };
+    let (summary, records) = task::block_on(run_load(&spec, &target))?;
+    let summary = RunSummary {
+        variant: Arc::from(variant.unwrap_or_default()),
+        ..summary
+    };
+    println!("{summary}");
+    append_lines(&out, &[summary])?;
+    requests.map_or(Ok(()), |path| append_lines(&path, &records))
+}
+
+fn run_experiment_file(arguments: &mut Arguments) -> Result<()> {
+    let path: PathBuf = arguments.free_from_str().map_err(|e| e.to_string())?;
+    let out: PathBuf = read_value(arguments, "--out")?;
+    let folder = path.parent().unwrap_or(Path::new("."));
+    let spec = ExperimentSpec::parse(&read_file(&path)?, |name| read_file(&folder.join(name)));
+    let spec = spec.map_err(|errors| list_errors(&path, &errors))?;
+    run_experiment(&spec, &out)
+}
+
+fn run_capacity(arguments: &mut Arguments) -> Result<()> {
+    let part: String = arguments.free_from_str().map_err(|e| e.to_string())?;
+    let out: PathBuf = read_value(arguments, "--out")?;
+    let programs = || find_programs().ok_or("arbutusmountd is not built");
+    let points = match &*part {
+        "core" => {
+            let mut points = measure_memory();
+            points.extend(measure_decisions());
+            points
+        }
+        "daemons" => task::block_on(measure_daemons(&programs()?))?,
+        "path" => task::block_on(measure_request_path(&programs()?))?,
+        other => return Err(format!("unknown part {other}; core, daemons or path")),
+    };
+    print!("{}", render_points(&points));
+    append_lines(&out, &points)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! The library holds every part of the daemon; `arbutusmountd` and `arbutusmount` are thin programs
 //! around it.
 
+mod admission;
 mod api;
 mod check;
 mod claims;
@@ -22,12 +23,24 @@
 mod telemetry;
 mod units;
 
+pub use admission::{
+    AdmissionGate, AdmissionOffer, AdmissionPermit, AdmissionRequest, AdmissionSettings,
+    AdmissionStep, AdmissionTicket, BucketOutcome, ConcurrencyLimit, DemandRow, DemandShare,
+    DemandTable, FairQueue, LimitSettings, QueueSettings, TokenBucket,
+};
 pub use api::{
     AddressAnswer, AddressRow, ChatChoice, ChatMessage, ChatRequest, ChatResponse, ChatUsage,
     ConfirmReply, IncompleteMessage, ModelStatus, NextVersion, PlanRequest, StatusReply,
+    StreamOptions,
 };
 pub use check::{CheckError, CheckFault, FieldKind, FieldRule, check_document};
-pub use claims::{ClaimOutcome, ClaimRecord, ClaimRequest, ClaimTicket};
+pub use claims::{
+    AttemptState, BUCKET_COUNT, ChangeOrigin, ClaimAction, ClaimAttempt, ClaimDecision, ClaimEvent,
+    ClaimMetrics, ClaimNode, ClaimOutcome, ClaimPage, ClaimRefusal, ClaimRequest, ClaimRow,
+    ClaimService, ClaimSettings, ClaimTicket, ClaimTime, ClaimVerdict, KeptAnswer, KeyDigest,
+    MAX_PAGE_ROWS, PageChange, PageSlot, PageWriter, SHARD_COUNT, UNDATED_RETENTION_S, WINDOW_MS,
+    WINDOW_SLOTS, WriterCounts, WriterStep, choose_home,
+};
 pub use config::{
     AcceptedConfig, AdoptOutcome, AdoptionState, BackoffLimits, BundleError, CONFIG_KEY,
     CapacityChange, ChangeEntry, ConfigBundle, ConfigCell, ConfigDocument, ConfigHead,
@@ -42,7 +55,7 @@
 pub use engine::{
     ActivationReply, ActivationRequest, CancelRequest, ChainStage, EngineClient, EngineError,
     EngineEvent, EngineOrder, EngineReport, EngineStream, FinishCause, GenerateRequest, HeldStage,
-    OrderReply, PipelineWork, StreamRecord,
+    OrderReply, PipelineWork, StagePhase, StageProgress, StreamRecord,
 };
 pub use http::{
     CallerWatch, ConnectionCount, ConnectionPool, ConnectionReuse, HttpCall, HttpReply,
@@ -72,8 +85,10 @@
 };
 pub use routing::{
     AnswerEvent, AnswerStream, AttemptFailure, ChainChoice, ChainQuery, DeliveryState,
-    DeliveryStep, FinalAnswer, FlightGuard, GenerationRequest, TargetState, TargetTable,
-    choose_chain, run_generation, start_generation,
+    DeliveryStep, FinalAnswer, FlightGuard, FlowWeights, GenerationRequest, GraphTable, ModelGraph,
+    OwnHistory, PolicyError, PolicyName, RoutingSettings, RoutingState, StageEdge, StepRate,
+    TargetHealth, TargetLoad, TargetReservation, TargetState, TargetTable, TokenMeter,
+    choose_chain, expected_micros, run_generation, start_generation, weigh_flows,
 };
 pub use settings::{
     BoundSettings, DaemonSettings, LogSettings, PlatformSettings, TimingSettings, TraceSettings,
