Watch the store only where the instance list says so; ask it about superseded plans

Cause: a daemon that was not listed yet took itself for a watcher and went on watching, so that in the process test of the line of readers every daemon still watched. The stand-in's reads of a past state counted revisions backwards, and other writes than the configuration's had come in between.

Change: an unlisted daemon takes place 16 in the line of readers. A repeated confirm looks at the store for a later change. The stand-in answers as of a named revision.

--- a/rig/src/platform/gateway.rs
+++ b/rig/src/platform/gateway.rs
@@ -34,9 +34,9 @@
         return Ok(response);
     }
     let knobs = platform.knobs();
-    let reply = match knobs.stale_revisions {
+    let reply = match knobs.stale_as_of {
         0 => platform.keys().range(&range, knobs.stale_reads),
-        count => platform.keys().range_before(&range, i64::from(count)),
+        as_of => platform.keys().range_as_of(&range, as_of),
     };
     platform.reply(&reply).await
 }
--- a/rig/src/platform/keyspace.rs
+++ b/rig/src/platform/keyspace.rs
@@ -88,9 +88,8 @@
         }
     }
 
-    /// Reads keys as they were `count` revisions ago, as far as the history goes back.
-    pub(super) fn range_before(&self, range: &RangeRequest, count: i64) -> RangeReply {
-        let as_of = self.revision - count;
+    /// Reads keys as they were at a revision, as far as the history goes back.
+    pub(super) fn range_as_of(&self, range: &RangeRequest, as_of: i64) -> RangeReply {
         let mut found: BTreeMap<&[u8], &WireEvent> = BTreeMap::new();
         let Some((from, to)) = select(range) else {
             return RangeReply::default();
--- a/rig/src/platform/server.rs
+++ b/rig/src/platform/server.rs
@@ -32,8 +32,8 @@
     pub lose_prefix: String,
     /// Answer reads with the value before the last change.
     pub stale_reads: bool,
-    /// Answer reads as of so many revisions ago, all keys alike.
-    pub stale_revisions: u32,
+    /// Answer reads as of this revision of the store, all keys alike; 0 for the present.
+    pub stale_as_of: i64,
     /// Writes allowed a second, 0 for no limit.
     pub writes_per_second: u32,
     /// Age of the instance list, in milliseconds.
--- a/src/api/operator.rs
+++ b/src/api/operator.rs
@@ -214,7 +214,7 @@
         let name = &plan.document.plan;
         let verdict = judge_plan(name, plan.base, bundle.revision, &bundle.head);
         if verdict != PlanVerdict::Open {
-            return answer_verdict(plan, verdict);
+            return answer_verdict(plan, refresh_verdict(context, plan, verdict).await);
         }
     }
     let known = base
@@ -237,6 +237,22 @@
     }
 }
 
+/// Looks whether a plan that has taken effect was superseded by a change that has not reached this
+/// daemon yet. While the store is out of reach the verdict stands as it is.
+async fn refresh_verdict(
+    context: &Arc<KernelContext>,
+    plan: &FleetPlan,
+    verdict: PlanVerdict,
+) -> PlanVerdict {
+    match read_current(context).await {
+        Ok(Some(bundle)) => {
+            let name = &plan.document.plan;
+            judge_plan(name, plan.base, bundle.revision, &bundle.head)
+        }
+        Ok(None) | Err(_) => verdict,
+    }
+}
+
 fn answer_verdict(plan: &FleetPlan, verdict: PlanVerdict) -> Result<ConfirmReply, ProblemAnswer> {
     match verdict {
         PlanVerdict::Effective {
--- a/src/config/adoption.rs
+++ b/src/config/adoption.rs
@@ -65,8 +65,16 @@
     format!("{SECTION_PREFIX}{digest}")
 }
 
-/// Rank of this daemon for a role among the live daemons; one past the last when it is not listed.
-pub fn own_rank(context: &KernelContext, role: &str) -> usize {
+/// Place in the line of readers of a daemon that is not listed, or not yet.
+const UNLISTED_RANK: usize = 16;
+
+/// Rank of this daemon for following the store.
+fn watch_rank(context: &KernelContext) -> usize {
+    own_rank(context, WATCH_ROLE).unwrap_or(UNLISTED_RANK)
+}
+
+/// Rank of this daemon for a role among the live daemons; `None` while it is not listed.
+pub fn own_rank(context: &KernelContext, role: &str) -> Option<usize> {
     let list = context.instances.load();
     let routers: Vec<RankedRouter> = list
         .live(InstanceRole::Router)
@@ -77,10 +85,7 @@
         .collect();
     let ranked = rank_routers(role, &routers);
     let own = &context.settings.instance;
-    ranked
-        .iter()
-        .position(|name| name == own)
-        .unwrap_or(ranked.len())
+    ranked.iter().position(|name| name == own)
 }
 
 /// Follows the store with a delay after failures.
@@ -101,7 +106,7 @@
     }
 
     async fn step(&mut self, context: &Arc<KernelContext>) {
-        let rank = own_rank(context, WATCH_ROLE);
+        let rank = watch_rank(context);
         let now = context.clock.now();
         let age = context.config.with_state(|state| state.store_age(now));
         let delay = match store_duty(rank, age) {
@@ -145,7 +150,7 @@
             Err(_elapsed) => {
                 let known = context.config.revision();
                 let is_dead = !read_store(context).await || context.config.revision() > known;
-                if is_dead || own_rank(context, WATCH_ROLE) >= crate::config::duty::WATCHERS {
+                if is_dead || watch_rank(context) >= crate::config::duty::WATCHERS {
                     return false;
                 }
             }
--- a/src/reconcile/leader.rs
+++ b/src/reconcile/leader.rs
@@ -136,7 +136,9 @@
 }
 
 fn campaign_period(context: &KernelContext) -> Duration {
-    let rank = own_rank(context, LEADER_ROLE);
+    let Some(rank) = own_rank(context, LEADER_ROLE) else {
+        return CAMPAIGN_PERIOD;
+    };
     let places = u32::try_from(rank.saturating_sub(WATCHERS) + 1).unwrap_or(u32::MAX);
     CAMPAIGN_PERIOD.saturating_mul(places).min(CAMPAIGN_LONGEST)
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(dead_code, reason = "each test program uses a part of the fixtures")]
 
+pub mod documents;
+pub mod proxied;
+
 use arbutusmount::{
     AskRequest, ChatMessage, ChatRequest, ConnectionPool, HttpCall, OperatorClient,
 };
