--- a/rig/src/claims_bench.rs
+++ b/rig/src/claims_bench.rs
@@ -209,7 +209,10 @@
     /// Ends the daemons' listeners; their timers end with the program.
     async fn stop(self) {
         for daemon in self.daemons {
-            daemon.drain().await;
+            daemon
+                .drain()
+                .await
+                .expect("nothing is in progress any more");
         }
     }
 
