--- a/rig/src/engine/mod.rs
+++ b/rig/src/engine/mod.rs
@@ -5,6 +5,9 @@
 mod generate;
 mod holding;
 mod kv;
+mod link;
 mod server;
+mod session;
 
+pub use link::LinkKnobs;
 pub use server::{EngineKnobs, EngineStandIn, LedgerEntry};
--- a/rig/src/engine/server.rs
+++ b/rig/src/engine/server.rs
@@ -4,17 +4,19 @@
 use crate::engine::generate::{StageFault, generate, run_stage};
 use crate::engine::holding::StageHolding;
 use crate::engine::kv::KvCache;
+use crate::engine::link::{LinkKnobs, LinkLines};
+use crate::engine::session::SessionTable;
 use crate::web::json_response;
 use arbutusmount::{
     ActivationRequest, AttemptNumber, CancelRequest, ConnectionCount, ConnectionPool, EngineOrder,
-    EngineReport, GenerateRequest, InstanceId, LayerRange, RequestId, StreamRecord, TokenPosition,
-    encode_event, serve_http, sse_response,
+    EngineReport, GenerateRequest, InstanceId, LayerRange, RequestId, StageProgress, StreamRecord,
+    TokenPosition, encode_event, serve_http, sse_response,
 };
 use async_std::channel::{Receiver, bounded};
 use async_std::net::TcpListener;
 use async_std::task;
 use serde::{Deserialize, Serialize};
-use std::collections::{HashSet, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -51,6 +53,8 @@
     pub slow_percent: u64,
     /// Delay of each hand-over to the next stage, in milliseconds.
     pub link_ms: u64,
+    /// Links to the engines named here, in place of `link_ms`.
+    pub links: BTreeMap<Arc<str>, LinkKnobs>,
     /// Age of load reports, in milliseconds.
     pub report_lag_ms: u64,
     /// True to refuse orders that carry an old fencing number.
@@ -73,6 +77,7 @@
             kv_tokens: 1 << 20,
             slow_percent: 100,
             link_ms: 0,
+            links: BTreeMap::new(),
             report_lag_ms: 0,
             honours_fencing: true,
             refuse: false,
@@ -112,7 +117,11 @@
     cache: Mutex<KvCache>,
     ledger: Mutex<VecDeque<LedgerEntry>>,
     cancelled: Mutex<CancelledSet>,
+    lines: LinkLines,
     reports: Mutex<VecDeque<(Instant, EngineReport)>>,
+    sessions: SessionTable,
+    /// Drawn when the engine started.
+    incarnation: u64,
 }
 
 /// A stand-in engine; cheap to clone.
@@ -147,7 +156,10 @@
             knobs: Mutex::new(knobs),
             ledger: Mutex::default(),
             cancelled: Mutex::default(),
+            lines: LinkLines::default(),
             reports: Mutex::default(),
+            sessions: SessionTable::default(),
+            incarnation: fastrand::u64(1..),
         }))
     }
 
@@ -169,6 +181,7 @@
                     &request.state().lagged_report(),
                 ))
             });
+        app.at("/v1/progress/:request").get(answer_progress);
         app.at("/v1/ledger")
             .get(|request: Request<Self>| async move {
                 Ok(json_response(StatusCode::Ok, &request.state().ledger()))
@@ -202,8 +215,19 @@
         &self.0.pool
     }
 
-    pub(super) fn link_delay(&self) -> Duration {
-        Duration::from_millis(self.knobs().link_ms)
+    /// Time until this many activations have arrived at another engine.
+    pub(super) fn link_delay(&self, destination: &InstanceId, activations: u32) -> Duration {
+        let (link, default) = self.with_knobs(|knobs| {
+            (
+                knobs.links.get(destination.as_str()).copied(),
+                knobs.link_ms,
+            )
+        });
+        link.map_or(Duration::from_millis(default), |link| {
+            self.0
+                .lines
+                .enqueue(destination.as_str(), link, activations)
+        })
     }
 
     pub(super) fn fault(&self, cause: &str) -> StageFault {
@@ -213,6 +237,10 @@
         }
     }
 
+    pub(super) fn sessions(&self) -> &SessionTable {
+        &self.0.sessions
+    }
+
     pub(super) fn extend_cache(&self, request: RequestId, context_tokens: u32) -> u32 {
         let mut cache = self.0.cache.lock().expect("cache lock is never poisoned");
         cache.extend(request, context_tokens)
@@ -253,11 +281,11 @@
     }
 
     fn knobs(&self) -> EngineKnobs {
-        self.0
-            .knobs
-            .lock()
-            .expect("knob lock is never poisoned")
-            .clone()
+        self.with_knobs(EngineKnobs::clone)
+    }
+
+    fn with_knobs<T>(&self, read: impl FnOnce(&EngineKnobs) -> T) -> T {
+        read(&self.0.knobs.lock().expect("knob lock is never poisoned"))
     }
 
     fn report(&self) -> EngineReport {
@@ -271,16 +299,18 @@
             stages,
             queued,
             running,
+            sessions: self.0.sessions.count(),
             step_micros: layers * cost.layer_micros,
             item_micros: layers * cost.item_micros,
             max_batch: cost.max_batch as u32,
             age_ms: 0,
-            leaving: self.knobs().leaving,
+            leaving: self.with_knobs(|knobs| knobs.leaving),
+            incarnation: self.0.incarnation,
         }
     }
 
     fn lagged_report(&self) -> EngineReport {
-        let lag = Duration::from_millis(self.knobs().report_lag_ms);
+        let lag = Duration::from_millis(self.with_knobs(|knobs| knobs.report_lag_ms));
         let reports = self
             .0
             .reports
@@ -356,6 +386,22 @@
     }
 }
 
+async fn answer_progress(request: Request<EngineStandIn>) -> tide::Result {
+    let wanted: RequestId = request
+        .param("request")?
+        .parse()
+        .map_err(|_cause| tide::Error::from_str(StatusCode::BadRequest, "malformed request id"))?;
+    let engine = request.state();
+    let (queued, running) = engine.0.batcher.load();
+    let progress = StageProgress {
+        queued,
+        running,
+        incarnation: engine.0.incarnation,
+        ..engine.0.sessions.progress(wanted)
+    };
+    Ok(json_response(StatusCode::Ok, &progress))
+}
+
 async fn answer_cancel(mut request: Request<EngineStandIn>) -> tide::Result {
     let cancel: CancelRequest = request.body_json().await?;
     request.state().cancel(cancel);
--- a/rig/src/fleet/layout.rs
+++ b/rig/src/fleet/layout.rs
@@ -1,7 +1,9 @@
 //! What a fleet consists of.
 
 use crate::engine::EngineKnobs;
-use arbutusmount::{FleetDeclaration, MemberSettings, TimingSettings, digest_token};
+use arbutusmount::{
+    ClaimSettings, FleetDeclaration, MemberSettings, RoutingSettings, TimingSettings, digest_token,
+};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -68,6 +70,12 @@
     pub timing: TimingSettings,
     /// Membership, address answer and shutdown of the daemons.
     pub membership: MemberSettings,
+    /// Routing settings of the daemons.
+    pub routing: RoutingSettings,
+    /// Further settings of the daemons: top-level fields that replace those made here.
+    pub settings: serde_json::Value,
+    /// Claim settings of the daemons.
+    pub claims: ClaimSettings,
 }
 
 impl Default for FleetSpec {
@@ -86,6 +94,9 @@
             domains: vec!["bangna", "lat-krabang", "rangsit"],
             timing,
             membership: MemberSettings::default(),
+            routing: RoutingSettings::default(),
+            settings: serde_json::json!({}),
+            claims: ClaimSettings::default(),
         }
     }
 }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP over `async-h1`: pooled client connections, the accept loop and error answers.
 
 mod connection;
+mod fallback;
 mod pool;
 mod problem;
 mod server;
@@ -8,6 +9,7 @@
 mod tracking;
 
 pub use connection::{ConnectionReuse, HttpReply};
+pub use fallback::describe_error;
 pub use pool::{ConnectionPool, HttpCall, SendError};
 pub use problem::{ProblemAnswer, ProblemKind, RunOutcome};
 pub use server::{CallerWatch, read_body, serve_http};
--- a/src/kernel/context.rs
+++ b/src/kernel/context.rs
@@ -1,5 +1,7 @@
 //! What all plug-ins share.
 
+use crate::admission::AdmissionGate;
+use crate::claims::ClaimService;
 use crate::config::ConfigCell;
 use crate::engine::EngineClient;
 use crate::http::ConnectionPool;
@@ -7,11 +9,11 @@
 use crate::membership::MemberService;
 use crate::peer::PeerTransport;
 use crate::platform::{InstanceClient, InstanceTable};
-use crate::routing::TargetTable;
+use crate::routing::{RoutingState, TargetTable};
 use crate::settings::DaemonSettings;
 use crate::store::StoreClient;
 use crate::telemetry::{MetricSet, TraceSink};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 /// Shared state of one daemon. Fields are read-mostly and safe to use from any thread.
 #[derive(Debug)]
@@ -40,10 +42,16 @@
     pub config: ConfigCell,
     /// State of the engines as this daemon sees it.
     pub targets: TargetTable,
+    /// Shared state of routing.
+    pub routing: RoutingState,
     /// Messages to other daemons.
     pub peers: PeerTransport,
     /// The daemons as this one sees them.
     pub members: MemberService,
+    /// Limits, fairness and overload.
+    pub admission: AdmissionGate,
+    /// Claims on idempotency keys, once their plug-in is installed.
+    pub claims: OnceLock<Arc<ClaimService>>,
     /// Phase and requests in progress.
     pub lifecycle: Arc<LifecycleCell>,
 }
@@ -60,10 +68,14 @@
             InstanceClient::new(Arc::clone(&pool), platform.instances, timing.store());
         let engines = EngineClient::new(Arc::clone(&pool), timing.engine_head());
         let peers = PeerTransport::new(&settings.peer_key, timing.connect());
+        let metrics = MetricSet::new();
+        let ceiling = settings.bounds.requests;
+        let admission = AdmissionGate::new(clock, settings.admission.clone(), ceiling, &metrics);
         Arc::new(Self {
+            admission: admission.expect("a new registry has no metrics yet"),
             clock,
             timers: TimerService::new(clock),
-            metrics: MetricSet::new(),
+            metrics,
             traces: TraceSink::new(&settings),
             store,
             instance_client,
@@ -71,8 +83,10 @@
             engines,
             config: ConfigCell::new(),
             targets: TargetTable::default(),
+            routing: RoutingState::default(),
             peers,
             members: MemberService::new(&settings, clock),
+            claims: OnceLock::new(),
             lifecycle: Arc::default(),
             pool,
             settings,
--- a/src/routing/attempt.rs
+++ b/src/routing/attempt.rs
@@ -16,6 +16,7 @@
 use async_std::channel::Sender;
 use async_std::future::timeout;
 use async_std::task;
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -25,8 +26,6 @@
 const TOKEN_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Longest wait for the first token of an attempt.
 const FIRST_TOKEN_TIMEOUT: Duration = Duration::from_secs(10);
-/// Time for which an engine that failed gets no new requests.
-const AVOID_TIME: Duration = Duration::from_secs(1);
 
 /// One generation to run.
 #[derive(Debug, Clone)]
@@ -47,6 +46,18 @@
     pub deadline: MonoTime,
     /// Parent of the attempts' spans.
     pub trace: TraceContext,
+    /// Takes the time waited for each token.
+    pub meter: TokenMeter,
+}
+
+/// Takes the time that an answer waited for each token but its first.
+#[derive(Clone)]
+pub struct TokenMeter(pub Arc<dyn Fn(Duration) + Send + Sync>);
+
+impl fmt::Debug for TokenMeter {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_tuple("TokenMeter").finish()
+    }
 }
 
 /// How one attempt ended.
@@ -97,15 +108,24 @@
     generation: &GenerationRequest,
     state: &GenerationState,
 ) -> Option<Vec<ChainStage>> {
+    let graph = context
+        .routing
+        .graphs
+        .graph(&generation.entry, &context.targets);
     let query = ChainQuery {
-        entry: &generation.entry,
         excluded: &state.excluded,
         warm: &state.warm,
+        desperate: false,
         now: context.clock.now(),
     };
-    match choose_chain(&query, &context.targets, &mut fastrand::Rng::new()) {
-        ChainChoice::Chain(chain) => Some(chain),
-        ChainChoice::NoChain { .. } => None,
+    let policy = context.settings.routing.policy;
+    match choose_chain(&graph, &query, policy, &mut fastrand::Rng::new()) {
+        ChainChoice::Chain(chain) => {
+            let edges = graph.edges();
+            let stages = chain.iter().map(|index| edges[*index].stage.clone());
+            Some(stages.collect())
+        }
+        ChainChoice::NoChain { .. } | ChainChoice::Reserved => None,
     }
 }
 
@@ -126,7 +146,7 @@
     match culprit {
         Some(instance) => {
             if let Some(target) = context.targets.get(&instance) {
-                target.avoid_until(context.clock.now().after(AVOID_TIME));
+                target.health.fail(context.clock.now(), false);
             }
             state.warm.retain(|other| *other != instance);
             state.excluded.push(instance);
@@ -248,6 +268,7 @@
             let partial = !state.delivery.delivered().is_empty();
             return AttemptEnd::Final(FinalAnswer::TimedOut { partial });
         }
+        let wait_start = context.clock.now();
         let record = match timeout(limit.min(left), stream.next()).await {
             Err(_elapsed) if limit < left => return AttemptEnd::Failed(AttemptFailure::Stalled),
             Err(_elapsed) => continue,
@@ -259,6 +280,9 @@
         match state.delivery.accept(record) {
             DeliveryStep::Ignore => {}
             DeliveryStep::Deliver(text) => {
+                if limit == TOKEN_TIMEOUT {
+                    (generation.meter.0)(context.clock.now().since(wait_start));
+                }
                 limit = TOKEN_TIMEOUT;
                 if sink.send(AnswerEvent::Token(text)).await.is_err() {
                     return AttemptEnd::Final(FinalAnswer::CallerGone);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,8 +1,11 @@
 //! Daemon settings: a checked JSON file that each process reads once at start.
 
+use crate::admission::{ADMISSION_TABLE, AdmissionSettings};
 use crate::check::{CheckError, CheckFault, FieldKind, FieldRule, check_document};
+use crate::claims::{CLAIM_TABLE, ClaimSettings};
 use crate::ids::{DomainId, InstanceId};
 use crate::membership::{MEMBER_TABLE, MemberSettings};
+use crate::routing::{ROUTING_TABLE, RoutingSettings};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -50,6 +53,15 @@
     /// Membership, the address answer and shutdown.
     #[serde(default)]
     pub membership: MemberSettings,
+    /// Limits, fairness and overload.
+    #[serde(default)]
+    pub admission: AdmissionSettings,
+    /// Routing policy and resuming.
+    #[serde(default)]
+    pub routing: RoutingSettings,
+    /// Claims on idempotency keys.
+    #[serde(default)]
+    pub claims: ClaimSettings,
     /// Logging.
     #[serde(default)]
     pub log: LogSettings,
@@ -230,6 +242,9 @@
     FieldRule::optional("timing", FieldKind::Object(TIMING_TABLE)),
     FieldRule::optional("bounds", FieldKind::Object(BOUND_TABLE)),
     FieldRule::optional("membership", FieldKind::Object(MEMBER_TABLE)),
+    FieldRule::optional("admission", FieldKind::Object(ADMISSION_TABLE)),
+    FieldRule::optional("routing", FieldKind::Object(ROUTING_TABLE)),
+    FieldRule::optional("claims", FieldKind::Object(CLAIM_TABLE)),
     FieldRule::optional("log", FieldKind::Object(LOG_TABLE)),
     FieldRule::optional("traces", FieldKind::Object(TRACE_TABLE)),
 ];
