--- a/src/membership/protocol/statements.rs
+++ b/src/membership/protocol/statements.rs
@@ -13,7 +13,7 @@
 /// Further rows in one reply to a daemon whose table differs.
 const REPAIR_ROWS: usize = 10;
 /// A statement travels on this many messages for each doubling of the number of members.
-const SPREAD_FACTOR: u32 = 3;
+const SPREAD_FACTOR: u32 = 1;
 
 impl MemberProtocol {
     /// Takes a reply to a probe of `target`; false when it is not the target's acknowledgement.
--- a/tests/draining.rs
+++ b/tests/draining.rs
@@ -25,6 +25,9 @@
 /// Longest shutdown of a daemon whose work takes a few seconds.
 const SHUTDOWN_LIMIT: Duration = Duration::from_secs(30);
 
+/// Time within which a daemon that has nothing to wait for ends.
+const EXIT_MARGIN: Duration = Duration::from_secs(1);
+
 fn daemons(count: usize) -> FleetSpec {
     FleetSpec {
         daemons: count,
@@ -242,6 +245,8 @@
     let mut rest = Vec::new();
     let ended = idle.read_to_end(&mut rest).await;
     assert!(matches!(ended, Ok(0)), "{ended:?}");
+    let exited = fleet.daemons[0].process.wait(EXIT_MARGIN);
+    assert!(exited.is_none(), "it ended with half a request read");
     slow.write_all(b"st: daemon\r\n\r\n")
         .await
         .expect("it reads");
