--- a/rig/src/report/table.rs
+++ b/rig/src/report/table.rs
@@ -27,7 +27,7 @@
         .outcomes
         .iter()
         .filter(|(outcome, _)| is_failed(**outcome));
-    failed.map(|(_, count)| *count as f64).sum()
+    failed.map(|(_, count)| *count).sum::<u64>() as f64
 }
 
 /// Columns with the digits after their point.
--- a/rig/tests/load.rs
+++ b/rig/tests/load.rs
@@ -311,6 +311,21 @@
     assert_eq!(paths(&missing.unwrap_err()), ["$.base"]);
 }
 
+#[test_case("courses"; "arrival courses")]
+#[test_case("policies"; "policies")]
+#[test_case("recovery"; "recovery")]
+#[test_case("saturation"; "saturation")]
+#[test_case("signals"; "signals that lie")]
+fn committed_experiments_are_valid(name: &str) {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../experiments");
+    let read = |file: &str| std::fs::read_to_string(format!("{folder}/{file}"));
+    let text = read(&format!("{name}.json")).unwrap();
+
+    let experiment = ExperimentSpec::parse(&text, |base| read(base).map_err(|e| e.to_string()));
+
+    assert!(!experiment.unwrap().variants.is_empty());
+}
+
 #[async_std::test]
 async fn saturated_chain_stays_below_its_bound() {
     // One chain of three engines, of which the middle one is the slowest.
