Let runs load all engines at once

Cause: a rollout loads four engines at once by default, so a fleet of 216 engines was not ready within 40 s and `rig capacity daemons` ended there.

Change: runs declare a rollout without that limit. Ruled out: a longer wait, which would measure nothing.

--- a/rig/src/load/declare.rs
+++ b/rig/src/load/declare.rs
@@ -15,6 +15,9 @@
 /// Bytes of one layer's weights.
 pub(super) const LAYER_BYTES: u64 = 1_000;
 
+/// Most engines that a rollout may load at once.
+const MAX_LOADS: usize = 1_000;
+
 /// Bearer token of a team.
 pub(super) fn team_token(team: &str) -> String {
     format!("{team}-secret")
@@ -65,6 +68,7 @@
             "layer_bytes": LAYER_BYTES, "replicas": spec.replicas, "floor": 0,
         }],
         "services": services,
+        "rollout": { "loads_at_once": spec.engine_count().min(MAX_LOADS) },
         "teams": teams.collect::<Vec<_>>(),
     });
     FleetDeclaration::parse(&text.to_string()).map_err(|errors| format!("{errors:?}"))
