--- a/rig/src/engine/mod.rs
+++ b/rig/src/engine/mod.rs
@@ -10,4 +10,7 @@
 mod session;
 
 pub use link::LinkKnobs;
+mod mischief;
+
+pub use mischief::StreamMischief;
 pub use server::{EngineKnobs, EngineStandIn, LedgerEntry};
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -21,7 +21,7 @@
     measure_request_path, measure_state, render_points,
 };
 pub use demo::run_demo;
-pub use engine::{EngineKnobs, EngineStandIn, LedgerEntry, LinkKnobs};
+pub use engine::{EngineKnobs, EngineStandIn, LedgerEntry, LinkKnobs, StreamMischief};
 pub use fleet::{
     AGENT_TOKEN, DaemonSeat, FleetSpec, OPERATOR_TOKEN, ProcessFleet, ProcessHandle, ProgramPaths,
     TEAM_TOKEN, free_address, sample_declaration, wait_until,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,7 +30,8 @@
 };
 pub use api::{
     AddressAnswer, AddressRow, ChatChoice, ChatMessage, ChatRequest, ChatResponse, ChatUsage,
-    ConfirmReply, IncompleteMessage, ModelStatus, PlanRequest, StatusReply, StreamOptions,
+    ConfirmReply, IncompleteMessage, ModelStatus, NextVersion, PlanRequest, StatusReply,
+    StreamOptions,
 };
 pub use check::{CheckError, CheckFault, FieldKind, FieldRule, check_document};
 pub use claims::{
@@ -44,12 +45,12 @@
     AcceptedConfig, AdoptOutcome, AdoptionState, BackoffLimits, BundleError, CONFIG_KEY,
     CapacityChange, ChangeEntry, ConfigBundle, ConfigCell, ConfigDocument, ConfigHead,
     ConfigNotice, ConfigPull, ConfigReply, ConfigRequest, EngineOffer, FleetDeclaration, FleetPlan,
-    MARK_KEY, ModelEntry, ModelSpec, NoticeStep, OfferOutcome, PlacementError, PlacementPlan,
-    PlanChange, PlanCost, PlanInputs, PlanVerdict, RankedRouter, RetryBackoff, RolloutSpec,
-    SectionDigest, SectionMap, ServiceSpec, ServingVersion, StagePlacement, StoreDuty, StoreStep,
-    TeamSpec, TokenDigest, WATCHERS, advance_document, check_plan, compare_documents, count_copies,
-    digest_token, extend_recent, fit_models, judge_plan, make_plan, place_models, rank_routers,
-    read_head, store_duty,
+    MARK_KEY, ModelEntry, ModelSpec, NoticeStep, OfferOutcome, PUSH_PEERS, PlacementError,
+    PlacementPlan, PlanChange, PlanCost, PlanInputs, PlanVerdict, RankedRouter, RetryBackoff,
+    RolloutSpec, SectionDigest, SectionMap, ServiceSpec, ServingVersion, StagePlacement, StoreDuty,
+    StoreStep, TeamSpec, TokenDigest, WATCHERS, advance_document, check_plan, compare_documents,
+    count_copies, digest_token, exchange_period, extend_recent, fit_models, judge_plan, make_plan,
+    place_models, rank_routers, read_head, store_duty,
 };
 pub use engine::{
     ActivationReply, ActivationRequest, CancelRequest, ChainStage, EngineClient, EngineError,
@@ -69,7 +70,9 @@
     DaemonError, DaemonHandle, DaemonPhase, KernelContext, LifecycleCell, MonoClock, PluginEntry,
     PluginError, PluginHost, TimerJob, TimerService, TimerSpec, WebApp, run_daemon, start_daemon,
 };
-pub use operator::{AskRequest, OperatorClient, OperatorCommand, OperatorError, run_command};
+pub use operator::{
+    AskRequest, OperatorClient, OperatorCommand, OperatorError, plan_text, run_command, status_text,
+};
 pub use peer::{
     FrameKind, HandshakeError, PeerError, PeerFrame, PeerHandlers, PeerTopic, PeerTransport,
     serve_peers,
@@ -81,11 +84,14 @@
     DrainTable, EngineView, LeaderCell, LeaderState, OrderPlan, PlannedOrder, plan_orders,
 };
 pub use routing::{
-    AnswerEvent, AnswerStream, AttemptFailure, ChainChoice, ChainQuery, DeliveryState,
-    DeliveryStep, FinalAnswer, FlightGuard, FlowWeights, GenerationRequest, GraphTable, ModelGraph,
-    OwnHistory, PolicyError, PolicyName, RoutingSettings, RoutingState, StageEdge, StepRate,
-    TargetHealth, TargetLoad, TargetReservation, TargetState, TargetTable, TokenMeter,
-    choose_chain, expected_micros, run_generation, start_generation, weigh_flows,
+    AnswerEvent, AnswerStream, AttemptEvent, AttemptFailure, AttemptMachine, AttemptNotice,
+    AttemptStep, AwaitedStep, ChainChoice, ChainQuery, ChainWish, DeliveryState, DeliveryStep,
+    FinalAnswer, FlightGuard, FlowWeights, GapEstimate, GenerationRequest, GrantTable, GraphTable,
+    MachineSpec, ModelGraph, OwnHistory, PoisonEntry, PoisonFingerprint, PoisonTable, PolicyError,
+    PolicyName, RoutingMetrics, RoutingSettings, RoutingState, StageEdge, StageFault, StageKey,
+    StageProbe, StepRate, TargetHealth, TargetLoad, TargetReservation, TargetState, TargetTable,
+    TokenMeter, choose_chain, expected_micros, judge_probes, run_generation, start_generation,
+    weigh_flows,
 };
 pub use settings::{
     BoundSettings, DaemonSettings, LogSettings, PlatformSettings, TimingSettings, TraceSettings,
