--- a/rig/src/fleet/layout.rs
+++ b/rig/src/fleet/layout.rs
@@ -2,7 +2,7 @@
 
 use crate::engine::EngineKnobs;
 use arbutusmount::{
-    ClaimSettings, FleetDeclaration, RoutingSettings, TimingSettings, digest_token,
+    ClaimSettings, FleetDeclaration, MemberSettings, RoutingSettings, TimingSettings, digest_token,
 };
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -68,6 +68,8 @@
     pub domains: Vec<&'static str>,
     /// Timeouts and periods of the daemons.
     pub timing: TimingSettings,
+    /// Membership, address answer and shutdown of the daemons.
+    pub membership: MemberSettings,
     /// Routing settings of the daemons.
     pub routing: RoutingSettings,
     /// Further settings of the daemons: top-level fields that replace those made here.
@@ -91,6 +93,7 @@
             services: 1,
             domains: vec!["bangna", "lat-krabang", "rangsit"],
             timing,
+            membership: MemberSettings::default(),
             routing: RoutingSettings::default(),
             settings: serde_json::json!({}),
             claims: ClaimSettings::default(),
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -23,8 +23,8 @@
 pub use demo::run_demo;
 pub use engine::{EngineKnobs, EngineStandIn, LedgerEntry, LinkKnobs, StreamMischief};
 pub use fleet::{
-    AGENT_TOKEN, DaemonSeat, FleetSpec, OPERATOR_TOKEN, ProcessFleet, ProcessHandle, ProgramPaths,
-    TEAM_TOKEN, free_address, sample_declaration, wait_until,
+    AGENT_TOKEN, AddressCaller, CallOutcome, DaemonSeat, FleetSpec, OPERATOR_TOKEN, ProcessFleet,
+    ProcessHandle, ProgramPaths, TEAM_TOKEN, free_address, sample_declaration, wait_until,
 };
 pub use load::{
     ArrivalKind, ArrivalSpec, ArrivalStep, EngineKind, ExperimentSpec, FaultKind, FaultSpec,
@@ -38,4 +38,4 @@
 pub use proxy::{DirectionFault, FaultProxy, ProxyFaults};
 pub use report::{RunGroup, group_runs, read_summaries, render_recovery, render_runs, write_plots};
 pub use service::{RunRecord, ServiceKnobs, ServiceStandIn, read_ledger};
-pub use web::{admin_get, admin_send, json_response};
+pub use web::{admin_get, admin_send, admin_text, json_response};
--- a/src/kernel/context.rs
+++ b/src/kernel/context.rs
@@ -6,6 +6,7 @@
 use crate::engine::EngineClient;
 use crate::http::ConnectionPool;
 use crate::kernel::{LifecycleCell, MonoClock, TimerService};
+use crate::membership::MemberService;
 use crate::peer::PeerTransport;
 use crate::platform::{InstanceClient, InstanceTable};
 use crate::routing::{RoutingState, TargetTable};
@@ -45,6 +46,8 @@
     pub routing: RoutingState,
     /// Messages to other daemons.
     pub peers: PeerTransport,
+    /// The daemons as this one sees them.
+    pub members: MemberService,
     /// Limits, fairness and overload.
     pub admission: AdmissionGate,
     /// Claims on idempotency keys, once their plug-in is installed.
@@ -82,6 +85,7 @@
             targets: TargetTable::default(),
             routing: RoutingState::default(),
             peers,
+            members: MemberService::new(&settings, clock),
             claims: OnceLock::new(),
             lifecycle: Arc::default(),
             pool,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -70,6 +70,12 @@
     DaemonError, DaemonHandle, DaemonPhase, KernelContext, LifecycleCell, MonoClock, PluginEntry,
     PluginError, PluginHost, TimerJob, TimerService, TimerSpec, WebApp, run_daemon, start_daemon,
 };
+pub use membership::{
+    AddressPlan, CallNumber, IncarnationNumber, LeavingMarks, LeavingTarget, MarkRecord,
+    MemberBoard, MemberCall, MemberChange, MemberMessage, MemberProtocol, MemberRecord, MemberRow,
+    MemberService, MemberSettings, MemberState, MemberView, MessageKind, ProtocolCounts,
+    ProtocolTiming, RequestStep, TeamShare, share_by_weight,
+};
 pub use operator::{
     AskRequest, OperatorClient, OperatorCommand, OperatorError, plan_text, run_command, status_text,
 };
