--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -2,7 +2,7 @@
 //! `cargo bench --bench decisions` prints a table; the figures of docs/CAPACITY.md come from
 //! `rig capacity core`, which measures the same.
 
-use rig::{measure_decisions, measure_memory, measure_state, render_points};
+use rig::{measure_decisions, measure_members, measure_memory, measure_state, render_points};
 
 fn main() {
     // Cargo passes `--bench`, and `--test` when the benches are only to be tried.
@@ -12,5 +12,6 @@
     let mut points = measure_memory();
     points.extend(measure_decisions());
     points.extend(measure_state());
+    points.extend(measure_members());
     print!("{}", render_points(&points));
 }
--- a/rig/src/args.rs
+++ b/rig/src/args.rs
@@ -1,8 +1,8 @@
 //! Arguments and subcommands of the program.
 
 use crate::capacity::{
-    measure_daemons, measure_decisions, measure_memory, measure_request_path, measure_state,
-    render_points,
+    measure_daemons, measure_decisions, measure_members, measure_memory, measure_request_path,
+    measure_state, render_points,
 };
 use crate::demo::run_demo;
 use crate::engine::{EngineKnobs, EngineStandIn};
@@ -222,6 +222,7 @@
             let mut points = measure_memory();
             points.extend(measure_decisions());
             points.extend(measure_state());
+            points.extend(measure_members());
             points
         }
         "daemons" => task::block_on(measure_daemons(&programs()?))?,
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -17,8 +17,8 @@
 pub use args::run_program;
 pub use bound::{StageRate, TokenWork, flow_bound, link_rate};
 pub use capacity::{
-    CapacityPoint, LinearFit, fit_line, measure_daemons, measure_decisions, measure_memory,
-    measure_request_path, measure_state, render_points,
+    CapacityPoint, LinearFit, fit_line, measure_daemons, measure_decisions, measure_members,
+    measure_memory, measure_request_path, measure_state, render_points,
 };
 pub use demo::run_demo;
 pub use engine::{EngineKnobs, EngineStandIn, LedgerEntry, LinkKnobs, StreamMischief};
