--- a/rig/tests/load.rs
+++ b/rig/tests/load.rs
@@ -311,6 +311,7 @@
     assert_eq!(paths(&missing.unwrap_err()), ["$.base"]);
 }
 
+#[test_case("admission"; "admission")]
 #[test_case("courses"; "arrival courses")]
 #[test_case("policies"; "policies")]
 #[test_case("recovery"; "recovery")]
