--- a/src/kernel/context.rs
+++ b/src/kernel/context.rs
@@ -46,12 +46,12 @@
     pub routing: RoutingState,
     /// Messages to other daemons.
     pub peers: PeerTransport,
-    /// The daemons as this one sees them.
-    pub members: MemberService,
     /// Limits, fairness and overload.
     pub admission: AdmissionGate,
     /// Claims on idempotency keys, once their plug-in is installed.
     pub claims: OnceLock<Arc<ClaimService>>,
+    /// The daemons as this one sees them.
+    pub members: MemberService,
     /// Phase and requests in progress.
     pub lifecycle: Arc<LifecycleCell>,
 }
@@ -85,8 +85,8 @@
             targets: TargetTable::default(),
             routing: RoutingState::default(),
             peers,
-            members: MemberService::new(&settings, clock),
             claims: OnceLock::new(),
+            members: MemberService::new(&settings, clock),
             lifecycle: Arc::default(),
             pool,
             settings,
--- a/src/membership/listing.rs
+++ b/src/membership/listing.rs
@@ -1,10 +1,8 @@
 //! Plug-in that reads the platform's instance list and keeps new work away from leaving targets.
 
-use crate::ids::InstanceId;
 use crate::kernel::{KernelContext, PluginEntry, PluginError, PluginHost, TimerSpec};
 use crate::membership::marks::{LeavingMarks, LeavingTarget};
-use crate::membership::row::{MemberRow, MemberState};
-use crate::membership::view::MemberView;
+use crate::membership::row::MemberRow;
 use crate::platform::{InstanceList, InstanceRole, InstanceRow, InstanceState};
 use crate::units::MonoTime;
 use std::collections::BTreeSet;
@@ -61,7 +59,6 @@
         mark_reported(context, marks, now);
         let mut list = reader.last.clone();
         apply_marks(marks, &mut list);
-        apply_view(&protocol.view(), &mut list);
         list
     })
 }
@@ -99,22 +96,6 @@
     }
 }
 
-/// Daemons that this one knows to be leaving or gone get no new work either, unless it doubts
-/// itself.
-fn apply_view(view: &MemberView, list: &mut InstanceList) {
-    let gone: BTreeSet<&InstanceId> = view
-        .others
-        .iter()
-        .filter(|row| row.state > MemberState::Suspect && !view.isolated)
-        .map(|row| &row.instance)
-        .collect();
-    for row in &mut list.instances {
-        if row.role == InstanceRole::Router && gone.contains(&row.instance) {
-            row.state = InstanceState::Leaving;
-        }
-    }
-}
-
 fn targets(list: &InstanceList) -> impl Iterator<Item = &InstanceRow> {
     let is_target = |row: &&InstanceRow| row.role != InstanceRole::Router;
     list.instances.iter().filter(is_target)
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -50,9 +50,6 @@
     /// Bounds on memory and request size.
     #[serde(default)]
     pub bounds: BoundSettings,
-    /// Membership, the address answer and shutdown.
-    #[serde(default)]
-    pub membership: MemberSettings,
     /// Limits, fairness and overload.
     #[serde(default)]
     pub admission: AdmissionSettings,
@@ -62,6 +59,9 @@
     /// Claims on idempotency keys.
     #[serde(default)]
     pub claims: ClaimSettings,
+    /// Membership, the address answer and shutdown.
+    #[serde(default)]
+    pub membership: MemberSettings,
     /// Logging.
     #[serde(default)]
     pub log: LogSettings,
@@ -241,10 +241,10 @@
     FieldRule::required("operator_token_sha256", FieldKind::Digest),
     FieldRule::optional("timing", FieldKind::Object(TIMING_TABLE)),
     FieldRule::optional("bounds", FieldKind::Object(BOUND_TABLE)),
-    FieldRule::optional("membership", FieldKind::Object(MEMBER_TABLE)),
     FieldRule::optional("admission", FieldKind::Object(ADMISSION_TABLE)),
     FieldRule::optional("routing", FieldKind::Object(ROUTING_TABLE)),
     FieldRule::optional("claims", FieldKind::Object(CLAIM_TABLE)),
+    FieldRule::optional("membership", FieldKind::Object(MEMBER_TABLE)),
     FieldRule::optional("log", FieldKind::Object(LOG_TABLE)),
     FieldRule::optional("traces", FieldKind::Object(TRACE_TABLE)),
 ];
