--- a/rig/src/fleet/running.rs
+++ b/rig/src/fleet/running.rs
@@ -3,6 +3,7 @@
 use crate::fleet::layout::{DaemonSeat, FleetSpec, OPERATOR_TOKEN, ProgramPaths};
 use crate::fleet::ports::free_address;
 use crate::fleet::process::ProcessHandle;
+use crate::proxy::FaultProxy;
 use crate::service::{RunRecord, read_ledger};
 use crate::web::{admin_get, admin_send};
 use arbutusmount::{
@@ -149,6 +150,24 @@
         }
     }
 
+    /// Seat of a daemon that other daemons reach through the returned proxy only.
+    ///
+    /// # Panics
+    /// When the proxy cannot listen.
+    pub async fn proxied_seat(&self) -> (DaemonSeat, FaultProxy) {
+        let seat = self.plain_seat();
+        let proxy = FaultProxy::start(free_address(), seat.peer_listen).await;
+        let proxy = proxy.expect("a proxy listens on a free address");
+        let peer_listed = proxy.address();
+        (
+            DaemonSeat {
+                peer_listed,
+                ..seat
+            },
+            proxy,
+        )
+    }
+
     fn domain(&self, index: usize) -> &'static str {
         self.spec.domains[index % self.spec.domains.len()]
     }
@@ -202,6 +221,7 @@
             "timing": self.spec.timing,
             "routing": self.spec.routing,
             "claims": self.spec.claims,
+            "membership": self.spec.membership,
             "log": { "level": "debug" },
         });
         for (field, value) in self.spec.settings.as_object().into_iter().flatten() {
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -11,6 +11,7 @@
 mod oracle;
 mod platform;
 mod proxy;
+mod report;
 mod service;
 mod web;
 
@@ -18,14 +19,14 @@
 pub use bound::{StageRate, TokenWork, flow_bound, link_rate};
 pub use capacity::{
     CapacityPoint, LinearFit, fit_line, measure_daemons, measure_decisions, measure_memory,
-    measure_request_path, render_points,
+    measure_request_path, measure_state, render_points,
 };
 pub use claims_bench::{ClaimBench, run_claims_bench};
 pub use demo::run_demo;
-pub use engine::{EngineKnobs, EngineStandIn, LedgerEntry, LinkKnobs};
+pub use engine::{EngineKnobs, EngineStandIn, LedgerEntry, LinkKnobs, StreamMischief};
 pub use fleet::{
-    AGENT_TOKEN, DaemonSeat, FleetSpec, OPERATOR_TOKEN, ProcessFleet, ProcessHandle, ProgramPaths,
-    TEAM_TOKEN, free_address, sample_declaration, wait_until,
+    AGENT_TOKEN, AddressCaller, CallOutcome, DaemonSeat, FleetSpec, OPERATOR_TOKEN, ProcessFleet,
+    ProcessHandle, ProgramPaths, TEAM_TOKEN, free_address, sample_declaration, wait_until,
 };
 pub use load::{
     ArrivalKind, ArrivalSpec, ArrivalStep, EngineKind, ExperimentSpec, FaultKind, FaultSpec,
@@ -37,5 +38,6 @@
 pub use oracle::{OracleState, reference_answer, reference_text};
 pub use platform::{PlatformKnobs, PlatformStandIn};
 pub use proxy::{DirectionFault, FaultProxy, ProxyFaults};
+pub use report::{RunGroup, group_runs, read_summaries, render_recovery, render_runs, write_plots};
 pub use service::{RunRecord, ServiceKnobs, ServiceStandIn, read_ledger};
-pub use web::{admin_get, admin_send, json_response};
+pub use web::{admin_get, admin_send, admin_text, json_response};
