--- a/rig/src/claims_bench.rs
+++ b/rig/src/claims_bench.rs
@@ -209,7 +209,9 @@
     /// Ends the daemons' listeners; their timers end with the program.
     async fn stop(self) {
         for daemon in self.daemons {
-            daemon.drain().await;
+            if let Err(cause) = daemon.drain().await {
+                eprintln!("a daemon did not drain: {cause}");
+            }
         }
     }
 
