--- a/benches/routing.rs
+++ b/benches/routing.rs
@@ -1,9 +1,10 @@
 //! Time to choose a chain, by policy and number of engines: `cargo bench --bench routing`.
 
 use arbutusmount::{
-    ChainChoice, ChainQuery, EngineReport, HeldStage, ModelEntry, ModelGraph, ModelSpec, MonoTime,
-    PolicyName, StagePlacement, TargetTable, choose_chain, weigh_flows,
+    ChainChoice, ChainQuery, EngineReport, HeldStage, LoadDigest, LoadRow, ModelEntry, ModelGraph,
+    ModelSpec, MonoTime, PolicyName, StagePlacement, TargetTable, choose_chain, weigh_flows,
 };
+use prost::Message;
 use std::hint::black_box;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -103,8 +104,25 @@
     println!("{count:>6} engines  weigh flows             {weigh:>12.0} ns");
 }
 
+/// Bytes of one engine's load on its way between daemons.
+fn measure_rows() {
+    let mut rng = fastrand::Rng::with_seed(SEED);
+    let entry = make_entry(1);
+    let targets = make_table(&entry, &mut rng);
+    let instance = &entry.placements[0].instance;
+    let target = targets.get(instance).expect("just added");
+    let report = target.report().expect("just published");
+    let bytes = |known| {
+        let rows = vec![LoadRow::new(instance, &report, 900, known)];
+        LoadDigest { rows }.encoded_len()
+    };
+    let (load, whole) = (bytes(Some(&report)), bytes(None));
+    println!("load row {load} bytes, with the whole report {whole} bytes");
+}
+
 fn main() {
     println!("seed {SEED}");
+    measure_rows();
     for count in SIZES {
         bench_size(count);
     }
--- /dev/null
+++ b/rig/src/engine/knobs.rs
@@ -0,0 +1,61 @@
+//! Behaviour of an engine.
+
+use crate::engine::mischief::StreamMischief;
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// Behaviour of an engine; all of it can be changed while it runs, but the step times.
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+#[serde(default)]
+pub struct EngineKnobs {
+    /// Time of one layer for a batch of one, in microseconds.
+    pub layer_micros: u64,
+    /// Additional time of one layer for each further item of a batch, in microseconds.
+    pub item_micros: u64,
+    /// Time of one layer for each token to prefill, in microseconds.
+    pub prefill_micros: u64,
+    /// Largest batch.
+    pub max_batch: usize,
+    /// Tokens that the key-value cache holds.
+    pub kv_tokens: u64,
+    /// Factor on step times, in per cent.
+    pub slow_percent: u64,
+    /// Delay of each hand-over to the next stage, in milliseconds.
+    pub link_ms: u64,
+    /// Age of load reports, in milliseconds.
+    pub report_lag_ms: u64,
+    /// True to refuse orders that carry an old fencing number.
+    pub honours_fencing: bool,
+    /// True to refuse new requests.
+    pub refuse: bool,
+    /// True to say in reports that the engine is leaving.
+    pub leaving: bool,
+    /// Exit at once when a prompt contains this text; empty for never.
+    pub crash_marker: Arc<str>,
+    /// Index of the stage at which a marked prompt makes its engine exit.
+    pub crash_stage: usize,
+    /// Faults in the records that the engine streams.
+    pub mischief: StreamMischief,
+}
+
+impl Default for EngineKnobs {
+    fn default() -> Self {
+        Self {
+            layer_micros: 300,
+            item_micros: 20,
+            prefill_micros: 2,
+            max_batch: 32,
+            kv_tokens: 1 << 20,
+            slow_percent: 100,
+            link_ms: 0,
+            report_lag_ms: 0,
+            honours_fencing: true,
+            refuse: false,
+            leaving: false,
+            crash_marker: Arc::from(""),
+            crash_stage: 0,
+            mischief: StreamMischief::None,
+        }
+    }
+}
--- a/rig/src/engine/mod.rs
+++ b/rig/src/engine/mod.rs
@@ -4,10 +4,12 @@
 mod batcher;
 mod generate;
 mod holding;
+mod knobs;
 mod kv;
 mod mischief;
 mod server;
 mod session;
 
+pub use knobs::EngineKnobs;
 pub use mischief::StreamMischief;
-pub use server::{EngineKnobs, EngineStandIn, LedgerEntry};
+pub use server::{EngineStandIn, LedgerEntry};
--- a/src/routing/attempt.rs
+++ b/src/routing/attempt/mod.rs
@@ -1,17 +1,18 @@
 //! Runs the state machine of a request on the engines: the asynchronous shell around it.
 
+mod notice;
+
 use crate::config::ModelEntry;
 use crate::engine::{CancelRequest, ChainStage, GenerateRequest, PipelineWork};
 use crate::ids::{AttemptNumber, InstanceId, RequestId};
 use crate::kernel::KernelContext;
-use crate::routing::poison_gossip::spread;
 use crate::routing::probing::{ProbeQuery, probe_stages};
 use crate::routing::source::AttemptSource;
 use crate::routing::trial::EngineTrial;
 use crate::routing::{
-    AnswerEvent, AttemptEvent, AttemptMachine, AttemptNotice, AttemptStep, ChainChoice, ChainQuery,
-    ChainWish, FinalAnswer, FlightGuard, MachineSpec, PoisonEntry, PoisonFingerprint, StageFault,
-    StageProbe, TargetState, choose_chain,
+    AnswerEvent, AttemptEvent, AttemptMachine, AttemptStep, ChainChoice, ChainQuery, ChainWish,
+    FinalAnswer, FlightGuard, MachineSpec, PoisonFingerprint, StageProbe, TargetState,
+    choose_chain,
 };
 use crate::telemetry::{SpanGuard, TraceContext};
 use crate::units::MonoTime;
@@ -341,88 +342,6 @@
         }
     }
 
-    fn take_notice(&mut self, notice: &AttemptNotice) {
-        match notice {
-            AttemptNotice::Fault {
-                instance,
-                fault,
-                detection,
-            } => {
-                self.note_fault(instance.as_str(), *fault, *detection);
-                if fault.concerns_engine()
-                    && let Some(target) = self.context.targets.get(instance)
-                {
-                    eject(self.context, &target);
-                }
-            }
-            AttemptNotice::Worked => {
-                self.trial = None;
-                if let Some(attempt) = &self.attempt {
-                    for target in &attempt.targets {
-                        target.health.succeed();
-                    }
-                }
-            }
-            AttemptNotice::Suspected(crashes) => self.suspect(*crashes),
-            AttemptNotice::Cleared => self.clear_suspicion(),
-        }
-    }
-
-    fn note_fault(&mut self, instance: &str, fault: StageFault, detection: Duration) {
-        self.has_failed = true;
-        let routing = &self.context.routing;
-        routing.count(|metrics| metrics.count_fault(fault, detection));
-        let parent = self.generation.trace;
-        if let Some(attempt) = &mut self.attempt {
-            attempt.span.fail(format!("{instance} {}", fault.name()));
-        }
-        let traces = &self.context.traces;
-        let resume = self
-            .resume
-            .get_or_insert_with(|| traces.start("resume", parent));
-        resume.set("fault", format!("{instance} {}", fault.name()));
-        resume.set("detection_us", detection.as_micros());
-    }
-
-    fn fingerprint(&self) -> PoisonFingerprint {
-        PoisonFingerprint::new(&self.generation.entry, &self.generation.prompt)
-    }
-
-    fn suspect(&self, crashes: u32) {
-        let settings = &self.context.settings.routing;
-        let is_poison = crashes >= settings.poison_crashes;
-        let ttl = if is_poison {
-            settings.poison_time()
-        } else {
-            SUSPECT_TIME
-        };
-        let now = self.context.clock.now();
-        let entry = PoisonEntry {
-            crashes,
-            until: now.after(ttl),
-        };
-        let fingerprint = self.fingerprint();
-        self.context.routing.poison.note(fingerprint, entry, now);
-        spread(self.context, fingerprint, crashes, ttl);
-        let event = if is_poison { "poisoned" } else { "suspected" };
-        self.context
-            .routing
-            .count(|metrics| metrics.count_suspect(event));
-        if is_poison {
-            log::warn!("requests with fingerprint {fingerprint} are refused: {crashes} crashes");
-        }
-    }
-
-    fn clear_suspicion(&self) {
-        let fingerprint = self.fingerprint();
-        let limit = self.context.settings.routing.poison_crashes;
-        self.context.routing.poison.clear(fingerprint, limit);
-        spread(self.context, fingerprint, 0, Duration::ZERO);
-        self.context
-            .routing
-            .count(|metrics| metrics.count_suspect("cleared"));
-    }
-
     async fn finish(&mut self, answer: &FinalAnswer) {
         if let FinalAnswer::Poisoned { .. } = answer {
             let routing = &self.context.routing;
@@ -450,15 +369,3 @@
         .map(|stage| format!("{}:{}", stage.instance, stage.layers));
     stages.collect::<Vec<_>>().join(" ")
 }
-
-/// Closes an engine for a while, or only shortly when half of the engines are closed already.
-fn eject(context: &KernelContext, target: &TargetState) {
-    let now = context.clock.now();
-    let targets = context.targets.all();
-    let closed = targets.iter().filter(|t| !t.health.admits(now)).count();
-    let is_capped = (closed + 1) * 2 > targets.len();
-    target.health.fail(now, is_capped);
-    context
-        .routing
-        .count(|metrics| metrics.count_ejection(is_capped));
-}
--- a/src/routing/machine.rs
+++ b/src/routing/machine/mod.rs
@@ -3,10 +3,15 @@
 
 use crate::engine::{ChainStage, FinishCause, StreamRecord};
 use crate::http::RunOutcome;
-use crate::ids::{AttemptNumber, InstanceId, RequestId, TokenPosition};
+use crate::ids::InstanceId;
+mod event;
+mod fault;
+mod limit;
+
+pub use event::{AttemptEvent, AttemptNotice, AttemptStep, ChainWish, MachineSpec};
+
 use crate::routing::{
-    AttemptFailure, AwaitedStep, DeliveryState, DeliveryStep, FinalAnswer, GapEstimate, StageFault,
-    StageProbe, judge_probes,
+    AttemptFailure, DeliveryState, DeliveryStep, FinalAnswer, GapEstimate, StageFault, StageProbe,
 };
 use crate::units::MonoTime;
 use std::sync::Arc;
@@ -29,123 +34,6 @@
 /// Pause before looking for a chain again when another request has reserved its engines.
 const RESERVED_PAUSE: Duration = Duration::from_millis(5);
 
-/// Limits of one request.
-#[derive(Debug, Clone, Copy)]
-pub struct MachineSpec {
-    /// Request.
-    pub request: RequestId,
-    /// Tokens wanted.
-    pub max_tokens: u32,
-    /// Time by which the answer must be complete.
-    pub deadline: MonoTime,
-    /// Shortest wait for a token before the chain is probed.
-    pub floor: Duration,
-    /// Longest wait for a token before the chain is probed.
-    pub ceiling: Duration,
-    /// Longest wait for the first token before the chain is probed.
-    pub first_token: Duration,
-    /// Crashes without a token in between after which the request is poison.
-    pub poison_crashes: u32,
-    /// Crashes that requests of the same content have caused before.
-    pub suspicion: u32,
-}
-
-/// What kind of chain to look for.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ChainWish {
-    /// Engines that must not be used.
-    pub excluded: Vec<InstanceId>,
-    /// Engines that hold KV cache of the request.
-    pub warm: Vec<InstanceId>,
-    /// True to use engines that are closed after failures too.
-    pub desperate: bool,
-    /// True to reserve the engines, as the request may crash them.
-    pub alone: bool,
-}
-
-/// What happened.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum AttemptEvent {
-    /// A chain was found, and reserved if so wished.
-    Chain(Vec<ChainStage>),
-    /// No chain fits the wish.
-    NoChain,
-    /// The chains that fit are reserved by other requests.
-    Reserved,
-    /// The first engine has accepted the request.
-    Opened,
-    /// The first engine has refused the request; it has not run.
-    Refused(u16),
-    /// No connection to the first engine could be opened.
-    NotSent,
-    /// The stream failed or ended early.
-    Lost(String),
-    /// A record arrived.
-    Record(StreamRecord),
-    /// The token was handed to the caller.
-    Delivered,
-    /// The caller has closed its connection.
-    CallerGone,
-    /// Requests of the same content have been found to crash targets.
-    Condemned,
-    /// The time waited for has come.
-    Timer,
-    /// Answers of the engines that were probed.
-    Probed(Vec<StageProbe>),
-}
-
-/// What to do next.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum AttemptStep {
-    /// Look for a chain.
-    FindChain(ChainWish),
-    /// Send the request to the first engine of the chain, giving up the attempt before.
-    Open {
-        /// Number of the new attempt.
-        attempt: AttemptNumber,
-        /// Chain.
-        chain: Vec<ChainStage>,
-    },
-    /// Wait for an event, at most until `until`.
-    Wait {
-        /// Time of [`AttemptEvent::Timer`].
-        until: MonoTime,
-    },
-    /// Hand the token to the caller.
-    Deliver(Arc<str>),
-    /// Ask these engines for their progress, and go on waiting meanwhile.
-    Probe {
-        /// Stages to ask.
-        stages: Vec<ChainStage>,
-        /// Time allowed for the answers.
-        limit: Duration,
-        /// Time of [`AttemptEvent::Timer`].
-        until: MonoTime,
-    },
-    /// The request has ended.
-    Finish(FinalAnswer),
-}
-
-/// What others should learn from an attempt.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum AttemptNotice {
-    /// A stage was found at fault.
-    Fault {
-        /// Engine.
-        instance: InstanceId,
-        /// What is wrong with it.
-        fault: StageFault,
-        /// Time from the last sign of life to this finding.
-        detection: Duration,
-    },
-    /// The engines of the chain have generated a token.
-    Worked,
-    /// Targets have crashed under this request so many times without a token in between.
-    Suspected(u32),
-    /// The request is no longer suspected.
-    Cleared,
-}
-
 /// Where the request stands.
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum MachinePhase {
@@ -442,98 +330,6 @@
         self.finish(FinalAnswer::Complete { cause, tokens })
     }
 
-    /// Asks the engine of the stage that seems at fault whether it is alive.
-    fn ask_culprit(&mut self, index: usize, now: MonoTime) -> AttemptStep {
-        self.phase = MachinePhase::Failing { index };
-        AttemptStep::Probe {
-            stages: vec![self.chain[index].clone()],
-            limit: self.probe_limit(),
-            until: now.after(STALL_LIMIT).min(self.spec.deadline),
-        }
-    }
-
-    /// Asks the engines of the whole chain how far they have come.
-    fn probe_chain(&mut self, now: MonoTime) -> AttemptStep {
-        self.phase = MachinePhase::Running { probing: true };
-        AttemptStep::Probe {
-            stages: self.chain.clone(),
-            limit: self.probe_limit(),
-            until: self.last_progress.after(STALL_LIMIT).max(now),
-        }
-    }
-
-    fn judge(&mut self, probes: &[StageProbe], now: MonoTime) -> AttemptStep {
-        let step = AwaitedStep {
-            attempt: AttemptNumber(self.attempts),
-            position: TokenPosition(self.delivered().len() as u32),
-            waited: now.since(self.last_progress),
-            patient: self.patient || self.late_tokens == 0,
-            is_last_resort: self.patient,
-            has_history: self.attempt_tokens > 1,
-        };
-        let faults = judge_probes(probes, &step);
-        if faults.is_empty() {
-            self.phase = MachinePhase::Running { probing: false };
-            self.limit = step.waited + self.limit;
-            return self.wait(now);
-        }
-        let is_crash = faults
-            .iter()
-            .any(|(_, fault)| *fault == StageFault::Crashed);
-        for (index, fault) in faults {
-            // Several engines lost at once are one event.
-            let fault = match fault {
-                StageFault::Frozen if is_crash => StageFault::Gone,
-                other => other,
-            };
-            self.blame(index, fault, now);
-        }
-        self.retry(AttemptFailure::Stalled)
-    }
-
-    fn give_up_if_stalled(&mut self, now: MonoTime) -> AttemptStep {
-        if now.since(self.last_progress) < STALL_LIMIT {
-            return self.wait(now);
-        }
-        for index in 0..self.chain.len() {
-            self.blame(index, StageFault::LinkLost, now);
-        }
-        self.retry(AttemptFailure::Stalled)
-    }
-
-    /// Records a stage at fault, so that later attempts avoid its engine.
-    fn blame(&mut self, index: usize, fault: StageFault, now: MonoTime) {
-        let instance = self.chain[index].instance.clone();
-        let was_doubtful = self.doubtful.contains(&instance);
-        // An engine that was only late to answer deserves a second chance, but not a third.
-        if fault.is_soft() && (fault == StageFault::Slow || !was_doubtful) {
-            if !was_doubtful {
-                self.doubtful.push(instance.clone());
-            }
-        } else if !self.lost.contains(&instance) {
-            self.lost.push(instance.clone());
-        }
-        if fault == StageFault::Crashed {
-            self.note_crash();
-        }
-        self.notices.push(AttemptNotice::Fault {
-            instance,
-            fault,
-            detection: now.since(self.last_progress),
-        });
-    }
-
-    fn note_crash(&mut self) {
-        // Crashes of one attempt count once: a rack that fails takes several engines.
-        if self.crash_attempt == self.attempts {
-            return;
-        }
-        self.crashes += 1;
-        self.crash_attempt = self.attempts;
-        self.suspicion += 1;
-        self.notices.push(AttemptNotice::Suspected(self.suspicion));
-    }
-
     fn retry(&mut self, failure: AttemptFailure) -> AttemptStep {
         let outcome = self.outcome();
         if self.suspicion >= self.spec.poison_crashes || self.crashes >= MAX_CRASHES {
@@ -583,34 +379,6 @@
         self.suspicion > 0
     }
 
-    fn wait(&mut self, now: MonoTime) -> AttemptStep {
-        let until = match self.phase {
-            MachinePhase::Running { probing: true } => self.last_progress.after(STALL_LIMIT),
-            _ => self.last_progress.after(self.limit),
-        };
-        AttemptStep::Wait {
-            until: until.max(now).min(self.spec.deadline),
-        }
-    }
-
-    fn token_limit(&self) -> Duration {
-        let spec = &self.spec;
-        let limit = self.gaps.limit(spec.floor, spec.ceiling);
-        limit.unwrap_or(spec.first_token)
-    }
-
-    fn opening_limit(&self) -> Duration {
-        let spec = &self.spec;
-        let limit = self.gaps.limit(spec.floor, spec.ceiling);
-        limit.map_or(spec.first_token, |limit| {
-            (limit * RESUME_FACTOR).min(spec.first_token)
-        })
-    }
-
-    fn probe_limit(&self) -> Duration {
-        self.token_limit().clamp(PROBE_FLOOR, PROBE_CEILING)
-    }
-
     /// What a caller can be told about the run so far.
     fn outcome(&self) -> RunOutcome {
         if !self.delivered().is_empty() {
