--- a/rig/src/engine/mod.rs
+++ b/rig/src/engine/mod.rs
@@ -4,13 +4,14 @@
 mod batcher;
 mod generate;
 mod holding;
+mod knobs;
 mod kv;
 mod link;
+mod mischief;
 mod server;
 mod session;
 
+pub use knobs::EngineKnobs;
 pub use link::LinkKnobs;
-mod mischief;
-
 pub use mischief::StreamMischief;
-pub use server::{EngineKnobs, EngineStandIn, LedgerEntry};
+pub use server::{EngineStandIn, LedgerEntry};
