Count adoptions while the store answers with an older value

Cause: with the revision checks removed in a scratch copy the test still passed: a peer put the daemon right within milliseconds, between two looks at it. Change: the test compares the number of adoptions, after both daemons have read the older value.

--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use support::proxied::{ADOPTION_LIMIT, ProxiedFleet, operator, teams_only, with_team};
-use support::{MODEL, chat_request, find_leader, team_client};
+use support::{MODEL, chat_request, find_leader, read_metric, team_client};
 
 /// Store calls a second that 8 daemons may make in an outage: one each, so that 430 daemons stay far
 /// below the two thousand reads a second that the store answers.
@@ -92,7 +92,9 @@
         revision = confirmed.expect("the plan is confirmed").revision;
         proxied.wait_revision(&[0, 1, 2], revision).await;
     }
-    let before = proxied.fleet.platform_calls().await["range"].as_u64();
+    let adoptions = "arbutusmount_config_adoptions_total";
+    let count = async |daemon: usize| read_metric(proxied.address(daemon), adoptions).await as u64;
+    let before = [count(0).await, count(1).await];
 
     // Act: the store answers with the older value to daemons that read again and to a new one.
     proxied.set_platform(json!({ "stale_as_of": older })).await;
@@ -101,15 +103,18 @@
     }
     proxied.fleet.restart_daemon(2).await;
 
-    // Assert: observed until the daemons have read the older value several times.
-    let observe = async || {
-        let reads = proxied.fleet.platform_calls().await["range"].as_u64();
-        for daemon in 0..2 {
-            assert_eq!(proxied.revision(daemon).await, Some(revision));
-        }
-        reads >= before.map(|reads| reads + 6)
-    };
-    wait_until("older values were read", START_LIMIT, observe).await;
+    // Assert: both have read the older value, and neither has adopted anything, not even for the
+    // moment until a peer would have put it right.
+    let behind = "arbutusmount_config_store_behind_total";
+    for daemon in 0..2 {
+        let address = proxied.address(daemon);
+        wait_until("the older value was read", START_LIMIT, || async {
+            read_metric(address, behind).await > 1.0
+        })
+        .await;
+    }
+    let count = async |daemon: usize| read_metric(proxied.address(daemon), adoptions).await as u64;
+    assert_eq!([count(0).await, count(1).await], before);
     proxied.wait_revision(&[0, 1, 2], revision).await;
 }
 
