--- a/rig/src/fleet/layout.rs
+++ b/rig/src/fleet/layout.rs
@@ -68,14 +68,14 @@
     pub domains: Vec<&'static str>,
     /// Timeouts and periods of the daemons.
     pub timing: TimingSettings,
-    /// Membership, address answer and shutdown of the daemons.
-    pub membership: MemberSettings,
     /// Routing settings of the daemons.
     pub routing: RoutingSettings,
     /// Further settings of the daemons: top-level fields that replace those made here.
     pub settings: serde_json::Value,
     /// Claim settings of the daemons.
     pub claims: ClaimSettings,
+    /// Membership, address answer and shutdown of the daemons.
+    pub membership: MemberSettings,
 }
 
 impl Default for FleetSpec {
@@ -93,10 +93,10 @@
             services: 1,
             domains: vec!["bangna", "lat-krabang", "rangsit"],
             timing,
-            membership: MemberSettings::default(),
             routing: RoutingSettings::default(),
             settings: serde_json::json!({}),
             claims: ClaimSettings::default(),
+            membership: MemberSettings::default(),
         }
     }
 }
--- a/rig/src/fleet/running.rs
+++ b/rig/src/fleet/running.rs
@@ -219,9 +219,9 @@
             "peer_key": PEER_KEY,
             "operator_token_sha256": digest_token(OPERATOR_TOKEN).to_string(),
             "timing": self.spec.timing,
-            "membership": self.spec.membership,
             "routing": self.spec.routing,
             "claims": self.spec.claims,
+            "membership": self.spec.membership,
             "log": { "level": "debug" },
         });
         for (field, value) in self.spec.settings.as_object().into_iter().flatten() {
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -3,13 +3,16 @@
 mod args;
 mod bound;
 mod capacity;
+mod claims_bench;
 mod demo;
 mod engine;
 mod fleet;
 mod load;
 mod oracle;
+mod overhead;
 mod platform;
 mod proxy;
+mod report;
 mod service;
 mod web;
 
@@ -17,10 +20,11 @@
 pub use bound::{StageRate, TokenWork, flow_bound, link_rate};
 pub use capacity::{
     CapacityPoint, LinearFit, fit_line, measure_daemons, measure_decisions, measure_memory,
-    measure_request_path, render_points,
+    measure_request_path, measure_state, render_points,
 };
+pub use claims_bench::{ClaimBench, run_claims_bench};
 pub use demo::run_demo;
-pub use engine::{EngineKnobs, EngineStandIn, LedgerEntry, LinkKnobs};
+pub use engine::{EngineKnobs, EngineStandIn, LedgerEntry, LinkKnobs, StreamMischief};
 pub use fleet::{
     AGENT_TOKEN, AddressCaller, CallOutcome, DaemonSeat, FleetSpec, OPERATOR_TOKEN, ProcessFleet,
     ProcessHandle, ProgramPaths, TEAM_TOKEN, free_address, sample_declaration, wait_until,
@@ -35,5 +39,6 @@
 pub use oracle::{OracleState, reference_answer, reference_text};
 pub use platform::{PlatformKnobs, PlatformStandIn};
 pub use proxy::{DirectionFault, FaultProxy, ProxyFaults};
+pub use report::{RunGroup, group_runs, read_summaries, render_recovery, render_runs, write_plots};
 pub use service::{RunRecord, ServiceKnobs, ServiceStandIn, read_ledger};
 pub use web::{admin_get, admin_send, admin_text, json_response};
--- a/src/engine/wire.rs
+++ b/src/engine/wire.rs
@@ -242,6 +242,9 @@
     pub phase: StagePhase,
     /// Time for which it has done so, in microseconds.
     pub since_micros: u64,
+    /// Time for which it held the last step that it has run, in microseconds.
+    #[serde(default)]
+    pub held_micros: u64,
     /// Work items waiting for a batch.
     pub queued: u32,
     /// Work items in the current batch.
@@ -249,3 +252,17 @@
     /// Number drawn when the engine started; another one means that it has restarted.
     pub incarnation: u64,
 }
+
+impl StageProgress {
+    /// Progress of a request that the engine does not know.
+    pub const UNKNOWN: Self = Self {
+        attempt: AttemptNumber(0),
+        position: TokenPosition(0),
+        phase: StagePhase::Unknown,
+        since_micros: 0,
+        held_micros: 0,
+        queued: 0,
+        running: 0,
+        incarnation: 0,
+    };
+}
--- a/src/routing/targets.rs
+++ b/src/routing/targets.rs
@@ -2,7 +2,7 @@
 
 use crate::engine::EngineReport;
 use crate::ids::InstanceId;
-use crate::routing::{TargetHealth, TargetLoad};
+use crate::routing::{StageKey, TargetHealth, TargetLoad};
 use crate::units::MonoTime;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use std::collections::HashMap;
@@ -71,16 +71,52 @@
         read(load, own + load.map_or(0, |load| load.others))
     }
 
-    /// Publishes a load report received now, when this daemon had `own_then` requests on the
-    /// engine at the time the report was made.
+    /// Publishes a load report made and received long ago, for decisions without a clock.
     pub fn publish(&self, report: EngineReport, own_then: u32) {
+        self.publish_at(report, own_then, MonoTime(0), None);
+    }
+
+    /// Publishes a load report, when this daemon had `own_then` requests on the engine at the time
+    /// `made`.
+    pub fn publish_at(
+        &self,
+        report: EngineReport,
+        own_then: u32,
+        made: MonoTime,
+        heard: Option<MonoTime>,
+    ) {
+        let ready = report.stages.iter().filter(|stage| stage.ready);
         let load = TargetLoad {
+            ready: ready
+                .map(|stage| StageKey::new(&stage.model, &stage.version, stage.layers))
+                .collect(),
+            made,
+            heard,
             others: report.sessions.saturating_sub(own_then),
             report: Arc::new(report),
         };
         self.load.store(Some(Arc::new(load)));
     }
 
+    /// Takes note that the engine has restarted and holds nothing until it reports again.
+    pub fn mark_restarted(&self, incarnation: u64) {
+        let report = EngineReport {
+            incarnation,
+            ..EngineReport::default()
+        };
+        self.publish(report, 0);
+    }
+
+    /// Time at which the newest report was made.
+    pub fn made_at(&self) -> Option<MonoTime> {
+        self.load.load().as_ref().map(|load| load.made)
+    }
+
+    /// Time at which the newest report was received.
+    pub fn heard_at(&self) -> Option<MonoTime> {
+        self.load.load().as_ref().and_then(|load| load.heard)
+    }
+
     /// Sets whether the engine is leaving.
     pub fn set_leaving(&self, leaving: bool) {
         self.leaving.store(leaving, Ordering::Release);
@@ -93,6 +129,12 @@
             || load.as_ref().is_some_and(|load| load.report.leaving)
     }
 
+    /// True unless the newest report shows that the engine has not loaded the stage.
+    pub fn is_ready(&self, key: StageKey) -> bool {
+        let load = self.load.load();
+        load.as_ref().is_none_or(|load| load.ready.contains(&key))
+    }
+
     /// True when the engine may get new requests.
     pub fn is_open(&self, now: MonoTime) -> bool {
         !self.is_leaving() && self.health.admits(now) && !self.is_reserved(now)
--- /dev/null
+++ b/tests/adoption_schedules.rs
@@ -0,0 +1,335 @@
+//! Adoption and confirmation under random schedules, without sockets or clocks.
+
+mod support;
+
+use arbutusmount::{
+    AdoptionState, ChangeEntry, ConfigBundle, ConfigDocument, ConfigReply, ConfigRequest,
+    ConfigRevision, MonoTime, NoticeStep, OfferOutcome, PlanId, PlanVerdict, extend_recent,
+    judge_plan,
+};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+use support::documents::{RECENT_LIMIT, empty_document, sized_document, team};
+
+/// Daemons in a schedule.
+const DAEMONS: usize = 4;
+
+/// One step of a schedule; indexes are taken modulo what there is.
+#[derive(Debug, Clone, Copy)]
+enum ScheduleStep {
+    /// A daemon tells another one its state.
+    Notice(usize, usize),
+    /// A pending message arrives.
+    Deliver(usize),
+    /// A pending message is lost.
+    Lose(usize),
+    /// A pending message arrives and stays pending.
+    Double(usize),
+    /// A daemon reads the store, which answers with its value of so many revisions ago.
+    Read(usize, usize),
+    /// An operator makes a plan through a daemon.
+    Plan(usize),
+    /// A plan's write reaches the store; its reply may be lost.
+    Write(usize, bool),
+    /// A daemon restarts with nothing.
+    Crash(usize),
+}
+
+fn any_step() -> impl Strategy<Value = ScheduleStep> {
+    let (daemon, index) = (0..DAEMONS, 0_usize..64);
+    prop_oneof![
+        4 => (daemon.clone(), daemon.clone()).prop_map(|(a, b)| ScheduleStep::Notice(a, b)),
+        8 => index.clone().prop_map(ScheduleStep::Deliver),
+        1 => index.clone().prop_map(ScheduleStep::Lose),
+        1 => index.clone().prop_map(ScheduleStep::Double),
+        3 => (daemon.clone(), 0_usize..3).prop_map(|(d, age)| ScheduleStep::Read(d, age)),
+        2 => daemon.clone().prop_map(ScheduleStep::Plan),
+        3 => (index, any::<bool>()).prop_map(|(i, lost)| ScheduleStep::Write(i, lost)),
+        1 => daemon.prop_map(ScheduleStep::Crash),
+    ]
+}
+
+#[derive(Debug, Clone)]
+enum WorldMessage {
+    Request(usize, usize, ConfigRequest),
+    Reply(usize, ConfigReply),
+}
+
+/// A plan that an operator holds.
+#[derive(Debug)]
+struct HeldPlan {
+    base: Option<Arc<ConfigBundle>>,
+    document: ConfigDocument,
+    verdict: Option<PlanVerdict>,
+}
+
+impl HeldPlan {
+    fn base_revision(&self) -> ConfigRevision {
+        let base = self.base.as_ref();
+        base.map_or(ConfigRevision(0), |bundle| bundle.revision)
+    }
+}
+
+/// Daemons, messages between them, operators and the store.
+#[derive(Debug, Default)]
+struct ScheduleWorld {
+    daemons: Vec<AdoptionState>,
+    messages: Vec<WorldMessage>,
+    written: Vec<Arc<ConfigBundle>>,
+    plans: Vec<HeldPlan>,
+    now: MonoTime,
+}
+
+impl ScheduleWorld {
+    fn new() -> Self {
+        Self {
+            daemons: (0..DAEMONS).map(|_| AdoptionState::new()).collect(),
+            ..Self::default()
+        }
+    }
+
+    fn run(&mut self, step: ScheduleStep) {
+        self.now = self.now.after(Duration::from_millis(10));
+        let pick = |index: usize, count: usize| (count > 0).then(|| index % count);
+        match step {
+            ScheduleStep::Notice(from, to) => self.send_notice(from, to),
+            ScheduleStep::Deliver(index) => {
+                if let Some(index) = pick(index, self.messages.len()) {
+                    let message = self.messages.swap_remove(index);
+                    self.deliver(message);
+                }
+            }
+            ScheduleStep::Double(index) => {
+                if let Some(index) = pick(index, self.messages.len()) {
+                    self.deliver(self.messages[index].clone());
+                }
+            }
+            ScheduleStep::Lose(index) => {
+                if let Some(index) = pick(index, self.messages.len()) {
+                    self.messages.swap_remove(index);
+                }
+            }
+            ScheduleStep::Read(daemon, age) => self.read_store(daemon, age),
+            ScheduleStep::Plan(daemon) => self.make_plan(daemon),
+            ScheduleStep::Write(index, lost) => {
+                if let Some(index) = pick(index, self.plans.len()) {
+                    self.write(index, lost);
+                }
+            }
+            ScheduleStep::Crash(daemon) => self.daemons[daemon] = AdoptionState::new(),
+        }
+    }
+
+    fn send_notice(&mut self, from: usize, to: usize) {
+        if from != to {
+            let request = self.daemons[from].make_notice(self.now);
+            self.messages.push(WorldMessage::Request(from, to, request));
+        }
+    }
+
+    fn deliver(&mut self, message: WorldMessage) {
+        let now = self.now;
+        match message {
+            WorldMessage::Request(from, to, request) => {
+                let step = request.notice.map(|n| self.daemons[to].on_notice(n, now));
+                let reply = self.daemons[to].answer(&request, now);
+                self.messages.push(WorldMessage::Reply(from, reply));
+                if step == Some(NoticeStep::Pull) {
+                    let pull = self.daemons[to].make_pull(now);
+                    self.messages.push(WorldMessage::Request(to, from, pull));
+                }
+            }
+            WorldMessage::Reply(to, reply) => {
+                if !reply.head.is_empty()
+                    && let Ok(bundle) = self.daemons[to].read_reply(&reply)
+                {
+                    self.offer(to, bundle);
+                }
+            }
+        }
+    }
+
+    fn read_store(&mut self, daemon: usize, age: usize) {
+        let index = self.written.len().checked_sub(age + 1);
+        let read = index.map(|index| Arc::clone(&self.written[index]));
+        let revision = read.as_ref().map_or(ConfigRevision(0), |b| b.revision);
+        self.daemons[daemon].on_store(revision, self.now);
+        if let Some(bundle) = read {
+            self.offer(daemon, (*bundle).clone());
+        }
+    }
+
+    /// Offers a bundle; the revision in force must not fall and must be what was written.
+    fn offer(&mut self, daemon: usize, bundle: ConfigBundle) {
+        let before = self.daemons[daemon].revision();
+        let outcome = self.daemons[daemon].offer(bundle, self.now);
+        let after = self.daemons[daemon].revision();
+        assert!(
+            after >= before,
+            "daemon {daemon} went from {before} to {after}"
+        );
+        if let OfferOutcome::Adopted(config) = outcome {
+            let written = self.written.iter().find(|b| b.revision == after);
+            let written = written.expect("only written revisions are adopted");
+            let expected = written.assemble().expect("written bundles are complete");
+            assert_eq!(*config.document(), expected, "revision {after} is mixed");
+        }
+    }
+
+    fn make_plan(&mut self, daemon: usize) {
+        let number = self.plans.len();
+        let base = self.daemons[daemon].bundle().cloned();
+        let plan: PlanId = format!("plan-{number}").parse().expect("a valid name");
+        let author = Arc::from(format!("operator-{}", number % 2));
+        let mut document = base.as_ref().map_or_else(empty_document, |bundle| {
+            bundle.assemble().expect("bundles in force are complete")
+        });
+        document.declaration.teams.push(team(number));
+        (document.plan, document.author) = (plan, author);
+        self.plans.push(HeldPlan {
+            base,
+            document,
+            verdict: None,
+        });
+    }
+
+    /// The compare-and-swap of a plan reaches the store, perhaps not for the first time.
+    fn write(&mut self, index: usize, reply_lost: bool) {
+        let plan = &self.plans[index];
+        let (name, base) = (&plan.document.plan, plan.base_revision());
+        let present = self.written.last();
+        let revision = present.map_or(ConfigRevision(0), |bundle| bundle.revision);
+        let verdict = if revision == base {
+            let recent = plan.base.as_ref().map_or(&[][..], |b| &b.head.recent);
+            let entry = ChangeEntry::new(name, &plan.document.author, &[]);
+            let next = ConfigRevision(revision.0 + 2);
+            let recent = extend_recent(base, recent, entry);
+            let bundle = ConfigBundle::split(next, &plan.document, recent);
+            self.written.push(Arc::new(bundle));
+            PlanVerdict::Effective {
+                revision: next,
+                superseded_by: None,
+            }
+        } else {
+            let present = present.expect("a conflict has a present value");
+            judge_plan(name, base, revision, &present.head)
+        };
+        if !reply_lost {
+            self.plans[index].verdict = Some(verdict);
+        }
+    }
+
+    /// What each plan's operator was told agrees with what was written.
+    fn check_verdicts(&self) {
+        let mut bases = BTreeSet::new();
+        for bundle in &self.written {
+            let wrote = |plan: &&HeldPlan| plan.document.plan == bundle.head.plan;
+            let count = self.written.iter();
+            let count = count.filter(|other| other.head.plan == bundle.head.plan);
+            assert_eq!(count.count(), 1, "{} took effect twice", bundle.head.plan);
+            let plan = self.plans.iter().find(wrote).expect("a plan wrote this");
+            assert!(
+                bases.insert(plan.base_revision()),
+                "two plans won on one base"
+            );
+        }
+        for plan in &self.plans {
+            let name = &plan.document.plan;
+            let written = self.written.iter().find(|b| b.head.plan == *name);
+            let written = written.map(|bundle| bundle.revision);
+            match &plan.verdict {
+                Some(PlanVerdict::Effective { revision, .. }) => {
+                    assert_eq!(written, Some(*revision), "{name}");
+                }
+                // Older changes than the head remembers are told as lost, and never repeated.
+                Some(PlanVerdict::Lost { changes }) => assert!(
+                    written.is_none() || changes.len() >= RECENT_LIMIT,
+                    "{name} was told lost and took effect"
+                ),
+                Some(PlanVerdict::Open) => panic!("{name} was left open by a settled write"),
+                None => {}
+            }
+        }
+    }
+
+    /// Lets every pair exchange notices over a loss-free network after one daemon has read.
+    fn heal(&mut self) {
+        self.read_store(0, 0);
+        self.messages.clear();
+        for _round in 0..2 {
+            for from in 0..DAEMONS {
+                for to in 0..DAEMONS {
+                    self.send_notice(from, to);
+                    while let Some(message) = self.messages.pop() {
+                        self.deliver(message);
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Seed of the schedules, unless `PROPTEST_RNG_SEED` names another one.
+const SEED: u64 = 20_261_203;
+
+/// Runs this many cases, from a seed that is printed.
+fn seeded(cases: u32) -> ProptestConfig {
+    let config = ProptestConfig::with_cases(cases);
+    let rng_seed = match config.rng_seed {
+        RngSeed::Random => RngSeed::Fixed(SEED),
+        given @ RngSeed::Fixed(_) => given,
+    };
+    println!("{rng_seed:?}");
+    ProptestConfig {
+        rng_seed,
+        failure_persistence: None,
+        ..config
+    }
+}
+
+proptest! {
+    #![proptest_config(seeded(2_000))]
+
+    #[test]
+    fn any_schedule_adopts_forward_and_converges(
+        steps in prop::collection::vec(any_step(), 1..120),
+    ) {
+        // Arrange
+        let mut world = ScheduleWorld::new();
+
+        // Act
+        for step in steps {
+            world.run(step);
+        }
+        world.heal();
+
+        // Assert: monotonic and unmixed all along, and now everyone has the newest.
+        world.check_verdicts();
+        let newest = world.written.last().map_or(ConfigRevision(0), |b| b.revision);
+        for daemon in &world.daemons {
+            prop_assert_eq!(daemon.revision(), newest);
+        }
+    }
+
+    #[test]
+    fn split_documents_assemble_to_the_same(teams in 0_usize..200, rows in 0_usize..60) {
+        // Arrange
+        let document = sized_document(teams, rows);
+
+        // Act
+        let bundle = ConfigBundle::split(ConfigRevision(7), &document, Vec::new());
+        let assembled = bundle.assemble().expect("the bundle is complete");
+        let again = ConfigBundle::split(ConfigRevision(7), &assembled, Vec::new());
+
+        // Assert: the same items, whatever their order, and the same sections.
+        let names = |document: &ConfigDocument| -> BTreeSet<String> {
+            document.declaration.teams.iter().map(|team| team.team.to_string()).collect()
+        };
+        prop_assert_eq!(names(&assembled), names(&document));
+        prop_assert_eq!(assembled.placements.len(), rows);
+        prop_assert_eq!(again, bundle);
+    }
+}
