--- a/rig/src/args.rs
+++ b/rig/src/args.rs
@@ -4,11 +4,13 @@
     measure_daemons, measure_decisions, measure_members, measure_memory, measure_request_path,
     measure_state, render_points,
 };
+use crate::claims_bench::{ClaimBench, run_claims_bench};
 use crate::demo::run_demo;
 use crate::engine::{EngineKnobs, EngineStandIn};
 use crate::load::{
     ExperimentSpec, RunSpec, RunSummary, RunTarget, find_programs, run_experiment, run_load,
 };
+use crate::overhead::measure_overhead;
 use crate::platform::{PlatformKnobs, PlatformStandIn};
 use crate::proxy::FaultProxy;
 use crate::report::{group_runs, read_summaries, render_recovery, render_runs, write_plots};
@@ -24,6 +26,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Result of a subcommand; the error is shown to the person who gave it.
 type Result<T> = std::result::Result<T, String>;
@@ -37,10 +40,13 @@
   rig service --listen ADDR [--ledger FILE] [--knobs JSON]
   rig platform --listen ADDR [--knobs JSON]
   rig proxy --listen ADDR --target ADDR
+  rig claims-bench [--rates N,N] [--daemons N] [--seconds N] [--writes N]
+                   [--delay MS] [--spacing MS] [--seed N]
   rig load --run FILE [--daemon ADDR]... --out FILE [--requests FILE]
                                                     send one run's load and sum it up
   rig experiment FILE --out FILE                    run variants side by side
   rig report FILE... --out DIR                      table and plots of several runs
+  rig overhead                                      measure what the daemon adds to a request
   rig capacity core|daemons|path --out FILE         measure what a daemon costs by size
 ";
 
@@ -59,6 +65,7 @@
     let name = arguments.subcommand().map_err(|e| e.to_string())?;
     match name.as_deref() {
         Some("demo") => task::block_on(run_demo()),
+        Some("claims-bench") => bench_claims(arguments),
         Some("engine") => run_engine(arguments),
         Some("service") => run_service(arguments),
         Some("platform") => run_platform(arguments),
@@ -66,6 +73,7 @@
         Some("load") => run_load_file(arguments),
         Some("experiment") => run_experiment_file(arguments),
         Some("report") => run_report(arguments),
+        Some("overhead") => run_overhead(),
         Some("capacity") => run_capacity(arguments),
         Some(other) => Err(format!("unknown subcommand {other}\n{HELP}")),
         None => {
@@ -91,6 +99,35 @@
     })
 }
 
+fn read_or<T: std::str::FromStr>(
+    arguments: &mut Arguments,
+    name: &'static str,
+    default: T,
+) -> Result<T>
+where
+    T::Err: std::fmt::Display,
+{
+    let given = arguments.opt_value_from_str(name);
+    given
+        .map(|value| value.unwrap_or(default))
+        .map_err(|e| e.to_string())
+}
+
+fn bench_claims(arguments: &mut Arguments) -> Result<()> {
+    let rates: String = read_or(arguments, "--rates", "10,100,500,2000".to_owned())?;
+    let rates: std::result::Result<Vec<u32>, _> = rates.split(',').map(str::parse).collect();
+    let bench = ClaimBench {
+        daemons: read_or(arguments, "--daemons", 8)?,
+        rates: rates.map_err(|e| format!("--rates: {e}"))?,
+        span: Duration::from_secs(read_or(arguments, "--seconds", 10)?),
+        writes_per_second: read_or(arguments, "--writes", 300)?,
+        delay_ms: read_or(arguments, "--delay", 3)?,
+        spacing_ms: read_or(arguments, "--spacing", 80)?,
+        seed: read_or(arguments, "--seed", 1)?,
+    };
+    task::block_on(run_claims_bench(bench))
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(address)
         .await
@@ -113,6 +150,11 @@
     })
 }
 
+fn run_overhead() -> Result<()> {
+    let programs = find_programs().ok_or("arbutusmountd is not beside this program")?;
+    task::block_on(measure_overhead(programs))
+}
+
 fn run_service(arguments: &mut Arguments) -> Result<()> {
     let listen: SocketAddr = read_value(arguments, "--listen")?;
     let ledger: Option<PathBuf> = arguments
