--- a/src/api/operator.rs
+++ b/src/api/operator.rs
@@ -16,6 +16,8 @@
 use std::time::Duration;
 use tide::{Body, Request, Response, StatusCode};
 
+/// Largest body accepted from an operator: a plan that puts a whole fleet in place, with room.
+const MAX_BODY_BYTES: usize = 8 << 20;
 /// When to come back while the store is out of reach.
 const STORE_DELAY: Duration = Duration::from_secs(2);
 
@@ -115,8 +117,7 @@
 async fn read_json<T: serde::de::DeserializeOwned>(
     request: &mut Request<Arc<KernelContext>>,
 ) -> Result<T, ProblemAnswer> {
-    let limit = request.state().settings.bounds.body_bytes;
-    let body = read_body(request, limit).await?;
+    let body = read_body(request, MAX_BODY_BYTES).await?;
     serde_json::from_slice(&body).map_err(|cause| {
         ProblemAnswer::not_run(ProblemKind::BadRequest, format!("malformed body: {cause}"))
     })
@@ -213,7 +214,7 @@
         let name = &plan.document.plan;
         let verdict = judge_plan(name, plan.base, bundle.revision, &bundle.head);
         if verdict != PlanVerdict::Open {
-            return answer_verdict(plan, verdict);
+            return answer_verdict(plan, refresh_verdict(context, plan, verdict).await);
         }
     }
     let known = base
@@ -236,6 +237,22 @@
     }
 }
 
+/// Looks whether a plan that has taken effect was superseded by a change that has not reached this
+/// daemon yet. While the store is out of reach the verdict stands as it is.
+async fn refresh_verdict(
+    context: &Arc<KernelContext>,
+    plan: &FleetPlan,
+    verdict: PlanVerdict,
+) -> PlanVerdict {
+    match read_current(context).await {
+        Ok(Some(bundle)) => {
+            let name = &plan.document.plan;
+            judge_plan(name, plan.base, bundle.revision, &bundle.head)
+        }
+        Ok(None) | Err(_) => verdict,
+    }
+}
+
 fn answer_verdict(plan: &FleetPlan, verdict: PlanVerdict) -> Result<ConfirmReply, ProblemAnswer> {
     match verdict {
         PlanVerdict::Effective {
