Keep places above the limit for teams without a request in progress

Requests last seconds there, the queue time is 300 ms, and so nearly every request of a small team was refused while a flood took each place as it became free.

Ruled out: a longer queue time, which holds requests that are refused anyway.

Change: a quarter of the limit on top, open only to teams without a request in progress. Tests of the queue's order now fill that reserve first, since a second team would otherwise start at once; their assertions are as they were, and the schedules check the new bound.

--- a/rig/src/capacity/state.rs
+++ b/rig/src/capacity/state.rs
@@ -96,8 +96,10 @@
         queue.arrive(entry, now);
     }
     let mut next = offers.iter().cycle();
+    let mut ended = offers.iter().cycle();
     let nanos = time_operation(|| {
-        let started = queue.finish(Duration::from_millis(500));
+        let team = &ended.next().expect("the cycle never ends").team;
+        let started = queue.finish(team, Duration::from_millis(500));
         next.next().map(|entry| (queue.arrive(entry, now), started))
     });
     let measure = "admit one and end one, ns";
--- a/src/admission/gate.rs
+++ b/src/admission/gate.rs
@@ -201,6 +201,7 @@
                 QueueEntry::Waiting(QueuePlace {
                     gate: self.clone(),
                     model: request.model.clone(),
+                    team: request.team.team.clone(),
                     ticket,
                     signal,
                     resolved: false,
@@ -219,7 +220,8 @@
             let difference = f64::from(permit.generated) - gate.expected_tokens;
             gate.expected_tokens += difference * TOKENS_SHARE;
         }
-        self.inner.finish(model, now.since(permit.start));
+        self.inner
+            .finish(model, &permit.request.team.team, now.since(permit.start));
     }
 }
 
@@ -288,9 +290,9 @@
     }
 
     /// Ends a request in progress and starts the next ones.
-    fn finish(&self, model: &ModelId, held: Duration) {
+    fn finish(&self, model: &ModelId, team: &TeamId, held: Duration) {
         if let Some(gate) = self.models().get_mut(model) {
-            let started = gate.queue.finish(held);
+            let started = gate.queue.finish(team, held);
             gate.signal(started);
         }
     }
@@ -326,6 +328,7 @@
 struct QueuePlace {
     gate: AdmissionGate,
     model: ModelId,
+    team: TeamId,
     ticket: AdmissionTicket,
     signal: Receiver<()>,
     resolved: bool,
@@ -359,7 +362,9 @@
 impl Drop for QueuePlace {
     fn drop(&mut self) {
         if !self.resolved && self.leave() {
-            self.gate.inner.finish(&self.model, Duration::ZERO);
+            self.gate
+                .inner
+                .finish(&self.model, &self.team, Duration::ZERO);
         }
     }
 }
--- a/src/admission/queue.rs
+++ b/src/admission/queue.rs
@@ -67,6 +67,9 @@
 /// Teams remembered; idle ones are forgotten beyond this number.
 const MAX_TEAMS: usize = 4_096;
 
+/// Part of the limit, as a divisor, that is added for teams without any request in progress.
+const RESERVE_DIVISOR: usize = 4;
+
 /// Fair queue with its requests in progress.
 #[derive(Debug, Clone)]
 pub struct FairQueue {
@@ -76,8 +79,9 @@
     next_ticket: u64,
     virtual_time: u64,
     finish_tags: HashMap<TeamId, u64>,
+    running: HashMap<TeamId, usize>,
     waiting: BTreeSet<QueueOrder>,
-    orders: HashMap<AdmissionTicket, QueueOrder>,
+    orders: HashMap<AdmissionTicket, (QueueOrder, TeamId)>,
     hold_time: HoldTime,
 }
 
@@ -110,6 +114,7 @@
             next_ticket: 0,
             virtual_time: 0,
             finish_tags: HashMap::new(),
+            running: HashMap::new(),
             waiting: BTreeSet::new(),
             orders: HashMap::new(),
             hold_time: HoldTime::default(),
@@ -134,9 +139,9 @@
 
     /// Takes an offer.
     pub fn arrive(&mut self, offer: &AdmissionOffer, now: MonoTime) -> AdmissionStep {
-        if self.waiting.is_empty() && self.in_use < self.limit {
+        if self.has_room() || self.has_reserve(&offer.team) {
             let order = self.tag(offer);
-            self.start(order);
+            self.start(order, &offer.team);
             return AdmissionStep::Start(order.ticket);
         }
         let start_tag = self.start_tag(&offer.team);
@@ -150,7 +155,8 @@
         };
         let order = self.tag(offer);
         self.waiting.insert(order);
-        self.orders.insert(order.ticket, order);
+        self.orders
+            .insert(order.ticket, (order, offer.team.clone()));
         AdmissionStep::Wait {
             ticket: order.ticket,
             deadline: now.after(self.settings.longest_wait),
@@ -158,8 +164,14 @@
         }
     }
 
-    /// Ends a request that was in progress for `held`; requests that may start now.
-    pub fn finish(&mut self, held: Duration) -> Vec<AdmissionTicket> {
+    /// Ends a team's request that was in progress for `held`; requests that may start now.
+    pub fn finish(&mut self, team: &TeamId, held: Duration) -> Vec<AdmissionTicket> {
+        if let Some(running) = self.running.get_mut(team) {
+            *running -= 1;
+            if *running == 0 {
+                self.running.remove(team);
+            }
+        }
         self.hold_time.observe(held);
         self.in_use = self.in_use.saturating_sub(1);
         self.start_waiting()
@@ -167,8 +179,8 @@
 
     /// Takes a request out of the queue; false when it was not waiting any more.
     pub fn abandon(&mut self, ticket: AdmissionTicket) -> bool {
-        let order = self.orders.remove(&ticket);
-        order.is_some_and(|order| self.waiting.remove(&order))
+        let entry = self.orders.remove(&ticket);
+        entry.is_some_and(|(order, _team)| self.waiting.remove(&order))
     }
 
     /// When a request refused now may come back.
@@ -180,20 +192,35 @@
         self.hold_time.time_for(count, self.in_use)
     }
 
+    fn has_room(&self) -> bool {
+        self.waiting.is_empty() && self.in_use < self.limit
+    }
+
+    /// True when a place above the limit is free for a team without any request in progress. So no
+    /// team starves while requests are long and the queue time is too short to see one end.
+    fn has_reserve(&self, team: &TeamId) -> bool {
+        let reserve = (self.limit / RESERVE_DIVISOR).max(1);
+        !self.running.contains_key(team) && self.in_use < self.limit + reserve
+    }
+
     fn start_waiting(&mut self) -> Vec<AdmissionTicket> {
         let mut started = Vec::new();
         while self.in_use < self.limit
             && let Some(order) = self.waiting.pop_first()
         {
-            self.orders.remove(&order.ticket);
-            self.start(order);
+            let (_order, team) = self
+                .orders
+                .remove(&order.ticket)
+                .expect("every waiting request has an entry");
+            self.start(order, &team);
             started.push(order.ticket);
         }
         started
     }
 
-    fn start(&mut self, order: QueueOrder) {
+    fn start(&mut self, order: QueueOrder, team: &TeamId) {
         self.in_use += 1;
+        *self.running.entry(team.clone()).or_default() += 1;
         self.virtual_time = self.virtual_time.max(order.start_tag);
     }
 
--- a/tests/admission_core.rs
+++ b/tests/admission_core.rs
@@ -32,6 +32,23 @@
     FairQueue::new(settings, limit)
 }
 
+/// A queue whose single place and whose reserve are taken by the teams `holder` and `guest`.
+fn busy_queue(max_entries: usize) -> FairQueue {
+    let mut queue = queue(1, max_entries);
+    for name in ["holder", "guest"] {
+        let step = queue.arrive(&offer(name, 0, 1, 1.0), MonoTime(0));
+        assert!(matches!(step, AdmissionStep::Start(_)), "{name}: {step:?}");
+    }
+    queue
+}
+
+/// Ends both requests of [`busy_queue`]; requests that start then.
+fn end_both(queue: &mut FairQueue) -> Vec<arbutusmount::AdmissionTicket> {
+    let first = queue.finish(&team("guest"), Duration::from_secs(1));
+    assert!(first.is_empty(), "the limit is still reached: {first:?}");
+    queue.finish(&team("holder"), Duration::from_secs(1))
+}
+
 /// Offers `count` requests that must wait; their tickets with the team's name.
 fn fill(
     queue: &mut FairQueue,
@@ -53,19 +70,17 @@
 #[test_case(1, 4, 0.2; "one to four")]
 fn waiting_teams_start_by_weight(large: u32, small: u32, expected: f64) {
     // Arrange
-    let mut queue = queue(1, 1_000);
-    let AdmissionStep::Start(_) = queue.arrive(&offer("other", 0, 1, 1.0), MonoTime(0)) else {
-        panic!("an empty queue starts the first request");
-    };
+    let mut queue = busy_queue(1_000);
     let mut tickets = fill(&mut queue, &offer("large", 0, large, 100.0), 200);
     tickets.extend(fill(&mut queue, &offer("small", 0, small, 100.0), 200));
 
     // Act
+    let mut started = end_both(&mut queue);
     let mut starts = 0;
     for _ in 0..100 {
-        for ticket in queue.finish(Duration::from_secs(1)) {
-            starts += u32::from(tickets[&ticket] == team("large"));
-        }
+        let ended = &tickets[&started[0]];
+        starts += u32::from(*ended == team("large"));
+        started = queue.finish(ended, Duration::from_secs(1));
     }
 
     // Assert
@@ -76,28 +91,56 @@
 #[test]
 fn light_team_passes_a_flood() {
     // Arrange
-    let mut queue = queue(1, 1_000);
-    queue.arrive(&offer("flood", 0, 1, 100.0), MonoTime(0));
+    let mut queue = busy_queue(1_000);
     fill(&mut queue, &offer("flood", 0, 1, 100.0), 300);
     let light = fill(&mut queue, &offer("light", 0, 1, 100.0), 1);
 
     // Act
-    let first = queue.finish(Duration::from_secs(1));
-    let second = queue.finish(Duration::from_secs(1));
+    let first = end_both(&mut queue);
+    let second = queue.finish(&team("flood"), Duration::from_secs(1));
 
     // Assert
     let started = [first, second].concat();
     assert!(started.iter().any(|ticket| light.contains_key(ticket)));
 }
 
+#[test]
+fn idle_team_starts_above_the_limit_while_requests_are_long() {
+    // Arrange: requests last a minute, and nobody may wait longer than 300 ms.
+    let settings = QueueSettings {
+        longest_wait: Duration::from_millis(300),
+        max_entries: 100,
+    };
+    let mut queue = FairQueue::new(settings, 8);
+    let flood = offer("flood", 0, 1, 100.0);
+    queue.arrive(&flood, MonoTime(0));
+    queue.finish(&team("flood"), Duration::from_secs(60));
+    for _ in 0..8 {
+        queue.arrive(&flood, MonoTime(0));
+    }
+
+    // Act
+    let more = queue.arrive(&flood, MonoTime(0));
+    let light = queue.arrive(&offer("light", 0, 1, 100.0), MonoTime(0));
+    let second = queue.arrive(&offer("light", 0, 1, 100.0), MonoTime(0));
+    let other = queue.arrive(&offer("other", 0, 1, 100.0), MonoTime(0));
+    let last = queue.arrive(&offer("last", 0, 1, 100.0), MonoTime(0));
+
+    // Assert: the reserve is a quarter of the limit, one request for each team.
+    assert!(matches!(more, AdmissionStep::Refuse(_)), "{more:?}");
+    assert!(matches!(light, AdmissionStep::Start(_)), "{light:?}");
+    assert!(matches!(second, AdmissionStep::Refuse(_)), "{second:?}");
+    assert!(matches!(other, AdmissionStep::Start(_)), "{other:?}");
+    assert!(matches!(last, AdmissionStep::Refuse(_)), "{last:?}");
+}
+
 #[test]
 fn more_important_class_starts_first() {
-    let mut queue = queue(1, 10);
-    queue.arrive(&offer("batch", 5, 1, 1.0), MonoTime(0));
+    let mut queue = busy_queue(10);
     fill(&mut queue, &offer("batch", 5, 1, 1.0), 3);
     let urgent = fill(&mut queue, &offer("desk", 0, 1, 1_000.0), 1);
 
-    let started = queue.finish(Duration::from_secs(1));
+    let started = end_both(&mut queue);
 
     assert!(urgent.contains_key(&started[0]));
 }
@@ -105,8 +148,7 @@
 #[test]
 fn full_queue_gives_up_the_last_in_order() {
     // Arrange
-    let mut queue = queue(1, 3);
-    queue.arrive(&offer("flood", 0, 1, 100.0), MonoTime(0));
+    let mut queue = busy_queue(3);
     let flood = fill(&mut queue, &offer("flood", 0, 1, 100.0), 3);
 
     // Act
@@ -136,7 +178,7 @@
     let wanted = offer("desk", 0, 1, 1.0);
     for second in 1..10 {
         queue.arrive(&wanted, MonoTime(second * SECOND));
-        queue.finish(Duration::from_secs(1));
+        queue.finish(&team("desk"), Duration::from_secs(1));
     }
     queue.arrive(&wanted, MonoTime(10 * SECOND));
 
@@ -273,7 +315,7 @@
     fn queue_schedules_lose_no_request(events in prop::collection::vec(queue_event(), 1..120)) {
         let mut queue = queue(4, 8);
         let mut waiting = Vec::new();
-        let mut running = 0_usize;
+        let mut running = Vec::new();
         let mut limit = 4_usize;
         for (index, event) in events.into_iter().enumerate() {
             let now = MonoTime(index as u64 * 10_000);
@@ -281,25 +323,28 @@
                 QueueEvent::Arrive(name, priority, cost) => {
                     let wanted = offer(&format!("team-{name}"), priority, 1, f64::from(cost));
                     match queue.arrive(&wanted, now) {
-                        AdmissionStep::Start(_) => running += 1,
+                        AdmissionStep::Start(_) => {
+                            prop_assert!(running.len() < limit + (limit / 4).max(1));
+                            running.push(wanted.team);
+                        }
                         AdmissionStep::Refuse(delay) => prop_assert!(!delay.is_zero()),
                         AdmissionStep::Wait { ticket, evicted, .. } => {
                             if let Some(evicted) = evicted {
-                                let place = waiting.iter().position(|other| *other == evicted);
+                                let place = waiting.iter().position(|(other, _)| *other == evicted);
                                 prop_assert!(place.is_some());
                                 waiting.swap_remove(place.unwrap());
                             }
-                            waiting.push(ticket);
+                            waiting.push((ticket, wanted.team));
                         }
                     }
                     Vec::new()
                 }
-                QueueEvent::Finish if running > 0 => {
-                    running -= 1;
-                    queue.finish(Duration::from_secs(1))
+                QueueEvent::Finish if !running.is_empty() => {
+                    let ended = running.swap_remove(index % running.len());
+                    queue.finish(&ended, Duration::from_secs(1))
                 }
                 QueueEvent::Abandon(pick) if !waiting.is_empty() => {
-                    let ticket = waiting.swap_remove(pick as usize % waiting.len());
+                    let (ticket, _) = waiting.swap_remove(pick as usize % waiting.len());
                     prop_assert!(queue.abandon(ticket));
                     prop_assert!(!queue.abandon(ticket));
                     Vec::new()
@@ -311,14 +356,13 @@
                 }
             };
             for ticket in started {
-                let place = waiting.iter().position(|other| *other == ticket);
+                let place = waiting.iter().position(|(other, _)| *other == ticket);
                 prop_assert!(place.is_some(), "started twice or unknown: {ticket:?}");
-                waiting.swap_remove(place.unwrap());
-                running += 1;
+                running.push(waiting.swap_remove(place.unwrap()).1);
             }
-            prop_assert_eq!(queue.in_use(), running);
+            prop_assert_eq!(queue.in_use(), running.len());
             prop_assert_eq!(queue.waiting(), waiting.len());
-            prop_assert!(waiting.is_empty() || running >= limit);
+            prop_assert!(waiting.is_empty() || running.len() >= limit);
         }
     }
 }
