Give parts of the stand-ins and the load tool their usual names

Cause: a newcomer would not guess what mischief, a book or courses are. No change of behaviour; the stand-in engine's knob is stream_fault now.

--- a/rig/src/engine/generate.rs
+++ b/rig/src/engine/generate.rs
@@ -1,7 +1,7 @@
 //! The generation loop of the first stage, and the work of the stages behind it.
 
-use crate::engine::mischief::Distorted;
 use crate::engine::server::{EngineStandIn, LedgerEntry};
+use crate::engine::stream_fault::Distorted;
 use crate::oracle::{OracleState, read_token, run_layers};
 use arbutusmount::{
     ActivationReply, ActivationRequest, FinishCause, GenerateRequest, HttpCall, InstanceId,
@@ -75,7 +75,7 @@
                 Some(token) => {
                     state.push(&token);
                     let record = make_token(work, position, token);
-                    let Distorted { records, ends } = engine.mischief().distort(record);
+                    let Distorted { records, ends } = engine.stream_fault().distort(record);
                     for record in records {
                         if events.send(record).await.is_err() {
                             return;
--- a/rig/src/engine/knobs.rs
+++ b/rig/src/engine/knobs.rs
@@ -1,7 +1,7 @@
 //! Behaviour of an engine.
 
 use crate::engine::link::LinkKnobs;
-use crate::engine::mischief::StreamMischief;
+use crate::engine::stream_fault::StreamFault;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -40,7 +40,7 @@
     /// Index of the stage at which a marked prompt makes its engine exit.
     pub crash_stage: usize,
     /// Faults in the records that the engine streams.
-    pub mischief: StreamMischief,
+    pub stream_fault: StreamFault,
 }
 
 impl Default for EngineKnobs {
@@ -60,7 +60,7 @@
             leaving: false,
             crash_marker: Arc::from(""),
             crash_stage: 0,
-            mischief: StreamMischief::None,
+            stream_fault: StreamFault::None,
         }
     }
 }
--- a/rig/src/engine/mod.rs
+++ b/rig/src/engine/mod.rs
@@ -7,11 +7,11 @@
 mod knobs;
 mod kv;
 mod link;
-mod mischief;
 mod server;
 mod session;
+mod stream_fault;
 
 pub use knobs::EngineKnobs;
 pub use link::LinkKnobs;
-pub use mischief::StreamMischief;
 pub use server::{EngineStandIn, LedgerEntry};
+pub use stream_fault::StreamFault;
--- a/rig/src/engine/server.rs
+++ b/rig/src/engine/server.rs
@@ -6,8 +6,8 @@
 use crate::engine::knobs::EngineKnobs;
 use crate::engine::kv::KvCache;
 use crate::engine::link::LinkLines;
-use crate::engine::mischief::StreamMischief;
 use crate::engine::session::SessionTable;
+use crate::engine::stream_fault::StreamFault;
 use crate::web::json_response;
 use arbutusmount::{
     AttemptNumber, CancelRequest, ConnectionCount, ConnectionPool, EngineOrder, EngineReport,
@@ -175,8 +175,8 @@
         self.knobs().crash_stage
     }
 
-    pub(super) fn mischief(&self) -> StreamMischief {
-        self.knobs().mischief
+    pub(super) fn stream_fault(&self) -> StreamFault {
+        self.knobs().stream_fault
     }
 
     /// Time until this many activations have arrived at another engine.
--- a/rig/src/engine/mischief.rs
+++ b/rig/src/engine/stream_fault.rs
@@ -11,7 +11,7 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum StreamMischief {
+pub enum StreamFault {
     /// Nothing.
     #[default]
     None,
@@ -39,7 +39,7 @@
     pub(super) ends: bool,
 }
 
-impl StreamMischief {
+impl StreamFault {
     /// Applies the fault to a token record.
     pub(super) fn distort(self, record: StreamRecord) -> Distorted {
         let StreamRecord::Token {
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -24,14 +24,14 @@
 };
 pub use claims_bench::{ClaimBench, run_claims_bench};
 pub use demo::run_demo;
-pub use engine::{EngineKnobs, EngineStandIn, LedgerEntry, LinkKnobs, StreamMischief};
+pub use engine::{EngineKnobs, EngineStandIn, LedgerEntry, LinkKnobs, StreamFault};
 pub use fleet::{
     AGENT_TOKEN, AddressCaller, CallOutcome, DaemonSeat, FleetSpec, OPERATOR_TOKEN, ProcessFleet,
     ProcessHandle, ProgramPaths, TEAM_TOKEN, free_address, sample_declaration, wait_until,
 };
 pub use load::{
     ArrivalKind, ArrivalSpec, ArrivalStep, EngineKind, ExperimentSpec, FaultKind, FaultSpec,
-    LatencyBook, LengthSpec, Percentiles, PlannedRequest, ProcessUsage, RequestKind,
+    LatencyRecorder, LengthSpec, Percentiles, PlannedRequest, ProcessUsage, RequestKind,
     RequestOutcome, RequestRecord, RunMode, RunSpec, RunSummary, RunTarget, TeamLoad, TeamSummary,
     draw_length, jain_index, mean_lengths, plan_arrivals, plan_workload, read_usage,
     run_experiment, run_load,
--- a/rig/src/load/caller.rs
+++ b/rig/src/load/caller.rs
@@ -1,7 +1,7 @@
 //! Callers of one team: they ask which daemons to use, keep the answer for its lifetime, and go on
 //! through other kept addresses when one fails.
 
-use crate::load::book::{RequestOutcome, RequestRecord, micros};
+use crate::load::latency::{RequestOutcome, RequestRecord, micros};
 use crate::load::workload::{PlannedRequest, RequestKind};
 use crate::oracle::reference_text;
 use arbutusmount::{
--- a/rig/src/load/book.rs
+++ b/rig/src/load/latency.rs
@@ -66,7 +66,7 @@
 /// Latencies of a run. Time to first token counts from the intended start, so that a request that
 /// was sent late, because the system had slowed its caller down, counts its wait in full.
 #[derive(Debug, Clone)]
-pub struct LatencyBook {
+pub struct LatencyRecorder {
     /// Time to first token, in microseconds.
     pub first_token: Histogram<u64>,
     /// Time between tokens, in microseconds.
@@ -75,7 +75,7 @@
     pub whole: Histogram<u64>,
 }
 
-impl Default for LatencyBook {
+impl Default for LatencyRecorder {
     fn default() -> Self {
         let histogram = || Histogram::new_with_max(MAX_MICROS, DIGITS).expect("bounds are valid");
         Self {
@@ -86,7 +86,7 @@
     }
 }
 
-impl LatencyBook {
+impl LatencyRecorder {
     /// Adds a request.
     pub fn add(&mut self, record: &RequestRecord) {
         if let Some(first) = record.tokens.first() {
--- a/rig/src/load/mod.rs
+++ b/rig/src/load/mod.rs
@@ -2,12 +2,12 @@
 //! against the throughput that the hardware allows.
 
 mod arrivals;
-mod book;
 mod caller;
 mod declare;
 mod experiment;
 mod faults;
 mod fleet;
+mod latency;
 mod lengths;
 mod meters;
 mod recovery;
@@ -18,10 +18,10 @@
 mod workload;
 
 pub use arrivals::{ArrivalKind, ArrivalSpec, ArrivalStep, plan_arrivals};
-pub use book::{LatencyBook, RequestOutcome, RequestRecord};
 pub use experiment::{ExperimentSpec, run_experiment};
 pub use faults::{FaultKind, FaultSpec};
 pub(crate) use fleet::LoadFleet;
+pub use latency::{LatencyRecorder, RequestOutcome, RequestRecord};
 pub use lengths::{LengthSpec, draw_length};
 pub(crate) use meters::TrafficGroup;
 pub(crate) use run::find_programs;
--- a/rig/src/load/recovery.rs
+++ b/rig/src/load/recovery.rs
@@ -1,7 +1,7 @@
 //! Recovery from a fault: when each stream that it hit goes on, and when throughput is back.
 
-use crate::load::book::{LatencyBook, RequestRecord};
 use crate::load::faults::FaultSpec;
+use crate::load::latency::{LatencyRecorder, RequestRecord};
 use crate::load::spec::RunSpec;
 use crate::load::summary::{Percentiles, RecoverySummary};
 use std::collections::HashSet;
@@ -38,11 +38,11 @@
         .iter()
         .filter(|record| is_hit(record, moment))
         .collect();
-    let mut book = LatencyBook::default();
+    let mut recorder = LatencyRecorder::default();
     let mut lost = 0;
     for record in &hit {
         match record.tokens.iter().find(|time| **time > moment.at) {
-            Some(time) => book.gap.saturating_record(time - moment.at),
+            Some(time) => recorder.gap.saturating_record(time - moment.at),
             None => lost += 1,
         }
     }
@@ -52,7 +52,7 @@
         hit: hit.len() as u64,
         lost,
         restarted: hit.iter().filter(|record| record.retries > 0).count() as u64,
-        next_token: Percentiles::read(&book.gap),
+        next_token: Percentiles::read(&recorder.gap),
         new_bound,
         throughput_ms: time_to_throughput(spec, records, moment.at, new_bound),
     }
--- a/rig/src/load/run.rs
+++ b/rig/src/load/run.rs
@@ -2,11 +2,11 @@
 
 use crate::bound::{StageRate, TokenWork, flow_bound, link_rate};
 use crate::fleet::ProgramPaths;
-use crate::load::book::{RequestOutcome, RequestRecord, micros};
 use crate::load::caller::{CallerRules, TeamCaller};
 use crate::load::declare::{MODEL, VERSION, team_token};
 use crate::load::faults::FaultSpec;
 use crate::load::fleet::{LoadFleet, Result};
+use crate::load::latency::{RequestOutcome, RequestRecord, micros};
 use crate::load::recovery::{FaultMoment, summarise_recovery};
 use crate::load::spec::RunSpec;
 use crate::load::summary::{RunSummary, summarise};
--- a/rig/src/load/summary.rs
+++ b/rig/src/load/summary.rs
@@ -1,6 +1,6 @@
 //! The figures of one run, written as one JSON line.
 
-use crate::load::book::{LatencyBook, RequestOutcome, RequestRecord};
+use crate::load::latency::{LatencyRecorder, RequestOutcome, RequestRecord};
 use crate::load::spec::RunSpec;
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
@@ -204,9 +204,9 @@
         .iter()
         .filter(|record| !record.service && (from..to).contains(&record.intended))
         .collect();
-    let mut book = LatencyBook::default();
+    let mut recorder = LatencyRecorder::default();
     for record in &measured {
-        book.add(record);
+        recorder.add(record);
     }
     let tokens = records.iter().flat_map(|record| &record.tokens);
     let delivered = tokens.filter(|time| (from..to).contains(time)).count();
@@ -233,9 +233,9 @@
         service_outcomes: count_outcomes(records.iter().filter(|record| record.service)),
         service_faults: 0,
         retries: records.iter().map(|record| u64::from(record.retries)).sum(),
-        first_token: Percentiles::read(&book.first_token),
-        gap: Percentiles::read(&book.gap),
-        whole: Percentiles::read(&book.whole),
+        first_token: Percentiles::read(&recorder.first_token),
+        gap: Percentiles::read(&recorder.gap),
+        whole: Percentiles::read(&recorder.whole),
         jain: jain_index(&shares),
         least_share: if highest > 0.0 { lowest / highest } else { 1.0 },
         teams,
--- a/rig/tests/load.rs
+++ b/rig/tests/load.rs
@@ -2,9 +2,9 @@
 
 use arbutusmount::{CheckError, InstanceId, LayerRange};
 use rig::{
-    ArrivalKind, ArrivalSpec, ArrivalStep, EngineKnobs, ExperimentSpec, LatencyBook, LengthSpec,
-    RequestOutcome, RequestRecord, RunSpec, RunTarget, StageRate, TokenWork, draw_length,
-    flow_bound, jain_index, plan_arrivals, plan_workload, run_load,
+    ArrivalKind, ArrivalSpec, ArrivalStep, EngineKnobs, ExperimentSpec, LatencyRecorder,
+    LengthSpec, RequestOutcome, RequestRecord, RunSpec, RunTarget, StageRate, TokenWork,
+    draw_length, flow_bound, jain_index, plan_arrivals, plan_workload, run_load,
 };
 use serde_json::{Value, json};
 use std::time::Duration;
@@ -231,28 +231,28 @@
 fn latency_counts_from_the_intended_start() {
     // One request a millisecond, each served in 100 us, but for a stall of 100 ms that delays the
     // sending of those behind it: taken from the sending, 1 in 1,000 would look slow.
-    let mut book = LatencyBook::default();
+    let mut recorder = LatencyRecorder::default();
 
     for number in 0..1_000 {
         let intended = number * 1_000;
         let sent = intended.max(if number >= 500 { 600_000 } else { 0 });
-        book.add(&record(intended, sent, &[sent + 100]));
+        recorder.add(&record(intended, sent, &[sent + 100]));
     }
 
-    let slow = book.first_token.count_between(1_000, 1_000_000);
+    let slow = recorder.first_token.count_between(1_000, 1_000_000);
     assert_near(slow as f64, 100.0, 2.0);
-    assert_near(book.first_token.max() as f64, 100_100.0, 200.0);
+    assert_near(recorder.first_token.max() as f64, 100_100.0, 200.0);
 }
 
 #[test]
 fn gaps_are_those_between_tokens() {
-    let mut book = LatencyBook::default();
+    let mut recorder = LatencyRecorder::default();
 
-    book.add(&record(0, 0, &[1_000, 3_000, 8_000]));
+    recorder.add(&record(0, 0, &[1_000, 3_000, 8_000]));
 
-    assert_eq!(book.gap.len(), 2);
-    assert_near(book.gap.max() as f64, 5_000.0, 5.0);
-    assert_near(book.whole.max() as f64, 8_000.0, 8.0);
+    assert_eq!(recorder.gap.len(), 2);
+    assert_near(recorder.gap.max() as f64, 5_000.0, 5.0);
+    assert_near(recorder.whole.max() as f64, 8_000.0, 8.0);
 }
 
 #[test_case(&[1.0, 1.0, 1.0, 1.0], 1.0; "equal shares")]
@@ -312,7 +312,7 @@
 }
 
 #[test_case("admission"; "admission")]
-#[test_case("courses"; "arrival courses")]
+#[test_case("arrivals"; "arrival kinds")]
 #[test_case("policies"; "policies")]
 #[test_case("recovery"; "recovery")]
 #[test_case("saturation"; "saturation")]
--- a/src/api/addresses.rs
+++ b/src/api/addresses.rs
@@ -53,21 +53,21 @@
 }
 
 fn install(host: &mut PluginHost) -> Result<(), PluginError> {
-    let book = Arc::new(AddressBook::default());
+    let cache = Arc::new(AddressCache::default());
     host.app.at("/v1/addresses").get(move |request| {
-        let book = Arc::clone(&book);
-        async move { answer_addresses(&request, &book) }
+        let cache = Arc::clone(&cache);
+        async move { answer_addresses(&request, &cache) }
     });
     Ok(())
 }
 
 /// The newest plan of addresses; made again when teams or daemons have changed.
 #[derive(Debug, Default)]
-struct AddressBook {
+struct AddressCache {
     current: ArcSwapOption<AddressPlan>,
 }
 
-impl AddressBook {
+impl AddressCache {
     fn plan(&self, context: &KernelContext, config: &AcceptedConfig) -> Arc<AddressPlan> {
         let teams = &config.document().declaration.teams;
         let teams = share_by_weight(teams.iter().map(|team| (&team.team, team.weight)));
@@ -104,13 +104,13 @@
     members
 }
 
-fn answer_addresses(request: &Request<Arc<KernelContext>>, book: &AddressBook) -> tide::Result {
+fn answer_addresses(request: &Request<Arc<KernelContext>>, cache: &AddressCache) -> tide::Result {
     let (config, team) = match authenticate_team(request) {
         Ok(caller) => caller,
         Err(problem) => return Ok(problem.to_response().into()),
     };
     let context = request.state();
-    let plan = book.plan(context, &config);
+    let plan = cache.plan(context, &config);
     let rows = plan.subset(&team.team).map(|(row, weight)| AddressRow {
         instance: row.instance.clone(),
         address: row.address,
--- a/src/routing/reports.rs
+++ b/src/routing/reports.rs
@@ -37,52 +37,55 @@
 
 /// What the plug-in remembers of the engines between periods.
 #[derive(Debug, Default)]
-struct ReportBook {
+struct ReportHistory {
     /// Own requests on each engine over the last periods.
     histories: HashMap<InstanceId, OwnHistory>,
     /// Reports as they were last passed on.
     told: HashMap<InstanceId, EngineReport>,
 }
 
-type SharedBook = Arc<Mutex<ReportBook>>;
+type SharedHistory = Arc<Mutex<ReportHistory>>;
 
 fn install(host: &mut PluginHost) -> Result<(), PluginError> {
     let timing = &host.context.settings.timing;
     let load = TimerSpec::new("load", Duration::from_millis(timing.load_ms));
-    let book = SharedBook::default();
-    let receiver = Arc::clone(&book);
+    let history = SharedHistory::default();
+    let receiver = Arc::clone(&history);
     host.add_handler(PeerTopic::Load, move |context, payload| {
         take_digest(&context, &receiver, &payload);
         async { Vec::new() }
     });
     host.add_timer(load, move |context, _now| {
-        let book = Arc::clone(&book);
-        async move { run_period(&context, &book).await }
+        let history = Arc::clone(&history);
+        async move { run_period(&context, &history).await }
     });
     Ok(())
 }
 
-async fn run_period(context: &Arc<KernelContext>, book: &SharedBook) {
+async fn run_period(context: &Arc<KernelContext>, history: &SharedHistory) {
     let targets = context.targets.all();
-    record_own(context, book, &targets);
+    record_own(context, history, &targets);
     let chosen = choose_reads(context, &targets);
     let reads = chosen
         .iter()
-        .map(|target| read_report(context, book, target));
+        .map(|target| read_report(context, history, target));
     futures_util::future::join_all(reads).await;
-    send_digest(context, book, &targets, &chosen).await;
+    send_digest(context, history, &targets, &chosen).await;
     update_weights(context);
 }
 
-fn record_own(context: &KernelContext, book: &SharedBook, targets: &[Arc<TargetState>]) {
+fn record_own(context: &KernelContext, history: &SharedHistory, targets: &[Arc<TargetState>]) {
     let now = context.clock.now();
-    let mut book = book.lock().expect("report lock is never poisoned");
-    let book = &mut *book;
+    let mut history = history.lock().expect("report lock is never poisoned");
+    let history = &mut *history;
     let is_known = |instance: &InstanceId| context.targets.get(instance).is_some();
-    book.histories.retain(|instance, _| is_known(instance));
-    book.told.retain(|instance, _| is_known(instance));
+    history.histories.retain(|instance, _| is_known(instance));
+    history.told.retain(|instance, _| is_known(instance));
     for target in targets {
-        let history = book.histories.entry(target.instance.clone()).or_default();
+        let history = history
+            .histories
+            .entry(target.instance.clone())
+            .or_default();
         history.record(now, target.in_flight());
     }
 }
@@ -110,20 +113,20 @@
     chosen.cloned().collect()
 }
 
-async fn read_report(context: &KernelContext, book: &SharedBook, target: &Arc<TargetState>) {
+async fn read_report(context: &KernelContext, history: &SharedHistory, target: &Arc<TargetState>) {
     if let Ok(report) = context.engines.report(target.address).await {
         let json = serde_json::to_vec(&report).map_or(0, |json| json.len());
         let bytes = json + HEAD_BYTES;
         context
             .routing
             .count(|metrics| metrics.count_load("read", bytes));
-        take_report(context, book, target, report);
+        take_report(context, history, target, report);
     }
 }
 
 fn take_report(
     context: &KernelContext,
-    book: &SharedBook,
+    history: &SharedHistory,
     target: &Arc<TargetState>,
     report: EngineReport,
 ) {
@@ -133,8 +136,8 @@
     if target.made_at().is_some_and(|known| known > made) {
         return;
     }
-    let book = book.lock().expect("report lock is never poisoned");
-    let history = book.histories.get(&target.instance);
+    let history = history.lock().expect("report lock is never poisoned");
+    let history = history.histories.get(&target.instance);
     let own_then = history.map_or(0, |history| history.at(made));
     target.publish_at(report, own_then, made, Some(now));
     target.health.join(now);
@@ -142,7 +145,7 @@
 
 async fn send_digest(
     context: &Arc<KernelContext>,
-    book: &SharedBook,
+    history: &SharedHistory,
     targets: &[Arc<TargetState>],
     chosen: &[Arc<TargetState>],
 ) {
@@ -151,7 +154,7 @@
     let is_spreading = peers.len() > FANOUT;
     peers.truncate(FANOUT);
     let told = if is_spreading { targets } else { chosen };
-    let rows = make_rows(context, book, told);
+    let rows = make_rows(context, history, told);
     if rows.is_empty() || peers.is_empty() {
         return;
     }
@@ -178,11 +181,11 @@
 /// Rows of the engines with the newest reports.
 fn make_rows(
     context: &KernelContext,
-    book: &SharedBook,
+    history: &SharedHistory,
     targets: &[Arc<TargetState>],
 ) -> Vec<LoadRow> {
     let now = context.clock.now();
-    let mut book = book.lock().expect("report lock is never poisoned");
+    let mut history = history.lock().expect("report lock is never poisoned");
     let mut fresh: Vec<_> = targets
         .iter()
         .filter_map(|target| Some((target.made_at()?, target, target.report()?)))
@@ -191,16 +194,17 @@
     fresh.truncate(MAX_ROWS);
     let row = |(made, target, report): (MonoTime, &Arc<TargetState>, Arc<EngineReport>)| {
         let age_ms = now.since(made).as_millis() as u64;
-        let known = book.told.get(&target.instance);
+        let known = history.told.get(&target.instance);
         let row = LoadRow::new(&target.instance, &report, age_ms, known);
-        book.told
+        history
+            .told
             .insert(target.instance.clone(), EngineReport::clone(&report));
         row
     };
     fresh.into_iter().map(row).collect()
 }
 
-fn take_digest(context: &KernelContext, book: &SharedBook, payload: &[u8]) {
+fn take_digest(context: &KernelContext, history: &SharedHistory, payload: &[u8]) {
     let Ok(digest) = LoadDigest::decode(payload) else {
         return;
     };
@@ -214,7 +218,7 @@
             continue;
         };
         if let Some(report) = row.to_report(target.report().as_deref()) {
-            take_report(context, book, target, report);
+            take_report(context, history, target, report);
         }
     }
 }
--- a/tests/own_answer.rs
+++ b/tests/own_answer.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use async_std::task;
-use rig::{EngineKnobs, FleetSpec, ProcessFleet, StreamMischief, reference_text};
+use rig::{EngineKnobs, FleetSpec, ProcessFleet, StreamFault, reference_text};
 use support::{MODEL, chat_request, ready_fleet, team_client};
 use test_case::test_case;
 
@@ -19,9 +19,9 @@
 }
 
 /// Makes every engine distort the streams that it is the head of.
-async fn misbehave(fleet: &ProcessFleet, count: usize, mischief: StreamMischief) {
+async fn misbehave(fleet: &ProcessFleet, count: usize, fault: StreamFault) {
     for member in fleet.engines.iter().take(count) {
-        let knobs = serde_json::json!({ "mischief": mischief });
+        let knobs = serde_json::json!({ "stream_fault": fault });
         fleet.set_knobs(member.row.address, knobs).await;
     }
 }
@@ -38,14 +38,14 @@
 }
 
 /// With one of two heads at fault, and for records that can be told apart with both.
-#[test_case(StreamMischief::Duplicate, 6)]
-#[test_case(StreamMischief::Crossed, 6)]
-#[test_case(StreamMischief::OldAttempt, 6)]
-#[test_case(StreamMischief::Skip, 3)]
-#[test_case(StreamMischief::Truncate, 3)]
-#[test_case(StreamMischief::FalseFinish, 3)]
-#[test_case(StreamMischief::ShortFinish, 3)]
-fn misbehaving_heads_do_not_change_the_answer(mischief: StreamMischief, at_fault: usize) {
+#[test_case(StreamFault::Duplicate, 6)]
+#[test_case(StreamFault::Crossed, 6)]
+#[test_case(StreamFault::OldAttempt, 6)]
+#[test_case(StreamFault::Skip, 3)]
+#[test_case(StreamFault::Truncate, 3)]
+#[test_case(StreamFault::FalseFinish, 3)]
+#[test_case(StreamFault::ShortFinish, 3)]
+fn misbehaving_heads_do_not_change_the_answer(fault: StreamFault, at_fault: usize) {
     task::block_on(async {
         // Arrange: engines are placed by domain, so each third one makes up a copy.
         let fleet = ready_fleet(spec(6), 2).await;
@@ -54,7 +54,7 @@
             .iter()
             .filter(|index| at_fault == 6 || **index % 3 == 0)
         {
-            let knobs = serde_json::json!({ "mischief": mischief });
+            let knobs = serde_json::json!({ "stream_fault": fault });
             fleet
                 .set_knobs(fleet.engines[*index].row.address, knobs)
                 .await;
@@ -65,7 +65,7 @@
             let (finish, text) = ask(&fleet, "Which size fits?", seed).await;
 
             // Assert
-            assert_eq!(finish, Ok("length".to_owned()), "{mischief:?}");
+            assert_eq!(finish, Ok("length".to_owned()), "{fault:?}");
             assert_eq!(
                 text,
                 reference_text(MODEL, seed, "Which size fits?", TOKENS)
@@ -74,14 +74,14 @@
     });
 }
 
-#[test_case(StreamMischief::Truncate)]
-#[test_case(StreamMischief::FalseFinish)]
-#[test_case(StreamMischief::ShortFinish)]
-fn answer_that_cannot_be_completed_never_ends_silently(mischief: StreamMischief) {
+#[test_case(StreamFault::Truncate)]
+#[test_case(StreamFault::FalseFinish)]
+#[test_case(StreamFault::ShortFinish)]
+fn answer_that_cannot_be_completed_never_ends_silently(fault: StreamFault) {
     task::block_on(async {
         // Arrange
         let fleet = ready_fleet(spec(3), 1).await;
-        misbehave(&fleet, 3, mischief).await;
+        misbehave(&fleet, 3, fault).await;
 
         // Act
         let (finish, text) = ask(&fleet, "Which size fits?", 3).await;
