--- a/src/routing/attempt/mod.rs
+++ b/src/routing/attempt/mod.rs
@@ -196,6 +196,8 @@
         // Gives up the attempt before, and its place on the engines.
         self.attempt = None;
         self.trial = None;
+        let mut span = context.traces.start("routing", self.generation.trace);
+        span.set("policy", context.settings.routing.policy);
         if known_crashes(context, self.generation) >= context.settings.routing.poison_crashes {
             return AttemptEvent::Condemned;
         }
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -216,6 +216,7 @@
         names.get("attempt").is_some_and(|count| *count >= 2),
         "{names:?}"
     );
+    assert!(names.get("routing") >= names.get("attempt"), "{names:?}");
     let request = spans
         .iter()
         .find(|span| span["name"] == "request")
