--- a/src/admission/plugin.rs
+++ b/src/admission/plugin.rs
@@ -1,9 +1,9 @@
 //! Plug-in that tells other daemons the demand seen here and keeps the gauges up to date.
 
 use crate::admission::DemandShare;
+use crate::instances::InstanceRole;
 use crate::kernel::{KernelContext, PluginEntry, PluginError, PluginHost, TimerSpec};
 use crate::peer::PeerTopic;
-use crate::platform::InstanceRole;
 use prost::Message;
 use std::sync::Arc;
 use std::time::Duration;
--- a/src/api/addresses.rs
+++ b/src/api/addresses.rs
@@ -3,9 +3,9 @@
 use crate::api::auth::authenticate_team;
 use crate::config::AcceptedConfig;
 use crate::ids::{DomainId, InstanceId};
+use crate::instances::InstanceRole;
 use crate::kernel::{KernelContext, PluginEntry, PluginError, PluginHost};
 use crate::membership::{AddressPlan, MemberRow, MemberState, share_by_weight};
-use crate::platform::InstanceRole;
 use arc_swap::ArcSwapOption;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
--- a/src/claims/service.rs
+++ b/src/claims/service.rs
@@ -13,9 +13,9 @@
     encode_verdict,
 };
 use crate::ids::InstanceId;
+use crate::instances::{InstanceList, InstanceRole};
 use crate::kernel::KernelContext;
 use crate::peer::PeerTopic;
-use crate::platform::{InstanceList, InstanceRole};
 use crate::units::MonoTime;
 use async_std::channel::{Sender, bounded};
 use async_std::task;
--- a/src/config/adoption.rs
+++ b/src/config/adoption.rs
@@ -10,8 +10,8 @@
 use crate::config::state::{OfferOutcome, StoreStep};
 use crate::config::{ConfigHead, gossip};
 use crate::ids::ConfigRevision;
+use crate::instances::InstanceRole;
 use crate::kernel::{KernelContext, PluginEntry, PluginError, PluginHost, TimerSpec};
-use crate::platform::InstanceRole;
 use crate::store::{StoreEvent, StoreRecord, StoreWatch};
 use async_std::future::timeout;
 use async_std::task;
--- a/src/config/gossip.rs
+++ b/src/config/gossip.rs
@@ -4,9 +4,9 @@
 use crate::config::adoption::offer_bundle;
 use crate::config::messages::{ConfigNotice, ConfigReply, ConfigRequest};
 use crate::config::state::{AdoptionState, NoticeStep};
+use crate::instances::InstanceRole;
 use crate::kernel::{KernelContext, PluginHost, TimerSpec};
 use crate::peer::PeerTopic;
-use crate::platform::InstanceRole;
 use crate::units::MonoTime;
 use async_std::task;
 use futures_util::future::join_all;
--- /dev/null
+++ b/src/gateway/follow.rs
@@ -0,0 +1,235 @@
+//! Follows the store's prefixes and publishes what they say.
+
+use crate::gateway::run::GatewayState;
+use crate::gateway::targets::TargetNote;
+use crate::mirror::{
+    FollowNotice, FollowSpec, LapseHold, LapseStep, MirrorChange, StoreItem, follow_prefix,
+};
+use crate::presence::{PRESENCE_PREFIX, PresenceRow, leader_key};
+use crate::targets::TargetView;
+use crate::telemetry::EventLine;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Time that a watch waits for a change. A call that hangs is noticed after it.
+const WATCH_WAIT: Duration = Duration::from_secs(5);
+/// Time for which changes of the list of targets are gathered.
+const GATHER_TARGETS: Duration = Duration::from_millis(150);
+/// Time for which changes of the daemons are gathered.
+const GATHER_PRESENCE: Duration = Duration::from_millis(100);
+
+fn spec(prefix: &str, gather: Duration) -> FollowSpec {
+    FollowSpec {
+        prefix: Arc::from(prefix),
+        wait: WATCH_WAIT,
+        gather,
+    }
+}
+
+/// Follows the operators' configuration.
+pub(super) async fn follow_config(state: Arc<GatewayState>) {
+    let fleet = state.ports.fleet;
+    let follow = spec(fleet.config_prefix, Duration::ZERO);
+    let mut contact = StoreContact::new("configuration");
+    follow_prefix(state.ports.store.clone(), follow, |notice| match notice {
+        FollowNotice::Failed(cause) => contact.on_failure(&state, cause),
+        FollowNotice::Changed(_, changes) => {
+            contact.on_answer(&state);
+            for change in changes {
+                if let MirrorChange::Written(item) = change {
+                    adopt_config(&state, item);
+                }
+            }
+        }
+    })
+    .await;
+}
+
+fn adopt_config(state: &GatewayState, item: &StoreItem) {
+    let context = &state.context;
+    let line = EventLine::new("configuration").with("revision", item.revision);
+    let catalog = match (state.ports.fleet.read_catalog)(&item.value) {
+        Ok(catalog) => catalog,
+        Err(reason) => {
+            context
+                .events
+                .emit(line.with("outcome", "unusable").with("reason", reason));
+            return;
+        }
+    };
+    let version = catalog.version;
+    let routes = catalog.route_count();
+    let adopted = context.catalog.adopt(catalog);
+    let outcome = if adopted { "in_force" } else { "older" };
+    context.events.emit(
+        line.with("version", version)
+            .with("routes", routes)
+            .with("outcome", outcome),
+    );
+    if adopted {
+        context
+            .metrics
+            .beliefs
+            .with_label_values(&["configuration"])
+            .set(version.cast_signed());
+        publish_targets(state);
+    }
+}
+
+/// Follows the list of targets.
+pub(super) async fn follow_targets(state: Arc<GatewayState>) {
+    let follow = spec(state.ports.fleet.target_prefix, GATHER_TARGETS);
+    let mut contact = StoreContact::new("targets");
+    follow_prefix(state.ports.store.clone(), follow, |notice| match notice {
+        FollowNotice::Failed(cause) => {
+            contact.on_failure(&state, cause);
+            state.with_targets(|targets, now| targets.on_failure(now));
+        }
+        FollowNotice::Changed(_, changes) => {
+            contact.on_answer(&state);
+            let notes = state.with_targets(|targets, now| targets.on_changes(changes, now));
+            report_notes(&state, notes);
+            if !changes.is_empty() {
+                publish_targets(&state);
+            }
+            if changes.contains(&MirrorChange::Synced) {
+                state.mark_listed();
+            }
+        }
+    })
+    .await;
+}
+
+pub(super) fn report_notes(state: &GatewayState, notes: Vec<TargetNote>) {
+    for note in notes {
+        let line = match note {
+            TargetNote::Malformed(key, reason) => EventLine::new("target_malformed")
+                .show("key", key)
+                .with("reason", reason),
+            TargetNote::Gone(key) => EventLine::new("target_gone").show("key", key),
+            TargetNote::Held(key) => EventLine::new("target_held").show("key", key),
+        };
+        state.context.events.emit(line);
+    }
+}
+
+/// Publishes the targets and the chains that they form.
+pub(super) fn publish_targets(state: &GatewayState) {
+    let context = &state.context;
+    let entries = state.with_targets(|targets, _now| targets.entries());
+    let catalog = context.catalog.load();
+    let view = TargetView::new(entries, catalog.as_deref());
+    context.pool.sweep(|id| view.target(id).is_some());
+    let beliefs = &context.metrics.beliefs;
+    beliefs
+        .with_label_values(&["targets"])
+        .set(view.targets().count() as i64);
+    beliefs
+        .with_label_values(&["chains"])
+        .set(view.chain_count() as i64);
+    context.targets.publish(view);
+    state.mark_ready();
+}
+
+/// Follows the daemons and the leader's key.
+pub(super) async fn follow_presence(state: Arc<GatewayState>) {
+    let follow = spec(PRESENCE_PREFIX, GATHER_PRESENCE);
+    let mut contact = StoreContact::new("presence");
+    let lapses = Mutex::new(LapseHold::default());
+    follow_prefix(state.ports.store.clone(), follow, |notice| {
+        let now = state.context.clock.now();
+        let mut lapses = lapses.lock().expect("lapses are never poisoned");
+        match notice {
+            FollowNotice::Failed(cause) => {
+                contact.on_failure(&state, cause);
+                lapses.on_failure(now);
+            }
+            FollowNotice::Changed(mirror, changes) => {
+                contact.on_answer(&state);
+                lapses.on_answer(now);
+                let mut rows = (*state.context.presence.rows()).clone();
+                for change in changes {
+                    apply_presence(&mut rows, change, &mut lapses, now);
+                }
+                for key in lapses.take_due(now) {
+                    rows.remove(&key);
+                }
+                let leader = mirror.items().find(|item| item.key == leader_key());
+                let holder = leader.map(|item| &*item.value);
+                state
+                    .keeper
+                    .observe_leader(holder, leader.map_or(0, |item| item.created));
+                state.note_leader(leader.is_some());
+                if !rows.contains_key(&state.presence_key) {
+                    state.keeper.mark_missing();
+                }
+                state.context.presence.publish(rows);
+            }
+        }
+    })
+    .await;
+}
+
+fn apply_presence(
+    rows: &mut BTreeMap<Arc<str>, PresenceRow>,
+    change: &MirrorChange,
+    lapses: &mut LapseHold,
+    now: crate::units::MonoTime,
+) {
+    match change {
+        MirrorChange::Written(item) => {
+            lapses.on_written(&item.key);
+            if let Ok(row) = serde_json::from_slice::<PresenceRow>(&item.value) {
+                rows.insert(Arc::clone(&item.key), row);
+            }
+        }
+        MirrorChange::Removed(key) => {
+            if rows.contains_key(key) && lapses.on_removed(key, now) == LapseStep::Remove {
+                rows.remove(key);
+            }
+        }
+        MirrorChange::Synced => {}
+    }
+}
+
+/// Logs when the store is lost and regained, for one prefix.
+struct StoreContact {
+    prefix: &'static str,
+    lost: bool,
+}
+
+impl StoreContact {
+    fn new(prefix: &'static str) -> Self {
+        Self {
+            prefix,
+            lost: false,
+        }
+    }
+
+    fn on_failure(&mut self, state: &GatewayState, cause: &crate::mirror::PortError) {
+        state
+            .context
+            .metrics
+            .store_calls
+            .with_label_values(&[self.prefix, "failed"])
+            .inc();
+        if !std::mem::replace(&mut self.lost, true) {
+            let line = EventLine::new("store_lost").with("follows", self.prefix);
+            state.context.events.emit(line.show("cause", cause));
+        }
+    }
+
+    fn on_answer(&mut self, state: &GatewayState) {
+        state
+            .context
+            .metrics
+            .store_calls
+            .with_label_values(&[self.prefix, "answered"])
+            .inc();
+        if std::mem::replace(&mut self.lost, false) {
+            let line = EventLine::new("store_regained").with("follows", self.prefix);
+            state.context.events.emit(line);
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/ports.rs
@@ -0,0 +1,76 @@
+//! What the platform's adapter fills in.
+
+use crate::catalog::RoutingCatalog;
+use crate::ids::{FenceNumber, InstanceId};
+use crate::mirror::{PortFuture, StorePort};
+use crate::relay::RelayWords;
+use crate::targets::TargetEntry;
+use crate::units::LayerRange;
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Where the platform keeps its own keys in the store, and how their values read.
+#[derive(Debug, Clone, Copy)]
+pub struct FleetWords {
+    /// Prefix of the operators' configuration.
+    pub config_prefix: &'static str,
+    /// Prefix of the list of targets; the rest of a key is the target's identity.
+    pub target_prefix: &'static str,
+    /// Reads a configuration; the error names the field and the reason.
+    pub read_catalog: fn(&[u8]) -> Result<RoutingCatalog, String>,
+    /// Reads a target's entry.
+    pub read_target: fn(&str, &[u8]) -> Result<TargetEntry, String>,
+}
+
+/// An order to hold layers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlaceOrder {
+    /// Server.
+    pub target: InstanceId,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Layers that it is to hold.
+    pub layers: LayerRange,
+    /// Number of the leader that sends it.
+    pub fence: FenceNumber,
+}
+
+/// Answer to an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderOutcome {
+    /// It has begun, or is done.
+    Accepted,
+    /// It does not suit the server's state.
+    Refused(u16),
+    /// A leader with a higher number has given orders.
+    Superseded,
+    /// Another server has the address.
+    WrongTarget,
+}
+
+/// Calls to model servers beside requests.
+#[derive(Clone)]
+pub struct TargetPort {
+    /// Orders a server to hold layers.
+    pub place: Arc<dyn Fn(PlaceOrder) -> PortFuture<OrderOutcome> + Send + Sync>,
+}
+
+impl fmt::Debug for TargetPort {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("TargetPort").finish_non_exhaustive()
+    }
+}
+
+/// All that the adapter fills in.
+#[derive(Debug, Clone)]
+pub struct GatewayPorts {
+    /// Store.
+    pub store: StorePort,
+    /// Model servers.
+    pub targets: TargetPort,
+    /// Keys and values of the platform.
+    pub fleet: FleetWords,
+    /// Heads of requests and answers.
+    pub relay: RelayWords,
+}
--- a/src/platform/mod.rs
+++ b/src/instances/mod.rs
@@ -1,7 +1,7 @@
 //! The platform's instance list.
 
-mod instances;
+mod list;
 
-pub use instances::{
+pub use list::{
     InstanceClient, InstanceList, InstanceRole, InstanceRow, InstanceState, InstanceTable,
 };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,23 +5,31 @@
 
 mod admission;
 mod api;
+mod catalog;
 mod check;
 mod claims;
 mod config;
 mod engine;
+mod gateway;
 mod http;
 mod ids;
+mod instances;
 mod kernel;
 mod membership;
+mod mirror;
 mod operator;
 mod peer;
-mod platform;
+mod placement;
+mod presence;
 mod reconcile;
+mod relay;
 mod routing;
 mod settings;
 mod store;
+mod targets;
 mod telemetry;
 mod units;
+mod wire;
 
 pub use admission::{
     AdmissionGate, AdmissionOffer, AdmissionPermit, AdmissionRequest, AdmissionSettings,
@@ -33,6 +41,10 @@
     ConfirmReply, IncompleteMessage, ModelStatus, NextVersion, PlanRequest, StatusReply,
     StreamOptions,
 };
+pub use catalog::{
+    AccessOutcome, CallerLimits, CardKind, CatalogCell, ModelShape, RepeatRule, RouteEntry,
+    RouteShare, RoutingCatalog, ServiceEntry, TeamEntry,
+};
 pub use check::{CheckError, CheckFault, FieldKind, FieldRule, check_document};
 pub use claims::{
     AttemptState, BUCKET_COUNT, ChangeOrigin, ClaimAction, ClaimAttempt, ClaimDecision, ClaimEvent,
@@ -57,6 +69,10 @@
     EngineEvent, EngineOrder, EngineReport, EngineStream, FinishCause, GenerateRequest, HeldStage,
     OrderReply, PipelineWork, StagePhase, StageProgress, StreamRecord,
 };
+pub use gateway::{
+    AddressReply, FleetWords, GatewayError, GatewayHandle, GatewayPorts, GatewayState,
+    OrderOutcome, PlaceOrder, TargetKeeper, TargetPort, start_gateway,
+};
 pub use http::{
     CallerWatch, ConnectionCount, ConnectionPool, ConnectionReuse, HttpCall, HttpReply,
     ProblemAnswer, ProblemKind, RunOutcome, SendError, SseReader, encode_event, read_body,
@@ -66,6 +82,9 @@
     AttemptNumber, ConfigRevision, DomainId, FenceNumber, IdError, InstanceId, LeaseId, ModelId,
     PlanId, RequestId, ServiceId, TeamId, TokenPosition, VersionId,
 };
+pub use instances::{
+    InstanceClient, InstanceList, InstanceRole, InstanceRow, InstanceState, InstanceTable,
+};
 pub use kernel::{
     DaemonError, DaemonHandle, DaemonPhase, KernelContext, LifecycleCell, MonoClock, PluginEntry,
     PluginError, PluginHost, TimerJob, TimerService, TimerSpec, WebApp, run_daemon, start_daemon,
@@ -76,6 +95,11 @@
     MemberService, MemberSettings, MemberState, MemberView, MessageKind, ProtocolCounts,
     ProtocolTiming, RequestStep, TeamShare, share_by_weight,
 };
+pub use mirror::{
+    CommitOutcome, ItemGuard, ItemPage, ItemWrite, LapseHold, LapseStep, LeaseGrant, MirrorChange,
+    MirrorStep, PortError, PortFuture, PortResult, PrefixMirror, RenewOutcome, StoreItem,
+    StorePort, StoreTransaction, WatchChange, WatchOutcome,
+};
 pub use operator::{
     AskRequest, OperatorClient, OperatorCommand, OperatorError, plan_text, run_command, status_text,
 };
@@ -83,12 +107,19 @@
     FrameKind, HandshakeError, PeerError, PeerFrame, PeerHandlers, PeerTopic, PeerTransport,
     serve_peers,
 };
-pub use platform::{
-    InstanceClient, InstanceList, InstanceRole, InstanceRow, InstanceState, InstanceTable,
+pub use placement::{
+    LayerAssignment, OrderDuty, OrderNeed, ServerOffer, chain_rate, plan_layers, split_layers,
 };
+pub use presence::{PresenceBoard, PresenceRow};
 pub use reconcile::{
     DrainTable, EngineView, LeaderCell, LeaderState, OrderPlan, PlannedOrder, plan_orders,
 };
+pub use relay::{
+    BudgetLimits, ChainNeed, CourseStep, DispatchFacts, GatewayBounds, GatewayListen,
+    GatewaySettings, GatewayStore, OwnAnswer, RefusalCause, RelayContext, RelayFailure,
+    RelayMetrics, RelayWords, ReplyFacts, RequestCourse, RequestFacts, RetryBudget, pick_chain,
+    pick_target,
+};
 pub use routing::{
     AnswerEvent, AnswerStream, AttemptEvent, AttemptFailure, AttemptMachine, AttemptNotice,
     AttemptStep, AwaitedStep, ChainChoice, ChainQuery, ChainWish, DeliveryState, DeliveryStep,
@@ -109,7 +140,14 @@
     TxnOperationReply, TxnReply, TxnRequest, WatchCreate, WatchFrame, WatchReply, WatchRequest,
     WireEvent, WireInt, decode_bytes, encode_bytes,
 };
+pub use targets::{ChainPart, LayerChain, TargetEntry, TargetGauge, TargetPhase, TargetView};
 pub use telemetry::{
-    LogError, MetricSet, SpanGuard, SpanOutcome, SpanRecord, TraceContext, TraceSink, init_logging,
+    EventLine, EventLog, LogError, MetricSet, SpanGuard, SpanOutcome, SpanRecord, TraceContext,
+    TraceSink, init_logging,
 };
 pub use units::{ByteSize, LayerRange, MonoTime, TokenRate, UnitError};
+pub use wire::{
+    BodyDecoder, BodyError, BodyFrame, BodyStep, CallError, EventSplitter, HeadBuilder, HeadError,
+    HeadLimits, HeadStep, StreamError, TargetPool, WholeEvent, WireCall, WireClient, WireHead,
+    WireReply, parse_reply, parse_request,
+};
--- a/src/membership/listing.rs
+++ b/src/membership/listing.rs
@@ -1,9 +1,9 @@
 //! Plug-in that reads the platform's instance list and keeps new work away from leaving targets.
 
+use crate::instances::{InstanceList, InstanceRole, InstanceRow, InstanceState};
 use crate::kernel::{KernelContext, PluginEntry, PluginError, PluginHost, TimerSpec};
 use crate::membership::marks::{LeavingMarks, LeavingTarget};
 use crate::membership::row::MemberRow;
-use crate::platform::{InstanceList, InstanceRole, InstanceRow, InstanceState};
 use crate::units::MonoTime;
 use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex};
--- a/src/membership/row.rs
+++ b/src/membership/row.rs
@@ -1,8 +1,8 @@
 //! One member of the fleet of daemons, and the order of the statements made about it.
 
 use crate::ids::{DomainId, InstanceId};
+use crate::instances::InstanceRow;
 use crate::membership::wire::{MemberRecord, decode_address, encode_address};
-use crate::platform::InstanceRow;
 use std::fmt;
 use std::net::SocketAddr;
 
--- a/src/membership/service.rs
+++ b/src/membership/service.rs
@@ -213,7 +213,7 @@
     now: MonoTime,
 ) -> Vec<MemberCall> {
     let list = context.instances.load();
-    let own = |row: &&crate::platform::InstanceRow| row.instance == context.settings.instance;
+    let own = |row: &&crate::instances::InstanceRow| row.instance == context.settings.instance;
     match list.instances.iter().find(own) {
         Some(row) => {
             let peer_address = row.peer_address.unwrap_or(context.settings.peer_listen);
--- /dev/null
+++ b/src/mirror/prefix.rs
@@ -0,0 +1,157 @@
+//! Copy of all keys with one prefix. Decides which call comes next and what an answer changes; does no
+//! I/O.
+//!
+//! A key never goes back to an older revision, whatever order answers come in. After a gap in the
+//! history the prefix is listed again; keys that are then missing are reported as removed.
+
+use crate::mirror::port::{ItemPage, StoreItem, WatchChange, WatchOutcome};
+use std::collections::{BTreeMap, HashSet};
+use std::sync::Arc;
+
+/// The next call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum MirrorStep {
+    /// List the prefix from the key after this one.
+    List(Option<Arc<str>>),
+    /// Watch the prefix after this revision.
+    Watch(u64),
+}
+
+/// A change of the copy.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum MirrorChange {
+    /// The key has a new value.
+    Written(StoreItem),
+    /// The key is gone.
+    Removed(Arc<str>),
+    /// The copy is complete up to a revision at or after the one at which it was asked for.
+    Synced,
+}
+
+#[derive(Debug)]
+struct ListProgress {
+    after: Option<Arc<str>>,
+    /// Revision of the first page: changes after it are watched once the list is complete.
+    revision: Option<u64>,
+    seen: HashSet<Arc<str>>,
+}
+
+impl ListProgress {
+    fn start() -> Self {
+        Self {
+            after: None,
+            revision: None,
+            seen: HashSet::new(),
+        }
+    }
+}
+
+/// Copy of a prefix.
+#[derive(Debug)]
+pub struct PrefixMirror {
+    items: BTreeMap<Arc<str>, StoreItem>,
+    listing: Option<ListProgress>,
+    revision: u64,
+}
+
+impl Default for PrefixMirror {
+    fn default() -> Self {
+        Self {
+            items: BTreeMap::new(),
+            listing: Some(ListProgress::start()),
+            revision: 0,
+        }
+    }
+}
+
+impl PrefixMirror {
+    /// The call to make next.
+    pub fn next_step(&self) -> MirrorStep {
+        match &self.listing {
+            Some(listing) => MirrorStep::List(listing.after.clone()),
+            None => MirrorStep::Watch(self.revision),
+        }
+    }
+
+    /// The copy's items.
+    pub fn items(&self) -> impl Iterator<Item = &StoreItem> {
+        self.items.values()
+    }
+
+    /// Takes in a page.
+    pub fn on_page(&mut self, page: ItemPage) -> Vec<MirrorChange> {
+        let Some(mut listing) = self.listing.take() else {
+            return Vec::new();
+        };
+        let first_revision = *listing.revision.get_or_insert(page.revision);
+        listing.after = page.items.last().map(|item| Arc::clone(&item.key));
+        let mut changes = Vec::new();
+        for item in page.items {
+            listing.seen.insert(Arc::clone(&item.key));
+            changes.extend(self.write(item));
+        }
+        if page.has_more && listing.after.is_some() {
+            self.listing = Some(listing);
+            return changes;
+        }
+        let missing = |item: &&StoreItem| {
+            !listing.seen.contains(&item.key) && item.revision <= first_revision
+        };
+        let gone: Vec<Arc<str>> = self
+            .items
+            .values()
+            .filter(missing)
+            .map(|item| Arc::clone(&item.key))
+            .collect();
+        for key in gone {
+            self.items.remove(&key);
+            changes.push(MirrorChange::Removed(key));
+        }
+        self.revision = self.revision.max(first_revision);
+        changes.push(MirrorChange::Synced);
+        changes
+    }
+
+    /// Takes in the answer of a watch.
+    pub fn on_watch(&mut self, outcome: WatchOutcome) -> Vec<MirrorChange> {
+        let (events, revision) = match outcome {
+            WatchOutcome::HistoryGone => {
+                self.listing = Some(ListProgress::start());
+                return Vec::new();
+            }
+            WatchOutcome::Changes(events, revision) => (events, revision),
+        };
+        let mut changes = Vec::new();
+        for event in events {
+            match event {
+                WatchChange::Written(item) => changes.extend(self.write(item)),
+                WatchChange::Removed(key, at) => changes.extend(self.remove(&key, at)),
+            }
+        }
+        self.revision = self.revision.max(revision);
+        changes
+    }
+
+    /// Lists the prefix again with the next call.
+    pub fn restart(&mut self) {
+        self.listing = Some(ListProgress::start());
+    }
+
+    fn write(&mut self, item: StoreItem) -> Option<MirrorChange> {
+        let known = self.items.get(&item.key).map_or(0, |known| known.revision);
+        if item.revision <= known {
+            return None;
+        }
+        self.items.insert(Arc::clone(&item.key), item.clone());
+        Some(MirrorChange::Written(item))
+    }
+
+    fn remove(&mut self, key: &Arc<str>, at: u64) -> Option<MirrorChange> {
+        let known = self.items.get(key)?;
+        if known.revision > at {
+            return None;
+        }
+        self.items.remove(key);
+        Some(MirrorChange::Removed(Arc::clone(key)))
+    }
+}
--- /dev/null
+++ b/src/placement/composition.rs
@@ -0,0 +1,81 @@
+//! How good a chain of given cards is, and how to split a model's layers over them.
+
+use crate::catalog::{CardKind, ModelShape};
+
+/// Steps of the search for the room that a set of cards can offer.
+const ROOM_STEPS: usize = 40;
+/// Part of a chain's room that requests use on average when it is busy.
+const USED_ROOM: f64 = 0.8;
+
+/// Splits the model's layers over cards so that all have room for about as many tokens; layers of each
+/// card in the given order. `None` when the cards cannot hold the model with room for a request.
+pub fn split_layers(model: &ModelShape, cards: &[&CardKind]) -> Option<(Vec<u32>, f64)> {
+    let fits = |tokens: f64| {
+        let held = cards
+            .iter()
+            .map(|card| model.layers_with_room(card, tokens));
+        held.sum::<u32>() >= model.layers
+    };
+    let mut low = model.usual_tokens();
+    if !fits(low) {
+        return None;
+    }
+    let mut high = cards.iter().map(|card| card.memory_bytes).sum::<f64>() / model.token_bytes;
+    for _ in 0..ROOM_STEPS {
+        let middle = f64::midpoint(low, high);
+        if fits(middle) {
+            low = middle
+        } else {
+            high = middle
+        }
+    }
+    let mut held: Vec<u32> = cards
+        .iter()
+        .map(|card| model.layers_with_room(card, low))
+        .collect();
+    let mut surplus = held.iter().sum::<u32>() - model.layers;
+    // Layers above the model's number are taken off the slowest cards.
+    let mut order: Vec<usize> = (0..cards.len()).collect();
+    order.sort_by(|a, b| cards[*b].step_factor.total_cmp(&cards[*a].step_factor));
+    while surplus > 0 {
+        for index in &order {
+            if surplus > 0 && held[*index] > 1 {
+                held[*index] -= 1;
+                surplus -= 1;
+            }
+        }
+        if held.iter().all(|layers| *layers <= 1) {
+            break;
+        }
+    }
+    let rooms = cards
+        .iter()
+        .zip(&held)
+        .map(|(card, layers)| model.token_room(card, *layers));
+    let room = rooms.fold(f64::INFINITY, f64::min);
+    Some((held, room))
+}
+
+/// Requests in a second that a chain of these cards can serve, bound by memory; 0 when they cannot
+/// hold the model.
+pub fn chain_rate(model: &ModelShape, cards: &[&CardKind]) -> f64 {
+    let Some((held, room)) = split_layers(model, cards) else {
+        return 0.0;
+    };
+    let streams = (room / model.usual_tokens() * USED_ROOM).min(f64::from(model.slots));
+    let batch = streams / 2.0;
+    let context = batch * model.usual_tokens() / 1_000.0;
+    let reference =
+        model.step_ms + model.step_ms_per_request * batch + model.step_ms_per_context * context;
+    let share = |layers: u32| f64::from(layers) / f64::from(model.layers);
+    let cards_held = || cards.iter().zip(&held);
+    let step: f64 = cards_held()
+        .map(|(card, layers)| share(*layers) * card.step_factor * reference)
+        .sum();
+    let read_ms = model.usual_prompt / model.read_tokens_per_s * 1_000.0;
+    let read: f64 = cards_held()
+        .map(|(card, layers)| share(*layers) * card.read_factor * read_ms)
+        .sum();
+    let seconds = (step * model.usual_answer + read) / 1_000.0;
+    streams / seconds.max(0.001)
+}
--- /dev/null
+++ b/src/placement/mod.rs
@@ -0,0 +1,10 @@
+//! Which layers of a model each server holds.
+
+mod composition;
+mod duty;
+mod plan;
+mod standing;
+
+pub use composition::{chain_rate, split_layers};
+pub use duty::{OrderDuty, OrderNeed};
+pub use plan::{LayerAssignment, ServerOffer, plan_layers};
--- /dev/null
+++ b/src/placement/plan.rs
@@ -0,0 +1,351 @@
+//! Plans the layers of all servers of a model. The plan depends only on what servers hold, so that a
+//! new leader goes on where the last one ended.
+//!
+//! Chains stay within a failure domain, as a hop carries the activations of each token. What makes a
+//! whole chain stays as it is. A hole is filled by free servers; where that cannot be done the domain
+//! is planned anew. Free servers form chains of their own where these are worth it, and otherwise hold
+//! copies of parts, so that the loss of one server leaves the chain whole.
+
+use crate::catalog::{CardKind, ModelShape};
+use crate::ids::{DomainId, InstanceId};
+use crate::placement::composition::{chain_rate, split_layers};
+use crate::placement::standing::{find_holes, mark_useful};
+use crate::units::LayerRange;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// Rate of a further chain, as a share of the domain's first, from which it is formed.
+const WORTHWHILE_RATE: f64 = 0.35;
+/// Room of a copy or filling, as a share of the room that the chain's parts have, at the least.
+const LEAST_ROOM: f64 = 0.4;
+/// Most servers that together copy one part.
+const MAX_COPIERS: usize = 4;
+
+/// A server as the planner sees it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServerOffer {
+    /// Identity.
+    pub id: InstanceId,
+    /// Failure domain.
+    pub domain: DomainId,
+    /// Kind of accelerator.
+    pub card: Arc<str>,
+    /// Layers that it holds or was ordered to hold.
+    pub held: Option<LayerRange>,
+}
+
+/// Layers that a server is to hold.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LayerAssignment {
+    /// Server.
+    pub id: InstanceId,
+    /// Layers.
+    pub layers: LayerRange,
+}
+
+/// Plans the layers of all servers; servers without an assignment stay as they are.
+pub fn plan_layers(model: &ModelShape, offers: &[ServerOffer]) -> Vec<LayerAssignment> {
+    let domains: BTreeSet<&DomainId> = offers.iter().map(|offer| &offer.domain).collect();
+    let mut plan = Vec::new();
+    for domain in domains {
+        let members: Vec<&ServerOffer> = offers
+            .iter()
+            .filter(|offer| &offer.domain == domain)
+            .collect();
+        plan.extend(plan_domain(model, &members));
+    }
+    plan
+}
+
+fn plan_domain(model: &ModelShape, members: &[&ServerOffer]) -> Vec<LayerAssignment> {
+    let useful = mark_useful(members, model.layers);
+    let (kept, free): (Vec<_>, Vec<_>) = members
+        .iter()
+        .zip(&useful)
+        .partition(|(_, useful)| **useful);
+    let kept: Vec<&ServerOffer> = kept.into_iter().map(|(offer, _)| *offer).collect();
+    let mut free: Vec<&ServerOffer> = free.into_iter().map(|(offer, _)| *offer).collect();
+    let mut plan: Vec<LayerAssignment> = kept.iter().filter_map(|offer| keep(offer)).collect();
+    if plan.is_empty() {
+        plan = fill_holes(model, &mut free);
+    }
+    let standing_rate = standing_rate(model, members, &plan);
+    form_chains(model, &mut free, &mut plan, standing_rate);
+    copy_parts(model, members, &mut free, &mut plan);
+    plan
+}
+
+fn keep(offer: &ServerOffer) -> Option<LayerAssignment> {
+    offer.held.map(|layers| LayerAssignment {
+        id: offer.id.clone(),
+        layers,
+    })
+}
+
+fn standing_rate(model: &ModelShape, members: &[&ServerOffer], plan: &[LayerAssignment]) -> f64 {
+    let planned = |offer: &&&ServerOffer| plan.iter().any(|assigned| assigned.id == offer.id);
+    let cards = members
+        .iter()
+        .filter(planned)
+        .filter_map(|offer| model.card(&offer.card));
+    chain_rate(model, &cards.collect::<Vec<_>>())
+}
+
+/// Makes a whole chain of the servers that hold layers by filling the holes between them with servers
+/// that hold none.
+fn fill_holes(model: &ModelShape, free: &mut Vec<&ServerOffer>) -> Vec<LayerAssignment> {
+    let holders: Vec<&ServerOffer> = free
+        .iter()
+        .filter(|offer| offer.held.is_some())
+        .copied()
+        .collect();
+    let ranges: Vec<LayerRange> = holders.iter().filter_map(|offer| offer.held).collect();
+    let Some(holes) = find_holes(&ranges, model.layers).filter(|_| !ranges.is_empty()) else {
+        return Vec::new();
+    };
+    let mut empties: Vec<&ServerOffer> = free
+        .iter()
+        .filter(|offer| offer.held.is_none())
+        .copied()
+        .collect();
+    let room = least_room(model, &holders) * LEAST_ROOM;
+    let mut plan: Vec<LayerAssignment> = holders.iter().filter_map(|offer| keep(offer)).collect();
+    for hole in holes {
+        let Some(filling) = tile_range(model, &mut empties, hole, room) else {
+            return Vec::new();
+        };
+        plan.extend(filling);
+    }
+    free.retain(|offer| !plan.iter().any(|assigned| assigned.id == offer.id));
+    plan
+}
+
+fn least_room(model: &ModelShape, holders: &[&ServerOffer]) -> f64 {
+    let rooms = holders.iter().filter_map(|offer| {
+        let card = model.card(&offer.card)?;
+        Some(model.token_room(card, offer.held?.len()))
+    });
+    rooms.fold(f64::INFINITY, f64::min).min(1e9)
+}
+
+/// Forms chains of free servers while one is worth it.
+fn form_chains(
+    model: &ModelShape,
+    free: &mut Vec<&ServerOffer>,
+    plan: &mut Vec<LayerAssignment>,
+    standing_rate: f64,
+) {
+    let mut best_rate = standing_rate;
+    while let Some((chosen, rate)) = best_composition(model, free) {
+        if rate < best_rate * WORTHWHILE_RATE {
+            return;
+        }
+        best_rate = best_rate.max(rate);
+        let members = take_cards(free, &chosen);
+        plan.extend(lay_out(model, &members));
+    }
+}
+
+type CardCounts = BTreeMap<Arc<str>, usize>;
+
+/// The composition of the next chain: the one that, together with the best further chain of what it
+/// leaves, serves the most. Its rate is returned with it.
+fn best_composition(model: &ModelShape, free: &[&ServerOffer]) -> Option<(CardCounts, f64)> {
+    let mut available: CardCounts = BTreeMap::new();
+    for offer in free {
+        *available.entry(Arc::clone(&offer.card)).or_default() += 1;
+    }
+    let candidates: Vec<(CardCounts, f64)> = compositions(&available)
+        .into_iter()
+        .map(|counts| {
+            let rate = chain_rate(model, &cards_of(model, &counts));
+            (counts, rate)
+        })
+        .filter(|(_, rate)| *rate > 0.0)
+        .collect();
+    let rest_rate = |used: &CardCounts| {
+        let fits = |counts: &CardCounts| {
+            counts
+                .iter()
+                .all(|(card, n)| n + used.get(card).unwrap_or(&0) <= available[card])
+        };
+        let rates = candidates
+            .iter()
+            .filter(|(counts, _)| fits(counts))
+            .map(|(_, rate)| *rate);
+        rates.fold(0.0, f64::max)
+    };
+    let total = |(counts, rate): &(CardCounts, f64)| rate + rest_rate(counts);
+    let mut best: Option<(f64, &(CardCounts, f64))> = None;
+    for candidate in &candidates {
+        let sum = total(candidate);
+        let size = |(counts, _): &(CardCounts, f64)| counts.values().sum::<usize>();
+        let better = best.is_none_or(|(most, held)| {
+            let tie = (sum - most).abs() < 1e-9 && size(candidate) < size(held);
+            sum > most + 1e-9 || tie
+        });
+        if better {
+            best = Some((sum, candidate));
+        }
+    }
+    best.map(|(_, candidate)| candidate.clone())
+}
+
+/// Cards of one kind that a composition may use at the most; beyond it a chain only gets longer.
+const MAX_OF_KIND: usize = 10;
+
+/// All non-empty counts up to the available ones.
+fn compositions(available: &CardCounts) -> Vec<CardCounts> {
+    let mut found = vec![CardCounts::new()];
+    for (card, most) in available {
+        let grow = |counts: &CardCounts| {
+            let counts = counts.clone();
+            (0..=(*most).min(MAX_OF_KIND)).map(move |n| {
+                let mut next = counts.clone();
+                next.insert(Arc::clone(card), n);
+                next
+            })
+        };
+        found = found.iter().flat_map(grow).collect();
+    }
+    found
+}
+
+fn cards_of<'a>(model: &'a ModelShape, counts: &CardCounts) -> Vec<&'a CardKind> {
+    let kinds = counts
+        .iter()
+        .filter_map(|(name, n)| model.card(name).map(|card| (card, *n)));
+    kinds
+        .flat_map(|(card, n)| std::iter::repeat_n(card, n))
+        .collect()
+}
+
+fn take_cards<'a>(free: &mut Vec<&'a ServerOffer>, counts: &CardCounts) -> Vec<&'a ServerOffer> {
+    let mut wanted = counts.clone();
+    let mut taken = Vec::new();
+    free.retain(|offer| match wanted.get_mut(&offer.card) {
+        Some(left) if *left > 0 => {
+            *left -= 1;
+            taken.push(*offer);
+            false
+        }
+        _ => true,
+    });
+    taken
+}
+
+/// Assigns a whole model to servers, the fastest cards first.
+fn lay_out(model: &ModelShape, members: &[&ServerOffer]) -> Vec<LayerAssignment> {
+    let mut with_cards: Vec<(&ServerOffer, &CardKind)> = members
+        .iter()
+        .filter_map(|offer| Some((*offer, model.card(&offer.card)?)))
+        .collect();
+    with_cards.sort_by(|a, b| a.1.step_factor.total_cmp(&b.1.step_factor));
+    let cards: Vec<&CardKind> = with_cards.iter().map(|(_, card)| *card).collect();
+    let Some((held, _room)) = split_layers(model, &cards) else {
+        return Vec::new();
+    };
+    let mut from = 0;
+    let mut plan = Vec::new();
+    for ((offer, _), layers) in with_cards.iter().zip(held) {
+        let layers = LayerRange::new(from, from + layers);
+        from = layers.to;
+        plan.push(LayerAssignment {
+            id: offer.id.clone(),
+            layers,
+        });
+    }
+    plan
+}
+
+/// Lets free servers hold copies of parts that no other server of the domain holds, the largest first.
+fn copy_parts(
+    model: &ModelShape,
+    members: &[&ServerOffer],
+    free: &mut Vec<&ServerOffer>,
+    plan: &mut Vec<LayerAssignment>,
+) {
+    let card_of = |id: &InstanceId| {
+        let offer = members.iter().find(|offer| &offer.id == id)?;
+        model.card(&offer.card)
+    };
+    let mut parts: Vec<(LayerRange, f64)> = Vec::new();
+    for assigned in plan.iter() {
+        let room =
+            card_of(&assigned.id).map_or(0.0, |card| model.token_room(card, assigned.layers.len()));
+        parts.push((assigned.layers, room));
+    }
+    parts.sort_by(|a, b| b.0.len().cmp(&a.0.len()).then(a.0.cmp(&b.0)));
+    parts.dedup_by(|a, b| a.0 == b.0);
+    let held: Vec<LayerRange> = plan.iter().map(|assigned| assigned.layers).collect();
+    for (range, room) in parts {
+        let copies = held.iter().filter(|other| **other == range).count();
+        if copies > 1 || is_tiled_beside(&held, range) {
+            continue;
+        }
+        if let Some(copy) = tile_range(model, free, range, room * LEAST_ROOM) {
+            plan.extend(copy);
+        }
+    }
+}
+
+/// True when ranges inside `range`, not all of it, already tile it.
+fn is_tiled_beside(held: &[LayerRange], range: LayerRange) -> bool {
+    let mut next = range.from;
+    while next < range.to {
+        let inner = held
+            .iter()
+            .filter(|part| part.from == next && part.to <= range.to);
+        let Some(part) = inner
+            .filter(|part| **part != range)
+            .max_by_key(|part| part.to)
+        else {
+            return false;
+        };
+        next = part.to;
+    }
+    true
+}
+
+/// Tiles a range with as few free servers of one kind as have room for `room` tokens.
+fn tile_range(
+    model: &ModelShape,
+    free: &mut Vec<&ServerOffer>,
+    range: LayerRange,
+    room: f64,
+) -> Option<Vec<LayerAssignment>> {
+    let kinds: BTreeSet<Arc<str>> = free.iter().map(|offer| Arc::clone(&offer.card)).collect();
+    let mut best: Option<(usize, f64, Arc<str>)> = None;
+    for kind in kinds {
+        let Some(card) = model.card(&kind) else {
+            continue;
+        };
+        let most = model.layers_with_room(card, room.max(model.usual_tokens()));
+        if most == 0 {
+            continue;
+        }
+        let needed = range.len().div_ceil(most) as usize;
+        let available = free.iter().filter(|offer| offer.card == kind).count();
+        if needed > available.min(MAX_COPIERS) {
+            continue;
+        }
+        let cost = needed as f64 * card.memory_bytes;
+        if best.as_ref().is_none_or(|(_, least, _)| cost < *least) {
+            best = Some((needed, cost, kind));
+        }
+    }
+    let (needed, _, kind) = best?;
+    let chosen = take_cards(free, &BTreeMap::from([(kind, needed)]));
+    let mut from = range.from;
+    let mut plan = Vec::new();
+    for (index, offer) in chosen.iter().enumerate() {
+        let left = (needed - index) as u32;
+        let layers = LayerRange::new(from, from + (range.to - from).div_ceil(left));
+        from = layers.to;
+        plan.push(LayerAssignment {
+            id: offer.id.clone(),
+            layers,
+        });
+    }
+    Some(plan)
+}
--- a/src/reconcile/observe.rs
+++ b/src/reconcile/observe.rs
@@ -3,8 +3,8 @@
 use crate::config::{ConfigDocument, EngineOffer, StagePlacement};
 use crate::engine::EngineReport;
 use crate::ids::InstanceId;
+use crate::instances::{InstanceRole, InstanceRow};
 use crate::kernel::KernelContext;
-use crate::platform::{InstanceRole, InstanceRow};
 use crate::reconcile::EngineView;
 use crate::units::MonoTime;
 use futures_util::StreamExt;
--- /dev/null
+++ b/src/relay/budget.rs
@@ -0,0 +1,101 @@
+//! Bounds repeats at targets without talking to other daemons: each daemon spends a share of its own
+//! requests and its slice of the fixed allowance, so that the sum stays within what all may spend.
+
+use crate::ids::ServiceId;
+use crate::units::MonoTime;
+use std::collections::{HashMap, VecDeque};
+use std::sync::Mutex;
+use std::time::Duration;
+
+/// Width of the buckets that a window is counted in.
+const BUCKET: Duration = Duration::from_millis(500);
+/// Part of the allowance that is spent; the rest covers the unequal ends of windows and daemons whose
+/// number is not yet known everywhere.
+const SPENT_PART: f64 = 0.75;
+
+/// What all daemons together may spend on one service.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BudgetLimits {
+    /// Repeats for each request.
+    pub ratio: f64,
+    /// Repeats beside that in a window.
+    pub extra: f64,
+    /// Window.
+    pub window: Duration,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct CountBucket {
+    start: MonoTime,
+    requests: u32,
+    repeats: u32,
+}
+
+/// Counts requests and repeats of each service.
+#[derive(Debug)]
+pub struct RetryBudget {
+    limits: BudgetLimits,
+    windows: Mutex<HashMap<ServiceId, VecDeque<CountBucket>>>,
+}
+
+impl RetryBudget {
+    /// Creates an unspent budget.
+    pub fn new(limits: BudgetLimits) -> Self {
+        Self {
+            limits,
+            windows: Mutex::default(),
+        }
+    }
+
+    /// Counts a request.
+    pub fn count_request(&self, service: &ServiceId, now: MonoTime) {
+        self.with_window(service, now, |window| {
+            if let Some(bucket) = window.back_mut() {
+                bucket.requests += 1;
+            }
+        });
+    }
+
+    /// Spends a repeat if the budget allows, with this many daemons sharing it.
+    pub fn try_spend(&self, service: &ServiceId, daemons: usize, now: MonoTime) -> bool {
+        let limits = self.limits;
+        self.with_window(service, now, |window| {
+            let requests: u32 = window.iter().map(|bucket| bucket.requests).sum();
+            let repeats: u32 = window.iter().map(|bucket| bucket.repeats).sum();
+            let slice = limits.extra / daemons.max(1) as f64;
+            let allowed = SPENT_PART * (limits.ratio * f64::from(requests) + slice);
+            let granted = f64::from(repeats + 1) <= allowed;
+            if let (true, Some(bucket)) = (granted, window.back_mut()) {
+                bucket.repeats += 1;
+            }
+            granted
+        })
+    }
+
+    fn with_window<T>(
+        &self,
+        service: &ServiceId,
+        now: MonoTime,
+        act: impl FnOnce(&mut VecDeque<CountBucket>) -> T,
+    ) -> T {
+        let mut windows = self.windows.lock().expect("retry budget is never poisoned");
+        let window = windows.entry(service.clone()).or_default();
+        while window
+            .front()
+            .is_some_and(|bucket| now.since(bucket.start) > self.limits.window)
+        {
+            window.pop_front();
+        }
+        if window
+            .back()
+            .is_none_or(|bucket| now.since(bucket.start) >= BUCKET)
+        {
+            window.push_back(CountBucket {
+                start: now,
+                requests: 0,
+                repeats: 0,
+            });
+        }
+        act(window)
+    }
+}
--- /dev/null
+++ b/src/relay/exchange.rs
@@ -0,0 +1,213 @@
+//! One request from its head to its final answer.
+
+use crate::catalog::{AccessOutcome, RouteEntry, RoutingCatalog, ServiceEntry, TeamEntry};
+use crate::relay::answer::{OwnAnswer, RefusalCause};
+use crate::relay::context::RelayContext;
+use crate::relay::ports::RequestFacts;
+use crate::relay::{plain, streaming};
+use crate::telemetry::EventLine;
+use crate::units::MonoTime;
+use crate::wire::{HeadBuilder, WireHead, write_all};
+use async_io::Async;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time that a caller waits when it does not say.
+const UNTOLD_WAIT: Duration = Duration::from_secs(30);
+/// Time after which refused callers may come back, at the least.
+const COME_BACK: Duration = Duration::from_millis(400);
+/// One in so many successful requests is logged, chosen by its identity so that all daemons log the
+/// same ones.
+const LOGGED_SUCCESSES: u64 = 64;
+
+/// How an exchange ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ExchangeEnd {
+    /// A target's answer was passed on whole.
+    Relayed(u16),
+    /// The daemon answered itself.
+    Answered(RefusalCause),
+    /// The answer broke off; the connection must be closed so that it does not look complete.
+    BrokenOff,
+}
+
+/// A request with what was decided about it.
+#[derive(Debug)]
+pub(super) struct ActiveRequest<'a> {
+    /// Shared state.
+    pub context: &'a Arc<RelayContext>,
+    /// The caller's connection.
+    pub caller: &'a Async<TcpStream>,
+    /// The caller's head.
+    pub head: &'a WireHead,
+    /// The whole body.
+    pub body: &'a [u8],
+    /// What the head says.
+    pub facts: RequestFacts,
+    /// Route.
+    pub route: Arc<RouteEntry>,
+    /// Service that was drawn for it.
+    pub service: ServiceEntry,
+    /// Team, if the request has a key.
+    pub team: Option<Arc<TeamEntry>>,
+    /// When the head arrived.
+    pub arrived: MonoTime,
+    /// When the final answer is due.
+    pub ends: MonoTime,
+    /// True when the connection is closed after the answer.
+    pub close: bool,
+}
+
+impl ActiveRequest<'_> {
+    /// Rank, 0 is the highest; a team's goes before the route's.
+    pub(super) fn urgency(&self) -> u8 {
+        let team = self.team.as_ref().and_then(|team| team.priority);
+        team.unwrap_or(self.route.priority)
+    }
+
+    /// Identity of the request in logs.
+    pub(super) fn name(&self) -> &str {
+        self.facts.attempt.as_deref().unwrap_or("unnamed")
+    }
+
+    /// A log line about this request.
+    pub(super) fn line(&self, event: &str) -> EventLine {
+        let now = self.context.clock.now();
+        EventLine::new(event)
+            .with("request", self.name())
+            .with("route", self.route.name.as_ref())
+            .show("service", &self.service.name)
+            .with("age_ms", now.since(self.arrived).as_millis() as u64)
+    }
+
+    /// Sends bytes to the caller; false when it has gone.
+    pub(super) async fn send(&self, bytes: &[u8]) -> bool {
+        write_all(self.caller, bytes).await.is_ok()
+    }
+
+    /// Answers the request without a target.
+    pub(super) async fn refuse(&self, cause: RefusalCause, detail: &str) -> ExchangeEnd {
+        let mut answer = OwnAnswer::new(cause);
+        if cause.status() == 503 {
+            answer = answer.come_back(COME_BACK, &mut fastrand::Rng::new());
+        }
+        let retry_ms = answer.retry_after.map(|delay| delay.as_millis() as u64);
+        let line = self
+            .line("answered")
+            .with("cause", cause.name())
+            .with("detail", detail);
+        self.context
+            .events
+            .emit(line.with("retry_after_ms", retry_ms));
+        if self.send(&answer.encode(self.close)).await {
+            ExchangeEnd::Answered(cause)
+        } else {
+            ExchangeEnd::BrokenOff
+        }
+    }
+
+    /// Logs a request that was served, if it is one of the sampled.
+    pub(super) fn log_success(&self, status: u16, repeats: usize) {
+        let sampled = fnv(self.name().as_bytes()).is_multiple_of(LOGGED_SUCCESSES);
+        if sampled || repeats > 0 {
+            let line = self
+                .line("served")
+                .with("status", status)
+                .with("repeats", repeats);
+            self.context.events.emit(line);
+        }
+    }
+}
+
+/// FNV-1a, so that daemons agree on which requests to log.
+fn fnv(bytes: &[u8]) -> u64 {
+    let fold = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
+    bytes.iter().fold(0xcbf2_9ce4_8422_2325, fold)
+}
+
+/// What a whole request leads to.
+pub(super) enum RequestPlan {
+    /// Relay it.
+    Relay(
+        Box<(
+            RequestFacts,
+            Arc<RouteEntry>,
+            ServiceEntry,
+            Option<Arc<TeamEntry>>,
+        )>,
+    ),
+    /// Answer it.
+    Answer(RefusalCause),
+}
+
+/// Decides what to do with a request by the configuration in force.
+pub(super) fn plan_request(
+    catalog: Option<&RoutingCatalog>,
+    head: &WireHead,
+    facts: RequestFacts,
+) -> RequestPlan {
+    let Some(catalog) = catalog else {
+        return RequestPlan::Answer(RefusalCause::NoConfiguration);
+    };
+    let Some(route) = catalog.find_route(&head.host(), head.path()) else {
+        return RequestPlan::Answer(RefusalCause::NoRoute);
+    };
+    let team = match catalog.check_access(route, facts.key.as_deref()) {
+        AccessOutcome::Granted(team) => team,
+        AccessOutcome::UnknownKey => return RequestPlan::Answer(RefusalCause::UnknownKey),
+    };
+    let drawn = route.draw_service(&mut fastrand::Rng::new());
+    let Some(service) = drawn.and_then(|name| catalog.service(name)) else {
+        return RequestPlan::Answer(RefusalCause::NoTarget);
+    };
+    RequestPlan::Relay(Box::new((facts, Arc::clone(route), service.clone(), team)))
+}
+
+/// When the final answer is due: the caller's time or the route's, whichever ends first.
+pub(super) fn due_time(arrived: MonoTime, facts: &RequestFacts, route: &RouteEntry) -> MonoTime {
+    let wait = facts.time_left.unwrap_or(UNTOLD_WAIT).min(route.timeout);
+    arrived.after(wait)
+}
+
+/// Relays a request.
+pub(super) async fn relay_request(request: &ActiveRequest<'_>) -> ExchangeEnd {
+    let context = request.context;
+    context
+        .budget
+        .count_request(&request.service.name, context.clock.now());
+    if request.route.repeat.is_stream() || request.service.model.is_some() {
+        streaming::relay_stream(request).await
+    } else {
+        plain::relay_plain(request).await
+    }
+}
+
+/// Fields of an answer that concern one connection only.
+const CONNECTION_FIELDS: [&str; 7] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Head of a target's answer for the caller, without its framing.
+pub(super) fn forward_head(head: &WireHead, close: bool) -> HeadBuilder {
+    let mut builder = HeadBuilder::reply(head.status());
+    for (name, value) in head.fields() {
+        let framing = name.eq_ignore_ascii_case("content-length");
+        let hop = CONNECTION_FIELDS
+            .iter()
+            .any(|field| name.eq_ignore_ascii_case(field));
+        if !framing && !hop {
+            builder.push(name, value);
+        }
+    }
+    if close {
+        builder = builder.field("Connection", "close");
+    }
+    builder
+}
--- /dev/null
+++ b/src/relay/listener.rs
@@ -0,0 +1,190 @@
+//! Callers' connections.
+
+use crate::relay::answer::{OwnAnswer, RefusalCause};
+use crate::relay::context::RelayContext;
+use crate::relay::exchange::{
+    ActiveRequest, ExchangeEnd, RequestPlan, due_time, plan_request, relay_request,
+};
+use crate::telemetry::EventLine;
+use crate::units::MonoTime;
+use crate::wire::{
+    HeadError, HeadLimits, RequestBody, ServeOutcome, WireHead, WireServer, WireStream,
+    read_request, read_request_body, read_some,
+};
+use async_io::Async;
+use async_std::task;
+use bytes::BytesMut;
+use futures_lite::future::or;
+use std::net::TcpStream;
+use std::sync::Arc;
+
+/// Most bytes that a caller may send ahead of the answer; more are left in its connection.
+const AHEAD_BYTES: usize = 64 * 1024;
+
+/// Whether a connection goes on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ConnectionStep {
+    Continue,
+    Close,
+}
+
+/// Accepts callers' connections for ever.
+pub async fn serve_callers(context: Arc<RelayContext>, server: WireServer) {
+    loop {
+        let stream = server.accept().await;
+        task::spawn(serve_connection(Arc::clone(&context), stream));
+    }
+}
+
+async fn serve_connection(context: Arc<RelayContext>, mut stream: WireStream) {
+    loop {
+        let limits = context
+            .catalog
+            .load()
+            .map(|catalog| catalog.limits)
+            .unwrap_or_default();
+        let head_limits = HeadLimits {
+            bytes: limits.head_bytes,
+        };
+        let outcome =
+            read_request(&mut stream, head_limits, limits.idle_time, limits.head_time).await;
+        let arrived = context.clock.now();
+        let step = match outcome {
+            ServeOutcome::Request(head) => {
+                serve_request(&context, &mut stream, head, arrived).await
+            }
+            ServeOutcome::Refused(cause) => {
+                let cause = match cause {
+                    HeadError::TooLong => RefusalCause::HeadTooLong,
+                    _ => RefusalCause::Malformed,
+                };
+                answer(&context, &stream, cause).await
+            }
+            ServeOutcome::Slow => answer(&context, &stream, RefusalCause::Slow).await,
+            ServeOutcome::Idle | ServeOutcome::Broken => return,
+        };
+        if step == ConnectionStep::Close {
+            return;
+        }
+    }
+}
+
+/// Answers what is not a request to relay.
+async fn answer(
+    context: &RelayContext,
+    stream: &WireStream,
+    cause: RefusalCause,
+) -> ConnectionStep {
+    let mut answer = OwnAnswer::new(cause);
+    if cause == RefusalCause::NoConfiguration {
+        answer = answer.come_back(
+            std::time::Duration::from_millis(500),
+            &mut fastrand::Rng::new(),
+        );
+    }
+    let close = context.lifecycle.phase() == crate::kernel::DaemonPhase::Draining;
+    context
+        .metrics
+        .requests
+        .with_label_values(&[cause.name()])
+        .inc();
+    context
+        .events
+        .emit(EventLine::new("answered").with("cause", cause.name()));
+    let sent = stream.send(&answer.encode(close)).await.is_ok();
+    if sent && !close && !cause.ends_connection() {
+        ConnectionStep::Continue
+    } else {
+        ConnectionStep::Close
+    }
+}
+
+async fn serve_request(
+    context: &Arc<RelayContext>,
+    stream: &mut WireStream,
+    head: WireHead,
+    arrived: MonoTime,
+) -> ConnectionStep {
+    let _counted = context.lifecycle.enter();
+    if head.has_token("expect", "100-continue") {
+        let told = stream.send(b"HTTP/1.1 100 Continue\r\n\r\n").await;
+        if told.is_err() {
+            return ConnectionStep::Close;
+        }
+    }
+    let catalog = context.catalog.load();
+    let limit = catalog
+        .as_ref()
+        .map_or(0, |catalog| catalog.limits.body_bytes);
+    let body = match read_request_body(stream, &head, limit.max(1)).await {
+        RequestBody::Whole(body) => body,
+        RequestBody::TooLong => return answer(context, stream, RefusalCause::BodyTooLong).await,
+        RequestBody::Malformed(_) => return answer(context, stream, RefusalCause::Malformed).await,
+        RequestBody::Broken(_) => return ConnectionStep::Close,
+    };
+    // The configuration may have changed while the body arrived.
+    let catalog = context.catalog.load();
+    let facts = (context.words.read_request)(&head);
+    let plan = match plan_request(catalog.as_deref(), &head, facts) {
+        RequestPlan::Relay(plan) => *plan,
+        RequestPlan::Answer(cause) => return answer(context, stream, cause).await,
+    };
+    let (facts, route, service, team) = plan;
+    let draining = context.lifecycle.phase() == crate::kernel::DaemonPhase::Draining;
+    let (socket, input) = stream.halves();
+    let request = ActiveRequest {
+        context,
+        caller: socket,
+        head: &head,
+        body: &body,
+        ends: due_time(arrived, &facts, &route),
+        facts,
+        route,
+        service,
+        team,
+        arrived,
+        close: head.closes() || draining,
+    };
+    let watch = async {
+        watch_caller(socket, input).await;
+        None
+    };
+    let end = or(async { Some(relay_request(&request).await) }, watch).await;
+    record_end(&request, end);
+    match end {
+        Some(ExchangeEnd::Relayed(_)) if !request.close => ConnectionStep::Continue,
+        Some(ExchangeEnd::Answered(cause)) if !request.close && !cause.ends_connection() => {
+            ConnectionStep::Continue
+        }
+        _ => ConnectionStep::Close,
+    }
+}
+
+fn record_end(request: &ActiveRequest<'_>, end: Option<ExchangeEnd>) {
+    let outcome = match end {
+        Some(ExchangeEnd::Relayed(status)) if status < 400 => "relayed",
+        Some(ExchangeEnd::Relayed(_)) => "relayed_failure",
+        Some(ExchangeEnd::Answered(cause)) => cause.name(),
+        Some(ExchangeEnd::BrokenOff) => "broken_off",
+        None => "caller_left",
+    };
+    request
+        .context
+        .metrics
+        .requests
+        .with_label_values(&[outcome])
+        .inc();
+    if end.is_none() {
+        request.context.events.emit(request.line("caller_left"));
+    }
+}
+
+/// Returns when the caller has closed its connection. What it sends ahead is kept.
+async fn watch_caller(socket: &Async<TcpStream>, input: &mut BytesMut) {
+    while input.len() < AHEAD_BYTES {
+        if read_some(socket, input).await.is_err() {
+            return;
+        }
+    }
+    std::future::pending::<()>().await;
+}
--- /dev/null
+++ b/src/relay/plain.rs
@@ -0,0 +1,241 @@
+//! Requests to plain services: one whole answer.
+
+use crate::relay::answer::RefusalCause;
+use crate::relay::attempt::{
+    FailedAttempt, OpenReply, OutgoingRequest, keep_connection, open_reply,
+};
+use crate::relay::choice::pick_target;
+use crate::relay::course::{CourseStep, RelayFailure, RequestCourse};
+use crate::relay::exchange::{ActiveRequest, ExchangeEnd, forward_head};
+use crate::relay::ports::DispatchFacts;
+use crate::targets::TargetEntry;
+use crate::wire::{BodyStep, StreamError, WireHead};
+use async_io::Timer;
+use futures_lite::future::or;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Longest answer that is held back until it is complete; longer ones are passed on as they come.
+const WHOLE_ANSWER_BYTES: usize = 512 * 1024;
+/// Part of the time left that one attempt of a repeatable request may take.
+const ATTEMPT_PART: f64 = 0.5;
+
+/// A target's whole answer.
+struct WholeAnswer {
+    head: WireHead,
+    body: Vec<u8>,
+}
+
+pub(super) async fn relay_plain(request: &ActiveRequest<'_>) -> ExchangeEnd {
+    let context = request.context;
+    let mut rng = fastrand::Rng::new();
+    let route = &request.route;
+    let mut course = RequestCourse::new(route.repeat, route.max_targets, request.ends);
+    let mut failed_answer: Option<WholeAnswer> = None;
+    let mut detail = String::from("no target is known");
+    loop {
+        let now = context.clock.now();
+        let view = context.targets.load();
+        let targets = view.of_service(&request.service.name);
+        let own = &context.settings.failure_domain;
+        let target = pick_target(targets, course.tried(), own, now, &mut rng).cloned();
+        let step = next_step(request, &course, target.is_some());
+        let (Some(target), CourseStep::TryNext) = (target, step) else {
+            return end_request(request, &course, step, failed_answer, &detail).await;
+        };
+        let outcome = attempt_whole(request, &course, &target).await;
+        let failure = match outcome {
+            Ok(answer) if is_retryable(&answer) && route.repeat.may_repeat() => {
+                detail = format!("status {} at {}", answer.head.status(), target.id);
+                failed_answer = Some(answer);
+                RelayFailure::Failed
+            }
+            Ok(answer) => {
+                target.gauge.record_success();
+                return pass_on(request, &answer, course.tried().len()).await;
+            }
+            Err(failed) => {
+                note_failure(request, &target, &failed);
+                detail = format!("{} at {}", failed.cause, target.id);
+                failed.failure
+            }
+        };
+        course.on_failure(&target.id, failure, context.clock.now());
+    }
+}
+
+/// What to do next, given whether a target is left and the budget for repeats.
+fn next_step(request: &ActiveRequest<'_>, course: &RequestCourse, has_target: bool) -> CourseStep {
+    let context = request.context;
+    let now = context.clock.now();
+    let step = course.next_step(now);
+    if step != CourseStep::TryNext {
+        return step;
+    }
+    let daemons = context.presence.most_seen();
+    let granted = !course.is_repeat()
+        || context
+            .budget
+            .try_spend(&request.service.name, daemons, now);
+    if has_target && granted {
+        CourseStep::TryNext
+    } else {
+        course.give_up()
+    }
+}
+
+fn is_retryable(answer: &WholeAnswer) -> bool {
+    answer.head.status() >= 500
+}
+
+fn note_failure(request: &ActiveRequest<'_>, target: &Arc<TargetEntry>, failed: &FailedAttempt) {
+    let context = request.context;
+    let now = context.clock.now();
+    match failed.failure {
+        RelayFailure::NotRun if failed.cause.contains("421") => target.gauge.mark_replaced(),
+        RelayFailure::NotRun => {}
+        _ => target.gauge.record_failure(now),
+    }
+    context.pool.forget(&target.id);
+    let line = request.line("attempt_failed").show("target", &target.id);
+    context
+        .events
+        .emit(line.with("cause", failed.cause.as_str()));
+    context
+        .metrics
+        .attempts
+        .with_label_values(&["failed"])
+        .inc();
+}
+
+async fn attempt_whole(
+    request: &ActiveRequest<'_>,
+    course: &RequestCourse,
+    target: &Arc<TargetEntry>,
+) -> Result<WholeAnswer, FailedAttempt> {
+    let context = request.context;
+    let _counted = target.gauge.enter(0);
+    let now = context.clock.now();
+    let time_left = course.time_left(now);
+    let repeatable = request.route.repeat.may_repeat();
+    let last = course.tried().len() + 1 >= request.route.max_targets as usize;
+    let limit = if repeatable && !last {
+        time_left.mul_f64(ATTEMPT_PART)
+    } else {
+        time_left
+    };
+    let dispatch = DispatchFacts {
+        time_left,
+        target: &target.id,
+        team: request.team.as_ref().map(|team| &team.name),
+        urgency: request.urgency(),
+        chain: None,
+        resume_after: None,
+        body_length: body_length(request),
+    };
+    let outgoing = OutgoingRequest {
+        head: request.head,
+        body: request.body,
+        facts: &request.facts,
+    };
+    // A request that may run only once gets a connection of its own: on a kept one it could not be
+    // told whether the target read it before it closed the connection.
+    let reply = open_reply(context, &outgoing, &dispatch, target, repeatable, limit).await?;
+    let left = limit.saturating_sub(context.clock.now().since(now));
+    read_whole(request, target, reply, left).await
+}
+
+/// Length of the body that goes to a target; a body is declared when the caller declared one.
+pub(super) fn body_length(request: &ActiveRequest<'_>) -> Option<usize> {
+    let head = request.head;
+    let declared =
+        head.field("content-length").is_some() || head.field("transfer-encoding").is_some();
+    declared.then_some(request.body.len())
+}
+
+async fn read_whole(
+    request: &ActiveRequest<'_>,
+    target: &Arc<TargetEntry>,
+    mut reply: OpenReply,
+    limit: Duration,
+) -> Result<WholeAnswer, FailedAttempt> {
+    let mut body = Vec::new();
+    let read = async {
+        loop {
+            let step = reply.decoder.advance(&mut reply.stream.input, &mut body);
+            match step {
+                Err(cause) => return Err(FailedAttempt::new(RelayFailure::Unknown, cause)),
+                Ok(BodyStep::Done) => return Ok(true),
+                Ok(BodyStep::More) if body.len() > WHOLE_ANSWER_BYTES => {
+                    return Err(FailedAttempt::new(
+                        RelayFailure::Unknown,
+                        "answer is too long",
+                    ));
+                }
+                Ok(BodyStep::More) => match reply.stream.fill().await {
+                    Ok(_) => {}
+                    Err(StreamError::Closed) if reply.decoder.complete_at_close() => {
+                        return Ok(false);
+                    }
+                    Err(cause) => return Err(FailedAttempt::new(RelayFailure::Unknown, cause)),
+                },
+            }
+        }
+    };
+    let expire = async {
+        Timer::after(limit).await;
+        Err(FailedAttempt::new(
+            RelayFailure::Unknown,
+            "answer not complete in time",
+        ))
+    };
+    let framed = or(read, expire).await?;
+    let head = reply.head.clone();
+    if framed {
+        keep_connection(request.context, &target.id, reply);
+    }
+    Ok(WholeAnswer { head, body })
+}
+
+async fn pass_on(request: &ActiveRequest<'_>, answer: &WholeAnswer, repeats: usize) -> ExchangeEnd {
+    let status = answer.head.status();
+    let declared = answer.head.content_length();
+    let bare = request.head.method() == "HEAD" || matches!(status, 204 | 304);
+    let length = match (bare, declared) {
+        (true, declared) => declared,
+        (false, _) => Some(answer.body.len() as u64),
+    };
+    let mut head = forward_head(&answer.head, request.close);
+    if let Some(length) = length {
+        head = head.field("Content-Length", length);
+    }
+    let mut bytes = head.finish();
+    bytes.extend_from_slice(&answer.body);
+    request.log_success(status, repeats);
+    if request.send(&bytes).await {
+        ExchangeEnd::Relayed(status)
+    } else {
+        ExchangeEnd::BrokenOff
+    }
+}
+
+async fn end_request(
+    request: &ActiveRequest<'_>,
+    course: &RequestCourse,
+    step: CourseStep,
+    failed_answer: Option<WholeAnswer>,
+    detail: &str,
+) -> ExchangeEnd {
+    if let Some(answer) = failed_answer {
+        return pass_on(request, &answer, course.tried().len()).await;
+    }
+    let expired = course.time_left(request.context.clock.now()).is_zero();
+    let cause = match (step, expired) {
+        (CourseStep::Fail, true) => RefusalCause::TimedOut,
+        (CourseStep::Fail, false) => RefusalCause::Failed,
+        (_, true) => RefusalCause::Expired,
+        _ if course.is_repeat() => RefusalCause::NotRun,
+        _ => RefusalCause::NoTarget,
+    };
+    request.refuse(cause, detail).await
+}
--- /dev/null
+++ b/src/relay/streaming.rs
@@ -0,0 +1,389 @@
+//! Requests to models: a stream of events that goes on at another chain when its own fails.
+//!
+//! Only whole events are passed on, each exactly once and in order, so that a stream may be resumed
+//! after the last one that was.
+
+use crate::catalog::ModelShape;
+use crate::relay::answer::RefusalCause;
+use crate::relay::attempt::{
+    FailedAttempt, OpenReply, OutgoingRequest, keep_connection, open_reply,
+};
+use crate::relay::choice::{ChainNeed, pick_chain};
+use crate::relay::course::{CourseStep, RelayFailure, RequestCourse};
+use crate::relay::exchange::{ActiveRequest, ExchangeEnd, forward_head};
+use crate::relay::plain::body_length;
+use crate::relay::ports::DispatchFacts;
+use crate::targets::{GaugeGuard, LayerChain};
+use crate::wire::{BodyStep, EventSplitter, LAST_CHUNK, StreamError, WholeEvent, encode_chunk};
+use async_io::Timer;
+use futures_lite::future::or;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time allowed until a stream's first event, while other chains may be tried.
+const FIRST_EVENT_LIMIT: Duration = Duration::from_millis(1_000);
+/// Pause within a stream after which its chain counts as stalled.
+const STALL_LIMIT: Duration = Duration::from_millis(350);
+/// Time for which a request waits for room on a chain.
+const ROOM_WAIT: Duration = Duration::from_millis(250);
+/// Period of looking for room.
+const ROOM_POLL: Duration = Duration::from_millis(25);
+
+/// What the caller has been sent.
+#[derive(Debug, Default)]
+struct Delivered {
+    head_sent: bool,
+    last_id: Option<u64>,
+}
+
+/// How an attempt ended.
+enum StreamEnd {
+    /// The stream is complete.
+    Complete(u16),
+    /// The caller has gone.
+    CallerGone,
+    /// The chain failed.
+    Failed(FailedAttempt),
+}
+
+pub(super) async fn relay_stream(request: &ActiveRequest<'_>) -> ExchangeEnd {
+    let context = request.context;
+    let route = &request.route;
+    let Some(model) = &request.service.model else {
+        return request
+            .refuse(RefusalCause::NoTarget, "the service has no model")
+            .await;
+    };
+    let mut course = RequestCourse::new(route.repeat, route.max_targets, request.ends);
+    let mut delivered = Delivered {
+        head_sent: false,
+        last_id: request.facts.resume_after,
+    };
+    let mut detail = String::from("no chain has room");
+    loop {
+        let chain = find_chain(request, model, &course, &delivered).await;
+        let step = next_step(request, &course, chain.is_some());
+        let (Some(chain), CourseStep::TryNext) = (chain, step) else {
+            return end_stream(request, &course, &delivered, step, &detail).await;
+        };
+        let _reserved = reserve(&chain, request.facts.expected_tokens());
+        match attempt_stream(request, &course, &chain, &mut delivered).await {
+            StreamEnd::Complete(status) => {
+                chain
+                    .parts
+                    .iter()
+                    .for_each(|part| part.target.gauge.record_success());
+                request.log_success(status, course.tried().len());
+                return ExchangeEnd::Relayed(status);
+            }
+            StreamEnd::CallerGone => return ExchangeEnd::BrokenOff,
+            StreamEnd::Failed(failed) => {
+                detail = format!("{} at {}", failed.cause, chain.head().id);
+                note_failure(request, &chain, &failed, &delivered);
+                course.on_failure(&chain.head().id, failed.failure, context.clock.now());
+            }
+        }
+    }
+}
+
+fn next_step(request: &ActiveRequest<'_>, course: &RequestCourse, has_chain: bool) -> CourseStep {
+    let context = request.context;
+    let now = context.clock.now();
+    let step = course.next_step(now);
+    let daemons = context.presence.most_seen();
+    let spent = || {
+        context
+            .budget
+            .try_spend(&request.service.name, daemons, now)
+    };
+    match step {
+        CourseStep::TryNext if has_chain && (!course.is_repeat() || spent()) => step,
+        CourseStep::TryNext => course.give_up(),
+        _ => step,
+    }
+}
+
+/// The chain to use, waiting a little for room on one.
+async fn find_chain(
+    request: &ActiveRequest<'_>,
+    model: &ModelShape,
+    course: &RequestCourse,
+    delivered: &Delivered,
+) -> Option<Arc<LayerChain>> {
+    let context = request.context;
+    let mut rng = fastrand::Rng::new();
+    let own = &context.settings.failure_domain;
+    let started = context.clock.now();
+    let tokens = f64::from(request.facts.expected_tokens()) + delivered.last_id.unwrap_or(0) as f64;
+    loop {
+        let now = context.clock.now();
+        let need = ChainNeed {
+            domain: own,
+            sharers: context.presence.count_in(own).max(1) as f64,
+            tokens,
+        };
+        let view = context.targets.load();
+        let chains = view.chains(&request.service.name);
+        if let Some(chain) = pick_chain(chains, model, need, course.tried(), now, &mut rng) {
+            return Some(Arc::clone(chain));
+        }
+        let waited = now.since(started);
+        if waited >= ROOM_WAIT || course.time_left(now) <= ROOM_POLL {
+            return None;
+        }
+        Timer::after(ROOM_POLL).await;
+    }
+}
+
+fn reserve(chain: &LayerChain, tokens: u32) -> Vec<GaugeGuard> {
+    chain
+        .parts
+        .iter()
+        .map(|part| part.target.gauge.enter(tokens))
+        .collect()
+}
+
+fn note_failure(
+    request: &ActiveRequest<'_>,
+    chain: &LayerChain,
+    failed: &FailedAttempt,
+    delivered: &Delivered,
+) {
+    let context = request.context;
+    let now = context.clock.now();
+    let named = failed.facts.faulty;
+    let blamed = chain
+        .parts
+        .iter()
+        .find(|part| Some(part.target.address) == named);
+    let target = blamed.map_or(chain.head(), |part| &part.target);
+    match failed.failure {
+        RelayFailure::NotRun if failed.cause.contains("421") && blamed.is_none() => {
+            target.gauge.mark_replaced();
+        }
+        _ => target.gauge.record_failure(now),
+    }
+    context.pool.forget(&chain.head().id);
+    let line = request
+        .line("attempt_failed")
+        .show("target", &chain.head().id)
+        .show("blamed", &target.id)
+        .with("cause", failed.cause.as_str())
+        .with("last_event", delivered.last_id);
+    context.events.emit(line);
+    context
+        .metrics
+        .attempts
+        .with_label_values(&["failed"])
+        .inc();
+}
+
+async fn attempt_stream(
+    request: &ActiveRequest<'_>,
+    course: &RequestCourse,
+    chain: &LayerChain,
+    delivered: &mut Delivered,
+) -> StreamEnd {
+    let context = request.context;
+    let now = context.clock.now();
+    let time_left = course.time_left(now);
+    let dispatch = DispatchFacts {
+        time_left,
+        target: &chain.head().id,
+        team: request.team.as_ref().map(|team| &team.name),
+        urgency: request.urgency(),
+        chain: Some(chain),
+        resume_after: delivered.last_id,
+        body_length: body_length(request),
+    };
+    let outgoing = OutgoingRequest {
+        head: request.head,
+        body: request.body,
+        facts: &request.facts,
+    };
+    let repeatable = request.route.repeat.may_repeat();
+    let limit = if repeatable {
+        time_left.min(FIRST_EVENT_LIMIT)
+    } else {
+        time_left
+    };
+    let opened = open_reply(
+        context,
+        &outgoing,
+        &dispatch,
+        chain.head(),
+        repeatable,
+        limit,
+    )
+    .await;
+    match opened {
+        Err(failed) => StreamEnd::Failed(failed),
+        Ok(reply) if reply.head.status() >= 500 && repeatable && !delivered.head_sent => {
+            let cause = format!("status {}", reply.head.status());
+            StreamEnd::Failed(FailedAttempt {
+                failure: RelayFailure::Failed,
+                facts: reply.facts,
+                cause,
+            })
+        }
+        Ok(reply) if delivered.head_sent && reply.head.status() != 200 => {
+            let cause = format!("status {} when resuming", reply.head.status());
+            StreamEnd::Failed(FailedAttempt::new(RelayFailure::Unknown, cause))
+        }
+        Ok(reply) => pass_events(request, chain, reply, delivered, limit).await,
+    }
+}
+
+async fn pass_events(
+    request: &ActiveRequest<'_>,
+    chain: &LayerChain,
+    mut reply: OpenReply,
+    delivered: &mut Delivered,
+    first_limit: Duration,
+) -> StreamEnd {
+    let mut splitter = EventSplitter::default();
+    let mut output = Vec::new();
+    let mut limit = first_limit;
+    let repeatable = request.route.repeat.may_repeat();
+    loop {
+        let step = match reply
+            .decoder
+            .advance(&mut reply.stream.input, splitter.input())
+        {
+            Ok(step) => step,
+            Err(cause) => return broken(&cause),
+        };
+        while let Some(event) = splitter.next_event() {
+            match accept_event(&event, delivered) {
+                EventVerdict::Forward => {
+                    push_event(request, &reply, delivered, &event, &mut output)
+                }
+                EventVerdict::Skip => {}
+                EventVerdict::Gap => return broken(&"an event is missing"),
+            }
+            limit = STALL_LIMIT;
+        }
+        if step == BodyStep::Done {
+            return finish_stream(request, chain, reply, &splitter, delivered, output).await;
+        }
+        if !output.is_empty() {
+            if !request.send(&output).await {
+                return StreamEnd::CallerGone;
+            }
+            output.clear();
+        }
+        let now = request.context.clock.now();
+        let left = request.ends.since(now);
+        let pause = if repeatable { limit.min(left) } else { left };
+        let expire = async {
+            Timer::after(pause).await;
+            Err(StreamError::Broken(std::io::ErrorKind::TimedOut))
+        };
+        match or(reply.stream.fill(), expire).await {
+            Ok(_) => {}
+            Err(StreamError::Closed) if reply.decoder.complete_at_close() => {
+                reply.written = false;
+                return finish_stream(request, chain, reply, &splitter, delivered, output).await;
+            }
+            Err(cause) => return broken(&cause),
+        }
+    }
+}
+
+fn broken(cause: &impl std::fmt::Display) -> StreamEnd {
+    StreamEnd::Failed(FailedAttempt::new(RelayFailure::Unknown, cause))
+}
+
+/// What to do with an event.
+enum EventVerdict {
+    Forward,
+    Skip,
+    Gap,
+}
+
+fn accept_event(event: &WholeEvent, delivered: &Delivered) -> EventVerdict {
+    match (event.id, delivered.last_id) {
+        (Some(id), Some(last)) if id <= last => EventVerdict::Skip,
+        (Some(id), Some(last)) if id > last + 1 => EventVerdict::Gap,
+        _ => EventVerdict::Forward,
+    }
+}
+
+fn push_event(
+    request: &ActiveRequest<'_>,
+    reply: &OpenReply,
+    delivered: &mut Delivered,
+    event: &WholeEvent,
+    output: &mut Vec<u8>,
+) {
+    push_head(request, reply, delivered, output);
+    encode_chunk(&event.bytes, output);
+    delivered.last_id = event.id.or(delivered.last_id);
+}
+
+fn push_head(
+    request: &ActiveRequest<'_>,
+    reply: &OpenReply,
+    delivered: &mut Delivered,
+    output: &mut Vec<u8>,
+) {
+    if delivered.head_sent {
+        return;
+    }
+    let head = forward_head(&reply.head, request.close).field("Transfer-Encoding", "chunked");
+    output.extend_from_slice(&head.finish());
+    delivered.head_sent = true;
+    let context = request.context;
+    let waited = context.clock.now().since(request.arrived);
+    context
+        .metrics
+        .latency
+        .with_label_values(&["first_event"])
+        .observe(waited.as_secs_f64());
+}
+
+async fn finish_stream(
+    request: &ActiveRequest<'_>,
+    chain: &LayerChain,
+    reply: OpenReply,
+    splitter: &EventSplitter,
+    delivered: &mut Delivered,
+    mut output: Vec<u8>,
+) -> StreamEnd {
+    push_head(request, &reply, delivered, &mut output);
+    encode_chunk(splitter.remainder(), &mut output);
+    output.extend_from_slice(LAST_CHUNK);
+    let status = reply.head.status();
+    keep_connection(request.context, &chain.head().id, reply);
+    if request.send(&output).await {
+        StreamEnd::Complete(status)
+    } else {
+        StreamEnd::CallerGone
+    }
+}
+
+async fn end_stream(
+    request: &ActiveRequest<'_>,
+    course: &RequestCourse,
+    delivered: &Delivered,
+    step: CourseStep,
+    detail: &str,
+) -> ExchangeEnd {
+    if delivered.head_sent {
+        let line = request.line("broken_off").with("detail", detail);
+        request
+            .context
+            .events
+            .emit(line.with("last_event", delivered.last_id));
+        return ExchangeEnd::BrokenOff;
+    }
+    let expired = course.time_left(request.context.clock.now()).is_zero();
+    let cause = match (step, expired) {
+        (CourseStep::Fail, true) => RefusalCause::TimedOut,
+        (CourseStep::Fail, false) => RefusalCause::Failed,
+        (_, true) => RefusalCause::Expired,
+        _ if course.is_repeat() => RefusalCause::NotRun,
+        _ => RefusalCause::NoTarget,
+    };
+    request.refuse(cause, detail).await
+}
--- a/src/routing/poison_gossip.rs
+++ b/src/routing/poison_gossip.rs
@@ -1,8 +1,8 @@
 //! Plug-in that spreads fingerprints of requests that crash targets to every daemon.
 
+use crate::instances::InstanceRole;
 use crate::kernel::{KernelContext, PluginEntry, PluginError, PluginHost, TimerSpec};
 use crate::peer::PeerTopic;
-use crate::platform::InstanceRole;
 use crate::routing::trial::join_trial;
 use crate::routing::{PoisonEntry, PoisonFingerprint};
 use async_std::task;
--- a/src/routing/reports.rs
+++ b/src/routing/reports.rs
@@ -4,9 +4,9 @@
 
 use crate::engine::EngineReport;
 use crate::ids::InstanceId;
+use crate::instances::InstanceRole;
 use crate::kernel::{KernelContext, PluginEntry, PluginError, PluginHost, TimerSpec};
 use crate::peer::PeerTopic;
-use crate::platform::InstanceRole;
 use crate::routing::{
     LoadDigest, LoadRow, OwnHistory, TargetState, engine_key, pick_reader, weigh_flows,
 };
--- /dev/null
+++ b/src/targets/chain.rs
@@ -0,0 +1,124 @@
+//! Chains of targets that together hold all layers of a model.
+
+use crate::catalog::ModelShape;
+use crate::ids::DomainId;
+use crate::targets::entry::TargetEntry;
+use crate::units::{LayerRange, MonoTime};
+use std::sync::Arc;
+
+/// Most chains kept for each failure domain of a service.
+const MAX_CHAINS: usize = 24;
+
+/// One target's part of a chain.
+#[derive(Debug, Clone)]
+pub struct ChainPart {
+    /// Target.
+    pub target: Arc<TargetEntry>,
+    /// Layers that it runs.
+    pub layers: LayerRange,
+}
+
+/// A chain.
+#[derive(Debug, Clone)]
+pub struct LayerChain {
+    /// Parts in the order of their layers.
+    pub parts: Vec<ChainPart>,
+    /// Failure domain of its first part.
+    pub domain: DomainId,
+    /// Time of a token through the chain with a small batch, in milliseconds.
+    pub token_ms: f64,
+    /// Tokens of context that its tightest part has room for.
+    pub token_room: f64,
+}
+
+impl LayerChain {
+    /// The target that requests are sent to.
+    pub fn head(&self) -> &Arc<TargetEntry> {
+        &self.parts[0].target
+    }
+
+    /// True when a part is passed over at the moment.
+    pub fn is_paused(&self, now: MonoTime) -> bool {
+        self.parts
+            .iter()
+            .any(|part| part.target.gauge.is_paused(now))
+    }
+
+    /// Share of its tightest part's room that this daemon's requests have reserved.
+    pub fn reserved_share(&self, model: &ModelShape) -> f64 {
+        let shares = self.parts.iter().map(|part| part_share(part, model));
+        shares.fold(0.0, f64::max)
+    }
+}
+
+fn part_share(part: &ChainPart, model: &ModelShape) -> f64 {
+    let card = part.target.card.as_ref().and_then(|name| model.card(name));
+    let room = card.map_or(0.0, |card| {
+        model.token_room(card, held_layers(&part.target))
+    });
+    part.target.gauge.reserved_tokens() / room.max(1.0)
+}
+
+fn held_layers(target: &TargetEntry) -> u32 {
+    target.layers.map_or(0, LayerRange::len)
+}
+
+/// All chains of ready targets of one failure domain, the fastest first, up to a bound.
+pub(super) fn find_chains(
+    targets: &[Arc<TargetEntry>],
+    domain: Option<&DomainId>,
+    model: &ModelShape,
+) -> Vec<LayerChain> {
+    let fits = |target: &&Arc<TargetEntry>| {
+        let inside = domain.is_none_or(|domain| &target.domain == domain);
+        inside && target.is_ready() && target.layers.is_some_and(|held| !held.is_empty())
+    };
+    let holders: Vec<&Arc<TargetEntry>> = targets.iter().filter(fits).collect();
+    let mut found = Vec::new();
+    extend_chain(&holders, model, &mut Vec::new(), 0, &mut found);
+    found.sort_by(|a, b| a.token_ms.total_cmp(&b.token_ms));
+    found
+}
+
+fn extend_chain(
+    holders: &[&Arc<TargetEntry>],
+    model: &ModelShape,
+    parts: &mut Vec<ChainPart>,
+    next_layer: u32,
+    found: &mut Vec<LayerChain>,
+) {
+    if next_layer == model.layers {
+        found.extend(make_chain(parts, model));
+        return;
+    }
+    for holder in holders {
+        let held = holder.layers.unwrap_or_default();
+        if held.from != next_layer || found.len() >= MAX_CHAINS {
+            continue;
+        }
+        parts.push(ChainPart {
+            target: Arc::clone(holder),
+            layers: held,
+        });
+        extend_chain(holders, model, parts, held.to, found);
+        parts.pop();
+    }
+}
+
+fn make_chain(parts: &[ChainPart], model: &ModelShape) -> Option<LayerChain> {
+    let mut step_ms = 0.0;
+    let mut token_room = f64::INFINITY;
+    for part in parts {
+        let card = model.card(part.target.card.as_ref()?)?;
+        let share = f64::from(part.layers.len()) / f64::from(model.layers);
+        step_ms += share * card.step_factor * model.step_ms;
+        token_room = token_room.min(model.token_room(card, part.layers.len()));
+    }
+    let domain = parts.first()?.target.domain.clone();
+    Some(LayerChain {
+        parts: parts.to_vec(),
+        domain,
+        token_ms: step_ms,
+        token_room,
+    })
+}
--- /dev/null
+++ b/src/targets/mod.rs
@@ -0,0 +1,11 @@
+//! What is known of targets: their entries in the platform's list, and what requests made of them.
+
+mod chain;
+mod entry;
+mod gauge;
+mod view;
+
+pub use chain::{ChainPart, LayerChain};
+pub use entry::{TargetEntry, TargetPhase};
+pub use gauge::{GaugeGuard, TargetGauge};
+pub use view::{TargetView, ViewCell};
--- /dev/null
+++ b/src/targets/view.rs
@@ -0,0 +1,107 @@
+//! A published snapshot of all targets.
+
+use crate::catalog::RoutingCatalog;
+use crate::ids::{DomainId, InstanceId, ServiceId};
+use crate::targets::chain::{LayerChain, find_chains};
+use crate::targets::entry::TargetEntry;
+use arc_swap::ArcSwap;
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+
+/// All targets at one moment.
+#[derive(Debug, Default)]
+pub struct TargetView {
+    targets: HashMap<InstanceId, Arc<TargetEntry>>,
+    by_service: HashMap<ServiceId, Vec<Arc<TargetEntry>>>,
+    chains: HashMap<ServiceId, Vec<Arc<LayerChain>>>,
+}
+
+impl TargetView {
+    /// Indexes targets. Chains stay inside a failure domain; where no domain holds a whole model,
+    /// chains across domains are used.
+    pub fn new(targets: Vec<Arc<TargetEntry>>, catalog: Option<&RoutingCatalog>) -> Self {
+        let mut by_service: HashMap<ServiceId, Vec<Arc<TargetEntry>>> = HashMap::new();
+        for target in &targets {
+            by_service
+                .entry(target.service.clone())
+                .or_default()
+                .push(Arc::clone(target));
+        }
+        for members in by_service.values_mut() {
+            members.sort_by(|a, b| a.id.cmp(&b.id));
+        }
+        let mut chains = HashMap::new();
+        for service in catalog.iter().flat_map(|catalog| catalog.services()) {
+            if let (Some(model), Some(members)) = (&service.model, by_service.get(&service.name)) {
+                chains.insert(service.name.clone(), chains_of(members, model));
+            }
+        }
+        let targets = targets
+            .into_iter()
+            .map(|target| (target.id.clone(), target))
+            .collect();
+        Self {
+            targets,
+            by_service,
+            chains,
+        }
+    }
+
+    /// A target by its identity.
+    pub fn target(&self, id: &InstanceId) -> Option<&Arc<TargetEntry>> {
+        self.targets.get(id)
+    }
+
+    /// All targets.
+    pub fn targets(&self) -> impl Iterator<Item = &Arc<TargetEntry>> {
+        self.targets.values()
+    }
+
+    /// Targets of a service, ordered by identity.
+    pub fn of_service(&self, service: &ServiceId) -> &[Arc<TargetEntry>] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Number of chains of all services.
+    pub fn chain_count(&self) -> usize {
+        self.chains.values().map(Vec::len).sum()
+    }
+
+    /// Chains of a service.
+    pub fn chains(&self, service: &ServiceId) -> &[Arc<LayerChain>] {
+        self.chains.get(service).map_or(&[], Vec::as_slice)
+    }
+}
+
+fn chains_of(
+    members: &[Arc<TargetEntry>],
+    model: &crate::catalog::ModelShape,
+) -> Vec<Arc<LayerChain>> {
+    let domains: BTreeSet<&DomainId> = members.iter().map(|target| &target.domain).collect();
+    let inside = domains
+        .iter()
+        .flat_map(|domain| find_chains(members, Some(domain), model));
+    let mut found: Vec<LayerChain> = inside.collect();
+    if found.is_empty() {
+        found = find_chains(members, None, model);
+    }
+    found.into_iter().map(Arc::new).collect()
+}
+
+/// The newest view.
+#[derive(Debug, Default)]
+pub struct ViewCell {
+    current: ArcSwap<TargetView>,
+}
+
+impl ViewCell {
+    /// The newest view.
+    pub fn load(&self) -> Arc<TargetView> {
+        self.current.load_full()
+    }
+
+    /// Publishes a view.
+    pub fn publish(&self, view: TargetView) {
+        self.current.store(Arc::new(view));
+    }
+}
--- a/src/units.rs
+++ b/src/units.rs
@@ -116,7 +116,7 @@
 }
 
 /// A half-open range of model layers, printed as `from..to`.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
 pub struct LayerRange {
     /// First layer in the range.
--- /dev/null
+++ b/src/wire/body.rs
@@ -0,0 +1,209 @@
+//! Framing of bodies, decoded without I/O.
+
+use crate::wire::head::WireHead;
+use bytes::{Buf, BytesMut};
+use std::fmt;
+
+/// Result of decoding a body.
+pub type Result<T> = std::result::Result<T, BodyError>;
+
+/// Longest line of a chunk's size or trailer; longer ones are refused.
+const MAX_CHUNK_LINE: usize = 256;
+
+/// End of a chunked body.
+pub const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+
+/// Bytes that are not a body in the declared framing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyError {
+    /// A chunk's size line or end is malformed.
+    MalformedChunk,
+}
+
+impl fmt::Display for BodyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("malformed chunk")
+    }
+}
+
+impl std::error::Error for BodyError {}
+
+/// How a body's end is marked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyFrame {
+    /// There is no body.
+    Empty,
+    /// This many bytes.
+    Sized(u64),
+    /// Chunks.
+    Chunked,
+    /// The body ends with its connection.
+    UntilClose,
+}
+
+impl BodyFrame {
+    /// Framing of a request's body.
+    pub fn of_request(head: &WireHead) -> Self {
+        if head.field("transfer-encoding").is_some() {
+            return Self::Chunked;
+        }
+        match head.content_length() {
+            None | Some(0) => Self::Empty,
+            Some(length) => Self::Sized(length),
+        }
+    }
+
+    /// Framing of the body of an answer to a request with this method.
+    pub fn of_reply(head: &WireHead, method: &str) -> Self {
+        let bare = method == "HEAD" || matches!(head.status(), 100..=199 | 204 | 304);
+        if bare {
+            return Self::Empty;
+        }
+        if head.field("transfer-encoding").is_some() {
+            return Self::Chunked;
+        }
+        match head.content_length() {
+            None => Self::UntilClose,
+            Some(0) => Self::Empty,
+            Some(length) => Self::Sized(length),
+        }
+    }
+}
+
+/// Whether a body is complete.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyStep {
+    /// More bytes are needed.
+    More,
+    /// The body is complete; what is left in the input belongs to something else.
+    Done,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum DecoderState {
+    Done,
+    Sized(u64),
+    ChunkSize,
+    ChunkData(u64),
+    ChunkEnd,
+    Trailer,
+    UntilClose,
+}
+
+/// Decodes one body.
+#[derive(Debug, Clone)]
+pub struct BodyDecoder {
+    state: DecoderState,
+}
+
+impl BodyDecoder {
+    /// Creates a decoder for a body with this framing.
+    pub fn new(frame: BodyFrame) -> Self {
+        let state = match frame {
+            BodyFrame::Empty | BodyFrame::Sized(0) => DecoderState::Done,
+            BodyFrame::Sized(length) => DecoderState::Sized(length),
+            BodyFrame::Chunked => DecoderState::ChunkSize,
+            BodyFrame::UntilClose => DecoderState::UntilClose,
+        };
+        Self { state }
+    }
+
+    /// True when the body is complete once the peer has closed its side cleanly.
+    pub fn complete_at_close(&self) -> bool {
+        matches!(self.state, DecoderState::Done | DecoderState::UntilClose)
+    }
+
+    /// Moves body bytes from `input` to `output`.
+    ///
+    /// # Errors
+    /// [`BodyError`] when the framing is violated.
+    pub fn advance(&mut self, input: &mut BytesMut, output: &mut Vec<u8>) -> Result<BodyStep> {
+        loop {
+            match self.state {
+                DecoderState::Done => return Ok(BodyStep::Done),
+                _ if input.is_empty() => return Ok(BodyStep::More),
+                DecoderState::UntilClose => {
+                    output.extend_from_slice(input);
+                    input.clear();
+                }
+                DecoderState::Sized(left) => {
+                    let left = move_bytes(input, output, left);
+                    self.state = match left {
+                        0 => DecoderState::Done,
+                        _ => DecoderState::Sized(left),
+                    };
+                }
+                DecoderState::ChunkData(left) => {
+                    let left = move_bytes(input, output, left);
+                    self.state = match left {
+                        0 => DecoderState::ChunkEnd,
+                        _ => DecoderState::ChunkData(left),
+                    };
+                }
+                DecoderState::ChunkSize | DecoderState::ChunkEnd | DecoderState::Trailer => {
+                    let Some(line) = take_line(input)? else {
+                        return Ok(BodyStep::More);
+                    };
+                    self.state = self.after_line(&line)?;
+                }
+            }
+        }
+    }
+
+    fn after_line(&self, line: &[u8]) -> Result<DecoderState> {
+        match (self.state, line.is_empty()) {
+            (DecoderState::ChunkEnd, true) => Ok(DecoderState::ChunkSize),
+            (DecoderState::Trailer, true) => Ok(DecoderState::Done),
+            (DecoderState::Trailer, false) => Ok(DecoderState::Trailer),
+            (DecoderState::ChunkSize, false) => match parse_chunk_size(line)? {
+                0 => Ok(DecoderState::Trailer),
+                size => Ok(DecoderState::ChunkData(size)),
+            },
+            _ => Err(BodyError::MalformedChunk),
+        }
+    }
+}
+
+fn move_bytes(input: &mut BytesMut, output: &mut Vec<u8>, left: u64) -> u64 {
+    let count = usize::try_from(left).unwrap_or(usize::MAX).min(input.len());
+    output.extend_from_slice(&input[..count]);
+    input.advance(count);
+    left - count as u64
+}
+
+/// Takes a line without its CRLF; `None` until it is complete.
+fn take_line(input: &mut BytesMut) -> Result<Option<Vec<u8>>> {
+    let window = &input[..input.len().min(MAX_CHUNK_LINE)];
+    let Some(end) = window.iter().position(|byte| *byte == b'\n') else {
+        return match input.len() {
+            0..MAX_CHUNK_LINE => Ok(None),
+            _ => Err(BodyError::MalformedChunk),
+        };
+    };
+    if end == 0 || input[end - 1] != b'\r' {
+        return Err(BodyError::MalformedChunk);
+    }
+    let line = input[..end - 1].to_vec();
+    input.advance(end + 1);
+    Ok(Some(line))
+}
+
+fn parse_chunk_size(line: &[u8]) -> Result<u64> {
+    let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
+    let text = std::str::from_utf8(digits).map_err(|_cause| BodyError::MalformedChunk)?;
+    let plain = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    if !plain {
+        return Err(BodyError::MalformedChunk);
+    }
+    u64::from_str_radix(text, 16).map_err(|_cause| BodyError::MalformedChunk)
+}
+
+/// Frames `data` as one chunk. Empty data gives nothing, since an empty chunk ends a body.
+pub fn encode_chunk(data: &[u8], output: &mut Vec<u8>) {
+    if data.is_empty() {
+        return;
+    }
+    output.extend_from_slice(format!("{:x}\r\n", data.len()).as_bytes());
+    output.extend_from_slice(data);
+    output.extend_from_slice(b"\r\n");
+}
