--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -8,6 +8,7 @@
 use crate::gateway::targets::TargetKeeper;
 use crate::ids::ServiceId;
 use crate::kernel::{DaemonPhase, TimerService, TimerSpec};
+use crate::loads::exchange_loads;
 use crate::placement::OrderDuty;
 use crate::presence::{PresenceKeeper, PresenceRow, presence_key};
 use crate::relay::{GatewaySettings, RelayContext, serve_callers};
@@ -140,6 +141,7 @@
         instance: settings.instance.clone(),
         domain: settings.failure_domain.clone(),
         callers: settings.listen.callers,
+        peers: settings.listen.peers,
     };
     let lease_floor = Duration::from_millis(settings.store.lease_floor_ms);
     let context = RelayContext::new(settings, ports.relay, metrics, events);
@@ -162,10 +164,19 @@
     task::spawn(follow_targets(Arc::clone(&state)));
     task::spawn(follow_presence(Arc::clone(&state)));
     task::spawn(serve_callers(Arc::clone(&state.context), server));
+    task::spawn(share_loads(Arc::clone(&state)));
     start_timers(&state);
     Ok(GatewayHandle { state })
 }
 
+async fn share_loads(state: Arc<GatewayState>) {
+    let context = Arc::clone(&state.context);
+    let listen = context.settings.listen.peers;
+    if let Err(cause) = exchange_loads(context, listen).await {
+        log::error!("loads are not exchanged: {cause}");
+    }
+}
+
 fn start_timers(state: &Arc<GatewayState>) {
     let timers = TimerService::new(state.context.clock);
     let renewing = Arc::clone(state);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 mod ids;
 mod instances;
 mod kernel;
+mod loads;
 mod membership;
 mod mirror;
 mod operator;
@@ -89,6 +90,7 @@
     DaemonError, DaemonHandle, DaemonPhase, KernelContext, LifecycleCell, MonoClock, PluginEntry,
     PluginError, PluginHost, TimerJob, TimerService, TimerSpec, WebApp, run_daemon, start_daemon,
 };
+pub use loads::{LoadBoard, ReservationDigest, ReservationRow, target_hash};
 pub use membership::{
     AddressPlan, CallNumber, IncarnationNumber, LeavingMarks, LeavingTarget, MarkRecord,
     MemberBoard, MemberCall, MemberChange, MemberMessage, MemberProtocol, MemberRecord, MemberRow,
--- /dev/null
+++ b/src/loads/exchange.rs
@@ -0,0 +1,110 @@
+//! Sends and receives digests as datagrams. One that is lost is made up for by the next.
+
+use crate::kernel::MonoClock;
+use crate::loads::board::LoadBoard;
+use crate::loads::digest::{ReservationDigest, ReservationRow, target_hash};
+use crate::relay::RelayContext;
+use async_io::{Async, Timer};
+use futures_lite::future::or;
+use prost::Message;
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Period of sending.
+const SEND_PERIOD: Duration = Duration::from_millis(200);
+/// Most daemons that one digest is sent to; with more, each period takes the next ones.
+const FAN_OUT: usize = 16;
+/// Longest datagram that is read.
+const DATAGRAM_BYTES: usize = 16 * 1024;
+
+/// Exchanges digests for ever.
+///
+/// # Errors
+/// When the address cannot be bound.
+pub async fn exchange_loads(context: Arc<RelayContext>, listen: SocketAddr) -> io::Result<()> {
+    let socket = Async::<UdpSocket>::bind(listen)?;
+    let mut board = LoadBoard::default();
+    let mut digest = ReservationDigest {
+        sender: fastrand::u64(..),
+        ..ReservationDigest::default()
+    };
+    let mut buffer = vec![0; DATAGRAM_BYTES];
+    let clock: MonoClock = context.clock;
+    let mut next_send = clock.now().after(SEND_PERIOD);
+    loop {
+        let wait = next_send.since(clock.now());
+        let receive = async {
+            let (length, _from) = socket.recv_from(&mut buffer).await?;
+            Ok(Some(ReservationDigest::decode(&buffer[..length])))
+        };
+        let expire = async {
+            Timer::after(wait).await;
+            Ok(None)
+        };
+        let received: io::Result<Option<_>> = if wait.is_zero() {
+            Ok(None)
+        } else {
+            or(receive, expire).await
+        };
+        match received {
+            Ok(Some(Ok(digest))) => board.record(digest, clock.now()),
+            Ok(Some(Err(cause))) => log::debug!("malformed load digest: {cause}"),
+            Ok(None) => {
+                apply_totals(&context, &board);
+                digest.sequence += 1;
+                digest.rows = own_rows(&context);
+                send_digest(&context, &socket, &digest).await;
+                next_send = clock.now().after(SEND_PERIOD);
+            }
+            Err(cause) => {
+                // A daemon that is gone answers with an error; the next datagram is another's.
+                log::debug!("load digest: {cause}");
+            }
+        }
+    }
+}
+
+fn own_rows(context: &RelayContext) -> Vec<ReservationRow> {
+    let view = context.targets.load();
+    let rows = view.targets().map(|target| ReservationRow {
+        target: target_hash(&target.id),
+        tokens: target.gauge.reserved_tokens() as u32,
+        requests: target.gauge.in_progress(),
+    });
+    rows.filter(|row| row.requests > 0).collect()
+}
+
+fn apply_totals(context: &RelayContext, board: &LoadBoard) {
+    let totals = board.totals(context.clock.now());
+    for target in context.targets.load().targets() {
+        let total = totals
+            .get(&target_hash(&target.id))
+            .copied()
+            .unwrap_or_default();
+        target.gauge.set_peer_load(total.tokens, total.requests);
+    }
+}
+
+async fn send_digest(
+    context: &RelayContext,
+    socket: &Async<UdpSocket>,
+    digest: &ReservationDigest,
+) {
+    let bytes = digest.encode_to_vec();
+    let rows = context.presence.rows();
+    let own = &context.settings.instance;
+    let others: Vec<SocketAddr> = rows
+        .values()
+        .filter(|row| &row.instance != own)
+        .map(|row| row.peers)
+        .collect();
+    let first = digest.sequence as usize * FAN_OUT;
+    for index in 0..others.len().min(FAN_OUT) {
+        let address = others[(first + index) % others.len()];
+        if let Err(cause) = socket.send_to(&bytes, address).await {
+            log::debug!("load digest to {address}: {cause}");
+        }
+    }
+}
--- a/src/presence/board.rs
+++ b/src/presence/board.rs
@@ -21,6 +21,8 @@
     pub domain: DomainId,
     /// Where it serves callers.
     pub callers: SocketAddr,
+    /// Where it takes messages from other daemons.
+    pub peers: SocketAddr,
 }
 
 /// Snapshot of the daemons that are known to live.
--- a/src/relay/choice.rs
+++ b/src/relay/choice.rs
@@ -1,8 +1,8 @@
 //! Chooses the target or chain of an attempt.
 //!
-//! Several daemons choose at once from what each knows by itself. A daemon's own requests are taken as
-//! a sample of all: the callers of a failure domain are spread evenly over its daemons. Among the good
-//! choices one is drawn, so that daemons do not act in step.
+//! Several daemons choose at once from their own figures and those that the others sent some hundred
+//! milliseconds ago. Own requests count at once, and the figures are drawn a little apart, so that
+//! daemons do not all rush to the same target.
 
 use crate::catalog::ModelShape;
 use crate::ids::{DomainId, InstanceId};
@@ -16,16 +16,18 @@
 /// Share of a chain's room that may be reserved; the rest absorbs wrong estimates, since a chain out of
 /// memory preempts requests in mid-answer.
 const ROOM_SHARE: f64 = 0.85;
-/// Load from which a chain of another failure domain is preferred to a chain of the own one.
-const FOREIGN_CHAIN_LOAD: f64 = 0.35;
+/// Factor on the cost of a chain in another failure domain.
+const FOREIGN_COST: f64 = 1.6;
+/// Share of its room at which the cost of a chain becomes infinite.
+const FULL_SHARE: f64 = 1.0;
+/// Random part of a chain's cost, so that daemons with equal figures choose differently.
+const COST_DRAW: f64 = 0.1;
 
 /// What a request needs of a chain.
 #[derive(Debug, Clone, Copy)]
 pub struct ChainNeed<'a> {
     /// The daemon's failure domain.
     pub domain: &'a DomainId,
-    /// Daemons among which the callers of a domain are spread.
-    pub sharers: f64,
     /// Tokens of context.
     pub tokens: f64,
 }
@@ -47,7 +49,7 @@
         candidates.retain(|target| !target.gauge.is_paused(now));
     }
     let load = |target: &TargetEntry, rng: &mut fastrand::Rng| {
-        let own = f64::from(target.gauge.in_progress()) / f64::from(target.slots.max(1));
+        let own = f64::from(target.gauge.all_requests()) / f64::from(target.slots.max(1));
         let foreign = if &target.domain == domain {
             0.0
         } else {
@@ -63,7 +65,8 @@
     loads.first().map(|(_, target)| *target)
 }
 
-/// The chain on which the request is expected to end first, among those with room for it.
+/// The chain on which the request costs least, among those with room for it. A chain costs more the
+/// slower it is and the fuller it becomes, so that slow chains take what fast ones have no room for.
 pub fn pick_chain<'a>(
     chains: &'a [Arc<LayerChain>],
     model: &ModelShape,
@@ -76,14 +79,17 @@
     let fresh = usable.filter(|chain| !tried.contains(&chain.head().id));
     let mut best: Option<(f64, &Arc<LayerChain>)> = None;
     for chain in fresh {
-        let foreign = &chain.domain != need.domain;
-        let added = need.tokens / chain.token_room.max(1.0);
-        let load = chain.reserved_share(model) * need.sharers + added;
+        let load = chain.reserved_share(model) + need.tokens / chain.token_room.max(1.0);
         if load > ROOM_SHARE {
             continue;
         }
-        let distance = if foreign { FOREIGN_CHAIN_LOAD } else { 0.0 };
-        let cost = chain.token_ms * (1.0 + load + distance) * (1.0 + rng.f64() * 0.05);
+        let distance = if &chain.domain == need.domain {
+            1.0
+        } else {
+            FOREIGN_COST
+        };
+        let draw = 1.0 + rng.f64() * COST_DRAW;
+        let cost = chain.token_ms / (FULL_SHARE - load) * distance * draw;
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, chain));
         }
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -36,6 +36,8 @@
     pub ready: SocketAddr,
     /// For the question which daemons to use.
     pub addresses: SocketAddr,
+    /// For messages of other daemons, as datagrams.
+    pub peers: SocketAddr,
     /// For metrics.
     #[serde(default)]
     pub metrics: Option<SocketAddr>,
@@ -97,6 +99,7 @@
     FieldRule::required("callers", FieldKind::Address),
     FieldRule::required("ready", FieldKind::Address),
     FieldRule::required("addresses", FieldKind::Address),
+    FieldRule::required("peers", FieldKind::Address),
     FieldRule::optional("metrics", FieldKind::Address),
 ];
 
--- a/src/relay/streaming.rs
+++ b/src/relay/streaming.rs
@@ -119,7 +119,6 @@
         let now = context.clock.now();
         let need = ChainNeed {
             domain: own,
-            sharers: context.presence.count_in(own).max(1) as f64,
             tokens,
         };
         let view = context.targets.load();
--- a/src/targets/chain.rs
+++ b/src/targets/chain.rs
@@ -44,7 +44,7 @@
             .any(|part| part.target.gauge.is_paused(now))
     }
 
-    /// Share of its tightest part's room that this daemon's requests have reserved.
+    /// Share of its tightest part's room that requests of all daemons have reserved.
     pub fn reserved_share(&self, model: &ModelShape) -> f64 {
         let shares = self.parts.iter().map(|part| part_share(part, model));
         shares.fold(0.0, f64::max)
@@ -56,7 +56,7 @@
     let room = card.map_or(0.0, |card| {
         model.token_room(card, held_layers(&part.target))
     });
-    part.target.gauge.reserved_tokens() / room.max(1.0)
+    part.target.gauge.all_tokens() / room.max(1.0)
 }
 
 fn held_layers(target: &TargetEntry) -> u32 {
--- a/src/targets/gauge.rs
+++ b/src/targets/gauge.rs
@@ -15,6 +15,8 @@
 pub struct TargetGauge {
     in_progress: AtomicU32,
     reserved_tokens: AtomicI64,
+    peer_tokens: AtomicU64,
+    peer_requests: AtomicU32,
     failures: AtomicU32,
     paused_until: AtomicU64,
     wrong_identity: AtomicU32,
@@ -31,6 +33,23 @@
         self.reserved_tokens.load(Ordering::Relaxed) as f64
     }
 
+    /// Takes in what other daemons' requests hold.
+    pub fn set_peer_load(&self, tokens: u64, requests: u32) {
+        self.peer_tokens.store(tokens, Ordering::Relaxed);
+        self.peer_requests.store(requests, Ordering::Relaxed);
+    }
+
+    /// Tokens of context that requests of all daemons may come to hold.
+    pub fn all_tokens(&self) -> f64 {
+        self.reserved_tokens() + self.peer_tokens.load(Ordering::Relaxed) as f64
+    }
+
+    /// Requests in progress of all daemons.
+    pub fn all_requests(&self) -> u32 {
+        self.in_progress()
+            .saturating_add(self.peer_requests.load(Ordering::Relaxed))
+    }
+
     /// Counts a request until the guard is dropped.
     pub fn enter(self: &Arc<Self>, tokens: u32) -> GaugeGuard {
         self.in_progress.fetch_add(1, Ordering::Relaxed);
