List a prefix again after a failed watch

Cause: the store cut the watches and dropped its history; a watch from the last revision, sent at once, waited past the change in between. Ruled out: adoption of an older version (never in the logs); a stale list (the list answered with the newest revision where there was one). Change: a failed call of a mirror is followed by a list.

--- a/src/mirror/follow.rs
+++ b/src/mirror/follow.rs
@@ -65,6 +65,7 @@
                 }
             }
             Err(cause) => {
+                mirror.on_failure();
                 report(FollowNotice::Failed(&cause));
                 task::sleep(pause.mul_f64(0.5 + fastrand::f64() / 2.0)).await;
                 pause = (pause * 2).min(LONGEST_PAUSE);
--- a/src/mirror/prefix.rs
+++ b/src/mirror/prefix.rs
@@ -132,8 +132,9 @@
         changes
     }
 
-    /// Lists the prefix again with the next call.
-    pub fn restart(&mut self) {
+    /// A call failed. The prefix is listed again: a watch that goes on from the last revision after
+    /// its connection was cut may wait past a change whose history is already gone.
+    pub fn on_failure(&mut self) {
         self.listing = Some(ListProgress::start());
     }
 
