Notice lost chains by their own pace; refuse truly while a daemon starts or stops

Changes: default limits until a configuration is known; address answers kept 1 s and no stream taken 2.8 s after SIGTERM; limits from each stream's and head's own pace; the head's report names the stalled part; lapsed and failing servers are made up for by the leader; copies are not copied. Ruled out for the 413s: requests over the limit (bodies of 800 bytes).

--- a/src/catalog/version.rs
+++ b/src/catalog/version.rs
@@ -44,7 +44,7 @@
     fn default() -> Self {
         Self {
             head_bytes: 16 * 1024,
-            body_bytes: 1 << 20,
+            body_bytes: 4 << 20,
             head_time: Duration::from_secs(3),
             idle_time: Duration::from_secs(15),
         }
@@ -67,7 +67,7 @@
     pub version: u64,
     /// Limits on callers.
     pub limits: CallerLimits,
-    services: HashMap<ServiceId, ServiceEntry>,
+    services: HashMap<ServiceId, Arc<ServiceEntry>>,
     routes: HashMap<Arc<str>, HashMap<Arc<str>, Arc<RouteEntry>>>,
     keys: HashMap<Arc<str>, Arc<TeamEntry>>,
     keyed: bool,
@@ -90,7 +90,10 @@
         Self {
             version,
             limits,
-            services: services.into_iter().map(|s| (s.name.clone(), s)).collect(),
+            services: services
+                .into_iter()
+                .map(|s| (s.name.clone(), Arc::new(s)))
+                .collect(),
             routes: by_host,
             keyed: keys.is_some(),
             keys: keys.unwrap_or_default().into_iter().collect(),
@@ -120,12 +123,12 @@
     }
 
     /// A service.
-    pub fn service(&self, name: &ServiceId) -> Option<&ServiceEntry> {
+    pub fn service(&self, name: &ServiceId) -> Option<&Arc<ServiceEntry>> {
         self.services.get(name)
     }
 
     /// All services.
-    pub fn services(&self) -> impl Iterator<Item = &ServiceEntry> {
+    pub fn services(&self) -> impl Iterator<Item = &Arc<ServiceEntry>> {
         self.services.values()
     }
 
--- a/src/gateway/addresses.rs
+++ b/src/gateway/addresses.rs
@@ -8,8 +8,8 @@
 /// Most addresses in an answer.
 const MAX_ADDRESSES: usize = 64;
 /// Time for which callers may keep an answer. Some keep it three times as long, and a daemon that shuts
-/// down serves until then: three times this fits into the grace time of eight seconds.
-const ADDRESS_KEEP: Duration = Duration::from_secs(2);
+/// down takes requests until then: what it takes last must still end within the grace time.
+const ADDRESS_KEEP: Duration = Duration::from_secs(1);
 
 /// Addresses for a caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -84,7 +84,7 @@
     follow_prefix(state.ports.store.clone(), follow, |notice| match notice {
         FollowNotice::Failed(cause) => {
             contact.on_failure(&state, cause);
-            state.with_targets(|targets, now| targets.on_failure(now));
+            state.with_targets(super::targets::TargetKeeper::on_failure);
         }
         FollowNotice::Changed(_, changes) => {
             contact.on_answer(&state);
@@ -124,14 +124,18 @@
     let beliefs = &context.metrics.beliefs;
     beliefs
         .with_label_values(&["targets"])
-        .set(view.targets().count() as i64);
+        .set(gauge_value(view.targets().count()));
     beliefs
         .with_label_values(&["chains"])
-        .set(view.chain_count() as i64);
+        .set(gauge_value(view.chain_count()));
     context.targets.publish(view);
     state.mark_ready();
 }
 
+fn gauge_value(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
+
 /// Follows the daemons and the leader's key.
 pub(super) async fn follow_presence(state: Arc<GatewayState>) {
     let follow = spec(PRESENCE_PREFIX, GATHER_PRESENCE);
--- a/src/gateway/lead.rs
+++ b/src/gateway/lead.rs
@@ -17,7 +17,7 @@
 pub(super) async fn run_duty(state: &Arc<GatewayState>) {
     let now = state.context.clock.now();
     if state.keeper.fence(now).is_none() {
-        state.with_orders(|orders| orders.clear());
+        state.with_orders(std::collections::HashMap::clear);
         campaign(state).await;
         return;
     }
@@ -71,7 +71,7 @@
     let ready = view
         .of_service(&service.name)
         .iter()
-        .filter(|target| target.is_ready());
+        .filter(|target| target.is_ready() && !state.is_lost(target));
     let offers: Vec<ServerOffer> = ready
         .filter_map(|target| {
             Some(ServerOffer {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,6 @@
 mod targets;
 
 pub use addresses::AddressReply;
-pub use ports::{FleetWords, GatewayPorts, OrderOutcome, PlaceOrder, TargetPort};
+pub use ports::{FleetWords, GatewayPorts, OrderOutcome, PlaceOrder, TargetPort, TargetReport};
 pub use run::{GatewayError, GatewayHandle, GatewayState, start_gateway};
 pub use targets::TargetKeeper;
--- a/src/gateway/ports.rs
+++ b/src/gateway/ports.rs
@@ -49,9 +49,18 @@
     WrongTarget,
 }
 
+/// What a model server says of itself; some hundred milliseconds old.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct TargetReport {
+    /// Servers for which its requests wait.
+    pub stalled_on: Vec<SocketAddr>,
+}
+
 /// Calls to model servers beside requests.
 #[derive(Clone)]
 pub struct TargetPort {
+    /// Asks a server for its report.
+    pub report: Arc<dyn Fn(SocketAddr) -> PortFuture<TargetReport> + Send + Sync>,
     /// Orders a server to hold layers.
     pub place: Arc<dyn Fn(PlaceOrder) -> PortFuture<OrderOutcome> + Send + Sync>,
 }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -12,6 +12,7 @@
 use crate::placement::OrderDuty;
 use crate::presence::{PresenceKeeper, PresenceRow, presence_key};
 use crate::relay::{GatewaySettings, RelayContext, serve_callers};
+use crate::targets::TargetEntry;
 use crate::telemetry::{EventLine, EventLog, MetricSet};
 use crate::units::MonoTime;
 use crate::wire::WireServer;
@@ -32,7 +33,7 @@
 /// Period of the leader's duties and of dropping lapsed entries.
 const DUTY_PERIOD: Duration = Duration::from_millis(200);
 /// Time for which callers may still come after the address answer no longer names the daemon.
-const KEPT_ANSWERS: Duration = Duration::from_millis(6_200);
+const KEPT_ANSWERS: Duration = Duration::from_millis(3_600);
 /// Time before the end of the grace time at which the process ends whatever is in progress.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
 /// Time allowed for giving up the lease.
@@ -40,6 +41,9 @@
 /// Period of looking whether requests are in progress while draining.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
+/// Connections in a row that a target did not take, from which it counts as lost.
+const LOST_AFTER: u32 = 3;
+
 /// Why the daemon could not start.
 #[derive(Debug)]
 pub enum GatewayError {
@@ -114,6 +118,14 @@
         }
     }
 
+    /// True when a target's entry has lapsed, or requests find nobody at its address: its layers are
+    /// to be held elsewhere before the list says that it is gone.
+    pub(super) fn is_lost(&self, target: &TargetEntry) -> bool {
+        target.gauge.unreachable() >= LOST_AFTER
+            || target.gauge.is_failing_for_all()
+            || self.with_targets(|targets, _| targets.is_held(&target.id))
+    }
+
     /// True while this daemon is ready and not shutting down.
     pub fn is_serving(&self) -> bool {
         self.context.lifecycle.phase() == DaemonPhase::Ready
@@ -144,7 +156,13 @@
         peers: settings.listen.peers,
     };
     let lease_floor = Duration::from_millis(settings.store.lease_floor_ms);
-    let context = RelayContext::new(settings, ports.relay, metrics, events);
+    let context = RelayContext::new(
+        settings,
+        ports.relay,
+        metrics,
+        events,
+        ports.targets.clone(),
+    );
     let context = context.map_err(GatewayError::Metric)?;
     context
         .events
@@ -224,6 +242,7 @@
     pub async fn drain(self) {
         let context = &self.state.context;
         context.lifecycle.mark_draining();
+        context.start_draining();
         context.events.emit(EventLine::new("draining"));
         let started = context.clock.now();
         match timeout(LEAVE_LIMIT, self.state.keeper.leave()).await {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -72,7 +72,7 @@
 };
 pub use gateway::{
     AddressReply, FleetWords, GatewayError, GatewayHandle, GatewayPorts, GatewayState,
-    OrderOutcome, PlaceOrder, TargetKeeper, TargetPort, start_gateway,
+    OrderOutcome, PlaceOrder, TargetKeeper, TargetPort, TargetReport, start_gateway,
 };
 pub use http::{
     CallerWatch, ConnectionCount, ConnectionPool, ConnectionReuse, HttpCall, HttpReply,
--- a/src/loads/exchange.rs
+++ b/src/loads/exchange.rs
@@ -72,8 +72,9 @@
         target: target_hash(&target.id),
         tokens: target.gauge.reserved_tokens() as u32,
         requests: target.gauge.in_progress(),
+        failing: target.gauge.is_failing(),
     });
-    rows.filter(|row| row.requests > 0).collect()
+    rows.filter(|row| row.requests > 0 || row.failing).collect()
 }
 
 fn apply_totals(context: &RelayContext, board: &LoadBoard) {
@@ -83,7 +84,9 @@
             .get(&target_hash(&target.id))
             .copied()
             .unwrap_or_default();
-        target.gauge.set_peer_load(total.tokens, total.requests);
+        target
+            .gauge
+            .set_peer_load(total.tokens, total.requests, total.failing);
     }
 }
 
--- a/src/mirror/lapse.rs
+++ b/src/mirror/lapse.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 /// Time after the store's return within which a healthy owner has written its key again.
-const RETURN_TIME: Duration = Duration::from_millis(2_000);
+const RETURN_TIME: Duration = Duration::from_secs(2);
 /// Failures at most this old make a removal count as a lapse.
 const OUTAGE_MEMORY: Duration = Duration::from_millis(2_500);
 
@@ -61,6 +61,11 @@
         LapseStep::HoldUntil(until)
     }
 
+    /// True while a key is held.
+    pub fn is_held(&self, key: &str) -> bool {
+        self.held.contains_key(key)
+    }
+
     /// A key was written.
     pub fn on_written(&mut self, key: &Arc<str>) {
         self.held.remove(key);
--- a/src/placement/composition.rs
+++ b/src/placement/composition.rs
@@ -24,9 +24,9 @@
     for _ in 0..ROOM_STEPS {
         let middle = f64::midpoint(low, high);
         if fits(middle) {
-            low = middle
+            low = middle;
         } else {
-            high = middle
+            high = middle;
         }
     }
     let mut held: Vec<u32> = cards
--- a/src/placement/plan.rs
+++ b/src/placement/plan.rs
@@ -280,7 +280,8 @@
     let held: Vec<LayerRange> = plan.iter().map(|assigned| assigned.layers).collect();
     for (range, room) in parts {
         let copies = held.iter().filter(|other| **other == range).count();
-        if copies > 1 || is_tiled_beside(&held, range) {
+        let is_copy = held.iter().any(|other| contains(*other, range));
+        if copies > 1 || is_copy || is_tiled_beside(&held, range) {
             continue;
         }
         if let Some(copy) = tile_range(model, free, range, room * LEAST_ROOM) {
@@ -289,6 +290,11 @@
     }
 }
 
+/// True when `inner` is a part of `outer`, not all of it: a server that helps to copy `outer` holds it.
+fn contains(outer: LayerRange, inner: LayerRange) -> bool {
+    outer != inner && outer.from <= inner.from && inner.to <= outer.to
+}
+
 /// True when ranges inside `range`, not all of it, already tile it.
 fn is_tiled_beside(held: &[LayerRange], range: LayerRange) -> bool {
     let mut next = range.from;
--- a/src/presence/keeper.rs
+++ b/src/presence/keeper.rs
@@ -80,14 +80,13 @@
     /// When the store did not answer.
     pub async fn refresh(&self, now: MonoTime, present: bool) -> crate::mirror::PortResult<()> {
         let lease = self.with(|state| state.lease);
-        match lease {
-            Some(lease) => match (self.port.renew)(lease.id).await? {
+        if let Some(lease) = lease {
+            match (self.port.renew)(lease.id).await? {
                 RenewOutcome::Renewed => {
-                    self.with(|state| state.lease = Some(valid(lease.id, now)))
+                    self.with(|state| state.lease = Some(valid(lease.id, now)));
                 }
                 RenewOutcome::Gone => self.with(|state| *state = KeeperState::default()),
-            },
-            None => {}
+            }
         }
         if self.with(|state| state.lease).is_none() {
             let grant = (self.port.grant)(LEASE_TTL.max(self.lease_floor)).await?;
--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -29,6 +29,8 @@
     Failed,
     /// Its time ran out before it was sent.
     Expired,
+    /// The daemon is shutting down and could not end it in time; others serve it.
+    Draining,
     /// Its time ran out at a target.
     TimedOut,
 }
@@ -37,7 +39,11 @@
     /// Status of the answer. 429, 503, 408 and 421 promise that the request has not run.
     pub fn status(self) -> u16 {
         match self {
-            Self::NoConfiguration | Self::NoTarget | Self::NotRun | Self::Expired => 503,
+            Self::NoConfiguration
+            | Self::NoTarget
+            | Self::NotRun
+            | Self::Expired
+            | Self::Draining => 503,
             Self::NoRoute => 404,
             Self::UnknownKey => 401,
             Self::Malformed => 400,
@@ -63,6 +69,7 @@
             Self::NotRun => "not_run",
             Self::Failed => "failed",
             Self::Expired => "expired",
+            Self::Draining => "draining",
             Self::TimedOut => "timed_out",
         }
     }
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -83,9 +83,7 @@
     };
     let mut stream = match reused {
         Some(stream) => stream,
-        None => WireStream::connect(target.address, CONNECT_LIMIT.min(limit))
-            .await
-            .map_err(|cause| FailedAttempt::new(RelayFailure::NotSent, cause))?,
+        None => connect(target, limit).await?,
     };
     let mut bytes = (context.words.write_request)(request.head, dispatch).finish();
     bytes.extend_from_slice(request.body);
@@ -137,6 +135,12 @@
     })
 }
 
+async fn connect(target: &TargetEntry, limit: Duration) -> Result<WireStream, FailedAttempt> {
+    let connected = WireStream::connect(target.address, CONNECT_LIMIT.min(limit)).await;
+    target.gauge.note_reached(connected.is_ok());
+    connected.map_err(|cause| FailedAttempt::new(RelayFailure::NotSent, cause))
+}
+
 /// True when the answer belongs to another request than this one.
 fn is_late(reply: &ReplyFacts, request: &RequestFacts) -> bool {
     match (&reply.attempt, &request.attempt) {
--- a/src/relay/context.rs
+++ b/src/relay/context.rs
@@ -1,6 +1,7 @@
 //! What all requests of a relaying daemon share.
 
 use crate::catalog::CatalogCell;
+use crate::gateway::TargetPort;
 use crate::kernel::{LifecycleCell, MonoClock};
 use crate::presence::PresenceBoard;
 use crate::relay::budget::{BudgetLimits, RetryBudget};
@@ -9,8 +10,10 @@
 use crate::relay::settings::GatewaySettings;
 use crate::targets::ViewCell;
 use crate::telemetry::{EventLog, MetricSet};
+use crate::units::MonoTime;
 use crate::wire::TargetPool;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 /// Shared state of a relaying daemon.
@@ -38,6 +41,30 @@
     pub metrics: RelayMetrics,
     /// Structured log.
     pub events: EventLog,
+    /// Calls to model servers beside requests.
+    pub target_port: TargetPort,
+    /// When shutting down began, in microseconds of the clock; 0 before.
+    drain_start: AtomicU64,
+}
+
+/// Time after the start of shutting down from which no stream is taken: it could not be sure to end
+/// within the grace time.
+const LAST_STREAMS: Duration = Duration::from_millis(2_800);
+
+impl RelayContext {
+    /// Notes that shutting down has begun.
+    pub fn start_draining(&self) {
+        self.drain_start
+            .store(self.clock.now().0.max(1), Ordering::Release);
+    }
+
+    /// True while streams may be started.
+    pub fn takes_streams(&self) -> bool {
+        match self.drain_start.load(Ordering::Acquire) {
+            0 => true,
+            start => self.clock.now().since(MonoTime(start)) < LAST_STREAMS,
+        }
+    }
 }
 
 impl RelayContext {
@@ -50,6 +77,7 @@
         words: RelayWords,
         metrics: &MetricSet,
         events: EventLog,
+        target_port: TargetPort,
     ) -> prometheus::Result<Arc<Self>> {
         let bounds = &settings.bounds;
         let limits = BudgetLimits {
@@ -68,6 +96,8 @@
             words,
             metrics: RelayMetrics::register(metrics)?,
             events,
+            target_port,
+            drain_start: AtomicU64::new(0),
             settings,
         }))
     }
--- a/src/relay/course.rs
+++ b/src/relay/course.rs
@@ -11,6 +11,9 @@
 /// Most attempts of which nothing ran. Such attempts cost little, but each counts as a repeat.
 const MAX_UNRUN: u32 = 4;
 
+/// Most targets that ended under a request for which others are tried.
+const MAX_ENDED: u32 = 2;
+
 /// Why an attempt gave no answer to pass on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RelayFailure {
@@ -44,6 +47,7 @@
     tried: Vec<InstanceId>,
     unrun: u32,
     may_have_run: u32,
+    ended: u32,
 }
 
 impl RequestCourse {
@@ -56,6 +60,7 @@
             tried: Vec::new(),
             unrun: 0,
             may_have_run: 0,
+            ended: 0,
         }
     }
 
@@ -79,6 +84,12 @@
         self.ends.since(now)
     }
 
+    /// Notes how many of the targets that may have run the request have ended since; they do not
+    /// count towards the most that it may be sent to.
+    pub fn note_ended(&mut self, ended: usize) {
+        self.ended = ended as u32;
+    }
+
     /// Takes in a failed attempt at a target.
     pub fn on_failure(
         &mut self,
@@ -97,7 +108,8 @@
     /// What is left to do at `now`.
     pub fn next_step(&self, now: MonoTime) -> CourseStep {
         let repeatable = self.may_have_run == 0 || self.repeat.may_repeat();
-        let within = self.may_have_run < self.max_targets.max(1) && self.unrun < MAX_UNRUN;
+        let runs = self.may_have_run.saturating_sub(self.ended.min(MAX_ENDED));
+        let within = runs < self.max_targets.max(1) && self.unrun < MAX_UNRUN;
         if repeatable && within && self.time_left(now) >= LEAST_TIME {
             return CourseStep::TryNext;
         }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -15,8 +15,14 @@
 
 /// Time that a caller waits when it does not say.
 const UNTOLD_WAIT: Duration = Duration::from_secs(30);
-/// Time after which refused callers may come back, at the least.
-const COME_BACK: Duration = Duration::from_millis(400);
+/// Time after which refused callers may come back, at the least: by then a part that was lost has been
+/// loaded elsewhere in most cases.
+const COME_BACK: Duration = Duration::from_millis(1_800);
+/// The same where another daemon can serve the request at once.
+const OTHER_DAEMON: Duration = Duration::from_millis(20);
+/// Part of the time left after which a caller may be asked to come back, at the most. The time named
+/// is up to twice as long.
+const COME_BACK_PART: f64 = 0.15;
 /// One in so many successful requests is logged, chosen by its identity so that all daemons log the
 /// same ones.
 const LOGGED_SUCCESSES: u64 = 64;
@@ -48,7 +54,7 @@
     /// Route.
     pub route: Arc<RouteEntry>,
     /// Service that was drawn for it.
-    pub service: ServiceEntry,
+    pub service: Arc<ServiceEntry>,
     /// Team, if the request has a key.
     pub team: Option<Arc<TeamEntry>>,
     /// When the head arrived.
@@ -90,7 +96,13 @@
     pub(super) async fn refuse(&self, cause: RefusalCause, detail: &str) -> ExchangeEnd {
         let mut answer = OwnAnswer::new(cause);
         if cause.status() == 503 {
-            answer = answer.come_back(COME_BACK, &mut fastrand::Rng::new());
+            let left = self.facts.time_left.unwrap_or(UNTOLD_WAIT);
+            let base = match cause {
+                RefusalCause::Draining => OTHER_DAEMON,
+                _ => COME_BACK,
+            };
+            let delay = base.min(left.mul_f64(COME_BACK_PART));
+            answer = answer.come_back(delay, &mut fastrand::Rng::new());
         }
         let retry_ms = answer.retry_after.map(|delay| delay.as_millis() as u64);
         let line = self
@@ -126,17 +138,22 @@
     bytes.iter().fold(0xcbf2_9ce4_8422_2325, fold)
 }
 
+/// What the configuration says of a request.
+pub(super) struct RelayPlan {
+    /// What the head says.
+    pub facts: RequestFacts,
+    /// Route.
+    pub route: Arc<RouteEntry>,
+    /// Service that was drawn for it.
+    pub service: Arc<ServiceEntry>,
+    /// Team, if the request has a key.
+    pub team: Option<Arc<TeamEntry>>,
+}
+
 /// What a whole request leads to.
 pub(super) enum RequestPlan {
     /// Relay it.
-    Relay(
-        Box<(
-            RequestFacts,
-            Arc<RouteEntry>,
-            ServiceEntry,
-            Option<Arc<TeamEntry>>,
-        )>,
-    ),
+    Relay(Box<RelayPlan>),
     /// Answer it.
     Answer(RefusalCause),
 }
@@ -161,7 +178,12 @@
     let Some(service) = drawn.and_then(|name| catalog.service(name)) else {
         return RequestPlan::Answer(RefusalCause::NoTarget);
     };
-    RequestPlan::Relay(Box::new((facts, Arc::clone(route), service.clone(), team)))
+    RequestPlan::Relay(Box::new(RelayPlan {
+        facts,
+        route: Arc::clone(route),
+        service: Arc::clone(service),
+        team,
+    }))
 }
 
 /// When the final answer is due: the caller's time or the route's, whichever ends first.
--- a/src/relay/listener.rs
+++ b/src/relay/listener.rs
@@ -113,23 +113,20 @@
         }
     }
     let catalog = context.catalog.load();
-    let limit = catalog
-        .as_ref()
-        .map_or(0, |catalog| catalog.limits.body_bytes);
-    let body = match read_request_body(stream, &head, limit.max(1)).await {
+    let limits = catalog.map(|catalog| catalog.limits).unwrap_or_default();
+    let body = match read_request_body(stream, &head, limits.body_bytes).await {
         RequestBody::Whole(body) => body,
         RequestBody::TooLong => return answer(context, stream, RefusalCause::BodyTooLong).await,
         RequestBody::Malformed(_) => return answer(context, stream, RefusalCause::Malformed).await,
-        RequestBody::Broken(_) => return ConnectionStep::Close,
+        RequestBody::Broken => return ConnectionStep::Close,
     };
-    // The configuration may have changed while the body arrived.
+    // The configuration may have come or changed while the body arrived.
     let catalog = context.catalog.load();
     let facts = (context.words.read_request)(&head);
     let plan = match plan_request(catalog.as_deref(), &head, facts) {
         RequestPlan::Relay(plan) => *plan,
         RequestPlan::Answer(cause) => return answer(context, stream, cause).await,
     };
-    let (facts, route, service, team) = plan;
     let draining = context.lifecycle.phase() == crate::kernel::DaemonPhase::Draining;
     let (socket, input) = stream.halves();
     let request = ActiveRequest {
@@ -137,11 +134,11 @@
         caller: socket,
         head: &head,
         body: &body,
-        ends: due_time(arrived, &facts, &route),
-        facts,
-        route,
-        service,
-        team,
+        ends: due_time(arrived, &plan.facts, &plan.route),
+        facts: plan.facts,
+        route: plan.route,
+        service: plan.service,
+        team: plan.team,
         arrived,
         close: head.closes() || draining,
     };
--- a/src/relay/streaming.rs
+++ b/src/relay/streaming.rs
@@ -9,21 +9,31 @@
     FailedAttempt, OpenReply, OutgoingRequest, keep_connection, open_reply,
 };
 use crate::relay::choice::{ChainNeed, pick_chain};
+use crate::relay::context::RelayContext;
 use crate::relay::course::{CourseStep, RelayFailure, RequestCourse};
 use crate::relay::exchange::{ActiveRequest, ExchangeEnd, forward_head};
 use crate::relay::plain::body_length;
 use crate::relay::ports::DispatchFacts;
+use crate::routing::GapEstimate;
 use crate::targets::{GaugeGuard, LayerChain};
+use crate::telemetry::EventLine;
+use crate::units::MonoTime;
 use crate::wire::{BodyStep, EventSplitter, LAST_CHUNK, StreamError, WholeEvent, encode_chunk};
 use async_io::Timer;
+use async_std::task;
 use futures_lite::future::or;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Time allowed until a stream's first event, while other chains may be tried.
-const FIRST_EVENT_LIMIT: Duration = Duration::from_millis(1_000);
-/// Pause within a stream after which its chain counts as stalled.
-const STALL_LIMIT: Duration = Duration::from_millis(350);
+/// Least time allowed until a stream's first event, while other chains may be tried.
+const FIRST_EVENT_FLOOR: Duration = Duration::from_millis(250);
+/// Most time allowed until a stream's first event, while other chains may be tried.
+const FIRST_EVENT_CEILING: Duration = Duration::from_secs(1);
+/// Shortest pause within a stream after which its chain counts as stalled: above the pauses that the
+/// reading of other prompts causes, and early enough to go on elsewhere before the caller notices.
+const STALL_FLOOR: Duration = Duration::from_millis(120);
+/// Longest such pause.
+const STALL_CEILING: Duration = Duration::from_millis(400);
 /// Time for which a request waits for room on a chain.
 const ROOM_WAIT: Duration = Duration::from_millis(250);
 /// Period of looking for room.
@@ -54,6 +64,14 @@
             .refuse(RefusalCause::NoTarget, "the service has no model")
             .await;
     };
+    if !context.takes_streams() {
+        return request
+            .refuse(
+                RefusalCause::Draining,
+                "no stream is started while shutting down",
+            )
+            .await;
+    }
     let mut course = RequestCourse::new(route.repeat, route.max_targets, request.ends);
     let mut delivered = Delivered {
         head_sent: false,
@@ -61,6 +79,7 @@
     };
     let mut detail = String::from("no chain has room");
     loop {
+        course.note_ended(count_ended(request, &course));
         let chain = find_chain(request, model, &course, &delivered).await;
         let step = next_step(request, &course, chain.is_some());
         let (Some(chain), CourseStep::TryNext) = (chain, step) else {
@@ -86,6 +105,13 @@
     }
 }
 
+/// Tried targets that have left the list since.
+fn count_ended(request: &ActiveRequest<'_>, course: &RequestCourse) -> usize {
+    let view = request.context.targets.load();
+    let ended = course.tried().iter().filter(|id| view.target(id).is_none());
+    ended.count()
+}
+
 fn next_step(request: &ActiveRequest<'_>, course: &RequestCourse, has_chain: bool) -> CourseStep {
     let context = request.context;
     let now = context.clock.now();
@@ -162,6 +188,9 @@
         }
         _ => target.gauge.record_failure(now),
     }
+    if blamed.is_none() && failed.failure == RelayFailure::Unknown {
+        inquire(context, chain);
+    }
     context.pool.forget(&chain.head().id);
     let line = request
         .line("attempt_failed")
@@ -177,6 +206,38 @@
         .inc();
 }
 
+/// Asks the head of a chain that has stalled which of its parts does not answer, so that the part is
+/// passed over and not the head. Requests do not wait for the answer.
+fn inquire(context: &Arc<RelayContext>, chain: &LayerChain) {
+    let head = chain.head();
+    if chain.parts.len() < 2 || !head.gauge.may_inquire(context.clock.now()) {
+        return;
+    }
+    let context = Arc::clone(context);
+    let chain = chain.clone();
+    task::spawn(async move {
+        let head = chain.head();
+        let report = match (context.target_port.report)(head.address).await {
+            Ok(report) => report,
+            Err(cause) => {
+                let line = EventLine::new("report_failed").show("target", &head.id);
+                context.events.emit(line.show("cause", cause));
+                return;
+            }
+        };
+        let now = context.clock.now();
+        let stalled = chain.parts.iter().filter(|part| {
+            part.target.id != head.id && report.stalled_on.contains(&part.target.address)
+        });
+        for part in stalled {
+            part.target.gauge.record_failure(now);
+            head.gauge.clear_pause();
+            let line = EventLine::new("part_stalled").show("target", &part.target.id);
+            context.events.emit(line.show("head", &head.id));
+        }
+    });
+}
+
 async fn attempt_stream(
     request: &ActiveRequest<'_>,
     course: &RequestCourse,
@@ -202,7 +263,12 @@
     };
     let repeatable = request.route.repeat.may_repeat();
     let limit = if repeatable {
-        time_left.min(FIRST_EVENT_LIMIT)
+        let expected = chain
+            .head()
+            .gauge
+            .first_event_limit(FIRST_EVENT_FLOOR, FIRST_EVENT_CEILING);
+        // Each further attempt may take longer: when all chains are slow, moving on helps nobody.
+        time_left.min(expected.saturating_mul(1 + course.tried().len() as u32))
     } else {
         time_left
     };
@@ -229,7 +295,7 @@
             let cause = format!("status {} when resuming", reply.head.status());
             StreamEnd::Failed(FailedAttempt::new(RelayFailure::Unknown, cause))
         }
-        Ok(reply) => pass_events(request, chain, reply, delivered, limit).await,
+        Ok(reply) => pass_events(request, chain, reply, delivered, limit, now).await,
     }
 }
 
@@ -239,10 +305,13 @@
     mut reply: OpenReply,
     delivered: &mut Delivered,
     first_limit: Duration,
+    started: MonoTime,
 ) -> StreamEnd {
     let mut splitter = EventSplitter::default();
     let mut output = Vec::new();
     let mut limit = first_limit;
+    let mut gaps = GapEstimate::default();
+    let mut last_event = request.context.clock.now();
     let repeatable = request.route.repeat.may_repeat();
     loop {
         let step = match reply
@@ -255,12 +324,21 @@
         while let Some(event) = splitter.next_event() {
             match accept_event(&event, delivered) {
                 EventVerdict::Forward => {
-                    push_event(request, &reply, delivered, &event, &mut output)
+                    push_event(request, &reply, delivered, &event, &mut output);
                 }
                 EventVerdict::Skip => {}
                 EventVerdict::Gap => return broken(&"an event is missing"),
             }
-            limit = STALL_LIMIT;
+            let now = request.context.clock.now();
+            if delivered.head_sent && limit != first_limit {
+                gaps.observe(now.since(last_event));
+            } else {
+                chain.head().gauge.observe_first_event(now.since(started));
+            }
+            last_event = now;
+            limit = gaps
+                .limit(STALL_FLOOR, STALL_CEILING)
+                .unwrap_or(STALL_CEILING);
         }
         if step == BodyStep::Done {
             return finish_stream(request, chain, reply, &splitter, delivered, output).await;
--- a/src/targets/gauge.rs
+++ b/src/targets/gauge.rs
@@ -1,12 +1,17 @@
 //! Counters of one target, updated by requests without locks.
 
+use crate::routing::GapEstimate;
 use crate::units::MonoTime;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicI64, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// Time for which a target is passed over after its first failure; doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(400);
+/// Failures in a row from which a target counts as failing.
+const FAILING_AFTER: u32 = 2;
+/// Least time between two questions for a target's report.
+const INQUIRY_PERIOD: Duration = Duration::from_millis(250);
 /// Longest such time.
 const LONGEST_PAUSE: Duration = Duration::from_secs(3);
 
@@ -20,6 +25,10 @@
     failures: AtomicU32,
     paused_until: AtomicU64,
     wrong_identity: AtomicU32,
+    first_event: Mutex<GapEstimate>,
+    unreachable: AtomicU32,
+    peers_failing: AtomicU32,
+    inquired: AtomicU64,
 }
 
 impl TargetGauge {
@@ -33,8 +42,9 @@
         self.reserved_tokens.load(Ordering::Relaxed) as f64
     }
 
-    /// Takes in what other daemons' requests hold.
-    pub fn set_peer_load(&self, tokens: u64, requests: u32) {
+    /// Takes in what other daemons' requests hold, and how many daemons' requests fail there.
+    pub fn set_peer_load(&self, tokens: u64, requests: u32, failing: u32) {
+        self.peers_failing.store(failing, Ordering::Relaxed);
         self.peer_tokens.store(tokens, Ordering::Relaxed);
         self.peer_requests.store(requests, Ordering::Relaxed);
     }
@@ -50,6 +60,63 @@
             .saturating_add(self.peer_requests.load(Ordering::Relaxed))
     }
 
+    /// Notes how long the target took to a stream's first event.
+    pub fn observe_first_event(&self, elapsed: Duration) {
+        let mut estimate = self.first_event.lock().expect("estimate is never poisoned");
+        estimate.observe(elapsed);
+    }
+
+    /// Time after which a stream's first event counts as late.
+    pub fn first_event_limit(&self, floor: Duration, ceiling: Duration) -> Duration {
+        let estimate = self.first_event.lock().expect("estimate is never poisoned");
+        estimate.limit(floor, ceiling).unwrap_or(ceiling)
+    }
+
+    /// Notes whether the target took a connection.
+    pub fn note_reached(&self, reached: bool) {
+        if reached {
+            self.unreachable.store(0, Ordering::Relaxed);
+        } else {
+            self.unreachable.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Connections in a row that the target did not take.
+    pub fn unreachable(&self) -> u32 {
+        self.unreachable.load(Ordering::Relaxed)
+    }
+
+    /// True when requests of this daemon have failed there several times in a row.
+    pub fn is_failing(&self) -> bool {
+        self.failures() >= FAILING_AFTER
+    }
+
+    /// True when requests of at least two daemons fail there: one alone may have lost its own links.
+    pub fn is_failing_for_all(&self) -> bool {
+        u32::from(self.is_failing()) + self.peers_failing.load(Ordering::Relaxed) >= 2
+    }
+
+    /// Ends the time for which the target is passed over.
+    pub fn clear_pause(&self) {
+        self.paused_until.store(0, Ordering::Relaxed);
+        self.failures.store(0, Ordering::Relaxed);
+    }
+
+    /// True when its report may be asked for now: once in a while is enough for all requests.
+    pub fn may_inquire(&self, now: MonoTime) -> bool {
+        let last = self.inquired.load(Ordering::Relaxed);
+        let due = last == 0 || now.since(MonoTime(last)) >= INQUIRY_PERIOD;
+        due && self
+            .inquired
+            .compare_exchange(last, now.0, Ordering::Relaxed, Ordering::Relaxed)
+            .is_ok()
+    }
+
+    /// Failures in a row.
+    pub fn failures(&self) -> u32 {
+        self.failures.load(Ordering::Relaxed)
+    }
+
     /// Counts a request until the guard is dropped.
     pub fn enter(self: &Arc<Self>, tokens: u32) -> GaugeGuard {
         self.in_progress.fetch_add(1, Ordering::Relaxed);
--- a/src/wire/server.rs
+++ b/src/wire/server.rs
@@ -43,7 +43,7 @@
     /// Not in the declared framing.
     Malformed(BodyError),
     /// The connection ended first.
-    Broken(StreamError),
+    Broken,
 }
 
 impl WireServer {
@@ -56,14 +56,6 @@
         Ok(Self { listener })
     }
 
-    /// The address listened on.
-    ///
-    /// # Errors
-    /// When the socket has none.
-    pub fn address(&self) -> io::Result<SocketAddr> {
-        self.listener.get_ref().local_addr()
-    }
-
     /// The next connection.
     pub async fn accept(&self) -> WireStream {
         loop {
@@ -134,8 +126,8 @@
             Ok(BodyStep::Done) => return RequestBody::Whole(body),
             Ok(BodyStep::More) if body.len() > limit => return RequestBody::TooLong,
             Ok(BodyStep::More) => {
-                if let Err(cause) = stream.fill().await {
-                    return RequestBody::Broken(cause);
+                if stream.fill().await.is_err() {
+                    return RequestBody::Broken;
                 }
             }
         }
--- /dev/null
+++ b/tests/layer_placement.rs
@@ -0,0 +1,227 @@
+//! Placement of a model's layers on servers of mixed accelerators.
+
+use arbutusmount::{
+    CardKind, DomainId, InstanceId, LayerRange, ModelShape, MonoTime, OrderDuty, ServerOffer,
+    plan_layers,
+};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+const LAYERS: u32 = 80;
+
+fn card(name: &str, gigabytes: f64, step_factor: f64) -> CardKind {
+    CardKind {
+        name: Arc::from(name),
+        memory_bytes: gigabytes * 1e9,
+        step_factor,
+        read_factor: 3.0,
+    }
+}
+
+fn model() -> ModelShape {
+    ModelShape {
+        layers: LAYERS,
+        layer_bytes: 1.75e9,
+        token_bytes: 918_000.0,
+        step_ms: 1.02,
+        step_ms_per_request: 0.007,
+        step_ms_per_context: 0.0096,
+        read_tokens_per_s: 105_000.0,
+        usual_prompt: 774.0,
+        usual_answer: 200.0,
+        slots: 192,
+        cards: vec![
+            card("large", 72.0, 2.4),
+            card("middle", 43.2, 5.6),
+            card("small", 21.6, 16.0),
+        ],
+    }
+}
+
+fn offers(domain: &str, counts: &[(&str, usize)]) -> Vec<ServerOffer> {
+    let domain: DomainId = domain.parse().expect("an identifier");
+    let mut offers = Vec::new();
+    for (kind, count) in counts {
+        for number in 0..*count {
+            let id: InstanceId = format!("{domain}-{kind}-{number}")
+                .parse()
+                .expect("an identifier");
+            let card = Arc::from(*kind);
+            offers.push(ServerOffer {
+                id,
+                domain: domain.clone(),
+                card,
+                held: None,
+            });
+        }
+    }
+    offers
+}
+
+type Held = BTreeMap<InstanceId, LayerRange>;
+
+fn place(offers: &[ServerOffer]) -> Held {
+    plan_layers(&model(), offers)
+        .into_iter()
+        .map(|a| (a.id, a.layers))
+        .collect()
+}
+
+fn settle(offers: &[ServerOffer]) -> Vec<ServerOffer> {
+    let held = place(offers);
+    let with = |offer: &ServerOffer| ServerOffer {
+        held: held.get(&offer.id).copied().or(offer.held),
+        ..offer.clone()
+    };
+    offers.iter().map(with).collect()
+}
+
+fn has_chain(offers: &[ServerOffer]) -> bool {
+    let mut reached = vec![false; LAYERS as usize + 1];
+    reached[0] = true;
+    for layer in 0..LAYERS {
+        let starting = offers
+            .iter()
+            .filter_map(|offer| offer.held)
+            .filter(|h| h.from == layer);
+        for held in starting {
+            reached[held.to as usize] |= reached[layer as usize];
+        }
+    }
+    reached[LAYERS as usize]
+}
+
+fn check_memory(offers: &[ServerOffer]) {
+    let model = model();
+    for offer in offers {
+        let card = model.card(&offer.card).expect("a known kind");
+        let held = offer.held.map_or(0, LayerRange::len);
+        let bytes = f64::from(held) * model.layer_bytes;
+        assert!(
+            bytes <= card.memory_bytes,
+            "{} holds {held} layers",
+            offer.id
+        );
+    }
+}
+
+fn bangna() -> Vec<ServerOffer> {
+    offers("bangna", &[("large", 1), ("middle", 3), ("small", 8)])
+}
+
+#[test]
+fn first_placement_makes_a_chain_in_each_domain() {
+    let mut all = bangna();
+    all.extend(offers(
+        "rangsit",
+        &[("large", 2), ("middle", 2), ("small", 5)],
+    ));
+
+    let placed = settle(&all);
+
+    check_memory(&placed);
+    for domain in ["bangna", "rangsit"] {
+        let inside: Vec<ServerOffer> = placed
+            .iter()
+            .filter(|offer| offer.domain.as_str() == domain)
+            .cloned()
+            .collect();
+        assert!(has_chain(&inside), "no chain in {domain}");
+    }
+}
+
+#[test]
+fn settled_placement_stays_as_it_is() {
+    let placed = settle(&bangna());
+
+    let again = place(&placed);
+
+    let moved = placed
+        .iter()
+        .filter(|o| again.get(&o.id).is_some_and(|l| Some(*l) != o.held));
+    assert_eq!(
+        moved
+            .map(|o| (o.id.clone(), o.held, again.get(&o.id).copied()))
+            .collect::<Vec<_>>(),
+        Vec::new()
+    );
+}
+
+/// The loss of one server, whichever it is, leaves a chain or is mended by the next plan.
+#[test]
+fn any_lost_server_is_made_up_for() {
+    let placed = settle(&bangna());
+    for lost in &placed {
+        let left: Vec<ServerOffer> = placed
+            .iter()
+            .filter(|offer| offer.id != lost.id)
+            .cloned()
+            .collect();
+
+        let mended = settle(&left);
+
+        check_memory(&mended);
+        assert!(has_chain(&mended), "no chain without {}", lost.id);
+    }
+}
+
+#[test]
+fn server_that_returns_empty_is_used_again() {
+    let mut placed = settle(&bangna());
+    let first = placed
+        .iter_mut()
+        .find(|offer| offer.held.is_some())
+        .expect("a holder");
+    first.held = None;
+
+    let mended = settle(&placed);
+
+    assert!(has_chain(&mended));
+}
+
+#[test]
+fn leader_waits_until_servers_have_entered_the_list() {
+    let mut duty = OrderDuty::default();
+    let all = bangna();
+    let at = |millis: u64| MonoTime(millis * 1_000);
+
+    assert!(duty.next_orders(&model(), &all[..6], at(0)).is_empty());
+    assert!(duty.next_orders(&model(), &all, at(800)).is_empty());
+    assert!(duty.next_orders(&model(), &all, at(1_600)).is_empty());
+    assert!(!duty.next_orders(&model(), &all, at(2_100)).is_empty());
+}
+
+#[test]
+fn order_without_effect_is_repeated_and_others_are_not() {
+    let mut duty = OrderDuty::default();
+    let all = bangna();
+    let at = |millis: u64| MonoTime(millis * 1_000);
+    duty.next_orders(&model(), &all, at(0));
+    let first = duty.next_orders(&model(), &all, at(2_000));
+    assert!(duty.next_orders(&model(), &all, at(2_200)).is_empty());
+
+    let again = duty.next_orders(&model(), &all, at(8_000));
+
+    assert_eq!(again, first);
+}
+
+proptest! {
+    #[test]
+    fn no_plan_overfills_a_server(
+        large in 0_usize..4,
+        middle in 0_usize..7,
+        small in 0_usize..10,
+        losses in prop::collection::vec(any::<prop::sample::Index>(), 0..5),
+    ) {
+        let counts = [("large", large), ("middle", middle), ("small", small)];
+        let mut placed = settle(&offers("d", &counts));
+        check_memory(&placed);
+        for loss in losses {
+            if placed.is_empty() { break; }
+            placed.remove(loss.index(placed.len()));
+            placed = settle(&placed);
+            check_memory(&placed);
+        }
+    }
+}
