--- a/src/gateway/lead.rs
+++ b/src/gateway/lead.rs
@@ -71,7 +71,7 @@
     let ready = view
         .of_service(&service.name)
         .iter()
-        .filter(|target| target.is_ready() && !state.is_lost(target));
+        .filter(|target| target.is_ready() && !target.gauge.is_lost());
     let offers: Vec<ServerOffer> = ready
         .filter_map(|target| {
             Some(ServerOffer {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -12,7 +12,6 @@
 use crate::placement::OrderDuty;
 use crate::presence::{PresenceKeeper, PresenceRow, presence_key};
 use crate::relay::{GatewaySettings, RelayContext, serve_callers};
-use crate::targets::TargetEntry;
 use crate::telemetry::{EventLine, EventLog, MetricSet};
 use crate::units::MonoTime;
 use crate::wire::WireServer;
@@ -41,9 +40,6 @@
 /// Period of looking whether requests are in progress while draining.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
-/// Connections in a row that a target did not take, from which it counts as lost.
-const LOST_AFTER: u32 = 3;
-
 /// Why the daemon could not start.
 #[derive(Debug)]
 pub enum GatewayError {
@@ -118,14 +114,6 @@
         }
     }
 
-    /// True when a target's entry has lapsed, or requests find nobody at its address: its layers are
-    /// to be held elsewhere before the list says that it is gone.
-    pub(super) fn is_lost(&self, target: &TargetEntry) -> bool {
-        target.gauge.unreachable() >= LOST_AFTER
-            || target.gauge.is_failing_for_all()
-            || self.with_targets(|targets, _| targets.is_held(&target.id))
-    }
-
     /// True while this daemon is ready and not shutting down.
     pub fn is_serving(&self) -> bool {
         self.context.lifecycle.phase() == DaemonPhase::Ready
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -48,12 +48,6 @@
         self.entries.values().map(Arc::clone).collect()
     }
 
-    /// True while the target's entry may have lapsed.
-    pub fn is_held(&self, id: &InstanceId) -> bool {
-        let key = format!("{}{id}", self.prefix);
-        self.lapses.is_held(&key)
-    }
-
     /// The store did not answer.
     pub fn on_failure(&mut self, now: MonoTime) {
         self.lapses.on_failure(now);
--- a/src/loads/board.rs
+++ b/src/loads/board.rs
@@ -17,8 +17,8 @@
     pub tokens: u64,
     /// Requests in progress.
     pub requests: u32,
-    /// Daemons whose requests fail there.
-    pub failing: u32,
+    /// Daemons that do not reach it.
+    pub unreachable: u32,
 }
 
 /// The newest digest of each daemon.
@@ -50,7 +50,7 @@
             let total = totals.entry(row.target).or_default();
             total.tokens += u64::from(row.tokens);
             total.requests += row.requests;
-            total.failing += u32::from(row.failing);
+            total.unreachable += u32::from(row.unreachable);
         }
         totals
     }
--- a/src/loads/digest.rs
+++ b/src/loads/digest.rs
@@ -32,9 +32,9 @@
     /// Requests in progress.
     #[prost(uint32, tag = "3")]
     pub requests: u32,
-    /// True when the sender's requests fail there.
+    /// True when the sender does not reach it.
     #[prost(bool, tag = "4")]
-    pub failing: bool,
+    pub unreachable: bool,
 }
 
 /// Hash of a target's identity in digests; the same in all daemons.
--- a/src/loads/exchange.rs
+++ b/src/loads/exchange.rs
@@ -72,9 +72,10 @@
         target: target_hash(&target.id),
         tokens: target.gauge.reserved_tokens() as u32,
         requests: target.gauge.in_progress(),
-        failing: target.gauge.is_failing(),
+        unreachable: target.gauge.is_unreachable(),
     });
-    rows.filter(|row| row.requests > 0 || row.failing).collect()
+    rows.filter(|row| row.requests > 0 || row.unreachable)
+        .collect()
 }
 
 fn apply_totals(context: &RelayContext, board: &LoadBoard) {
@@ -86,7 +87,7 @@
             .unwrap_or_default();
         target
             .gauge
-            .set_peer_load(total.tokens, total.requests, total.failing);
+            .set_peer_load(total.tokens, total.requests, total.unreachable);
     }
 }
 
--- a/src/mirror/lapse.rs
+++ b/src/mirror/lapse.rs
@@ -61,11 +61,6 @@
         LapseStep::HoldUntil(until)
     }
 
-    /// True while a key is held.
-    pub fn is_held(&self, key: &str) -> bool {
-        self.held.contains_key(key)
-    }
-
     /// A key was written.
     pub fn on_written(&mut self, key: &Arc<str>) {
         self.held.remove(key);
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -48,6 +48,8 @@
 /// An attempt that gave no answer.
 #[derive(Debug)]
 pub(super) struct FailedAttempt {
+    /// True when the target did not answer in time, rather than wrongly.
+    pub silent: bool,
     /// What is known of the request.
     pub failure: RelayFailure,
     /// The answer's facts, if there was a head.
@@ -57,8 +59,17 @@
 }
 
 impl FailedAttempt {
+    /// The target did not answer in time.
+    pub(super) fn silent(cause: impl std::fmt::Display) -> Self {
+        Self {
+            silent: true,
+            ..Self::new(RelayFailure::Unknown, cause)
+        }
+    }
+
     pub(super) fn new(failure: RelayFailure, cause: impl std::fmt::Display) -> Self {
         Self {
+            silent: false,
             failure,
             facts: ReplyFacts::default(),
             cause: cause.to_string(),
@@ -90,10 +101,7 @@
     let mut written = false;
     let expire = async {
         Timer::after(limit).await;
-        Err(FailedAttempt::new(
-            RelayFailure::Unknown,
-            "no answer in time",
-        ))
+        Err(FailedAttempt::silent("no answer in time"))
     };
     let (socket, input) = stream.halves();
     let write = async {
@@ -120,6 +128,7 @@
     if facts.not_run || head.status() == 421 {
         let cause = format!("status {}, not run", head.status());
         return Err(FailedAttempt {
+            silent: false,
             failure: RelayFailure::NotRun,
             facts,
             cause,
--- a/src/relay/choice.rs
+++ b/src/relay/choice.rs
@@ -48,6 +48,9 @@
     if candidates.iter().any(|target| !target.gauge.is_paused(now)) {
         candidates.retain(|target| !target.gauge.is_paused(now));
     }
+    if candidates.iter().any(|target| !target.gauge.is_flawed(now)) {
+        candidates.retain(|target| !target.gauge.is_flawed(now));
+    }
     let load = |target: &TargetEntry, rng: &mut fastrand::Rng| {
         let own = f64::from(target.gauge.all_requests()) / f64::from(target.slots.max(1));
         let foreign = if &target.domain == domain {
@@ -67,6 +70,7 @@
 
 /// The chain on which the request costs least, among those with room for it. A chain costs more the
 /// slower it is and the fuller it becomes, so that slow chains take what fast ones have no room for.
+/// One that answers wrongly is used when no other has room.
 pub fn pick_chain<'a>(
     chains: &'a [Arc<LayerChain>],
     model: &ModelShape,
@@ -75,10 +79,23 @@
     now: MonoTime,
     rng: &mut fastrand::Rng,
 ) -> Option<&'a Arc<LayerChain>> {
-    let usable = chains.iter().filter(|chain| !chain.is_paused(now));
-    let fresh = usable.filter(|chain| !tried.contains(&chain.head().id));
+    let usable =
+        |chain: &&Arc<LayerChain>| !chain.is_paused(now) && !tried.contains(&chain.head().id);
+    let (flawed, sound): (Vec<_>, Vec<_>) = chains
+        .iter()
+        .filter(usable)
+        .partition(|chain| chain.is_flawed(now));
+    least_cost(&sound, model, need, rng).or_else(|| least_cost(&flawed, model, need, rng))
+}
+
+fn least_cost<'a>(
+    chains: &[&'a Arc<LayerChain>],
+    model: &ModelShape,
+    need: ChainNeed<'_>,
+    rng: &mut fastrand::Rng,
+) -> Option<&'a Arc<LayerChain>> {
     let mut best: Option<(f64, &Arc<LayerChain>)> = None;
-    for chain in fresh {
+    for chain in chains {
         let load = chain.reserved_share(model) + need.tokens / chain.token_room.max(1.0);
         if load > ROOM_SHARE {
             continue;
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -94,7 +94,9 @@
     match failed.failure {
         RelayFailure::NotRun if failed.cause.contains("421") => target.gauge.mark_replaced(),
         RelayFailure::NotRun => {}
-        _ => target.gauge.record_failure(now),
+        RelayFailure::NotSent => target.gauge.record_failure(now),
+        _ if failed.silent => target.gauge.record_failure(now),
+        _ => target.gauge.record_flaw(now),
     }
     context.pool.forget(&target.id);
     let line = request.line("attempt_failed").show("target", &target.id);
@@ -184,10 +186,7 @@
     };
     let expire = async {
         Timer::after(limit).await;
-        Err(FailedAttempt::new(
-            RelayFailure::Unknown,
-            "answer not complete in time",
-        ))
+        Err(FailedAttempt::silent("answer not complete in time"))
     };
     let framed = or(read, expire).await?;
     let head = reply.head.clone();
--- a/src/relay/streaming.rs
+++ b/src/relay/streaming.rs
@@ -186,9 +186,11 @@
         RelayFailure::NotRun if failed.cause.contains("421") && blamed.is_none() => {
             target.gauge.mark_replaced();
         }
-        _ => target.gauge.record_failure(now),
+        RelayFailure::NotSent => target.gauge.record_failure(now),
+        _ if failed.silent || blamed.is_some() => target.gauge.record_failure(now),
+        _ => target.gauge.record_flaw(now),
     }
-    if blamed.is_none() && failed.failure == RelayFailure::Unknown {
+    if failed.silent {
         inquire(context, chain);
     }
     context.pool.forget(&chain.head().id);
@@ -231,6 +233,7 @@
         });
         for part in stalled {
             part.target.gauge.record_failure(now);
+            part.target.gauge.note_reached(false);
             head.gauge.clear_pause();
             let line = EventLine::new("part_stalled").show("target", &part.target.id);
             context.events.emit(line.show("head", &head.id));
@@ -286,6 +289,7 @@
         Ok(reply) if reply.head.status() >= 500 && repeatable && !delivered.head_sent => {
             let cause = format!("status {}", reply.head.status());
             StreamEnd::Failed(FailedAttempt {
+                silent: false,
                 failure: RelayFailure::Failed,
                 facts: reply.facts,
                 cause,
@@ -362,6 +366,9 @@
                 reply.written = false;
                 return finish_stream(request, chain, reply, &splitter, delivered, output).await;
             }
+            Err(StreamError::Broken(std::io::ErrorKind::TimedOut)) => {
+                return StreamEnd::Failed(FailedAttempt::silent("no event in time"));
+            }
             Err(cause) => return broken(&cause),
         }
     }
--- a/src/targets/chain.rs
+++ b/src/targets/chain.rs
@@ -44,6 +44,13 @@
             .any(|part| part.target.gauge.is_paused(now))
     }
 
+    /// True when a part is passed over where there is another chain.
+    pub fn is_flawed(&self, now: MonoTime) -> bool {
+        self.parts
+            .iter()
+            .any(|part| part.target.gauge.is_flawed(now))
+    }
+
     /// Share of its tightest part's room that requests of all daemons have reserved.
     pub fn reserved_share(&self, model: &ModelShape) -> f64 {
         let shares = self.parts.iter().map(|part| part_share(part, model));
--- a/src/targets/gauge.rs
+++ b/src/targets/gauge.rs
@@ -8,8 +8,12 @@
 
 /// Time for which a target is passed over after its first failure; doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(400);
-/// Failures in a row from which a target counts as failing.
-const FAILING_AFTER: u32 = 2;
+/// Time for which a target that answers wrongly is passed over while there is another.
+const FLAW_PAUSE: Duration = Duration::from_millis(300);
+/// Times in a row that a target was not reached, from which this daemon tells others.
+const UNREACHABLE_AFTER: u32 = 2;
+/// The same, from which the target counts as lost whatever others see.
+const LOST_AFTER: u32 = 5;
 /// Least time between two questions for a target's report.
 const INQUIRY_PERIOD: Duration = Duration::from_millis(250);
 /// Longest such time.
@@ -24,10 +28,11 @@
     peer_requests: AtomicU32,
     failures: AtomicU32,
     paused_until: AtomicU64,
+    flawed_until: AtomicU64,
     wrong_identity: AtomicU32,
     first_event: Mutex<GapEstimate>,
     unreachable: AtomicU32,
-    peers_failing: AtomicU32,
+    peers_unreachable: AtomicU32,
     inquired: AtomicU64,
 }
 
@@ -42,9 +47,9 @@
         self.reserved_tokens.load(Ordering::Relaxed) as f64
     }
 
-    /// Takes in what other daemons' requests hold, and how many daemons' requests fail there.
-    pub fn set_peer_load(&self, tokens: u64, requests: u32, failing: u32) {
-        self.peers_failing.store(failing, Ordering::Relaxed);
+    /// Takes in what other daemons' requests hold, and how many daemons do not reach it.
+    pub fn set_peer_load(&self, tokens: u64, requests: u32, unreachable: u32) {
+        self.peers_unreachable.store(unreachable, Ordering::Relaxed);
         self.peer_tokens.store(tokens, Ordering::Relaxed);
         self.peer_requests.store(requests, Ordering::Relaxed);
     }
@@ -72,28 +77,28 @@
         estimate.limit(floor, ceiling).unwrap_or(ceiling)
     }
 
-    /// Notes whether the target took a connection.
+    /// Notes whether the target took a connection, or another target waits for it in vain.
     pub fn note_reached(&self, reached: bool) {
         if reached {
-            self.unreachable.store(0, Ordering::Relaxed);
+            if self.unreachable.load(Ordering::Relaxed) != 0 {
+                self.unreachable.store(0, Ordering::Relaxed);
+            }
         } else {
             self.unreachable.fetch_add(1, Ordering::Relaxed);
         }
     }
 
-    /// Connections in a row that the target did not take.
-    pub fn unreachable(&self) -> u32 {
-        self.unreachable.load(Ordering::Relaxed)
+    /// True when this daemon has not reached the target several times in a row.
+    pub fn is_unreachable(&self) -> bool {
+        self.unreachable.load(Ordering::Relaxed) >= UNREACHABLE_AFTER
     }
 
-    /// True when requests of this daemon have failed there several times in a row.
-    pub fn is_failing(&self) -> bool {
-        self.failures() >= FAILING_AFTER
-    }
-
-    /// True when requests of at least two daemons fail there: one alone may have lost its own links.
-    pub fn is_failing_for_all(&self) -> bool {
-        u32::from(self.is_failing()) + self.peers_failing.load(Ordering::Relaxed) >= 2
+    /// True when at least two daemons do not reach the target, or this one has not for long: one alone
+    /// may have lost its own links for a moment.
+    pub fn is_lost(&self) -> bool {
+        let daemons =
+            u32::from(self.is_unreachable()) + self.peers_unreachable.load(Ordering::Relaxed);
+        daemons >= 2 || self.unreachable.load(Ordering::Relaxed) >= LOST_AFTER
     }
 
     /// Ends the time for which the target is passed over.
@@ -112,11 +117,6 @@
             .is_ok()
     }
 
-    /// Failures in a row.
-    pub fn failures(&self) -> u32 {
-        self.failures.load(Ordering::Relaxed)
-    }
-
     /// Counts a request until the guard is dropped.
     pub fn enter(self: &Arc<Self>, tokens: u32) -> GaugeGuard {
         self.in_progress.fetch_add(1, Ordering::Relaxed);
@@ -133,7 +133,7 @@
         now.0 < self.paused_until.load(Ordering::Relaxed) || self.is_replaced()
     }
 
-    /// Passes the target over for a while, longer after each failure in a row.
+    /// Passes the target over for a while, as it does not answer; longer after each failure in a row.
     pub fn record_failure(&self, now: MonoTime) {
         if now.0 < self.paused_until.load(Ordering::Relaxed) {
             return;
@@ -144,8 +144,20 @@
             .store(now.after(pause).0, Ordering::Relaxed);
     }
 
+    /// Passes the target over for a while where there is another: it answers, but wrongly.
+    pub fn record_flaw(&self, now: MonoTime) {
+        self.flawed_until
+            .store(now.after(FLAW_PAUSE).0, Ordering::Relaxed);
+    }
+
+    /// True while the target is passed over where there is another.
+    pub fn is_flawed(&self, now: MonoTime) -> bool {
+        now.0 < self.flawed_until.load(Ordering::Relaxed)
+    }
+
     /// Ends a series of failures.
     pub fn record_success(&self) {
+        self.note_reached(true);
         if self.failures.load(Ordering::Relaxed) != 0 {
             self.failures.store(0, Ordering::Relaxed);
         }
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -186,7 +186,7 @@
     })
 }
 
-fn pick<'a>(chains: &'a [Arc<LayerChain>], tokens: f64) -> Option<&'a str> {
+fn pick(chains: &[Arc<LayerChain>], tokens: f64) -> Option<&str> {
     let own = domain("here");
     let need = ChainNeed {
         domain: &own,
