--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -14,6 +14,7 @@
 mod proxy;
 mod report;
 mod service;
+mod site;
 mod web;
 
 pub use args::run_program;
@@ -41,4 +42,8 @@
 pub use proxy::{DirectionFault, FaultProxy, ProxyFaults};
 pub use report::{RunGroup, group_runs, read_summaries, render_recovery, render_runs, write_plots};
 pub use service::{RunRecord, ServiceKnobs, ServiceStandIn, read_ledger};
+pub use site::{
+    ModelKnobs, ModelServer, PLAIN_BODY, PlainFault, PlainServer, SiteAnswer, SiteCall, SiteDaemon,
+    SiteFleet, SiteSpec, SiteStore, StoreFault, call_site, plain_entry, read_answer, sample_config,
+};
 pub use web::{admin_get, admin_send, admin_text, json_response};
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -88,7 +88,10 @@
     assert_eq!(BodyFrame::of_reply(&head, "HEAD"), BodyFrame::Empty);
 }
 
-fn decode(frame: BodyFrame, text: &[u8]) -> Result<(BodyStep, Vec<u8>, Vec<u8>, bool), BodyError> {
+/// The step, the body, what is left of the input, and whether a close would complete the body.
+type Decoded = (BodyStep, Vec<u8>, Vec<u8>, bool);
+
+fn decode(frame: BodyFrame, text: &[u8]) -> Result<Decoded, BodyError> {
     let mut decoder = BodyDecoder::new(frame);
     let mut input = BytesMut::from(text);
     let mut output = Vec::new();
@@ -140,7 +143,10 @@
     );
 }
 
-fn split(pieces: &[&[u8]]) -> (Vec<(Vec<u8>, Option<u64>)>, Vec<u8>) {
+/// Events with their ids, and what is left.
+type SplitEvents = (Vec<(Vec<u8>, Option<u64>)>, Vec<u8>);
+
+fn split(pieces: &[&[u8]]) -> SplitEvents {
     let mut splitter = EventSplitter::default();
     let mut events = Vec::new();
     for piece in pieces {
