Wait for a stalled chain while no other has room; split the passing of events

Ruled out: the change of configuration beside it (routes and service stayed). Change: relay/pace.rs decides without I/O; streams that go on may use more of a chain and wait longer for room. Tests in tests/relay_decisions.rs.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -119,8 +119,8 @@
 pub use relay::{
     BudgetLimits, ChainNeed, CourseStep, DispatchFacts, GatewayBounds, GatewayListen,
     GatewaySettings, GatewayStore, OwnAnswer, RefusalCause, RelayContext, RelayFailure,
-    RelayMetrics, RelayWords, ReplyFacts, RequestCourse, RequestFacts, RetryBudget, pick_chain,
-    pick_target,
+    RelayMetrics, RelayWords, ReplyFacts, RequestCourse, RequestFacts, RetryBudget, SilenceStep,
+    StreamPace, pick_chain, pick_target,
 };
 pub use routing::{
     AnswerEvent, AnswerStream, AttemptEvent, AttemptFailure, AttemptMachine, AttemptNotice,
--- a/src/relay/choice.rs
+++ b/src/relay/choice.rs
@@ -16,6 +16,8 @@
 /// Share of a chain's room that may be reserved; the rest absorbs wrong estimates, since a chain out of
 /// memory preempts requests in mid-answer.
 const ROOM_SHARE: f64 = 0.85;
+/// The same for streams that go on.
+const RESUME_SHARE: f64 = 0.97;
 /// Factor on the cost of a chain in another failure domain.
 const FOREIGN_COST: f64 = 1.6;
 /// Share of its room at which the cost of a chain becomes infinite.
@@ -30,6 +32,8 @@
     pub domain: &'a DomainId,
     /// Tokens of context.
     pub tokens: f64,
+    /// True for a stream that goes on: its room was counted before, at the chain that failed.
+    pub resumes: bool,
 }
 
 /// A ready target that was not tried, by load and domain. Paused targets are used when there is no
@@ -97,7 +101,12 @@
     let mut best: Option<(f64, &Arc<LayerChain>)> = None;
     for chain in chains {
         let load = chain.reserved_share(model) + need.tokens / chain.token_room.max(1.0);
-        if load > ROOM_SHARE {
+        let most = if need.resumes {
+            RESUME_SHARE
+        } else {
+            ROOM_SHARE
+        };
+        if load > most {
             continue;
         }
         let distance = if &chain.domain == need.domain {
--- a/src/relay/streaming.rs
+++ b/src/relay/streaming.rs
@@ -1,27 +1,20 @@
 //! Requests to models: a stream of events that goes on at another chain when its own fails.
-//!
-//! Only whole events are passed on, each exactly once and in order, so that a stream may be resumed
-//! after the last one that was.
 
 use crate::catalog::ModelShape;
 use crate::relay::answer::RefusalCause;
-use crate::relay::attempt::{
-    FailedAttempt, OpenReply, OutgoingRequest, keep_connection, open_reply,
-};
+use crate::relay::attempt::{FailedAttempt, OutgoingRequest, open_reply};
 use crate::relay::choice::{ChainNeed, pick_chain};
 use crate::relay::context::RelayContext;
 use crate::relay::course::{CourseStep, RelayFailure, RequestCourse};
-use crate::relay::exchange::{ActiveRequest, ExchangeEnd, forward_head};
+use crate::relay::exchange::{ActiveRequest, ExchangeEnd};
+use crate::relay::pace::StreamPace;
+use crate::relay::passing::{Delivered, StreamEnd, StreamPass};
 use crate::relay::plain::body_length;
 use crate::relay::ports::DispatchFacts;
-use crate::routing::GapEstimate;
 use crate::targets::{GaugeGuard, LayerChain};
 use crate::telemetry::EventLine;
-use crate::units::MonoTime;
-use crate::wire::{BodyStep, EventSplitter, LAST_CHUNK, StreamError, WholeEvent, encode_chunk};
 use async_io::Timer;
 use async_std::task;
-use futures_lite::future::or;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -29,33 +22,13 @@
 const FIRST_EVENT_FLOOR: Duration = Duration::from_millis(250);
 /// Most time allowed until a stream's first event, while other chains may be tried.
 const FIRST_EVENT_CEILING: Duration = Duration::from_secs(1);
-/// Shortest pause within a stream after which its chain counts as stalled: above the pauses that the
-/// reading of other prompts causes, and early enough to go on elsewhere before the caller notices.
-const STALL_FLOOR: Duration = Duration::from_millis(120);
-/// Longest such pause.
-const STALL_CEILING: Duration = Duration::from_millis(400);
 /// Time for which a request waits for room on a chain.
 const ROOM_WAIT: Duration = Duration::from_millis(250);
+/// The same for a stream that has begun: its caller loses more than one that is asked to come back.
+const RESUME_ROOM_WAIT: Duration = Duration::from_millis(1_400);
 /// Period of looking for room.
 const ROOM_POLL: Duration = Duration::from_millis(25);
 
-/// What the caller has been sent.
-#[derive(Debug, Default)]
-struct Delivered {
-    head_sent: bool,
-    last_id: Option<u64>,
-}
-
-/// How an attempt ended.
-enum StreamEnd {
-    /// The stream is complete.
-    Complete(u16),
-    /// The caller has gone.
-    CallerGone,
-    /// The chain failed.
-    Failed(FailedAttempt),
-}
-
 pub(super) async fn relay_stream(request: &ActiveRequest<'_>) -> ExchangeEnd {
     let context = request.context;
     let route = &request.route;
@@ -146,6 +119,7 @@
         let need = ChainNeed {
             domain: own,
             tokens,
+            resumes: delivered.head_sent,
         };
         let view = context.targets.load();
         let chains = view.chains(&request.service.name);
@@ -153,7 +127,12 @@
             return Some(Arc::clone(chain));
         }
         let waited = now.since(started);
-        if waited >= ROOM_WAIT || course.time_left(now) <= ROOM_POLL {
+        let longest = if delivered.head_sent {
+            RESUME_ROOM_WAIT
+        } else {
+            ROOM_WAIT
+        };
+        if waited >= longest || course.time_left(now) <= ROOM_POLL {
             return None;
         }
         Timer::after(ROOM_POLL).await;
@@ -299,153 +278,19 @@
             let cause = format!("status {} when resuming", reply.head.status());
             StreamEnd::Failed(FailedAttempt::new(RelayFailure::Unknown, cause))
         }
-        Ok(reply) => pass_events(request, chain, reply, delivered, limit, now).await,
-    }
-}
-
-async fn pass_events(
-    request: &ActiveRequest<'_>,
-    chain: &LayerChain,
-    mut reply: OpenReply,
-    delivered: &mut Delivered,
-    first_limit: Duration,
-    started: MonoTime,
-) -> StreamEnd {
-    let mut splitter = EventSplitter::default();
-    let mut output = Vec::new();
-    let mut limit = first_limit;
-    let mut gaps = GapEstimate::default();
-    let mut last_event = request.context.clock.now();
-    let repeatable = request.route.repeat.may_repeat();
-    loop {
-        let step = match reply
-            .decoder
-            .advance(&mut reply.stream.input, splitter.input())
-        {
-            Ok(step) => step,
-            Err(cause) => return broken(&cause),
-        };
-        while let Some(event) = splitter.next_event() {
-            match accept_event(&event, delivered) {
-                EventVerdict::Forward => {
-                    push_event(request, &reply, delivered, &event, &mut output);
-                }
-                EventVerdict::Skip => {}
-                EventVerdict::Gap => return broken(&"an event is missing"),
-            }
-            let now = request.context.clock.now();
-            if delivered.head_sent && limit != first_limit {
-                gaps.observe(now.since(last_event));
-            } else {
-                chain.head().gauge.observe_first_event(now.since(started));
-            }
-            last_event = now;
-            limit = gaps
-                .limit(STALL_FLOOR, STALL_CEILING)
-                .unwrap_or(STALL_CEILING);
-        }
-        if step == BodyStep::Done {
-            return finish_stream(request, chain, reply, &splitter, delivered, output).await;
-        }
-        if !output.is_empty() {
-            if !request.send(&output).await {
-                return StreamEnd::CallerGone;
-            }
-            output.clear();
-        }
-        let now = request.context.clock.now();
-        let left = request.ends.since(now);
-        let pause = if repeatable { limit.min(left) } else { left };
-        let expire = async {
-            Timer::after(pause).await;
-            Err(StreamError::Broken(std::io::ErrorKind::TimedOut))
-        };
-        match or(reply.stream.fill(), expire).await {
-            Ok(_) => {}
-            Err(StreamError::Closed) if reply.decoder.complete_at_close() => {
-                reply.written = false;
-                return finish_stream(request, chain, reply, &splitter, delivered, output).await;
-            }
-            Err(StreamError::Broken(std::io::ErrorKind::TimedOut)) => {
-                return StreamEnd::Failed(FailedAttempt::silent("no event in time"));
-            }
-            Err(cause) => return broken(&cause),
+        Ok(reply) => {
+            let pace = StreamPace::new(now, limit);
+            let pass = StreamPass {
+                request,
+                chain,
+                course,
+                pace,
+            };
+            pass.run(reply, delivered).await
         }
     }
 }
 
-fn broken(cause: &impl std::fmt::Display) -> StreamEnd {
-    StreamEnd::Failed(FailedAttempt::new(RelayFailure::Unknown, cause))
-}
-
-/// What to do with an event.
-enum EventVerdict {
-    Forward,
-    Skip,
-    Gap,
-}
-
-fn accept_event(event: &WholeEvent, delivered: &Delivered) -> EventVerdict {
-    match (event.id, delivered.last_id) {
-        (Some(id), Some(last)) if id <= last => EventVerdict::Skip,
-        (Some(id), Some(last)) if id > last + 1 => EventVerdict::Gap,
-        _ => EventVerdict::Forward,
-    }
-}
-
-fn push_event(
-    request: &ActiveRequest<'_>,
-    reply: &OpenReply,
-    delivered: &mut Delivered,
-    event: &WholeEvent,
-    output: &mut Vec<u8>,
-) {
-    push_head(request, reply, delivered, output);
-    encode_chunk(&event.bytes, output);
-    delivered.last_id = event.id.or(delivered.last_id);
-}
-
-fn push_head(
-    request: &ActiveRequest<'_>,
-    reply: &OpenReply,
-    delivered: &mut Delivered,
-    output: &mut Vec<u8>,
-) {
-    if delivered.head_sent {
-        return;
-    }
-    let head = forward_head(&reply.head, request.close).field("Transfer-Encoding", "chunked");
-    output.extend_from_slice(&head.finish());
-    delivered.head_sent = true;
-    let context = request.context;
-    let waited = context.clock.now().since(request.arrived);
-    context
-        .metrics
-        .latency
-        .with_label_values(&["first_event"])
-        .observe(waited.as_secs_f64());
-}
-
-async fn finish_stream(
-    request: &ActiveRequest<'_>,
-    chain: &LayerChain,
-    reply: OpenReply,
-    splitter: &EventSplitter,
-    delivered: &mut Delivered,
-    mut output: Vec<u8>,
-) -> StreamEnd {
-    push_head(request, &reply, delivered, &mut output);
-    encode_chunk(splitter.remainder(), &mut output);
-    output.extend_from_slice(LAST_CHUNK);
-    let status = reply.head.status();
-    keep_connection(request.context, &chain.head().id, reply);
-    if request.send(&output).await {
-        StreamEnd::Complete(status)
-    } else {
-        StreamEnd::CallerGone
-    }
-}
-
 async fn end_stream(
     request: &ActiveRequest<'_>,
     course: &RequestCourse,
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -3,7 +3,8 @@
 use arbutusmount::{
     BudgetLimits, CardKind, ChainNeed, ChainPart, CourseStep, DomainId, InstanceId, LayerChain,
     LayerRange, ModelShape, MonoTime, RefusalCause, RelayFailure, RepeatRule, RequestCourse,
-    RetryBudget, ServiceId, TargetEntry, TargetPhase, pick_chain, pick_target,
+    RetryBudget, ServiceId, SilenceStep, StreamPace, TargetEntry, TargetPhase, pick_chain,
+    pick_target,
 };
 use std::sync::Arc;
 use std::time::Duration;
@@ -191,6 +192,7 @@
     let need = ChainNeed {
         domain: &own,
         tokens,
+        resumes: false,
     };
     let mut rng = fastrand::Rng::with_seed(7);
     let chosen = pick_chain(chains, &model(), need, &[], at(1_000), &mut rng);
@@ -236,6 +238,7 @@
     let need = ChainNeed {
         domain: &own,
         tokens: 10.0,
+        resumes: false,
     };
     let mut rng = fastrand::Rng::with_seed(7);
     let later = pick_chain(&chains, &model(), need, &[], at(1_400), &mut rng);
@@ -268,3 +271,64 @@
 
     assert!(pick_target(&targets, &[], &own, at(0), &mut rng).is_none());
 }
+
+#[test]
+fn stream_that_goes_on_may_use_more_of_a_chain() {
+    let chains = [chain("near", "here", 2.0)];
+    let own = domain("here");
+    let mut rng = fastrand::Rng::with_seed(7);
+    let mut chosen = |resumes: bool| {
+        let need = ChainNeed {
+            domain: &own,
+            tokens: 950.0,
+            resumes,
+        };
+        pick_chain(&chains, &model(), need, &[], at(0), &mut rng).is_some()
+    };
+
+    assert!(!chosen(false));
+    assert!(chosen(true));
+}
+
+fn pace_of(gaps: &[u64]) -> (StreamPace, u64) {
+    let mut pace = StreamPace::new(at(0), Duration::from_millis(300));
+    let mut now = 100;
+    pace.on_event(at(now));
+    for gap in gaps {
+        now += gap;
+        pace.on_event(at(now));
+    }
+    (pace, now)
+}
+
+#[test]
+fn stalled_chain_is_left_by_its_own_pace() {
+    let (pace, now) = pace_of(&[20, 20, 20, 20, 20, 20]);
+
+    let soon = pace.next_step(at(now + 60), || true);
+    let late = pace.next_step(at(now + 130), || true);
+
+    assert!(matches!(soon, SilenceStep::Wait(_)));
+    assert_eq!(late, SilenceStep::GiveUp);
+}
+
+/// A stream was broken off although its chain was still at work, as no other had room (LOST on
+/// shieldwear-bkk trouble-1 --seed 507821480114).
+#[test]
+fn stalled_chain_is_waited_for_while_no_other_has_room() {
+    let (pace, now) = pace_of(&[20, 20, 20]);
+
+    let early = pace.next_step(at(now + 700), || false);
+    let last = pace.next_step(at(now + 1_800), || false);
+
+    assert!(matches!(early, SilenceStep::Wait(_)));
+    assert_eq!(last, SilenceStep::GiveUp);
+}
+
+#[test]
+fn time_to_the_first_event_is_told_once() {
+    let mut pace = StreamPace::new(at(0), Duration::from_millis(300));
+
+    assert_eq!(pace.on_event(at(70)), Some(Duration::from_millis(70)));
+    assert_eq!(pace.on_event(at(90)), None);
+}
