Let free servers take over from slower ones; fill chains to 0.93 of their room

Ruled out: late orders (none was owed), the leader (one was there throughout). Change: a free server takes the run of parts that makes the fastest chain faster by the most. Test: layer_placement, fast_server_that_returns.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -128,10 +128,35 @@
     beliefs
         .with_label_values(&["chains"])
         .set(gauge_value(view.chain_count()));
+    report_chains(state, &view);
     context.targets.publish(view);
     state.mark_ready();
 }
 
+/// Logs the chains of each failure domain when they have changed: how many there are, the time of a
+/// token through the fastest, and the most tokens that one has room for.
+fn report_chains(state: &GatewayState, view: &TargetView) {
+    let mut domains: BTreeMap<String, (usize, f64, f64)> = BTreeMap::new();
+    for chain in view.all_chains() {
+        let row = domains
+            .entry(chain.domain.to_string())
+            .or_insert((0, f64::INFINITY, 0.0));
+        row.0 += 1;
+        row.1 = row.1.min(chain.token_ms);
+        row.2 = row.2.max(chain.token_room);
+    }
+    let describe = |(domain, (count, token_ms, room)): (&String, &(usize, f64, f64))| {
+        format!("{domain}: {count} chains, {token_ms:.1} ms, {room:.0} tokens")
+    };
+    let text = domains.iter().map(describe).collect::<Vec<_>>().join("; ");
+    if state.is_new_belief("chains", &text) {
+        state
+            .context
+            .events
+            .emit(EventLine::new("chains").with("domains", text));
+    }
+}
+
 fn gauge_value(count: usize) -> i64 {
     i64::try_from(count).unwrap_or(i64::MAX)
 }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -72,6 +72,7 @@
     orders: Mutex<HashMap<ServiceId, OrderDuty>>,
     vacant: Mutex<Option<MonoTime>>,
     listed: AtomicBool,
+    beliefs: Mutex<HashMap<&'static str, String>>,
 }
 
 impl GatewayState {
@@ -101,6 +102,12 @@
         *self.vacant.lock().expect("vacancy is never poisoned")
     }
 
+    /// True when a belief differs from what it was when last asked.
+    pub(super) fn is_new_belief(&self, name: &'static str, text: &str) -> bool {
+        let mut beliefs = self.beliefs.lock().expect("beliefs are never poisoned");
+        beliefs.insert(name, text.to_owned()).as_deref() != Some(text)
+    }
+
     pub(super) fn mark_listed(&self) {
         self.listed.store(true, Ordering::Release);
         self.mark_ready();
@@ -163,6 +170,7 @@
         orders: Mutex::default(),
         vacant: Mutex::default(),
         listed: AtomicBool::new(false),
+        beliefs: Mutex::default(),
         context,
         ports,
     });
--- a/src/placement/plan.rs
+++ b/src/placement/plan.rs
@@ -9,7 +9,7 @@
 use crate::catalog::{CardKind, ModelShape};
 use crate::ids::{DomainId, InstanceId};
 use crate::placement::composition::{chain_rate, split_layers};
-use crate::placement::standing::{find_holes, mark_useful};
+use crate::placement::standing::{ChainEdge, fastest_chain, find_holes, mark_useful};
 use crate::units::LayerRange;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -18,6 +18,11 @@
 const WORTHWHILE_RATE: f64 = 0.35;
 /// Room of a copy or filling, as a share of the room that the chain's parts have, at the least.
 const LEAST_ROOM: f64 = 0.4;
+/// Usual requests for which a server that takes parts over must have room.
+const TAKE_OVER_REQUESTS: f64 = 25.0;
+/// Time of a token through the fastest chain after a take-over, as a share of the time before it, from
+/// which it is worth the load.
+const TAKE_OVER_GAIN: f64 = 0.95;
 /// Most servers that together copy one part.
 const MAX_COPIERS: usize = 4;
 
@@ -71,6 +76,7 @@
     }
     let standing_rate = standing_rate(model, members, &plan);
     form_chains(model, &mut free, &mut plan, standing_rate);
+    take_over(model, members, &mut free, &mut plan);
     copy_parts(model, members, &mut free, &mut plan);
     plan
 }
@@ -258,6 +264,76 @@
     plan
 }
 
+/// Lets free servers hold runs of parts that slower servers hold, so that the fastest chain gets faster:
+/// a fast server that returns takes its place again without any other server changing its layers.
+fn take_over(
+    model: &ModelShape,
+    members: &[&ServerOffer],
+    free: &mut Vec<&ServerOffer>,
+    plan: &mut Vec<LayerAssignment>,
+) {
+    let card_of = |id: &InstanceId| {
+        let offer = members.iter().find(|offer| &offer.id == id)?;
+        model.card(&offer.card)
+    };
+    let mut edges: Vec<ChainEdge> = Vec::new();
+    for assigned in plan.iter() {
+        let Some(card) = card_of(&assigned.id) else {
+            continue;
+        };
+        edges.push(ChainEdge {
+            layers: assigned.layers,
+            step_factor: card.step_factor,
+        });
+    }
+    let speed = |offer: &ServerOffer| model.card(&offer.card).map_or(f64::MAX, |c| c.step_factor);
+    free.sort_by(|a, b| speed(a).total_cmp(&speed(b)).then(a.id.cmp(&b.id)));
+    free.retain(|offer| {
+        let Some(card) = model.card(&offer.card) else {
+            return true;
+        };
+        let Some(layers) = best_run(model, card, &edges) else {
+            return true;
+        };
+        edges.push(ChainEdge {
+            layers,
+            step_factor: card.step_factor,
+        });
+        plan.push(LayerAssignment {
+            id: offer.id.clone(),
+            layers,
+        });
+        false
+    });
+}
+
+/// The run of parts with which a card makes the fastest chain faster by the most.
+fn best_run(model: &ModelShape, card: &CardKind, edges: &[ChainEdge]) -> Option<LayerRange> {
+    let before = fastest_chain(edges, model.layers)?;
+    let most = model.layers_with_room(card, model.usual_tokens() * TAKE_OVER_REQUESTS);
+    let cuts: BTreeSet<u32> = edges
+        .iter()
+        .flat_map(|edge| [edge.layers.from, edge.layers.to])
+        .collect();
+    let mut best: Option<(f64, LayerRange)> = None;
+    for from in &cuts {
+        for to in cuts.range(from + 1..=from + most) {
+            let layers = LayerRange::new(*from, *to);
+            let mut with = edges.to_vec();
+            with.push(ChainEdge {
+                layers,
+                step_factor: card.step_factor,
+            });
+            let after = fastest_chain(&with, model.layers)?;
+            let gains = after < before * TAKE_OVER_GAIN;
+            if gains && best.is_none_or(|(least, _)| after < least) {
+                best = Some((after, layers));
+            }
+        }
+    }
+    best.map(|(_, layers)| layers)
+}
+
 /// Lets free servers hold copies of parts that no other server of the domain holds, the largest first.
 fn copy_parts(
     model: &ModelShape,
--- a/src/placement/standing.rs
+++ b/src/placement/standing.rs
@@ -58,3 +58,30 @@
     }
     Some(holes)
 }
+
+/// A part of a chain and how slow its card is.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ChainEdge {
+    pub layers: LayerRange,
+    pub step_factor: f64,
+}
+
+/// Step time through the fastest chain of these parts, in units of a reference card's time for one
+/// layer; `None` when they make no whole chain.
+pub(super) fn fastest_chain(edges: &[ChainEdge], layers: u32) -> Option<f64> {
+    let mut times = vec![f64::INFINITY; layers as usize + 1];
+    times[0] = 0.0;
+    for layer in 0..layers {
+        let start = times[layer as usize];
+        let starting = edges
+            .iter()
+            .filter(|edge| edge.layers.from == layer && edge.layers.to <= layers);
+        for edge in starting {
+            let time = start + f64::from(edge.layers.len()) * edge.step_factor;
+            let end = &mut times[edge.layers.to as usize];
+            *end = end.min(time);
+        }
+    }
+    let whole = times[layers as usize];
+    whole.is_finite().then_some(whole)
+}
--- a/src/relay/choice.rs
+++ b/src/relay/choice.rs
@@ -15,13 +15,13 @@
 const FOREIGN_LOAD: f64 = 0.25;
 /// Share of a chain's room that may be reserved; the rest absorbs wrong estimates, since a chain out of
 /// memory preempts requests in mid-answer.
-const ROOM_SHARE: f64 = 0.85;
+const ROOM_SHARE: f64 = 0.93;
 /// The same for streams that go on.
-const RESUME_SHARE: f64 = 0.97;
+const RESUME_SHARE: f64 = 1.03;
 /// Factor on the cost of a chain in another failure domain.
 const FOREIGN_COST: f64 = 1.6;
 /// Share of its room at which the cost of a chain becomes infinite.
-const FULL_SHARE: f64 = 1.0;
+const FULL_SHARE: f64 = 1.06;
 /// Random part of a chain's cost, so that daemons with equal figures choose differently.
 const COST_DRAW: f64 = 0.1;
 
--- a/src/relay/pace.rs
+++ b/src/relay/pace.rs
@@ -59,7 +59,7 @@
     pub fn next_step(&self, now: MonoTime, has_alternative: impl FnOnce() -> bool) -> SilenceStep {
         let silence = now.since(self.last_event.unwrap_or(self.started));
         if silence < self.limit {
-            return SilenceStep::Wait(self.limit - silence);
+            return SilenceStep::Wait(self.limit.saturating_sub(silence));
         }
         if silence >= LAST_WAIT || has_alternative() {
             return SilenceStep::GiveUp;
--- a/src/targets/view.rs
+++ b/src/targets/view.rs
@@ -67,6 +67,11 @@
         self.chains.values().map(Vec::len).sum()
     }
 
+    /// Chains of all services.
+    pub fn all_chains(&self) -> impl Iterator<Item = &Arc<LayerChain>> {
+        self.chains.values().flatten()
+    }
+
     /// Chains of a service.
     pub fn chains(&self, service: &ServiceId) -> &[Arc<LayerChain>] {
         self.chains.get(service).map_or(&[], Vec::as_slice)
--- a/tests/layer_placement.rs
+++ b/tests/layer_placement.rs
@@ -180,6 +180,37 @@
     assert!(has_chain(&mended));
 }
 
+/// A fast server that came back empty was left idle while its part was held by slow copies, and the
+/// domain stayed slow for the rest of the day (shieldwear-bkk scale-1).
+#[test]
+fn fast_server_that_returns_takes_its_part_over_from_slow_ones() {
+    let counts = [("large", 2), ("middle", 2), ("small", 5)];
+    let placed = settle(&offers("rangsit", &counts));
+    let index = placed
+        .iter()
+        .position(|offer| &*offer.card == "large")
+        .expect("a large one");
+    let mut left = placed.clone();
+    let returned = ServerOffer {
+        held: None,
+        ..left.remove(index)
+    };
+    let mut mended = settle(&left);
+    mended.push(returned.clone());
+
+    let again = settle(&mended);
+
+    let taken = again
+        .iter()
+        .find(|offer| offer.id == returned.id)
+        .and_then(|offer| offer.held);
+    assert!(
+        taken.is_some_and(|layers| layers.len() >= 15),
+        "it holds {taken:?}"
+    );
+    check_memory(&again);
+}
+
 #[test]
 fn leader_waits_until_servers_have_entered_the_list() {
     let mut duty = OrderDuty::default();
