--- a/src/gateway/addresses.rs
+++ b/src/gateway/addresses.rs
@@ -30,7 +30,7 @@
             DaemonPhase::Draining => addresses.retain(|address| *address != own),
             _ => {}
         }
-        let longest = Duration::from_secs_f64(context.settings.bounds.address_keep_s);
+        let longest = Duration::from_secs_f64(context.bounds().address_keep_s);
         (!addresses.is_empty()).then_some(Self {
             addresses,
             keep: ADDRESS_KEEP.min(longest),
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -84,6 +84,7 @@
     follow_prefix(state.ports.store.clone(), follow, |notice| match notice {
         FollowNotice::Failed(cause) => {
             contact.on_failure(&state, cause);
+            state.note_followed(false);
             state.with_targets(super::targets::TargetKeeper::on_failure);
         }
         FollowNotice::Changed(_, changes) => {
@@ -93,6 +94,7 @@
             if !changes.is_empty() {
                 publish_targets(&state);
             }
+            state.note_followed(true);
             if changes.contains(&MirrorChange::Synced) {
                 state.mark_listed();
             }
--- a/src/gateway/lead.rs
+++ b/src/gateway/lead.rs
@@ -82,9 +82,12 @@
             })
         })
         .collect();
+    let Some(followed_since) = state.followed_since() else {
+        return;
+    };
     let needs = state.with_orders(|orders| {
         let duty: &mut OrderDuty = orders.entry(service.name.clone()).or_default();
-        duty.next_orders(model, &offers, now)
+        duty.next_orders(model, &offers, followed_since, now)
     });
     for need in needs {
         task::spawn(send_order(Arc::clone(state), service.name.clone(), need));
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -72,6 +72,7 @@
     orders: Mutex<HashMap<ServiceId, OrderDuty>>,
     vacant: Mutex<Option<MonoTime>>,
     listed: AtomicBool,
+    followed: Mutex<Option<MonoTime>>,
     beliefs: Mutex<HashMap<&'static str, String>>,
 }
 
@@ -108,6 +109,22 @@
         beliefs.insert(name, text.to_owned()).as_deref() != Some(text)
     }
 
+    /// Notes whether the list of targets is being followed.
+    pub(super) fn note_followed(&self, follows: bool) {
+        let now = self.context.clock.now();
+        let mut followed = self.followed.lock().expect("list state is never poisoned");
+        *followed = if follows {
+            followed.or(Some(now))
+        } else {
+            None
+        };
+    }
+
+    /// Since when the list of targets has been followed without a break.
+    pub(super) fn followed_since(&self) -> Option<MonoTime> {
+        *self.followed.lock().expect("list state is never poisoned")
+    }
+
     pub(super) fn mark_listed(&self) {
         self.listed.store(true, Ordering::Release);
         self.mark_ready();
@@ -170,6 +187,7 @@
         orders: Mutex::default(),
         vacant: Mutex::default(),
         listed: AtomicBool::new(false),
+        followed: Mutex::default(),
         beliefs: Mutex::default(),
         context,
         ports,
@@ -246,7 +264,7 @@
             Ok(Err(cause)) => log::warn!("lease not given up: {cause}"),
             Err(_elapsed) => log::warn!("lease not given up in time"),
         }
-        let last = context.settings.bounds.grace().saturating_sub(GRACE_MARGIN);
+        let last = context.bounds().grace().saturating_sub(GRACE_MARGIN);
         loop {
             let elapsed = context.clock.now().since(started);
             let idle = context.lifecycle.in_progress() == 0;
--- a/src/placement/duty.rs
+++ b/src/placement/duty.rs
@@ -13,6 +13,10 @@
 /// Time without a new server after which the first placement is made: servers enter the list over a
 /// couple of seconds.
 const SETTLE_TIME: Duration = Duration::from_millis(1_200);
+/// Time after the list was read for the first time, or the store came back, before which nothing is
+/// ordered: entries of healthy servers may still be on their way, and a plan without them would take
+/// whole chains apart.
+const RETURN_TIME: Duration = Duration::from_millis(2_200);
 /// Time after which an order that has not shown in the list is sent again.
 const REPEAT_TIME: Duration = Duration::from_secs(5);
 /// Time after which a refused order is sent again.
@@ -43,16 +47,19 @@
 }
 
 impl OrderDuty {
-    /// Orders to send now, given what servers hold.
+    /// Orders to send now, given what servers hold. The list has been followed without a break since
+    /// `followed_since`.
     pub fn next_orders(
         &mut self,
         model: &ModelShape,
         offers: &[ServerOffer],
+        followed_since: MonoTime,
         now: MonoTime,
     ) -> Vec<OrderNeed> {
         self.sent
             .retain(|id, _| offers.iter().any(|offer| &offer.id == id));
-        if !self.is_settled(offers, now) {
+        let settled = self.is_settled(offers, now);
+        if !settled || now.since(followed_since) < RETURN_TIME {
             return Vec::new();
         }
         let expected: Vec<ServerOffer> =
--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -34,7 +34,7 @@
 /// Counts requests and repeats of each service.
 #[derive(Debug)]
 pub struct RetryBudget {
-    limits: BudgetLimits,
+    limits: Mutex<BudgetLimits>,
     windows: Mutex<HashMap<ServiceId, VecDeque<CountBucket>>>,
 }
 
@@ -42,11 +42,20 @@
     /// Creates an unspent budget.
     pub fn new(limits: BudgetLimits) -> Self {
         Self {
-            limits,
+            limits: Mutex::new(limits),
             windows: Mutex::default(),
         }
     }
 
+    /// Replaces the limits.
+    pub fn set_limits(&self, limits: BudgetLimits) {
+        *self.lock_limits() = limits;
+    }
+
+    fn lock_limits(&self) -> std::sync::MutexGuard<'_, BudgetLimits> {
+        self.limits.lock().expect("retry limits are never poisoned")
+    }
+
     /// Counts a request.
     pub fn count_request(&self, service: &ServiceId, now: MonoTime) {
         self.with_window(service, now, |window| {
@@ -58,7 +67,7 @@
 
     /// Spends a repeat if the budget allows, with this many daemons sharing it.
     pub fn try_spend(&self, service: &ServiceId, daemons: usize, now: MonoTime) -> bool {
-        let limits = self.limits;
+        let limits = *self.lock_limits();
         self.with_window(service, now, |window| {
             let requests: u32 = window.iter().map(|bucket| bucket.requests).sum();
             let repeats: u32 = window.iter().map(|bucket| bucket.repeats).sum();
@@ -78,11 +87,12 @@
         now: MonoTime,
         act: impl FnOnce(&mut VecDeque<CountBucket>) -> T,
     ) -> T {
+        let span = self.lock_limits().window;
         let mut windows = self.windows.lock().expect("retry budget is never poisoned");
         let window = windows.entry(service.clone()).or_default();
         while window
             .front()
-            .is_some_and(|bucket| now.since(bucket.start) > self.limits.window)
+            .is_some_and(|bucket| now.since(bucket.start) > span)
         {
             window.pop_front();
         }
--- a/src/relay/context.rs
+++ b/src/relay/context.rs
@@ -4,14 +4,15 @@
 use crate::gateway::TargetPort;
 use crate::kernel::{LifecycleCell, MonoClock};
 use crate::presence::PresenceBoard;
-use crate::relay::budget::{BudgetLimits, RetryBudget};
+use crate::relay::budget::RetryBudget;
 use crate::relay::metrics::RelayMetrics;
 use crate::relay::ports::RelayWords;
-use crate::relay::settings::GatewaySettings;
+use crate::relay::settings::{GatewayBounds, GatewaySettings};
 use crate::targets::ViewCell;
 use crate::telemetry::{EventLog, MetricSet};
 use crate::units::MonoTime;
 use crate::wire::TargetPool;
+use arc_swap::ArcSwap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -19,8 +20,9 @@
 /// Shared state of a relaying daemon.
 #[derive(Debug)]
 pub struct RelayContext {
-    /// Settings.
+    /// Settings read at start; the bounds may have been replaced since, see [`Self::bounds`].
     pub settings: GatewaySettings,
+    bounds: ArcSwap<GatewayBounds>,
     /// Clock.
     pub clock: MonoClock,
     /// Phase and requests in progress.
@@ -52,6 +54,23 @@
 const LAST_STREAMS: Duration = Duration::from_millis(2_800);
 
 impl RelayContext {
+    /// Times and shares in force.
+    pub fn bounds(&self) -> Arc<GatewayBounds> {
+        self.bounds.load_full()
+    }
+
+    /// Puts newly read settings in force as far as a running daemon can: the bounds. True when all of
+    /// them are in force, false when addresses or names differ, which takes a restart.
+    pub fn reload(&self, settings: &GatewaySettings) -> bool {
+        self.budget.set_limits(settings.bounds.budget());
+        self.bounds.store(Arc::new(settings.bounds.clone()));
+        let bounds = self.settings.bounds.clone();
+        GatewaySettings {
+            bounds,
+            ..settings.clone()
+        } == self.settings
+    }
+
     /// Notes that shutting down has begun.
     pub fn start_draining(&self) {
         self.drain_start
@@ -79,12 +98,6 @@
         events: EventLog,
         target_port: TargetPort,
     ) -> prometheus::Result<Arc<Self>> {
-        let bounds = &settings.bounds;
-        let limits = BudgetLimits {
-            ratio: bounds.retry_ratio,
-            extra: bounds.retry_extra,
-            window: Duration::from_secs_f64(bounds.retry_window_s),
-        };
         Ok(Arc::new(Self {
             clock: MonoClock::start(),
             lifecycle: Arc::default(),
@@ -92,12 +105,13 @@
             targets: ViewCell::default(),
             presence: PresenceBoard::default(),
             pool: TargetPool::default(),
-            budget: RetryBudget::new(limits),
+            budget: RetryBudget::new(settings.bounds.budget()),
             words,
             metrics: RelayMetrics::register(metrics)?,
             events,
             target_port,
             drain_start: AtomicU64::new(0),
+            bounds: ArcSwap::from_pointee(settings.bounds.clone()),
             settings,
         }))
     }
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -2,6 +2,7 @@
 
 use crate::check::{CheckError, FieldKind, FieldRule, check_document};
 use crate::ids::{DomainId, InstanceId};
+use crate::relay::budget::BudgetLimits;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -89,6 +90,15 @@
 }
 
 impl GatewayBounds {
+    /// Limits on repeats.
+    pub fn budget(&self) -> BudgetLimits {
+        BudgetLimits {
+            ratio: self.retry_ratio,
+            extra: self.retry_extra,
+            window: Duration::from_secs_f64(self.retry_window_s),
+        }
+    }
+
     /// Time from SIGTERM to SIGKILL.
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.grace_s)
