--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -12,12 +12,15 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-/// Time that a watch waits for a change. A call that hangs is noticed after it.
+/// Time that a watch waits for a change. A call that hangs is noticed after it, and operators' changes
+/// and leaving targets must be noticed within seconds.
 const WATCH_WAIT: Duration = Duration::from_secs(5);
+/// The same for the daemons, whose addresses may be out of date for longer.
+const PRESENCE_WAIT: Duration = Duration::from_secs(15);
 /// Time for which changes of the list of targets are gathered.
-const GATHER_TARGETS: Duration = Duration::from_millis(150);
+const GATHER_TARGETS: Duration = Duration::from_millis(250);
 /// Time for which changes of the daemons are gathered.
-const GATHER_PRESENCE: Duration = Duration::from_millis(100);
+const GATHER_PRESENCE: Duration = Duration::from_millis(400);
 
 fn spec(prefix: &str, gather: Duration) -> FollowSpec {
     FollowSpec {
@@ -165,7 +168,10 @@
 
 /// Follows the daemons and the leader's key.
 pub(super) async fn follow_presence(state: Arc<GatewayState>) {
-    let follow = spec(PRESENCE_PREFIX, GATHER_PRESENCE);
+    let follow = FollowSpec {
+        wait: PRESENCE_WAIT,
+        ..spec(PRESENCE_PREFIX, GATHER_PRESENCE)
+    };
     let mut contact = StoreContact::new("presence");
     let lapses = Mutex::new(LapseHold::default());
     follow_prefix(state.ports.store.clone(), follow, |notice| {
