Decide the next step of plain and streamed requests in one place

Causes of the daemon's own answers and the spending of repeats stood twice; a misdirected answer was told by its text.

--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -1,5 +1,6 @@
 //! Answers of the daemon's own.
 
+use crate::relay::course::CourseStep;
 use crate::wire::HeadBuilder;
 use std::fmt;
 use std::time::Duration;
@@ -55,6 +56,17 @@
         }
     }
 
+    /// Why a request ends when no further attempt is made.
+    pub(super) fn of_course(step: CourseStep, expired: bool, tried: bool) -> Self {
+        match (step, expired) {
+            (CourseStep::Fail, true) => Self::TimedOut,
+            (CourseStep::Fail, false) => Self::Failed,
+            (_, true) => Self::Expired,
+            _ if tried => Self::NotRun,
+            _ => Self::NoTarget,
+        }
+    }
+
     /// Name in logs, metrics and answers.
     pub fn name(self) -> &'static str {
         match self {
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -50,6 +50,8 @@
 pub(super) struct FailedAttempt {
     /// True when the target did not answer in time, rather than wrongly.
     pub silent: bool,
+    /// True when another target, or one without these layers, has the address.
+    pub misdirected: bool,
     /// What is known of the request.
     pub failure: RelayFailure,
     /// The answer's facts, if there was a head.
@@ -70,6 +72,7 @@
     pub(super) fn new(failure: RelayFailure, cause: impl std::fmt::Display) -> Self {
         Self {
             silent: false,
+            misdirected: false,
             failure,
             facts: ReplyFacts::default(),
             cause: cause.to_string(),
@@ -129,6 +132,7 @@
         let cause = format!("status {}, not run", head.status());
         return Err(FailedAttempt {
             silent: false,
+            misdirected: head.status() == 421,
             failure: RelayFailure::NotRun,
             facts,
             cause,
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -3,6 +3,7 @@
 use crate::catalog::{AccessOutcome, RouteEntry, RoutingCatalog, ServiceEntry, TeamEntry};
 use crate::relay::answer::{OwnAnswer, RefusalCause};
 use crate::relay::context::RelayContext;
+use crate::relay::course::{CourseStep, RequestCourse};
 use crate::relay::ports::RequestFacts;
 use crate::relay::{plain, streaming};
 use crate::telemetry::EventLine;
@@ -72,6 +73,24 @@
         team.unwrap_or(self.route.priority)
     }
 
+    /// What to do next, given whether something is left to try and the budget for repeats.
+    pub(super) fn next_step(&self, course: &RequestCourse, has_choice: bool) -> CourseStep {
+        let now = self.context.clock.now();
+        let step = course.next_step(now);
+        if step != CourseStep::TryNext {
+            return step;
+        }
+        let daemons = self.context.presence.most_seen();
+        let budget = &self.context.budget;
+        let granted = || !course.is_repeat() || budget.try_spend(&self.service.name, daemons, now);
+        // The budget is spent only on a repeat that is made.
+        if has_choice && granted() {
+            CourseStep::TryNext
+        } else {
+            course.give_up()
+        }
+    }
+
     /// Identity of the request in logs.
     pub(super) fn name(&self) -> &str {
         self.facts.attempt.as_deref().unwrap_or("unnamed")
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -39,7 +39,7 @@
         let targets = view.of_service(&request.service.name);
         let own = &context.settings.failure_domain;
         let target = pick_target(targets, course.tried(), own, now, &mut rng).cloned();
-        let step = next_step(request, &course, target.is_some());
+        let step = request.next_step(&course, target.is_some());
         let (Some(target), CourseStep::TryNext) = (target, step) else {
             return end_request(request, &course, step, failed_answer, &detail).await;
         };
@@ -64,26 +64,6 @@
     }
 }
 
-/// What to do next, given whether a target is left and the budget for repeats.
-fn next_step(request: &ActiveRequest<'_>, course: &RequestCourse, has_target: bool) -> CourseStep {
-    let context = request.context;
-    let now = context.clock.now();
-    let step = course.next_step(now);
-    if step != CourseStep::TryNext {
-        return step;
-    }
-    let daemons = context.presence.most_seen();
-    let granted = !course.is_repeat()
-        || context
-            .budget
-            .try_spend(&request.service.name, daemons, now);
-    if has_target && granted {
-        CourseStep::TryNext
-    } else {
-        course.give_up()
-    }
-}
-
 fn is_retryable(answer: &WholeAnswer) -> bool {
     answer.head.status() >= 500
 }
@@ -92,7 +72,7 @@
     let context = request.context;
     let now = context.clock.now();
     match failed.failure {
-        RelayFailure::NotRun if failed.cause.contains("421") => target.gauge.mark_replaced(),
+        RelayFailure::NotRun if failed.misdirected => target.gauge.mark_replaced(),
         RelayFailure::NotRun => {}
         RelayFailure::NotSent => target.gauge.record_failure(now),
         _ if failed.silent => target.gauge.record_failure(now),
@@ -229,12 +209,6 @@
         return pass_on(request, &answer, course.tried().len()).await;
     }
     let expired = course.time_left(request.context.clock.now()).is_zero();
-    let cause = match (step, expired) {
-        (CourseStep::Fail, true) => RefusalCause::TimedOut,
-        (CourseStep::Fail, false) => RefusalCause::Failed,
-        (_, true) => RefusalCause::Expired,
-        _ if course.is_repeat() => RefusalCause::NotRun,
-        _ => RefusalCause::NoTarget,
-    };
+    let cause = RefusalCause::of_course(step, expired, course.is_repeat());
     request.refuse(cause, detail).await
 }
--- a/src/relay/streaming.rs
+++ b/src/relay/streaming.rs
@@ -54,7 +54,7 @@
     loop {
         course.note_ended(count_ended(request, &course));
         let chain = find_chain(request, model, &course, &delivered).await;
-        let step = next_step(request, &course, chain.is_some());
+        let step = request.next_step(&course, chain.is_some());
         let (Some(chain), CourseStep::TryNext) = (chain, step) else {
             return end_stream(request, &course, &delivered, step, &detail).await;
         };
@@ -85,23 +85,6 @@
     ended.count()
 }
 
-fn next_step(request: &ActiveRequest<'_>, course: &RequestCourse, has_chain: bool) -> CourseStep {
-    let context = request.context;
-    let now = context.clock.now();
-    let step = course.next_step(now);
-    let daemons = context.presence.most_seen();
-    let spent = || {
-        context
-            .budget
-            .try_spend(&request.service.name, daemons, now)
-    };
-    match step {
-        CourseStep::TryNext if has_chain && (!course.is_repeat() || spent()) => step,
-        CourseStep::TryNext => course.give_up(),
-        _ => step,
-    }
-}
-
 /// The chain to use, waiting a little for room on one.
 async fn find_chain(
     request: &ActiveRequest<'_>,
@@ -162,7 +145,7 @@
         .find(|part| Some(part.target.address) == named);
     let target = blamed.map_or(chain.head(), |part| &part.target);
     match failed.failure {
-        RelayFailure::NotRun if failed.cause.contains("421") && blamed.is_none() => {
+        RelayFailure::NotRun if failed.misdirected && blamed.is_none() => {
             target.gauge.mark_replaced();
         }
         RelayFailure::NotSent => target.gauge.record_failure(now),
@@ -269,6 +252,7 @@
             let cause = format!("status {}", reply.head.status());
             StreamEnd::Failed(FailedAttempt {
                 silent: false,
+                misdirected: false,
                 failure: RelayFailure::Failed,
                 facts: reply.facts,
                 cause,
@@ -307,12 +291,6 @@
         return ExchangeEnd::BrokenOff;
     }
     let expired = course.time_left(request.context.clock.now()).is_zero();
-    let cause = match (step, expired) {
-        (CourseStep::Fail, true) => RefusalCause::TimedOut,
-        (CourseStep::Fail, false) => RefusalCause::Failed,
-        (_, true) => RefusalCause::Expired,
-        _ if course.is_repeat() => RefusalCause::NotRun,
-        _ => RefusalCause::NoTarget,
-    };
+    let cause = RefusalCause::of_course(step, expired, course.is_repeat());
     request.refuse(cause, detail).await
 }
