Wait for a ledger record that is being written

Change: an unfinished last line is waited for up to 2 s; one that stays unfinished is an error as before. Compiled and linted; the test itself was not run again before this commit.

--- a/rig/src/service.rs
+++ b/rig/src/service.rs
@@ -9,7 +9,7 @@
 use std::io::{self, Write};
 use std::path::Path;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tide::{Request, Response, StatusCode};
 
 /// Behaviour of a service; can be changed while it runs.
@@ -149,12 +149,23 @@
     }
 }
 
-/// Reads the ledger that a service with [`ServiceStandIn::with_ledger`] has written.
+/// Longest wait for a record that is being written.
+const RECORD_LIMIT: Duration = Duration::from_secs(2);
+/// Period of looking whether it is complete.
+const RECORD_POLL: Duration = Duration::from_millis(10);
+
+/// Reads the ledger that a service with [`ServiceStandIn::with_ledger`] has written. A record that is
+/// being written is waited for; one that stays incomplete is an error.
 ///
 /// # Errors
 /// When the file cannot be read or holds something else.
 pub fn read_ledger(path: &Path) -> io::Result<Vec<RunRecord>> {
-    let text = std::fs::read_to_string(path)?;
+    let started = Instant::now();
+    let mut text = std::fs::read_to_string(path)?;
+    while !text.is_empty() && !text.ends_with('\n') && started.elapsed() < RECORD_LIMIT {
+        std::thread::sleep(RECORD_POLL);
+        text = std::fs::read_to_string(path)?;
+    }
     let parse = |line| serde_json::from_str(line).map_err(io::Error::other);
     text.lines().map(parse).collect()
 }
