Log the fingerprint of a request whose attempt failed

attempt_failed now carries a digest of path, team and body, the same on all daemons. PoisonFingerprint and PoisonTable of the own interface move to src/poison for it; the digest of model and prompt is unchanged.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 mod paths;
 mod peer;
 mod placement;
+mod poison;
 mod presence;
 mod reconcile;
 mod relay;
@@ -117,6 +118,7 @@
     LayerAssignment, OrderScheduler, PendingOrder, PlanScope, ServerPlacement, chain_rate,
     plan_layers, split_layers,
 };
+pub use poison::{PoisonEntry, PoisonFingerprint, PoisonTable};
 pub use presence::{PresenceRow, PresenceTable};
 pub use reconcile::{
     DrainTable, LeaderElection, LeaderLease, ObservedEngine, OrderPlan, PlannedOrder, plan_orders,
@@ -132,11 +134,10 @@
     AttemptNotice, AttemptStep, AwaitedStep, ChainChoice, ChainConstraints, ChainQuery,
     DeliveryState, DeliveryStep, FinalAnswer, FlowWeights, GapEstimate, GenerationRequest,
     GraphTable, InFlightGuard, InFlightHistory, IsolationGrants, LoadDigest, LoadRow, ModelGraph,
-    PoisonEntry, PoisonFingerprint, PoisonTable, PolicyError, PolicyName, RoutingMetrics,
-    RoutingSettings, RoutingState, StageEdge, StageFault, StageKey, StageProbe, StepTiming,
-    TargetHealth, TargetLoad, TargetReservation, TargetState, TargetTable, TokenMeter,
-    choose_chain, choose_report_reader, compute_flow_weights, expected_token_micros,
-    find_stage_faults, hash_engine_name, run_generation, start_generation,
+    PolicyError, PolicyName, RoutingMetrics, RoutingSettings, RoutingState, StageEdge, StageFault,
+    StageKey, StageProbe, StepTiming, TargetHealth, TargetLoad, TargetReservation, TargetState,
+    TargetTable, TokenMeter, choose_chain, choose_report_reader, compute_flow_weights,
+    expected_token_micros, find_stage_faults, hash_engine_name, run_generation, start_generation,
 };
 pub use settings::{
     BoundSettings, DaemonSettings, LogSettings, PlatformSettings, TimingSettings, TraceSettings,
--- a/src/routing/poison.rs
+++ b/src/poison/table.rs
@@ -1,39 +1,13 @@
-//! Crash counts of requests that crash the engines that run them, by a digest of model and prompt.
+//! Crash counts of requests that crash the engines that run them, by fingerprint.
 
-use crate::config::ModelEntry;
+use crate::poison::fingerprint::PoisonFingerprint;
 use crate::units::MonoTime;
 use arc_swap::ArcSwap;
-use sha2::{Digest, Sha256};
 use std::collections::HashMap;
-use std::fmt;
 
 /// Most fingerprints that are kept; those that expire first are dropped first.
 const MAX_ENTRIES: usize = 1_024;
 
-/// SHA-256 digest of a model and a prompt, cut to 128 bits; the same for all teams.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct PoisonFingerprint(pub u128);
-
-impl PoisonFingerprint {
-    /// Computes the digest of a prompt for a model.
-    pub fn new(entry: &ModelEntry, prompt: &str) -> Self {
-        let mut hasher = Sha256::new();
-        hasher.update(entry.spec.model.as_str().as_bytes());
-        hasher.update([0]);
-        hasher.update(prompt.as_bytes());
-        let digest = hasher.finalize();
-        let mut bytes = [0; 16];
-        bytes.copy_from_slice(&digest[..16]);
-        Self(u128::from_be_bytes(bytes))
-    }
-}
-
-impl fmt::Display for PoisonFingerprint {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:032x}", self.0)
-    }
-}
-
 /// Crashes recorded for a fingerprint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PoisonEntry {
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -2,6 +2,7 @@
 
 use crate::catalog::{AccessOutcome, RouteEntry, RoutingCatalog, ServiceEntry, TeamEntry};
 use crate::hash::stable_hash;
+use crate::poison::PoisonFingerprint;
 use crate::relay::attempt::{FailedAttempt, OutgoingRequest};
 use crate::relay::context::RelayContext;
 use crate::relay::local_reply::{LocalReply, RefusalCause};
@@ -95,6 +96,13 @@
         }
     }
 
+    /// Fingerprint of path, team and body, by which the request is recognized when it comes again,
+    /// at any daemon. Nothing else is sure to be the same then.
+    pub(super) fn fingerprint(&self) -> PoisonFingerprint {
+        let team = self.team.as_ref().map_or("", |team| team.name.as_str());
+        PoisonFingerprint::new(&[self.head.path().as_bytes(), team.as_bytes(), self.body])
+    }
+
     /// Id of the request in logs: the one that the caller gave it.
     pub(super) fn log_id(&self) -> &str {
         self.metadata.attempt_id.as_deref().unwrap_or("unnamed")
@@ -183,9 +191,10 @@
     /// Logs and counts a failed attempt; `line` names the target.
     pub(super) fn record_failed_attempt(&self, failed: &FailedAttempt, line: EventLine) {
         let context = self.context;
-        context
-            .events
-            .emit(line.with("cause", failed.cause.as_str()));
+        let line = line
+            .with("cause", failed.cause.as_str())
+            .with_display("fingerprint", self.fingerprint());
+        context.events.emit(line);
         context
             .metrics
             .attempts
--- a/src/routing/attempt/mod.rs
+++ b/src/routing/attempt/mod.rs
@@ -7,13 +7,14 @@
 use crate::engine::{CancelRequest, ChainStage, GenerateRequest, PipelineWork};
 use crate::ids::{AttemptNumber, InstanceId, RequestId};
 use crate::kernel::KernelContext;
+use crate::poison::PoisonFingerprint;
 use crate::routing::attempt_source::AttemptSource;
 use crate::routing::isolation::EngineIsolation;
 use crate::routing::stage_probe::{ProbeQuery, probe_stages};
 use crate::routing::{
     AnswerEvent, AttemptEvent, AttemptLimits, AttemptMachine, AttemptStep, ChainChoice,
-    ChainConstraints, ChainQuery, FinalAnswer, InFlightGuard, PoisonFingerprint, StageProbe,
-    TargetState, choose_chain,
+    ChainConstraints, ChainQuery, FinalAnswer, InFlightGuard, StageProbe, TargetState,
+    choose_chain,
 };
 use crate::telemetry::{SpanGuard, TraceContext};
 use crate::units::MonoTime;
@@ -52,6 +53,14 @@
     pub meter: TokenMeter,
 }
 
+impl GenerationRequest {
+    /// Fingerprint of the model and the prompt, the same for all teams.
+    pub fn fingerprint(&self) -> PoisonFingerprint {
+        let model = self.entry.spec.model.as_str();
+        PoisonFingerprint::new(&[model.as_bytes(), self.prompt.as_bytes()])
+    }
+}
+
 /// Callback with the time that an answer waited for each token except the first.
 #[derive(Clone)]
 pub struct TokenMeter(pub Arc<dyn Fn(Duration) + Send + Sync>);
@@ -125,8 +134,7 @@
     if poison.is_empty() {
         return 0;
     }
-    let fingerprint = PoisonFingerprint::new(&generation.entry, &generation.prompt);
-    poison.crashes(fingerprint, context.clock.now())
+    poison.crashes(generation.fingerprint(), context.clock.now())
 }
 
 /// Attempt in progress. Dropping it before it is complete cancels it on its engines.
--- a/src/routing/attempt/notice.rs
+++ b/src/routing/attempt/notice.rs
@@ -2,9 +2,10 @@
 //! with the peers.
 
 use crate::kernel::KernelContext;
+use crate::poison::{PoisonEntry, PoisonFingerprint};
 use crate::routing::attempt::{GenerationRun, SUSPICION_TTL};
 use crate::routing::poison_gossip::broadcast_crashes;
-use crate::routing::{AttemptNotice, PoisonEntry, PoisonFingerprint, StageFault, TargetState};
+use crate::routing::{AttemptNotice, StageFault, TargetState};
 use std::time::Duration;
 
 impl GenerationRun<'_> {
@@ -54,7 +55,7 @@
     }
 
     fn fingerprint(&self) -> PoisonFingerprint {
-        PoisonFingerprint::new(&self.generation.entry, &self.generation.prompt)
+        self.generation.fingerprint()
     }
 
     fn record_crashes(&self, crashes: u32) {
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -15,7 +15,6 @@
 mod load_reports;
 mod machine;
 mod metrics;
-mod poison;
 mod poison_gossip;
 mod policy;
 mod settings;
@@ -38,7 +37,6 @@
     AttemptEvent, AttemptLimits, AttemptMachine, AttemptNotice, AttemptStep, ChainConstraints,
 };
 pub use metrics::RoutingMetrics;
-pub use poison::{PoisonEntry, PoisonFingerprint, PoisonTable};
 pub use policy::{ChainChoice, ChainQuery, choose_chain, expected_token_micros};
 pub use settings::{PolicyError, PolicyName, ROUTING_TABLE, RoutingSettings};
 pub use stage_fault::{AwaitedStep, StageFault, StageProbe, find_stage_faults};
--- a/src/routing/poison_gossip.rs
+++ b/src/routing/poison_gossip.rs
@@ -4,8 +4,8 @@
 use crate::instances::InstanceRole;
 use crate::kernel::{KernelContext, PluginEntry, PluginError, PluginHost, TimerSpec};
 use crate::peer::PeerTopic;
+use crate::poison::{PoisonEntry, PoisonFingerprint};
 use crate::routing::isolation::grant_isolation;
-use crate::routing::{PoisonEntry, PoisonFingerprint};
 use async_std::task;
 use prost::Message;
 use std::net::SocketAddr;
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -1,7 +1,8 @@
 //! Routing state shared within one daemon, and the plug-in that registers the routing metrics.
 
 use crate::kernel::{PluginEntry, PluginError, PluginHost};
-use crate::routing::{GraphTable, IsolationGrants, PoisonTable, RoutingMetrics};
+use crate::poison::PoisonTable;
+use crate::routing::{GraphTable, IsolationGrants, RoutingMetrics};
 use std::sync::OnceLock;
 
 inventory::submit! {
