--- /dev/null
+++ b/rig/src/site/crash.rs
@@ -0,0 +1,145 @@
+//! Requests that crash each server that begins to run them, and the servers that start again
+//! afterwards.
+
+use crate::site::http::ListenerSwitch;
+use crate::site::store::SiteStore;
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Path segment of requests that crash the server that they are sent to.
+const CRASH_SEGMENT: &str = "/crash";
+/// Path segment of requests that crash the last server of their chain.
+const CRASH_LAST_SEGMENT: &str = "/crash-last";
+/// Time from a crash to the removal of the server's entry.
+const LAPSE_TIME: Duration = Duration::from_millis(800);
+/// Time from a crash to the start of the server's next run.
+const DOWN_TIME: Duration = Duration::from_millis(1_200);
+
+/// Which server a request crashes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum CrashPlace {
+    /// None.
+    Nowhere,
+    /// The one that the request is sent to.
+    First,
+    /// The last one of its chain.
+    Last,
+}
+
+impl CrashPlace {
+    /// Reads the place from the path of a request.
+    pub(super) fn of(path: &str) -> Self {
+        if path.contains(CRASH_LAST_SEGMENT) {
+            Self::Last
+        } else if path.contains(CRASH_SEGMENT) {
+            Self::First
+        } else {
+            Self::Nowhere
+        }
+    }
+}
+
+/// A request that crashes servers has reached one.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CrashRun {
+    /// Time at which it did.
+    pub at: Instant,
+    /// Identifier of the server that ended.
+    pub server: Arc<str>,
+    /// Path of the request.
+    pub path: Arc<str>,
+}
+
+/// Starts the next run of a server, with the identifier given.
+pub(super) type StartServer = Arc<dyn Fn(&str) + Send + Sync>;
+
+/// A running server that requests can crash.
+struct LiveServer {
+    id: Arc<str>,
+    switch: ListenerSwitch,
+    start_again: StartServer,
+}
+
+/// Servers of a site that requests can crash, and the crashes so far; cheap to clone.
+#[derive(Clone)]
+pub struct CrashRegistry {
+    store: SiteStore,
+    live: Arc<Mutex<Vec<LiveServer>>>,
+    runs: Arc<Mutex<Vec<CrashRun>>>,
+}
+
+impl fmt::Debug for CrashRegistry {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("CrashRegistry").finish_non_exhaustive()
+    }
+}
+
+impl CrashRegistry {
+    /// Creates a registry without servers.
+    pub(super) fn new(store: SiteStore) -> Self {
+        Self {
+            store,
+            live: Arc::default(),
+            runs: Arc::default(),
+        }
+    }
+
+    /// Adds a running server.
+    pub(super) fn add(&self, id: &str, switch: ListenerSwitch, start_again: StartServer) {
+        self.lock_live().push(LiveServer {
+            id: Arc::from(id),
+            switch,
+            start_again,
+        });
+    }
+
+    /// Requests that have crashed a server, in order.
+    pub fn runs(&self) -> Vec<CrashRun> {
+        self.runs.lock().expect("ledger is never poisoned").clone()
+    }
+
+    /// Crashes the server at `address` under a request with this path; it starts again later.
+    pub(super) fn crash(&self, address: SocketAddr, path: &str) {
+        let Some(server) = self.take(address) else {
+            return;
+        };
+        self.runs
+            .lock()
+            .expect("ledger is never poisoned")
+            .push(CrashRun {
+                at: Instant::now(),
+                server: Arc::clone(&server.id),
+                path: Arc::from(path),
+            });
+        server.switch.close();
+        let store = self.store.clone();
+        thread::spawn(move || {
+            thread::sleep(LAPSE_TIME);
+            store.remove(&format!("servers/{}", server.id));
+            thread::sleep(DOWN_TIME.saturating_sub(LAPSE_TIME));
+            (server.start_again)(&next_id(&server.id));
+        });
+    }
+
+    fn take(&self, address: SocketAddr) -> Option<LiveServer> {
+        let mut live = self.lock_live();
+        let index = live
+            .iter()
+            .position(|server| server.switch.address() == address)?;
+        Some(live.swap_remove(index))
+    }
+
+    fn lock_live(&self) -> MutexGuard<'_, Vec<LiveServer>> {
+        self.live.lock().expect("registry is never poisoned")
+    }
+}
+
+/// Identifier of the run after the one named `id`: `p-0`, `p-0.1`, `p-0.2`.
+fn next_id(id: &str) -> String {
+    let (name, run) = id.rsplit_once('.').unwrap_or((id, "0"));
+    let run: u32 = run.parse().unwrap_or(0);
+    format!("{name}.{}", run + 1)
+}
--- a/rig/src/site/fleet.rs
+++ b/rig/src/site/fleet.rs
@@ -1,6 +1,7 @@
 //! Starts a site: a metadata store, servers and daemons in one program, on loopback.
 
 use crate::fleet::{free_address, wait_until};
+use crate::site::crash::CrashRegistry;
 use crate::site::model::ModelServer;
 use crate::site::plain::PlainServer;
 use crate::site::store::SiteStore;
@@ -51,6 +52,8 @@
 pub struct SiteFleet {
     /// Metadata store.
     pub store: SiteStore,
+    /// Servers that requests can crash.
+    pub crashes: CrashRegistry,
     /// Plain servers.
     pub plain_servers: Vec<PlainServer>,
     /// Model servers.
@@ -101,24 +104,21 @@
     pub fn without_daemons(spec: SiteSpec) -> Self {
         let store = SiteStore::start();
         store.put("op/config", &sample_config(1));
+        let crashes = CrashRegistry::new(store.clone());
         let plain_servers: Vec<PlainServer> = (0..spec.plain_servers)
-            .map(|number| PlainServer::start(&format!("p-{number}")))
+            .map(|number| PlainServer::start(&store, &crashes, &format!("p-{number}")))
             .collect();
-        for server in &plain_servers {
-            store.put(
-                &format!("servers/{}", server.id()),
-                &plain_server_entry(server, "ready"),
-            );
-        }
         let places =
             (0..spec.domains).flat_map(|d| (0..spec.models_per_domain).map(move |m| (d, m)));
         let model_servers = places
             .map(|(d, m)| {
-                ModelServer::start(&store, &format!("m-{d}-{m}"), &format!("d{d}"), "card")
+                let (id, domain) = (format!("m-{d}-{m}"), format!("d{d}"));
+                ModelServer::start(&store, &crashes, &id, &domain, "card")
             })
             .collect();
         Self {
             store,
+            crashes,
             plain_servers,
             model_servers,
             daemons: Vec::new(),
--- a/rig/src/site/http.rs
+++ b/rig/src/site/http.rs
@@ -2,8 +2,8 @@
 
 use arbutusmount::{HeadLimits, HeadStep, WireHead, parse_request};
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
 use std::thread;
 
 /// Longest request head that a stand-in accepts.
@@ -33,18 +33,93 @@
 /// Handles one request and writes its response to the connection.
 pub(super) type Handler = Arc<dyn Fn(&ReceivedRequest, &mut TcpStream) -> AfterReply + Send + Sync>;
 
+/// Connections of a listening stand-in; `None` once it is closed.
+type OpenStreams = Arc<Mutex<Option<Vec<TcpStream>>>>;
+
+/// Closes a listening stand-in, as when its process ends; cheap to clone.
+#[derive(Debug, Clone)]
+pub(super) struct ListenerSwitch {
+    address: SocketAddr,
+    streams: OpenStreams,
+}
+
+impl ListenerSwitch {
+    /// Address on which it listens.
+    pub(super) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Closes all connections; further ones are refused. Returns false when it was closed already.
+    pub(super) fn close(&self) -> bool {
+        let Some(streams) = self.lock().take() else {
+            return false;
+        };
+        for stream in streams {
+            // The peer may have closed the connection already.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        // Wakes the accepting thread, which then drops the listener.
+        while TcpStream::connect(self.address).is_ok() {
+            thread::yield_now();
+        }
+        true
+    }
+
+    /// Adds a connection; false when the listener is closed.
+    fn add(&self, stream: &TcpStream) -> bool {
+        let mut streams = self.lock();
+        match (streams.as_mut(), stream.try_clone()) {
+            (Some(open), Ok(clone)) => {
+                open.push(clone);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Forgets a connection that is served no longer.
+    fn forget(&self, peer: Option<SocketAddr>) {
+        if let Some(open) = self.lock().as_mut() {
+            open.retain(|stream| stream.peer_addr().ok() != peer);
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Option<Vec<TcpStream>>> {
+        self.streams.lock().expect("streams are never poisoned")
+    }
+}
+
 /// Listens on a free loopback port and serves every request with `handler`, one thread per
 /// connection.
 pub(super) fn serve(handler: Handler) -> SocketAddr {
+    serve_closable(handler).address()
+}
+
+/// Does the same as [`serve`] and returns what closes the listener.
+pub(super) fn serve_closable(handler: Handler) -> ListenerSwitch {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
     let address = listener.local_addr().expect("a listener has an address");
+    let streams = Arc::new(Mutex::new(Some(Vec::new())));
+    let switch = ListenerSwitch { address, streams };
+    accept_streams(listener, &switch, handler);
+    switch
+}
+
+fn accept_streams(listener: TcpListener, switch: &ListenerSwitch, handler: Handler) {
+    let switch = switch.clone();
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let handler = Arc::clone(&handler);
-            thread::spawn(move || serve_connection(stream, &handler));
+            if !switch.add(&stream) {
+                return;
+            }
+            let (handler, switch) = (Arc::clone(&handler), switch.clone());
+            thread::spawn(move || {
+                let peer = stream.peer_addr().ok();
+                serve_connection(stream, &handler);
+                switch.forget(peer);
+            });
         }
     });
-    address
 }
 
 fn serve_connection(mut stream: TcpStream, handler: &Handler) {
--- a/rig/src/site/mod.rs
+++ b/rig/src/site/mod.rs
@@ -4,6 +4,7 @@
 //! The stand-ins are kept small: they use blocking threads, one per connection.
 
 mod caller;
+mod crash;
 mod fleet;
 mod http;
 mod model;
@@ -11,6 +12,7 @@
 mod store;
 
 pub use caller::{SiteRequest, SiteResponse, read_site_response, send_site_request};
+pub use crash::{CrashRegistry, CrashRun};
 pub use fleet::{SiteDaemon, SiteFleet, SiteSpec, plain_server_entry, sample_config};
 pub use model::{ModelKnobs, ModelServer};
 pub use plain::{PLAIN_BODY, PlainFault, PlainServer};
--- a/rig/src/site/model.rs
+++ b/rig/src/site/model.rs
@@ -1,7 +1,8 @@
 //! Stand-in for a model server of the platform: accepts layer orders, reports stalls and streams
 //! events.
 
-use crate::site::http::{AfterReply, Handler, ReceivedRequest, reply, serve};
+use crate::site::crash::{CrashPlace, CrashRegistry, StartServer};
+use crate::site::http::{AfterReply, Handler, ReceivedRequest, reply, serve_closable};
 use crate::site::store::SiteStore;
 use serde_json::{Value, json};
 use std::io::Write;
@@ -10,6 +11,9 @@
 use std::thread;
 use std::time::Duration;
 
+/// Time after which a server cuts off a request whose chain has lost a server.
+const STALL_TIME: Duration = Duration::from_secs(3);
+
 /// Behaviour and faults of a model server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ModelKnobs {
@@ -68,12 +72,19 @@
     zone: Arc<str>,
     card: Arc<str>,
     address: SocketAddr,
+    crashes: CrashRegistry,
     state: Arc<Mutex<ModelState>>,
 }
 
 impl ModelServer {
     /// Starts a server without layers and registers it in the store.
-    pub fn start(store: &SiteStore, id: &str, zone: &str, card: &str) -> Self {
+    pub fn start(
+        store: &SiteStore,
+        crashes: &CrashRegistry,
+        id: &str,
+        zone: &str,
+        card: &str,
+    ) -> Self {
         let state = Arc::new(Mutex::new(ModelState {
             knobs: ModelKnobs::default(),
             layers: None,
@@ -93,13 +104,20 @@
                 None => AfterReply::Close,
             }
         });
+        let switch = serve_closable(handler);
         let server = Self {
             id: Arc::from(id),
             zone: Arc::from(zone),
             card: Arc::from(card),
-            address: serve(handler),
+            address: switch.address(),
+            crashes: crashes.clone(),
             state,
         };
+        let (next_store, next) = (store.clone(), server.clone());
+        let start_again: StartServer = Arc::new(move |id: &str| {
+            Self::start(&next_store, &next.crashes, id, &next.zone, &next.card);
+        });
+        crashes.add(id, switch, start_again);
         *server_cell.lock().expect("server is never poisoned") = Some(server.clone());
         server.register(store);
         server
@@ -198,6 +216,21 @@
         if (!expected.is_empty() && expected != *self.id) || !self.is_first_hop(&hops) {
             return reply(stream, 421, &[("X-Instance-Id", &self.id)], b"");
         }
+        match CrashPlace::of(head.path()) {
+            CrashPlace::Nowhere => {}
+            CrashPlace::First => {
+                self.crashes.crash(self.address, head.path());
+                return AfterReply::Close;
+            }
+            CrashPlace::Last => {
+                if let Some(address) = last_hop(&hops) {
+                    self.crashes.crash(address, head.path());
+                    self.with_state(|state| state.knobs.stalled_address = Some(address));
+                }
+                thread::sleep(STALL_TIME);
+                return AfterReply::Close;
+            }
+        }
         let first_event = field("Last-Event-Id")
             .parse()
             .map_or(0, |last: u64| last + 1);
@@ -260,3 +293,9 @@
         hops.split(',').next() == Some(own_hop.as_str())
     }
 }
+
+/// Address of the last hop of a chain.
+fn last_hop(hops: &str) -> Option<SocketAddr> {
+    let hop = hops.rsplit(',').next()?;
+    hop.split('=').next()?.parse().ok()
+}
--- a/rig/src/site/plain.rs
+++ b/rig/src/site/plain.rs
@@ -1,6 +1,9 @@
 //! Stand-in for a plain server of the platform, with faults.
 
-use crate::site::http::{AfterReply, Handler, ReceivedRequest, reply, serve};
+use crate::site::crash::{CrashPlace, CrashRegistry, StartServer};
+use crate::site::fleet::plain_server_entry;
+use crate::site::http::{AfterReply, Handler, ReceivedRequest, reply, serve_closable};
+use crate::site::store::SiteStore;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
@@ -53,8 +56,15 @@
 pub struct PlainServer {
     id: Arc<str>,
     address: SocketAddr,
-    fault: Arc<Mutex<PlainFault>>,
-    runs: Arc<Mutex<Vec<PlainRun>>>,
+    state: Arc<PlainState>,
+}
+
+/// State that the runs of a server share.
+#[derive(Debug, Default)]
+struct PlainState {
+    fault: Mutex<PlainFault>,
+    work_time: Mutex<Duration>,
+    runs: Mutex<Vec<PlainRun>>,
 }
 
 /// Body of a complete response.
@@ -63,23 +73,48 @@
 const SILENT_PERIOD: Duration = Duration::from_secs(5);
 
 impl PlainServer {
-    /// Starts a server with this identifier.
-    pub fn start(id: &str) -> Self {
+    /// Starts a server with this identifier and registers it in the store.
+    pub fn start(store: &SiteStore, crashes: &CrashRegistry, id: &str) -> Self {
+        Self::start_run(store, crashes, id, &Arc::default())
+    }
+
+    fn start_run(
+        store: &SiteStore,
+        crashes: &CrashRegistry,
+        id: &str,
+        state: &Arc<PlainState>,
+    ) -> Self {
         let id: Arc<str> = Arc::from(id);
-        let fault: Arc<Mutex<PlainFault>> = Arc::default();
-        let runs: Arc<Mutex<Vec<PlainRun>>> = Arc::default();
-        let (handler_id, handler_fault, ledger) =
-            (Arc::clone(&id), Arc::clone(&fault), Arc::clone(&runs));
+        let (handler_id, handler_state) = (Arc::clone(&id), Arc::clone(state));
+        let handler_crashes = crashes.clone();
         let handler: Handler = Arc::new(move |request, stream| {
-            let fault = *handler_fault.lock().expect("fault is never poisoned");
-            handle_request(&handler_id, fault, &ledger, request, stream)
+            match handle_request(&handler_id, &handler_state, request, stream) {
+                HandlerEnd::Replied(after) => after,
+                HandlerEnd::Crash(path) => {
+                    if let Ok(address) = stream.local_addr() {
+                        handler_crashes.crash(address, &path);
+                    }
+                    AfterReply::Close
+                }
+            }
         });
-        Self {
+        let switch = serve_closable(handler);
+        let server = Self {
             id,
-            address: serve(handler),
-            fault,
-            runs,
-        }
+            address: switch.address(),
+            state: Arc::clone(state),
+        };
+        let (next_store, next_crashes) = (store.clone(), crashes.clone());
+        let next_state = Arc::clone(state);
+        let start_again: StartServer = Arc::new(move |id: &str| {
+            Self::start_run(&next_store, &next_crashes, id, &next_state);
+        });
+        crashes.add(&server.id, switch, start_again);
+        store.put(
+            &format!("servers/{}", server.id),
+            &plain_server_entry(&server, "ready"),
+        );
+        server
     }
 
     /// Identifier of the server.
@@ -92,41 +127,70 @@
         self.address
     }
 
-    /// Sets the fault; [`PlainFault::None`] ends it.
+    /// Sets the fault, also of later runs; [`PlainFault::None`] ends it.
     pub fn set_fault(&self, fault: PlainFault) {
-        *self.fault.lock().expect("fault is never poisoned") = fault;
+        *self.state.fault.lock().expect("fault is never poisoned") = fault;
+    }
+
+    /// Sets the time that a request takes, also in later runs.
+    pub fn set_work_time(&self, time: Duration) {
+        *self.state.work_time.lock().expect("time is never poisoned") = time;
     }
 
-    /// Requests that it has run.
+    /// Requests that it has run, also in later runs.
     pub fn runs(&self) -> Vec<PlainRun> {
-        self.runs.lock().expect("ledger is never poisoned").clone()
+        let runs = self.state.runs.lock();
+        runs.expect("ledger is never poisoned").clone()
     }
 }
 
+/// How the handler of a request ends.
+enum HandlerEnd {
+    Replied(AfterReply),
+    /// The request crashes the server; contains its path.
+    Crash(String),
+}
+
 fn handle_request(
+    id: &str,
+    state: &PlainState,
+    request: &ReceivedRequest,
+    stream: &mut TcpStream,
+) -> HandlerEnd {
+    let fault = *state.fault.lock().expect("fault is never poisoned");
+    match begin_run(id, fault, &state.runs, request, stream) {
+        Some(after) => return HandlerEnd::Replied(after),
+        None => thread::sleep(*state.work_time.lock().expect("time is never poisoned")),
+    }
+    let path = request.head.path();
+    if CrashPlace::of(path) == CrashPlace::Nowhere {
+        HandlerEnd::Replied(end_run(fault, request, stream))
+    } else {
+        HandlerEnd::Crash(path.to_owned())
+    }
+}
+
+/// Refuses a request or records that the server runs it; `None` when it does.
+fn begin_run(
     id: &str,
     fault: PlainFault,
     ledger: &Mutex<Vec<PlainRun>>,
     request: &ReceivedRequest,
     stream: &mut TcpStream,
-) -> AfterReply {
+) -> Option<AfterReply> {
     let head = &request.head;
     let attempt_id = head.field("X-Attempt-Id").unwrap_or_default().to_owned();
     let expected = head.field("X-Expect-Instance").unwrap_or(id);
     if expected != id {
-        return reply(
-            stream,
-            421,
-            &[("X-Instance-Id", id), ("X-Attempt-Id", &attempt_id)],
-            b"",
-        );
+        let fields = [("X-Instance-Id", id), ("X-Attempt-Id", &attempt_id)];
+        return Some(reply(stream, 421, &fields, b""));
     }
     if fault == PlainFault::Full {
         let fields = [
             ("X-Not-Executed", "1"),
             ("X-Attempt-Id", attempt_id.as_str()),
         ];
-        return reply(stream, 503, &fields, b"");
+        return Some(reply(stream, 503, &fields, b""));
     }
     let text = |value: &[u8]| String::from_utf8_lossy(value).into_owned();
     let fields = head
@@ -136,15 +200,18 @@
         .lock()
         .expect("ledger is never poisoned")
         .push(PlainRun {
-            attempt_id: attempt_id.clone(),
+            attempt_id,
             target: head.request_target().to_owned(),
             body: request.body.clone(),
             fields: fields.collect(),
         });
-    let stamp_fields = [
-        ("X-Server-Stamp", "stamp"),
-        ("X-Attempt-Id", attempt_id.as_str()),
-    ];
+    None
+}
+
+/// Replies to a request that has run.
+fn end_run(fault: PlainFault, request: &ReceivedRequest, stream: &mut TcpStream) -> AfterReply {
+    let attempt_id = request.head.field("X-Attempt-Id").unwrap_or_default();
+    let stamp_fields = [("X-Server-Stamp", "stamp"), ("X-Attempt-Id", attempt_id)];
     let send = |stream: &mut TcpStream, text: String, after: AfterReply| match stream
         .write_all(text.as_bytes())
     {
--- /dev/null
+++ b/tests/platform_poison.rs
@@ -0,0 +1,196 @@
+//! Requests that crash each server that begins to run them and come again at any daemon.
+
+#[path = "support/site.rs"]
+mod site;
+
+use rig::{
+    CrashRun, PLAIN_BODY, SiteDaemon, SiteFleet, SiteRequest, SiteSpec, StoreFault,
+    send_site_request,
+};
+use site::{stream_call, until};
+use std::net::SocketAddr;
+use std::thread;
+use std::time::{Duration, Instant};
+use test_case::test_case;
+
+/// Daemons that take turns in getting the request.
+const DAEMONS: usize = 3;
+/// Time from one arrival of the request to the next.
+const ARRIVAL_GAP: Duration = Duration::from_millis(150);
+/// Time after the third crash from which further runs are counted.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Time for which the request comes again after that.
+const COUNTED_TIME: Duration = Duration::from_secs(3);
+/// Most servers that the request may reach in the counted time.
+const MAX_LATE_RUNS: usize = 3;
+
+/// Time after a crash within which the server is back and its entry is known.
+const RESTART_TIME: Duration = Duration::from_secs(2);
+/// Plain servers of a site on which crashed servers come back.
+const PLAIN_SERVERS: usize = 4;
+/// Plain servers of a site whose daemons do not hear of servers that come back.
+const MANY_PLAIN_SERVERS: usize = 30;
+
+fn poison_site(plain_servers: usize) -> SiteFleet {
+    SiteFleet::start(SiteSpec {
+        daemons: DAEMONS,
+        plain_servers,
+        models_per_domain: 4,
+        domains: 3,
+    })
+}
+
+/// Waits until all crashed servers are back and the daemon knows the plain ones.
+fn wait_for_servers(daemon: &SiteDaemon) {
+    thread::sleep(RESTART_TIME);
+    let shop = "shop".parse().expect("an identifier");
+    until("the servers to be back", || {
+        let view = daemon.state.context.targets.load();
+        view.service_targets(&shop).len() == PLAIN_SERVERS
+    });
+}
+
+fn poison(method: &'static str, target: &str, number: usize) -> SiteRequest {
+    let attempt = format!("poison-{number}");
+    if !target.starts_with("/stream/") {
+        return SiteRequest::new(method, target, &attempt);
+    }
+    SiteRequest {
+        target: target.to_owned(),
+        ..stream_call(&attempt)
+    }
+}
+
+fn addresses(site: &SiteFleet) -> Vec<SocketAddr> {
+    site.daemons.iter().map(|daemon| daemon.address).collect()
+}
+
+/// Sends the request to the daemons in turn, again and again, until `is_over`, and returns what it
+/// has crashed.
+fn send_again(
+    site: &SiteFleet,
+    method: &'static str,
+    target: &'static str,
+    is_over: impl Fn(&[CrashRun]) -> bool,
+) -> Vec<CrashRun> {
+    let addresses = addresses(site);
+    let mut callers = Vec::new();
+    for number in 0.. {
+        if is_over(&site.crashes.runs()) {
+            break;
+        }
+        let address = addresses[number % addresses.len()];
+        callers.push(thread::spawn(move || {
+            send_site_request(address, &poison(method, target, number))
+        }));
+        thread::sleep(ARRIVAL_GAP);
+    }
+    for caller in callers {
+        caller.join().expect("the caller ends");
+    }
+    site.crashes.runs()
+}
+
+/// True when the counted time after the third crash is over, or when there is none for long.
+fn counted_time_is_over(started: Instant) -> impl Fn(&[CrashRun]) -> bool {
+    move |runs| {
+        let from = runs.get(2).map_or(started, |third| third.at);
+        from.elapsed() > CONTACT_TIME + COUNTED_TIME
+    }
+}
+
+fn late_runs(runs: &[CrashRun]) -> usize {
+    let third = runs.get(2).expect("the request has crashed three servers");
+    let late = runs.iter().filter(|run| run.at > third.at + CONTACT_TIME);
+    late.count()
+}
+
+/// A request that has crashed three servers is kept from servers, whichever daemon gets it and in
+/// whichever attempt. It was sent on without end, as no daemon knew of an earlier attempt.
+#[test_case("GET", "/get/crash"; "repeatable")]
+#[test_case("POST", "/post/crash"; "at most once")]
+#[test_case("POST", "/stream/crash"; "stream at the first server of its chain")]
+#[test_case("POST", "/stream/crash-last"; "stream at the last server of its chain")]
+fn request_that_crashes_servers_is_kept_from_them(method: &'static str, target: &'static str) {
+    let site = poison_site(PLAIN_SERVERS);
+
+    let runs = send_again(&site, method, target, counted_time_is_over(Instant::now()));
+
+    let late = late_runs(&runs);
+    assert!(late <= MAX_LATE_RUNS, "{late} of {} runs", runs.len());
+}
+
+/// Crashes count over all daemons while the store is away, too. Each daemon would otherwise let the
+/// request crash three servers.
+#[test]
+fn crashes_of_all_daemons_count_while_the_store_is_away() {
+    let site = poison_site(MANY_PLAIN_SERVERS);
+    site.store.set_fault(0, StoreFault::Reset);
+
+    let started = Instant::now();
+    let over = counted_time_is_over(started);
+    let runs = send_again(&site, "POST", "/post/crash", over);
+
+    let late = late_runs(&runs);
+    assert!(late <= MAX_LATE_RUNS, "{late} of {} runs", runs.len());
+}
+
+/// A daemon that has just started knows the crashes of before. It would otherwise let the request
+/// crash three more servers.
+#[test]
+fn daemon_that_starts_later_knows_the_crashes() {
+    let mut site = poison_site(PLAIN_SERVERS);
+    let over = counted_time_is_over(Instant::now());
+    let before = send_again(&site, "GET", "/get/crash", over).len();
+    let late = site.start_daemon("router-late", "d0", 0);
+    until("the daemon to serve", || late.state.is_serving());
+    wait_for_servers(&late);
+    site.daemons = vec![late];
+
+    let answer = send_site_request(site.daemons[0].address, &poison("GET", "/get/crash", 0));
+
+    assert_eq!(answer.status, 503);
+    assert_eq!(site.crashes.runs().len(), before);
+}
+
+/// Requests that ran on servers when these crashed under another one are served when they come
+/// again. Counting crashes alone would condemn them.
+#[test]
+fn requests_beside_a_crash_are_not_condemned() {
+    // Arrange
+    let site = poison_site(PLAIN_SERVERS);
+    let work = Duration::from_millis(60);
+    site.plain_servers
+        .iter()
+        .for_each(|server| server.set_work_time(work));
+    let targets: Vec<String> = (0..12)
+        .map(|number| format!("/post/ordinary-{number}"))
+        .collect();
+    let over = counted_time_is_over(Instant::now());
+
+    // Act: the ordinary requests come all the time while another one crashes servers.
+    thread::scope(|scope| {
+        let crashing = scope.spawn(|| send_again(&site, "POST", "/post/crash", over));
+        let mut round = 0;
+        while !crashing.is_finished() {
+            round += 1;
+            for (number, target) in targets.iter().enumerate() {
+                let address = site.daemons[(round + number) % DAEMONS].address;
+                let request = SiteRequest::new("POST", target, &format!("o-{round}-{number}"));
+                scope.spawn(move || send_site_request(address, &request));
+            }
+            thread::sleep(ARRIVAL_GAP);
+        }
+    });
+
+    // Assert
+    let late = late_runs(&site.crashes.runs());
+    assert!(late <= MAX_LATE_RUNS, "{late} late runs");
+    site.daemons.iter().for_each(wait_for_servers);
+    for target in &targets {
+        for daemon in &site.daemons {
+            let answer = send_site_request(daemon.address, &SiteRequest::new("POST", target, "a1"));
+            assert_eq!((answer.status, answer.body.as_slice()), (200, PLAIN_BODY));
+        }
+    }
+}
