Add up the crashes under a request that different daemons saw

Each daemon kept a count of crashes and took the higher of its own and a peer's, so two crashes that two daemons saw apart counted as one, and the request crashed one more engine before it was refused. A count that one daemon had cleared came back with the next exchange from a peer that had missed the message.

The table now keeps the crashed runs of targets by identity. Tables merge by union, and a cleared run stays cleared. One row (poison/row.rs) carries both. The rule for refusing takes account of other requests that were on the same targets; the own interface, which tries suspects alone, does not use that part.

On the code before, crashes_seen_by_two_daemons_add_up gave 1 for 2 and cleared_crash_does_not_come_back gave 1 for 0. Now tests/poison_table.rs passes (12), and so do tests/poison.rs, delivery_schedules.rs and resume.rs.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -118,7 +118,9 @@
     LayerAssignment, OrderScheduler, PendingOrder, PlanScope, ServerPlacement, chain_rate,
     plan_layers, split_layers,
 };
-pub use poison::{PoisonEntry, PoisonFingerprint, PoisonTable};
+pub use poison::{
+    CrashState, CrashedRun, PoisonEntry, PoisonFingerprint, PoisonLimits, PoisonRow, PoisonTable,
+};
 pub use presence::{PresenceRow, PresenceTable};
 pub use reconcile::{
     DrainTable, LeaderElection, LeaderLease, ObservedEngine, OrderPlan, PlannedOrder, plan_orders,
--- a/src/poison/mod.rs
+++ b/src/poison/mod.rs
@@ -1,8 +1,10 @@
-//! Requests that crash the targets that run them: how they are recognized, and the crashes recorded
-//! for them.
+//! Requests that crash the targets that run them: how they are recognized, the crashes recorded for
+//! them, and when they are refused.
 
 mod fingerprint;
+mod row;
 mod table;
 
 pub use fingerprint::PoisonFingerprint;
-pub use table::{PoisonEntry, PoisonTable};
+pub use row::PoisonRow;
+pub use table::{CrashState, CrashedRun, PoisonEntry, PoisonLimits, PoisonTable};
--- a/src/poison/table.rs
+++ b/src/poison/table.rs
@@ -1,27 +1,104 @@
-//! Crash counts of requests that crash the engines that run them, by fingerprint.
+//! Crashes recorded for requests, by fingerprint.
+//!
+//! Daemons merge what each of them has seen. A crash is identified by the run of the target that
+//! ended, so that it counts once, whichever daemon saw it and however often it is reported. A crash
+//! that was cleared stays cleared: a daemon that has not heard of it cannot bring it back.
 
 use crate::poison::fingerprint::PoisonFingerprint;
 use crate::units::MonoTime;
 use arc_swap::ArcSwap;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
 
 /// Most fingerprints that are kept; those that expire first are dropped first.
 const MAX_ENTRIES: usize = 1_024;
 
-/// Crashes recorded for a fingerprint.
+/// Hash of the identity of a target's run that crashed, the same in all daemons.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct CrashedRun(pub u64);
+
+/// Whether a crash counts against a request. The order is that of the states: a crash never goes
+/// back to an earlier one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum CrashState {
+    /// It counts.
+    Counted,
+    /// Such a request has since made progress.
+    Cleared,
+}
+
+/// Crashes under which a request is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct PoisonEntry {
-    /// Crashes of engines under such a request without a token in between.
+pub struct PoisonLimits {
+    /// Crashes of which at least one has no other explanation: no other request with as many
+    /// crashes ran on that target.
     pub crashes: u32,
+    /// Crashes that are enough whatever else ran on the targets.
+    pub certain_crashes: u32,
+}
+
+/// Crashes recorded for a fingerprint.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PoisonEntry {
+    /// Crashed runs of targets.
+    pub runs: BTreeMap<CrashedRun, CrashState>,
     /// Time at which the entry expires.
     pub until: MonoTime,
 }
 
+impl PoisonEntry {
+    /// An entry with these runs, all in the same state.
+    pub fn new(
+        runs: impl IntoIterator<Item = CrashedRun>,
+        state: CrashState,
+        until: MonoTime,
+    ) -> Self {
+        Self {
+            runs: runs.into_iter().map(|run| (run, state)).collect(),
+            until,
+        }
+    }
+
+    /// Runs that count.
+    pub fn counted(&self) -> impl Iterator<Item = CrashedRun> {
+        self.with_state(CrashState::Counted)
+    }
+
+    /// Runs that do not count any more.
+    pub fn cleared(&self) -> impl Iterator<Item = CrashedRun> {
+        self.with_state(CrashState::Cleared)
+    }
+
+    /// Number of runs that count.
+    pub fn crashes(&self) -> u32 {
+        self.counted().count() as u32
+    }
+
+    fn with_state(&self, state: CrashState) -> impl Iterator<Item = CrashedRun> {
+        let runs = self.runs.iter().filter(move |(_, found)| **found == state);
+        runs.map(|(run, _)| *run)
+    }
+
+    fn counts(&self, run: CrashedRun) -> bool {
+        self.runs.get(&run) == Some(&CrashState::Counted)
+    }
+
+    fn merge(&mut self, other: &Self) {
+        for (run, state) in &other.runs {
+            let known = self.runs.entry(*run).or_insert(*state);
+            *known = (*known).max(*state);
+        }
+        self.until = self.until.max(other.until);
+    }
+}
+
+type EntryMap = HashMap<PoisonFingerprint, PoisonEntry>;
+
 /// Fingerprints of suspected and refused requests. Requests read it without locks; it is nearly
 /// always empty.
 #[derive(Debug, Default)]
 pub struct PoisonTable {
-    entries: ArcSwap<HashMap<PoisonFingerprint, PoisonEntry>>,
+    entries: ArcSwap<EntryMap>,
 }
 
 impl PoisonTable {
@@ -30,46 +107,83 @@
         self.entries.load().is_empty()
     }
 
-    /// Crashes recorded for a fingerprint; 0 when it is unknown or has expired.
+    /// Crashes that count for a fingerprint; 0 when it is unknown or has expired.
     pub fn crashes(&self, fingerprint: PoisonFingerprint, now: MonoTime) -> u32 {
+        live_entry(&self.entries.load(), fingerprint, now).map_or(0, PoisonEntry::crashes)
+    }
+
+    /// The entry of a fingerprint, unless it has expired.
+    pub fn entry(&self, fingerprint: PoisonFingerprint, now: MonoTime) -> Option<PoisonEntry> {
+        live_entry(&self.entries.load(), fingerprint, now).cloned()
+    }
+
+    /// Time until the entry of a fingerprint expires.
+    pub fn time_left(&self, fingerprint: PoisonFingerprint, now: MonoTime) -> Duration {
         let entries = self.entries.load();
-        let entry = entries.get(&fingerprint);
-        entry.map_or(0, |entry| if entry.until > now { entry.crashes } else { 0 })
+        let entry = live_entry(&entries, fingerprint, now);
+        entry.map_or(Duration::ZERO, |entry| entry.until.since(now))
     }
 
-    /// Records crashes, keeping the higher count and the later expiry. Returns true when the count
-    /// has risen.
-    pub fn record(
+    /// True when such a request is to be refused, as it crashes the targets that run it.
+    pub fn is_poison(
         &self,
         fingerprint: PoisonFingerprint,
-        entry: PoisonEntry,
+        limits: PoisonLimits,
+        now: MonoTime,
+    ) -> bool {
+        let entries = self.entries.load();
+        let Some(entry) = live_entry(&entries, fingerprint, now) else {
+            return false;
+        };
+        let crashes = entry.crashes();
+        crashes >= limits.certain_crashes
+            || crashes >= limits.crashes && has_sole_crash(&entries, fingerprint, entry, now)
+    }
+
+    /// Adds crashes to those known. Returns true when more of them count than before.
+    pub fn merge(
+        &self,
+        fingerprint: PoisonFingerprint,
+        entry: &PoisonEntry,
         now: MonoTime,
     ) -> bool {
         let before = self.crashes(fingerprint, now);
         self.entries.rcu(|entries| {
-            let mut next: HashMap<_, _> = entries
-                .iter()
-                .filter(|(_, known)| known.until > now)
-                .map(|(key, known)| (*key, *known))
-                .collect();
-            let known = next.entry(fingerprint).or_insert(entry);
-            known.crashes = known.crashes.max(entry.crashes);
-            known.until = known.until.max(entry.until);
+            let mut next = EntryMap::clone(entries);
+            let known = next.entry(fingerprint).or_insert_with(|| entry.clone());
+            if known.until <= now {
+                *known = entry.clone();
+            }
+            known.merge(entry);
             drop_first_to_expire(&mut next);
             next
         });
-        entry.crashes > before
+        self.crashes(fingerprint, now) > before
     }
 
-    /// Removes a fingerprint that has fewer than `limit` crashes, as such a request got a token.
-    pub fn clear(&self, fingerprint: PoisonFingerprint, limit: u32) {
+    /// Clears the crashes of a fingerprint that has fewer than `limit`, as such a request made
+    /// progress. Returns the runs that no longer count.
+    pub fn clear(&self, fingerprint: PoisonFingerprint, limit: u32) -> Vec<CrashedRun> {
+        let entries = self.entries.load();
+        let Some(entry) = entries.get(&fingerprint) else {
+            return Vec::new();
+        };
+        if entry.crashes() >= limit {
+            return Vec::new();
+        }
+        let runs: Vec<CrashedRun> = entry.counted().collect();
+        for run in &runs {
+            self.clear_run(fingerprint, *run);
+        }
+        runs
+    }
+
+    /// Clears one crash.
+    pub fn clear_run(&self, fingerprint: PoisonFingerprint, run: CrashedRun) {
         self.entries.rcu(|entries| {
-            let mut next = HashMap::clone(entries);
-            if next
-                .get(&fingerprint)
-                .is_some_and(|known| known.crashes < limit)
-            {
-                next.remove(&fingerprint);
+            let mut next = EntryMap::clone(entries);
+            if let Some(entry) = next.get_mut(&fingerprint) {
+                entry.runs.insert(run, CrashState::Cleared);
             }
             next
         });
@@ -79,11 +193,58 @@
     pub fn entries(&self, now: MonoTime) -> Vec<(PoisonFingerprint, PoisonEntry)> {
         let entries = self.entries.load();
         let known = entries.iter().filter(|(_, entry)| entry.until > now);
-        known.map(|(key, entry)| (*key, *entry)).collect()
+        known.map(|(key, entry)| (*key, entry.clone())).collect()
+    }
+
+    /// Removes and returns the entries that expired at least `grace` ago.
+    pub fn take_expired(
+        &self,
+        now: MonoTime,
+        grace: Duration,
+    ) -> Vec<(PoisonFingerprint, PoisonEntry)> {
+        let is_expired = |entry: &PoisonEntry| entry.until.after(grace) <= now;
+        let entries = self.entries.load();
+        let expired = entries.iter().filter(|(_, entry)| is_expired(entry));
+        let expired: Vec<_> = expired.map(|(key, entry)| (*key, entry.clone())).collect();
+        if !expired.is_empty() {
+            self.entries.rcu(|entries| {
+                let mut next = EntryMap::clone(entries);
+                next.retain(|_, entry| !is_expired(entry));
+                next
+            });
+        }
+        expired
     }
 }
 
-fn drop_first_to_expire(entries: &mut HashMap<PoisonFingerprint, PoisonEntry>) {
+fn live_entry(
+    entries: &EntryMap,
+    fingerprint: PoisonFingerprint,
+    now: MonoTime,
+) -> Option<&PoisonEntry> {
+    entries.get(&fingerprint).filter(|entry| entry.until > now)
+}
+
+/// True when one of the crashes has no other explanation: no other request with as many crashes
+/// was on that target.
+fn has_sole_crash(
+    entries: &EntryMap,
+    fingerprint: PoisonFingerprint,
+    entry: &PoisonEntry,
+    now: MonoTime,
+) -> bool {
+    let crashes = entry.crashes();
+    let rivals: Vec<&PoisonEntry> = entries
+        .iter()
+        .filter(|(other, _)| **other != fingerprint)
+        .map(|(_, other)| other)
+        .filter(|other| other.until > now && other.crashes() >= crashes)
+        .collect();
+    let mut runs = entry.counted();
+    runs.any(|run| !rivals.iter().any(|rival| rival.counts(run)))
+}
+
+fn drop_first_to_expire(entries: &mut EntryMap) {
     while entries.len() > MAX_ENTRIES {
         let next_to_expire = entries.iter().min_by_key(|(_, entry)| entry.until);
         let Some(fingerprint) = next_to_expire.map(|(fingerprint, _)| *fingerprint) else {
--- a/src/routing/attempt/notice.rs
+++ b/src/routing/attempt/notice.rs
@@ -1,10 +1,12 @@
 //! Effects of one request on others: ejection of engines at fault, and crash counts that are shared
 //! with the peers.
 
+use crate::hash::stable_hash;
+use crate::ids::InstanceId;
 use crate::kernel::KernelContext;
-use crate::poison::{PoisonEntry, PoisonFingerprint};
+use crate::poison::{CrashState, CrashedRun, PoisonEntry, PoisonFingerprint};
 use crate::routing::attempt::{GenerationRun, SUSPICION_TTL};
-use crate::routing::poison_gossip::broadcast_crashes;
+use crate::routing::poison_gossip::broadcast_entry;
 use crate::routing::{AttemptNotice, StageFault, TargetState};
 use std::time::Duration;
 
@@ -31,7 +33,7 @@
                     }
                 }
             }
-            AttemptNotice::Suspected(crashes) => self.record_crashes(*crashes),
+            AttemptNotice::Suspected(instance) => self.record_crash(instance),
             AttemptNotice::Cleared => self.clear_crashes(),
         }
     }
@@ -58,36 +60,50 @@
         self.generation.fingerprint()
     }
 
-    fn record_crashes(&self, crashes: u32) {
-        let settings = &self.context.settings.routing;
-        let is_poison = crashes >= settings.poison_crashes;
-        let ttl = if is_poison {
-            settings.poison_time()
-        } else {
-            SUSPICION_TTL
-        };
-        let now = self.context.clock.now();
-        let entry = PoisonEntry {
-            crashes,
-            until: now.after(ttl),
-        };
+    fn record_crash(&self, instance: &InstanceId) {
+        let context = self.context;
+        let settings = &context.settings.routing;
+        let now = context.clock.now();
         let fingerprint = self.fingerprint();
-        self.context.routing.poison.record(fingerprint, entry, now);
-        broadcast_crashes(self.context, fingerprint, crashes, ttl);
-        let event = if is_poison { "poisoned" } else { "suspected" };
-        self.context
-            .routing
-            .with_metrics(|metrics| metrics.count_suspect(event));
+        let run = self.crashed_run(instance);
+        let entry = |ttl| PoisonEntry::new([run], CrashState::Counted, now.after(ttl));
+        let poison = &context.routing.poison;
+        poison.merge(fingerprint, &entry(SUSPICION_TTL), now);
+        let crashes = poison.crashes(fingerprint, now);
+        let is_poison = crashes >= settings.poison_crashes;
         if is_poison {
+            poison.merge(fingerprint, &entry(settings.poison_time()), now);
             log::warn!("requests with fingerprint {fingerprint} are refused: {crashes} crashes");
         }
+        broadcast_entry(context, fingerprint);
+        let event = if is_poison { "poisoned" } else { "suspected" };
+        context
+            .routing
+            .with_metrics(|metrics| metrics.count_suspect(event));
+    }
+
+    /// The run of an engine that the present attempt uses.
+    fn crashed_run(&self, instance: &InstanceId) -> CrashedRun {
+        let incarnations = self
+            .attempt
+            .iter()
+            .flat_map(|attempt| &attempt.incarnations);
+        let incarnation = incarnations
+            .filter(|(found, _)| found == instance)
+            .map(|(_, incarnation)| *incarnation)
+            .next()
+            .unwrap_or_default();
+        CrashedRun(stable_hash(&[
+            instance.as_str().as_bytes(),
+            &incarnation.to_be_bytes(),
+        ]))
     }
 
     fn clear_crashes(&self) {
         let fingerprint = self.fingerprint();
         let limit = self.context.settings.routing.poison_crashes;
         self.context.routing.poison.clear(fingerprint, limit);
-        broadcast_crashes(self.context, fingerprint, 0, Duration::ZERO);
+        broadcast_entry(self.context, fingerprint);
         self.context
             .routing
             .with_metrics(|metrics| metrics.count_suspect("cleared"));
--- a/src/routing/machine/event.rs
+++ b/src/routing/machine/event.rs
@@ -118,8 +118,8 @@
     },
     /// The engines of the chain have generated the first token of the attempt.
     FirstToken,
-    /// Number of times that engines have crashed under this request without a token in between.
-    Suspected(u32),
+    /// This engine has crashed under the request, which has had no token since.
+    Suspected(InstanceId),
     /// The request got a token, so it is no longer suspected of crashing engines.
     Cleared,
 }
--- a/src/routing/machine/fault.rs
+++ b/src/routing/machine/fault.rs
@@ -1,6 +1,6 @@
 //! Search for the stage at fault, and what a fault means for later attempts.
 
-use crate::ids::{AttemptNumber, TokenPosition};
+use crate::ids::{AttemptNumber, InstanceId, TokenPosition};
 use crate::routing::machine::{AttemptMachine, MachinePhase, STALL_TIMEOUT};
 use crate::routing::{
     AttemptFailure, AttemptNotice, AttemptStep, AwaitedStep, StageFault, StageProbe,
@@ -90,7 +90,7 @@
             self.excluded.push(instance.clone());
         }
         if fault == StageFault::Crashed {
-            self.record_crash();
+            self.record_crash(&instance);
         }
         self.notices.push(AttemptNotice::Fault {
             instance,
@@ -100,7 +100,7 @@
     }
 
     /// Counts a crash against the request.
-    pub(super) fn record_crash(&mut self) {
+    pub(super) fn record_crash(&mut self, instance: &InstanceId) {
         // Crashes of one attempt count once, as the failure of a rack takes down several engines.
         if self.last_crash_attempt == self.attempts {
             return;
@@ -109,6 +109,6 @@
         self.last_crash_attempt = self.attempts;
         self.crashes_since_token += 1;
         self.notices
-            .push(AttemptNotice::Suspected(self.crashes_since_token));
+            .push(AttemptNotice::Suspected(instance.clone()));
     }
 }
--- a/src/routing/poison_gossip.rs
+++ b/src/routing/poison_gossip.rs
@@ -4,7 +4,7 @@
 use crate::instances::InstanceRole;
 use crate::kernel::{KernelContext, PluginEntry, PluginError, PluginHost, TimerSpec};
 use crate::peer::PeerTopic;
-use crate::poison::{PoisonEntry, PoisonFingerprint};
+use crate::poison::{PoisonFingerprint, PoisonRow};
 use crate::routing::isolation::grant_isolation;
 use async_std::task;
 use prost::Message;
@@ -19,24 +19,6 @@
 /// Period of the exchange of all fingerprints with a random peer, which repairs missed notices.
 const SYNC_PERIOD: Duration = Duration::from_secs(1);
 
-/// One fingerprint on the wire. Times are relative, as daemons share no clock.
-#[derive(Clone, Copy, PartialEq)]
-#[derive(Message)]
-pub(super) struct PoisonRow {
-    /// Fingerprint, upper half.
-    #[prost(uint64, tag = "1")]
-    high: u64,
-    /// Fingerprint, lower half.
-    #[prost(uint64, tag = "2")]
-    low: u64,
-    /// Crashes; zero clears the fingerprint.
-    #[prost(uint32, tag = "3")]
-    crashes: u32,
-    /// Time until the entry expires, in milliseconds.
-    #[prost(uint64, tag = "4")]
-    ttl_ms: u64,
-}
-
 /// Engines that a request needs for itself because it may crash them.
 #[derive(Clone, PartialEq)]
 #[derive(Message)]
@@ -86,48 +68,31 @@
     });
     host.add_timer(
         TimerSpec::new("poison sync", SYNC_PERIOD),
-        |context, _now| async move {
+        |context, now| async move {
+            context.routing.poison.take_expired(now, Duration::ZERO);
             sync_with_random_peer(&context).await;
         },
     );
     Ok(())
 }
 
-fn make_row(fingerprint: PoisonFingerprint, crashes: u32, ttl: Duration) -> PoisonRow {
-    PoisonRow {
-        high: (fingerprint.0 >> 64) as u64,
-        low: fingerprint.0 as u64,
-        crashes,
-        ttl_ms: ttl.as_millis() as u64,
-    }
-}
-
 fn make_notice(context: &KernelContext) -> PoisonNotice {
     let now = context.clock.now();
     let entries = context.routing.poison.entries(now).into_iter();
-    let row = |(key, entry): (_, PoisonEntry)| make_row(key, entry.crashes, entry.until.since(now));
     PoisonNotice {
-        rows: entries.map(row).collect(),
+        rows: entries
+            .map(|(key, entry)| PoisonRow::new(key, &entry, now))
+            .collect(),
         ..PoisonNotice::default()
     }
 }
 
 fn merge_notice(context: &KernelContext, notice: &PoisonNotice) {
     let now = context.clock.now();
-    let limit = context.settings.routing.poison_crashes;
     let max_ttl = context.settings.routing.poison_time();
     for row in &notice.rows {
-        let fingerprint = PoisonFingerprint(u128::from(row.high) << 64 | u128::from(row.low));
-        if row.crashes == 0 {
-            context.routing.poison.clear(fingerprint, limit);
-            continue;
-        }
-        let ttl = Duration::from_millis(row.ttl_ms).min(max_ttl);
-        let entry = PoisonEntry {
-            crashes: row.crashes,
-            until: now.after(ttl),
-        };
-        context.routing.poison.record(fingerprint, entry, now);
+        let entry = row.entry(now, max_ttl);
+        context.routing.poison.merge(row.fingerprint(), &entry, now);
     }
 }
 
@@ -160,15 +125,14 @@
     }
 }
 
-/// Sends the crash count of a fingerprint to every peer; 0 clears the fingerprint there.
-pub(super) fn broadcast_crashes(
-    context: &Arc<KernelContext>,
-    fingerprint: PoisonFingerprint,
-    crashes: u32,
-    ttl: Duration,
-) {
+/// Sends the crashes of a fingerprint to every peer.
+pub(super) fn broadcast_entry(context: &Arc<KernelContext>, fingerprint: PoisonFingerprint) {
+    let now = context.clock.now();
+    let Some(entry) = context.routing.poison.entry(fingerprint, now) else {
+        return;
+    };
     let notice = PoisonNotice {
-        rows: vec![make_row(fingerprint, crashes, ttl)],
+        rows: vec![PoisonRow::new(fingerprint, &entry, now)],
         ..PoisonNotice::default()
     };
     for address in peer_addresses(context) {
