Keep requests that crash targets from them, on all daemons together

Cause: a daemon forgot what had ended under a request once it had answered it. MaxAttempts bounds one client attempt only, and nothing on this path followed requests across attempts or daemons.

Change: an attempt that ends without progress (two events or a whole answer) is remembered. If one of its targets refuses a connection within a second, or leaves the list, that is a crash under the request's fingerprint (path, team, body). Crashes go to the store, one key each without a lease, so that all daemons and later ones know them; until the store has them, the load digests carry them. Three crashes condemn a request if one of them has no other explanation, four whatever ran beside it. Progress of such a request clears it. A condemned request gets 503 with the time until it is forgotten, or ends with its last attempt.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -1,6 +1,7 @@
 //! Keeps the mirrors of the store's prefixes in sync and publishes their contents to the request
 //! path.
 
+use crate::gateway::crashes::apply_crash_change;
 use crate::gateway::run::GatewayState;
 use crate::gateway::targets::TargetNotice;
 use crate::mirror::{
@@ -282,6 +283,7 @@
 ) -> BTreeMap<Arc<str>, PresenceRow> {
     let mut rows = (*state.context.presence.rows()).clone();
     for change in changes {
+        apply_crash_change(&state.context, change);
         apply_presence_change(&mut rows, change, hold);
     }
     rows
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 //! election and serves callers.
 
 mod addresses;
+mod crashes;
 mod follow;
 mod leader;
 mod ports;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -1,5 +1,6 @@
 //! Start and graceful shutdown of the relaying daemon.
 
+use crate::gateway::crashes::sync_crashes;
 use crate::gateway::follow::{
     follow_config, follow_presence, follow_targets, log_target_notices, publish_targets,
 };
@@ -33,6 +34,9 @@
 const RENEW_PERIOD: Duration = Duration::from_millis(700);
 /// Period of the leader's duties and of dropping entries whose grace period is over.
 const DUTY_PERIOD: Duration = Duration::from_millis(200);
+/// Period of writing crashes under requests to the store. Long enough for most requests beside a
+/// crash to be cleared before.
+const CRASH_SYNC_PERIOD: Duration = Duration::from_millis(400);
 /// Time for which callers with a cached address response may still connect after this daemon has
 /// been removed from new responses.
 const CACHED_ADDRESS_TIME: Duration = Duration::from_millis(3_600);
@@ -259,6 +263,12 @@
         }) as futures_lite::future::Boxed<()>
     };
     timers.schedule(TimerSpec::new("duty", DUTY_PERIOD), Arc::new(duty));
+    let syncing = Arc::clone(state);
+    let sync = move |_now| {
+        let state = Arc::clone(&syncing);
+        Box::pin(async move { sync_crashes(&state).await }) as futures_lite::future::Boxed<()>
+    };
+    timers.schedule(TimerSpec::new("crashes", CRASH_SYNC_PERIOD), Arc::new(sync));
 }
 
 async fn renew_lease(state: &Arc<GatewayState>, now: MonoTime) {
--- a/src/loads/digest.rs
+++ b/src/loads/digest.rs
@@ -1,7 +1,8 @@
-//! Message in which a daemon announces its reservations.
+//! Message in which a daemon announces its reservations and the crashes that it saw.
 
 use crate::hash::stable_hash;
 use crate::ids::InstanceId;
+use crate::poison::PoisonRow;
 use prost::Message;
 
 /// Everything that one daemon's requests have reserved.
@@ -18,6 +19,9 @@
     /// Reservations by target.
     #[prost(message, repeated, tag = "3")]
     pub rows: Vec<ReservationRow>,
+    /// Crashes under requests that the store may not know yet.
+    #[prost(message, repeated, tag = "4")]
+    pub crashes: Vec<PoisonRow>,
 }
 
 /// Reservations at one target.
--- a/src/loads/exchange.rs
+++ b/src/loads/exchange.rs
@@ -4,7 +4,7 @@
 use crate::kernel::MonoClock;
 use crate::loads::digest::{ReservationDigest, ReservationRow, target_hash};
 use crate::loads::table::LoadTable;
-use crate::relay::RelayContext;
+use crate::relay::{RelayContext, count_crashes, merge_peer_crashes, unstored_crashes};
 use async_io::{Async, Timer};
 use futures_lite::future::or;
 use prost::Message;
@@ -54,6 +54,7 @@
         match received {
             Ok(Some(Ok((digest, from)))) => {
                 context.recent_peers.record(from);
+                merge_peer_crashes(&context, &digest.crashes);
                 table.record(digest, clock.now());
             }
             Ok(Some(Err(cause))) => log::debug!("malformed load digest: {cause}"),
@@ -61,6 +62,8 @@
                 apply_totals(&context, &table);
                 digest.sequence += 1;
                 digest.rows = local_rows(&context);
+                count_crashes(&context);
+                digest.crashes = unstored_crashes(&context);
                 send_digest(&context, &socket, &digest).await;
                 next_send = clock.now().after(SEND_PERIOD);
             }
--- a/src/poison/fingerprint.rs
+++ b/src/poison/fingerprint.rs
@@ -2,6 +2,8 @@
 
 use sha2::{Digest, Sha256};
 use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
 
 /// SHA-256 digest of the parts that make two requests the same, cut to 128 bits. All daemons
 /// compute the same digest.
@@ -26,6 +28,14 @@
     }
 }
 
+impl FromStr for PoisonFingerprint {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        u128::from_str_radix(text, 16).map(Self)
+    }
+}
+
 impl fmt::Display for PoisonFingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:032x}", self.0)
--- a/src/poison/mod.rs
+++ b/src/poison/mod.rs
@@ -2,9 +2,11 @@
 //! them, and when they are refused.
 
 mod fingerprint;
+mod outbox;
 mod row;
 mod table;
 
 pub use fingerprint::PoisonFingerprint;
+pub use outbox::{CrashOutbox, OutboxRow};
 pub use row::PoisonRow;
 pub use table::{CrashState, CrashedRun, PoisonEntry, PoisonLimits, PoisonTable};
--- a/src/poison/table.rs
+++ b/src/poison/table.rs
@@ -8,6 +8,9 @@
 use crate::units::MonoTime;
 use arc_swap::ArcSwap;
 use std::collections::{BTreeMap, HashMap};
+use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
 use std::time::Duration;
 
 /// Most fingerprints that are kept; those that expire first are dropped first.
@@ -17,6 +20,20 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct CrashedRun(pub u64);
 
+impl fmt::Display for CrashedRun {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for CrashedRun {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
 /// Whether a crash counts against a request. The order is that of the states: a crash never goes
 /// back to an earlier one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -140,6 +157,23 @@
             || crashes >= limits.crashes && has_sole_crash(&entries, fingerprint, entry, now)
     }
 
+    /// The runs of `entry` that are not known, or not in that state.
+    pub fn unknown_runs(
+        &self,
+        fingerprint: PoisonFingerprint,
+        entry: &PoisonEntry,
+        now: MonoTime,
+    ) -> Vec<(CrashedRun, CrashState)> {
+        let entries = self.entries.load();
+        let known = live_entry(&entries, fingerprint, now);
+        let is_unknown = |run: &CrashedRun, state: &CrashState| {
+            let found = known.and_then(|known| known.runs.get(run));
+            found.is_none_or(|found| found < state)
+        };
+        let runs = entry.runs.iter().map(|(run, state)| (*run, *state));
+        runs.filter(|(run, state)| is_unknown(run, state)).collect()
+    }
+
     /// Adds crashes to those known. Returns true when more of them count than before.
     pub fn merge(
         &self,
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -6,16 +6,20 @@
 use crate::relay::retry::RelayFailure;
 use crate::targets::TargetEntry;
 use crate::wire::{
-    BodyDecoder, BodyFraming, HeadLimits, ReadError, WireHead, WireStream, read_response_head,
-    write_all,
+    BodyDecoder, BodyFraming, HeadLimits, ReadError, StreamError, WireHead, WireStream,
+    read_response_head, write_all,
 };
 use async_std::future::timeout;
 use futures_lite::future::or;
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
 
 /// Timeout for connecting to a target.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Timeout for the connection that shows whether a target has ended. A host that runs answers
+/// within a round trip, whether it accepts or refuses.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 /// Size limit of a response head.
 const RESPONSE_HEAD_LIMITS: HeadLimits = HeadLimits {
     max_bytes: 64 * 1024,
@@ -53,14 +57,26 @@
     pub written: bool,
 }
 
+/// How an attempt failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum FailureKind {
+    /// The target did not respond in time.
+    TimedOut,
+    /// The target responded with 421: the address now belongs to another target, or to one that
+    /// does not hold the requested layers.
+    Misdirected,
+    /// The target closed the connection before its response was complete, or the connection was
+    /// lost.
+    Disconnected,
+    /// In another way, such as an incorrect response.
+    Other,
+}
+
 /// An attempt that produced no response to forward.
 #[derive(Debug)]
 pub(super) struct FailedAttempt {
-    /// True when the target did not respond in time, as opposed to responding incorrectly.
-    pub timed_out: bool,
-    /// True when the target responded with 421: the address now belongs to another target, or to
-    /// one that does not hold the requested layers.
-    pub misdirected: bool,
+    /// How it failed.
+    pub kind: FailureKind,
     /// Whether the target may have executed the request.
     pub failure: RelayFailure,
     /// Metadata of the response, if its head arrived.
@@ -73,16 +89,41 @@
     /// An attempt whose target did not respond in time.
     pub(super) fn timed_out(cause: impl std::fmt::Display) -> Self {
         Self {
-            timed_out: true,
+            kind: FailureKind::TimedOut,
+            ..Self::new(RelayFailure::OutcomeUnknown, cause)
+        }
+    }
+
+    /// An attempt whose connection failed while the response was awaited or read.
+    pub(super) fn disconnected(cause: impl std::fmt::Display) -> Self {
+        Self {
+            kind: FailureKind::Disconnected,
             ..Self::new(RelayFailure::OutcomeUnknown, cause)
         }
     }
 
+    /// An attempt whose response could not be read.
+    pub(super) fn unreadable(cause: &ReadError) -> Self {
+        match cause {
+            ReadError::Stream(_) => Self::disconnected(cause),
+            _ => Self::new(RelayFailure::OutcomeUnknown, cause),
+        }
+    }
+
+    /// True when a target of the attempt may have crashed under the request: it was sent, or a
+    /// target of its chain did not respond to the others.
+    pub(super) fn may_have_crashed(&self) -> bool {
+        match self.failure {
+            RelayFailure::NotSent | RelayFailure::Failed => false,
+            RelayFailure::NotExecuted => self.metadata.faulty_address.is_some(),
+            RelayFailure::OutcomeUnknown => true,
+        }
+    }
+
     /// An attempt that failed in another way.
     pub(super) fn new(failure: RelayFailure, cause: impl std::fmt::Display) -> Self {
         Self {
-            timed_out: false,
-            misdirected: false,
+            kind: FailureKind::Other,
             failure,
             metadata: ReplyMetadata::default(),
             cause: cause.to_string(),
@@ -108,7 +149,7 @@
     };
     let mut stream = match pooled {
         Some(stream) => stream,
-        None => connect(target, limit).await?,
+        None => connect(context, target, limit).await?,
     };
     let mut bytes = (context.codec.write_request)(request.head, dispatch).finish();
     bytes.extend_from_slice(request.body);
@@ -145,9 +186,12 @@
     })?;
     if metadata.not_executed || head.status() == 421 {
         let cause = format!("status {}, request not executed", head.status());
+        let kind = match head.status() {
+            421 => FailureKind::Misdirected,
+            _ => FailureKind::Other,
+        };
         return Err(FailedAttempt {
-            timed_out: false,
-            misdirected: head.status() == 421,
+            kind,
             failure: RelayFailure::NotExecuted,
             metadata,
             cause,
@@ -163,18 +207,38 @@
     })
 }
 
-async fn connect(target: &TargetEntry, limit: Duration) -> Result<WireStream, FailedAttempt> {
+/// Notes when a target's host refuses a connection: nothing listens there any more.
+fn record_refusal(context: &RelayContext, target: &TargetEntry, cause: &StreamError) {
+    if *cause == StreamError::NotConnected(ErrorKind::ConnectionRefused) {
+        target.stats.record_refusal(context.clock.now());
+    }
+}
+
+/// Finds out whether a target has ended by connecting to it, which records a refusal.
+pub(super) async fn probe_target(context: &RelayContext, target: &TargetEntry) {
+    if let Err(cause) = WireStream::connect(target.address, PROBE_TIMEOUT).await {
+        record_refusal(context, target, &cause);
+    }
+}
+
+async fn connect(
+    context: &RelayContext,
+    target: &TargetEntry,
+    limit: Duration,
+) -> Result<WireStream, FailedAttempt> {
     let connected = WireStream::connect(target.address, CONNECT_TIMEOUT.min(limit)).await;
     target.stats.record_connect(connected.is_ok());
+    if let Err(cause) = &connected {
+        record_refusal(context, target, cause);
+    }
     connected.map_err(|cause| FailedAttempt::new(RelayFailure::NotSent, cause))
 }
 
 fn head_error(cause: ReadError) -> FailedAttempt {
     match cause {
-        ReadError::Stream(_) => FailedAttempt::new(
-            RelayFailure::OutcomeUnknown,
-            format_args!("before the answer: {cause}"),
-        ),
+        ReadError::Stream(_) => {
+            FailedAttempt::disconnected(format_args!("before the answer: {cause}"))
+        }
         _ => FailedAttempt::new(RelayFailure::OutcomeUnknown, cause),
     }
 }
--- a/src/relay/context.rs
+++ b/src/relay/context.rs
@@ -4,11 +4,13 @@
 use crate::gateway::TargetPort;
 use crate::ids::InstanceId;
 use crate::kernel::{LifecycleCell, MonoClock};
+use crate::poison::{CrashOutbox, PoisonTable};
 use crate::presence::PresenceTable;
 use crate::relay::budget::RetryBudget;
 use crate::relay::metadata::RelayCodec;
 use crate::relay::metrics::RelayMetrics;
 use crate::relay::settings::{GatewayBounds, GatewaySettings};
+use crate::relay::suspicion::SuspicionList;
 use crate::snapshots::RecentPeers;
 use crate::targets::ViewCell;
 use crate::telemetry::{EventLog, MetricSet};
@@ -39,6 +41,12 @@
     pub recent_peers: RecentPeers,
     /// Idle connections to targets.
     pub pool: StreamPool<InstanceId>,
+    /// Crashes under requests, as all daemons saw them.
+    pub poison: PoisonTable,
+    /// Crashes of which not all daemons have been told.
+    pub outbox: CrashOutbox,
+    /// Attempts that ended without progress lately.
+    pub suspicions: SuspicionList,
     /// Retry budget.
     pub budget: RetryBudget,
     /// Codec of the platform's request and response heads.
@@ -144,6 +152,9 @@
             presence: PresenceTable::default(),
             recent_peers: RecentPeers::default(),
             pool: StreamPool::new(MAX_IDLE_CONNECTIONS),
+            poison: PoisonTable::default(),
+            outbox: CrashOutbox::default(),
+            suspicions: SuspicionList::default(),
             budget: RetryBudget::new(settings.bounds.budget()),
             codec,
             metrics: RelayMetrics::register(metrics)?,
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -8,6 +8,7 @@
 use crate::relay::local_reply::{LocalReply, RefusalCause};
 use crate::relay::metadata::{DispatchMetadata, RequestMetadata};
 use crate::relay::retry::{RetryState, RetryStep};
+use crate::relay::suspicion::POISON_LIMITS;
 use crate::relay::{plain, streaming};
 use crate::targets::{LayerChain, TargetEntry};
 use crate::telemetry::EventLine;
@@ -85,6 +86,9 @@
         if step != RetryStep::TryNext {
             return step;
         }
+        if self.is_poison() {
+            return state.final_step();
+        }
         let daemons = self.context.presence.peak_count();
         let budget = &self.context.budget;
         let granted = || !state.is_retry() || budget.try_spend(&self.service.name, daemons, now);
@@ -96,6 +100,26 @@
         }
     }
 
+    /// Cause of the local reply when no further attempt is made; `step` as in
+    /// [`RefusalCause::from_retry_step`].
+    pub(super) fn final_cause(&self, state: &RetryState, step: RetryStep) -> RefusalCause {
+        let expired = state.time_left(self.context.clock.now()).is_zero();
+        let cause = RefusalCause::from_retry_step(step, expired, state.is_retry());
+        match cause {
+            RefusalCause::NoTarget | RefusalCause::NotExecuted if self.is_poison() => {
+                RefusalCause::Poison
+            }
+            _ => cause,
+        }
+    }
+
+    /// True when such a request crashes the targets that run it and is kept from them.
+    pub(super) fn is_poison(&self) -> bool {
+        let poison = &self.context.poison;
+        let now = self.context.clock.now();
+        !poison.is_empty() && poison.is_poison(self.fingerprint(), POISON_LIMITS, now)
+    }
+
     /// Fingerprint of path, team and body, by which the request is recognized when it comes again,
     /// at any daemon. Nothing else is sure to be the same then.
     pub(super) fn fingerprint(&self) -> PoisonFingerprint {
@@ -123,19 +147,12 @@
         write_all(self.caller, bytes).await.is_ok()
     }
 
-    /// Sends a local reply and logs it with `detail`. One with status 503 carries a `Retry-After`
-    /// of a random time between a base and twice the base; the base is limited to a share of the
-    /// caller's timeout.
+    /// Sends a local reply and logs it with `detail`. One with status 503 carries a `Retry-After`,
+    /// see [`Self::retry_delay`].
     pub(super) async fn reply_locally(&self, cause: RefusalCause, detail: &str) -> ExchangeEnd {
         let mut reply = LocalReply::new(cause);
         if cause.status() == 503 {
-            let timeout = self.metadata.time_left.unwrap_or(DEFAULT_TIMEOUT);
-            let base = match cause {
-                RefusalCause::Draining => DRAINING_RETRY_AFTER,
-                _ => RETRY_AFTER,
-            };
-            let delay = base.min(timeout.mul_f64(RETRY_AFTER_SHARE));
-            reply = reply.with_retry_after(delay, &mut fastrand::Rng::new());
+            reply = reply.with_retry_after(self.retry_delay(cause), &mut fastrand::Rng::new());
         }
         let retry_ms = reply.retry_after.map(|delay| delay.as_millis() as u64);
         let line = self
@@ -152,6 +169,21 @@
         }
     }
 
+    /// Base of `Retry-After`; the value sent is between it and twice as much. Limited to a share of
+    /// the caller's timeout, unless no earlier retry can be served.
+    fn retry_delay(&self, cause: RefusalCause) -> Duration {
+        let timeout = self.metadata.time_left.unwrap_or(DEFAULT_TIMEOUT);
+        let base = match cause {
+            RefusalCause::Poison => {
+                let now = self.context.clock.now();
+                return self.context.poison.time_left(self.fingerprint(), now);
+            }
+            RefusalCause::Draining => DRAINING_RETRY_AFTER,
+            _ => RETRY_AFTER,
+        };
+        base.min(timeout.mul_f64(RETRY_AFTER_SHARE))
+    }
+
     /// Metadata sent to a target in addition to the caller's head.
     pub(super) fn dispatch<'a>(
         &'a self,
--- a/src/relay/forwarding.rs
+++ b/src/relay/forwarding.rs
@@ -9,6 +9,7 @@
 use crate::relay::exchange::{ActiveRequest, forward_head};
 use crate::relay::retry::{RelayFailure, RetryState, RetryStep};
 use crate::relay::stall::{StallDetector, StallStep};
+use crate::relay::suspicion::AttemptSuspicion;
 use crate::targets::LayerChain;
 use crate::wire::{BodyStep, CompleteEvent, EventSplitter, LAST_CHUNK, StreamError, encode_chunk};
 use async_std::future::timeout;
@@ -42,6 +43,8 @@
     pub state: &'a RetryState,
     /// Stall detection for this attempt.
     pub detector: StallDetector,
+    /// Suspicion that the request crashes a target in this attempt.
+    pub suspicion: AttemptSuspicion<'a>,
 }
 
 /// Outcome of waiting for bytes from the target.
@@ -108,6 +111,7 @@
                 EventVerdict::Skip => {}
                 EventVerdict::Gap => return false,
             }
+            self.suspicion.on_event();
             if let Some(elapsed) = self.detector.on_event(self.request.context.clock.now()) {
                 self.chain.head().stats.observe_first_event(elapsed);
             }
@@ -143,10 +147,7 @@
                     return ReadOutcome::End;
                 }
                 Ok(Err(cause)) => {
-                    return ReadOutcome::Failed(FailedAttempt::new(
-                        RelayFailure::OutcomeUnknown,
-                        cause,
-                    ));
+                    return ReadOutcome::Failed(FailedAttempt::disconnected(cause));
                 }
             }
         }
@@ -184,7 +185,7 @@
 
     /// Sends what is left of a complete response to the caller.
     async fn finish(
-        &self,
+        &mut self,
         response: PendingResponse,
         splitter: &EventSplitter,
         delivered: &mut DeliveryProgress,
@@ -193,6 +194,7 @@
         append_head(self.request, &response, delivered, &mut output);
         encode_chunk(splitter.remainder(), &mut output);
         output.extend_from_slice(LAST_CHUNK);
+        self.suspicion.on_progress();
         let status = response.head.status();
         keep_connection(self.request.context, &self.chain.head().id, response);
         if self.request.send(&output).await {
--- a/src/relay/local_reply.rs
+++ b/src/relay/local_reply.rs
@@ -35,6 +35,8 @@
     /// The daemon is shutting down and might exit before the response is complete. No attempt was
     /// made; other daemons still serve.
     Draining,
+    /// Such requests crash the targets that run them; this one was not executed.
+    Poison,
     /// The deadline passed, and a target may have executed the request.
     TimedOut,
 }
@@ -49,7 +51,8 @@
             | Self::NoTarget
             | Self::NotExecuted
             | Self::Expired
-            | Self::Draining => 503,
+            | Self::Draining
+            | Self::Poison => 503,
             Self::NoRoute => 404,
             Self::UnknownKey => 401,
             Self::Malformed => 400,
@@ -89,6 +92,7 @@
             Self::Failed => "failed",
             Self::Expired => "expired",
             Self::Draining => "draining",
+            Self::Poison => "poison",
             Self::TimedOut => "timed_out",
         }
     }
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -10,6 +10,9 @@
     pub requests: IntCounterVec,
     /// Attempts by outcome.
     pub attempts: IntCounterVec,
+    /// Requests suspected of crashing targets, by event: `suspected` and `poison` at a crash,
+    /// `cleared` at progress.
+    pub suspects: IntCounterVec,
     /// Seconds from the arrival of the request head, by kind. The only kind is `first_event`, until
     /// the first bytes of a stream are ready to be forwarded.
     pub latency: HistogramVec,
@@ -37,6 +40,11 @@
                 "Attempts by outcome",
                 &["outcome"],
             )?,
+            suspects: metrics.counter(
+                "relay_suspects_total",
+                "Crashes of targets under requests and requests cleared of them",
+                &["event"],
+            )?,
             latency: metrics.latency_histogram(
                 "relay_answer_seconds",
                 "Seconds from the arrival of a request to its first event",
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -15,6 +15,7 @@
 mod settings;
 mod stall;
 mod streaming;
+mod suspicion;
 
 pub use budget::{BudgetLimits, RetryBudget};
 pub use choice::{ChainRequirement, pick_chain, pick_target};
@@ -26,3 +27,4 @@
 pub use retry::{RelayFailure, RetryState, RetryStep};
 pub use settings::{GatewayBounds, GatewayListen, GatewaySettings, GatewayStore};
 pub use stall::{StallDetector, StallStep};
+pub(crate) use suspicion::{CRASH_RETENTION, count_crashes, merge_peer_crashes, unstored_crashes};
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -1,11 +1,14 @@
 //! Requests to plain services, that is, services without a model: the response is buffered and
 //! forwarded only when complete.
 
-use crate::relay::attempt::{FailedAttempt, PendingResponse, keep_connection, open_response};
+use crate::relay::attempt::{
+    FailedAttempt, FailureKind, PendingResponse, keep_connection, open_response,
+};
 use crate::relay::choice::pick_target;
 use crate::relay::exchange::{ActiveRequest, ExchangeEnd, forward_head};
 use crate::relay::local_reply::RefusalCause;
 use crate::relay::retry::{RelayFailure, RetryState, RetryStep};
+use crate::relay::suspicion::{AttemptSuspicion, check_for_crash};
 use crate::targets::TargetEntry;
 use crate::wire::{BodyEnd, WireHead, read_body};
 use async_std::future::timeout;
@@ -48,7 +51,13 @@
         let (Some(target), RetryStep::TryNext) = (target, step) else {
             return finish_request(request, &state, step, error_response, &detail).await;
         };
+        let mut suspicion = AttemptSuspicion::start(request, vec![Arc::clone(&target)]);
         let outcome = attempt_plain(request, &state, &target).await;
+        match &outcome {
+            Ok(_) => suspicion.on_progress(),
+            Err(failed) => suspicion.on_failure(failed),
+        }
+        drop(suspicion);
         let failure = match outcome {
             Ok(response) if is_retryable(&response) && route.retry_rule.allows_reexecution() => {
                 // Any such status counts as executed. No statistics of the target are updated.
@@ -62,6 +71,7 @@
             }
             Err(failed) => {
                 record_failure(request, &target, &failed);
+                check_for_crash(request, &target, &failed).await;
                 detail = format!("{} at {}", failed.cause, target.id);
                 failed.failure
             }
@@ -79,10 +89,12 @@
     let context = request.context;
     let now = context.clock.now();
     match failed.failure {
-        RelayFailure::NotExecuted if failed.misdirected => target.stats.mark_replaced(),
+        RelayFailure::NotExecuted if failed.kind == FailureKind::Misdirected => {
+            target.stats.mark_replaced();
+        }
         RelayFailure::NotExecuted => {}
         RelayFailure::NotSent => target.stats.record_failure(now),
-        _ if failed.timed_out => target.stats.record_failure(now),
+        _ if failed.kind == FailureKind::TimedOut => target.stats.record_failure(now),
         _ => target.stats.record_bad_reply(now),
     }
     context.pool.remove(&target.id);
@@ -139,8 +151,7 @@
     let read = timeout(limit, read).await;
     let read = read
         .map_err(|_elapsed| FailedAttempt::timed_out("timeout while reading the response body"))?;
-    let (body, end) =
-        read.map_err(|cause| FailedAttempt::new(RelayFailure::OutcomeUnknown, cause))?;
+    let (body, end) = read.map_err(|cause| FailedAttempt::unreadable(&cause))?;
     let head = response.head.clone();
     if end == BodyEnd::Framed {
         keep_connection(request.context, &target.id, response);
@@ -186,7 +197,6 @@
     if let Some(response) = error_response {
         return forward_response(request, &response, state.tried().len()).await;
     }
-    let expired = state.time_left(request.context.clock.now()).is_zero();
-    let cause = RefusalCause::from_retry_step(step, expired, state.is_retry());
+    let cause = request.final_cause(state, step);
     request.reply_locally(cause, detail).await
 }
--- a/src/relay/streaming.rs
+++ b/src/relay/streaming.rs
@@ -1,7 +1,7 @@
 //! Requests to models: an event stream that resumes at another chain when its own fails.
 
 use crate::catalog::ModelShape;
-use crate::relay::attempt::{FailedAttempt, open_response};
+use crate::relay::attempt::{FailedAttempt, FailureKind, open_response, probe_target};
 use crate::relay::choice::{ChainRequirement, pick_chain};
 use crate::relay::context::RelayContext;
 use crate::relay::exchange::{ActiveRequest, ExchangeEnd};
@@ -9,7 +9,8 @@
 use crate::relay::local_reply::RefusalCause;
 use crate::relay::retry::{RelayFailure, RetryState, RetryStep};
 use crate::relay::stall::StallDetector;
-use crate::targets::{LayerChain, ReservationGuard};
+use crate::relay::suspicion::{AttemptSuspicion, check_for_crash};
+use crate::targets::{LayerChain, ReservationGuard, TargetEntry};
 use crate::telemetry::EventLine;
 use async_io::Timer;
 use async_std::task;
@@ -52,6 +53,9 @@
     };
     let mut detail = String::from("no chain has room");
     loop {
+        if request.is_poison() {
+            return end_stream(request, &state, &delivered, state.final_step(), &detail).await;
+        }
         state.set_departed(count_departed(request, &state));
         let chain = find_chain(request, model, &state, &delivered).await;
         let step = request.next_step(&state, chain.is_some());
@@ -71,7 +75,8 @@
             StreamEnd::CallerGone => return ExchangeEnd::Truncated,
             StreamEnd::Failed(failed) => {
                 detail = format!("{} at {}", failed.cause, chain.head().id);
-                record_failure(request, &chain, &failed, &delivered);
+                let target = record_failure(request, &chain, &failed, &delivered);
+                check_for_crash(request, &target, &failed).await;
                 state.on_failure(&chain.head().id, failed.failure, context.clock.now());
             }
         }
@@ -137,13 +142,13 @@
 }
 
 /// Logs a failed attempt and updates the statistics of the target that caused it: the one that the
-/// response names, or else the first target of the chain.
+/// response names, or else the first target of the chain. Returns this target.
 fn record_failure(
     request: &ActiveRequest<'_>,
     chain: &LayerChain,
     failed: &FailedAttempt,
     delivered: &DeliveryProgress,
-) {
+) -> Arc<TargetEntry> {
     let context = request.context;
     let now = context.clock.now();
     let faulty_address = failed.metadata.faulty_address;
@@ -153,14 +158,18 @@
         .find(|part| Some(part.target.address) == faulty_address);
     let target = faulty_part.map_or(chain.head(), |part| &part.target);
     match failed.failure {
-        RelayFailure::NotExecuted if failed.misdirected && faulty_part.is_none() => {
+        RelayFailure::NotExecuted
+            if failed.kind == FailureKind::Misdirected && faulty_part.is_none() =>
+        {
             target.stats.mark_replaced();
         }
         RelayFailure::NotSent => target.stats.record_failure(now),
-        _ if failed.timed_out || faulty_part.is_some() => target.stats.record_failure(now),
+        _ if failed.kind == FailureKind::TimedOut || faulty_part.is_some() => {
+            target.stats.record_failure(now);
+        }
         _ => target.stats.record_bad_reply(now),
     }
-    if failed.timed_out {
+    if failed.kind == FailureKind::TimedOut {
         query_stalled_parts(context, chain);
     }
     context.pool.remove(&chain.head().id);
@@ -170,6 +179,7 @@
         .with_display("blamed", &target.id)
         .with("last_event", delivered.last_id);
     request.record_failed_attempt(failed, line);
+    Arc::clone(target)
 }
 
 /// Asks the first target of a stalled chain for its report, which names the targets that it waits
@@ -200,6 +210,7 @@
             part.target.stats.record_failure(now);
             part.target.stats.record_connect(false);
             first_target.stats.clear_ejection();
+            probe_target(&context, &part.target).await;
             let line = EventLine::new("part_stalled").with_display("target", &part.target.id);
             context
                 .events
@@ -231,6 +242,8 @@
     } else {
         time_left
     };
+    let targets = chain.parts.iter().map(|part| Arc::clone(&part.target));
+    let mut suspicion = AttemptSuspicion::start(request, targets.collect());
     let opened = open_response(
         context,
         &request.outgoing(),
@@ -241,8 +254,12 @@
     )
     .await;
     match opened {
-        Err(failed) => StreamEnd::Failed(failed),
+        Err(failed) => {
+            suspicion.on_failure(&failed);
+            StreamEnd::Failed(failed)
+        }
         Ok(response) if response.head.status() >= 500 && may_reexecute && !delivered.head_sent => {
+            suspicion.dismiss();
             let cause = format!("status {}", response.head.status());
             StreamEnd::Failed(FailedAttempt {
                 metadata: response.metadata,
@@ -250,6 +267,7 @@
             })
         }
         Ok(response) if delivered.head_sent && response.head.status() != 200 => {
+            suspicion.dismiss();
             let cause = format!("status {} when resuming", response.head.status());
             StreamEnd::Failed(FailedAttempt::new(RelayFailure::OutcomeUnknown, cause))
         }
@@ -260,6 +278,7 @@
                 chain,
                 state,
                 detector,
+                suspicion,
             };
             forwarder.run(response, delivered).await
         }
@@ -283,7 +302,6 @@
             .emit(line.with("last_event", delivered.last_id));
         return ExchangeEnd::Truncated;
     }
-    let expired = state.time_left(request.context.clock.now()).is_zero();
-    let cause = RefusalCause::from_retry_step(step, expired, state.is_retry());
+    let cause = request.final_cause(state, step);
     request.reply_locally(cause, detail).await
 }
--- /dev/null
+++ b/src/relay/suspicion.rs
@@ -0,0 +1,304 @@
+//! Suspicion that a request crashes the targets that run it.
+//!
+//! An attempt that ends without progress is remembered for some seconds. If one of its targets turns
+//! out to have ended under it, that is a crash under the request. Progress of such a request, at any
+//! target, clears it.
+
+use crate::loads::target_hash;
+use crate::poison::{
+    CrashState, CrashedRun, OutboxRow, PoisonEntry, PoisonFingerprint, PoisonLimits, PoisonRow,
+};
+use crate::relay::attempt::{FailedAttempt, FailureKind, probe_target};
+use crate::relay::context::RelayContext;
+use crate::relay::exchange::ActiveRequest;
+use crate::targets::{TargetEntry, TargetView};
+use crate::telemetry::EventLine;
+use crate::units::MonoTime;
+use async_std::task;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+/// Crashes under which a request is refused.
+pub(super) const POISON_LIMITS: PoisonLimits = PoisonLimits {
+    crashes: 3,
+    certain_crashes: 4,
+};
+/// Time for which a crash counts.
+pub(crate) const CRASH_RETENTION: Duration = Duration::from_secs(600);
+/// Events of an attempt that show that its targets run the request.
+const PROGRESS_EVENTS: u32 = 2;
+/// Time from the end of an attempt in which a refused connection shows that the target ended under
+/// it.
+const REFUSAL_WINDOW: Duration = Duration::from_secs(1);
+/// Time from the end of an attempt in which the entry of a target that ended under it leaves the
+/// list: a few heartbeats.
+const DEPARTURE_WINDOW: Duration = Duration::from_secs(8);
+/// Most crashes in one message to other daemons.
+const MAX_DIGEST_CRASHES: usize = 64;
+/// Time after which a daemon writes a crash to the store that another one has told of.
+const PEER_WRITE_DELAY: Duration = Duration::from_secs(2);
+/// Most attempts that are remembered; the oldest are dropped first.
+const MAX_ATTEMPTS: usize = 4_096;
+
+/// An attempt that ended without progress.
+#[derive(Debug)]
+struct SuspectAttempt {
+    fingerprint: PoisonFingerprint,
+    targets: Vec<Arc<TargetEntry>>,
+    started: MonoTime,
+    ended: MonoTime,
+}
+
+impl SuspectAttempt {
+    /// The first target that has ended under the attempt. Others of the chain count no further, as
+    /// the failure of a rack ends several.
+    fn crashed_target(&self, view: &TargetView) -> Option<&Arc<TargetEntry>> {
+        let last_refusal = self.ended.after(REFUSAL_WINDOW);
+        self.targets.iter().find(|target| {
+            let refused_at = target.stats.refused_at();
+            let is_refused = refused_at.is_some_and(|at| at >= self.started && at <= last_refusal);
+            is_refused || view.target(&target.id).is_none()
+        })
+    }
+}
+
+/// Attempts that ended without progress lately.
+#[derive(Debug, Default)]
+pub struct SuspicionList {
+    attempts: Mutex<Vec<SuspectAttempt>>,
+}
+
+impl SuspicionList {
+    fn is_empty(&self) -> bool {
+        self.lock().is_empty()
+    }
+
+    fn add(&self, attempt: SuspectAttempt) {
+        let mut attempts = self.lock();
+        if attempts.len() == MAX_ATTEMPTS {
+            attempts.remove(0);
+        }
+        attempts.push(attempt);
+    }
+
+    fn forget(&self, fingerprint: PoisonFingerprint) {
+        self.lock()
+            .retain(|attempt| attempt.fingerprint != fingerprint);
+    }
+
+    /// Removes and returns the attempts under which a target has ended, with this target. Drops
+    /// those for which none has in time.
+    fn take_crashed(
+        &self,
+        view: &TargetView,
+        now: MonoTime,
+    ) -> Vec<(PoisonFingerprint, Arc<TargetEntry>)> {
+        let mut crashed = Vec::new();
+        self.lock()
+            .retain(|attempt| match attempt.crashed_target(view) {
+                Some(target) => {
+                    crashed.push((attempt.fingerprint, Arc::clone(target)));
+                    false
+                }
+                None => now.since(attempt.ended) <= DEPARTURE_WINDOW,
+            });
+        crashed
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<SuspectAttempt>> {
+        self.attempts.lock().expect("suspicions are never poisoned")
+    }
+}
+
+/// Suspicion against a request in one attempt. Unless the attempt makes progress or reaches no
+/// target, it is remembered when this is dropped, also when the caller leaves.
+#[derive(Debug)]
+pub(super) struct AttemptSuspicion<'a> {
+    request: &'a ActiveRequest<'a>,
+    targets: Vec<Arc<TargetEntry>>,
+    started: MonoTime,
+    events: u32,
+    is_dismissed: bool,
+}
+
+impl<'a> AttemptSuspicion<'a> {
+    /// Begins with an attempt at these targets.
+    pub(super) fn start(request: &'a ActiveRequest<'a>, targets: Vec<Arc<TargetEntry>>) -> Self {
+        Self {
+            request,
+            targets,
+            started: request.context.clock.now(),
+            events: 0,
+            is_dismissed: false,
+        }
+    }
+
+    /// The attempt makes the request neither more nor less suspect.
+    pub(super) fn dismiss(&mut self) {
+        self.is_dismissed = true;
+    }
+
+    /// The attempt failed.
+    pub(super) fn on_failure(&mut self, failed: &FailedAttempt) {
+        if !failed.may_have_crashed() {
+            self.dismiss();
+        }
+    }
+
+    /// An event has arrived; several of them are progress.
+    pub(super) fn on_event(&mut self) {
+        self.events += 1;
+        if self.events == PROGRESS_EVENTS {
+            self.on_progress();
+        }
+    }
+
+    /// A target has run the request and goes on running.
+    pub(super) fn on_progress(&mut self) {
+        if !self.is_dismissed {
+            self.dismiss();
+            clear_crashes(self.request);
+        }
+    }
+}
+
+impl Drop for AttemptSuspicion<'_> {
+    fn drop(&mut self) {
+        if self.is_dismissed {
+            return;
+        }
+        let context = self.request.context;
+        context.suspicions.add(SuspectAttempt {
+            fingerprint: self.request.fingerprint(),
+            targets: std::mem::take(&mut self.targets),
+            started: self.started,
+            ended: context.clock.now(),
+        });
+    }
+}
+
+/// After a failed attempt, finds out whether `target` has crashed, so that the next attempt already
+/// takes account of it.
+pub(super) async fn check_for_crash(
+    request: &ActiveRequest<'_>,
+    target: &Arc<TargetEntry>,
+    failed: &FailedAttempt,
+) {
+    if !failed.may_have_crashed() {
+        return;
+    }
+    let context = request.context;
+    let is_probed = failed.kind == FailureKind::Disconnected
+        || failed.metadata.faulty_address == Some(target.address);
+    if is_probed && target.stats.try_begin_probe(context.clock.now()) {
+        let (context, target) = (Arc::clone(context), Arc::clone(target));
+        // In a task of its own, as it has to end even if the caller leaves.
+        task::spawn(async move { probe_target(&context, &target).await }).await;
+    }
+    count_crashes(context);
+}
+
+/// Records the crashes under requests that have become known.
+pub(crate) fn count_crashes(context: &RelayContext) {
+    if context.suspicions.is_empty() {
+        return;
+    }
+    let now = context.clock.now();
+    let view = context.targets.load();
+    for (fingerprint, target) in context.suspicions.take_crashed(&view, now) {
+        record_crash(context, fingerprint, &target, now);
+    }
+}
+
+fn record_crash(
+    context: &RelayContext,
+    fingerprint: PoisonFingerprint,
+    target: &TargetEntry,
+    now: MonoTime,
+) {
+    let run = CrashedRun(target_hash(&target.id));
+    let entry = PoisonEntry::new([run], CrashState::Counted, now.after(CRASH_RETENTION));
+    if !context.poison.merge(fingerprint, &entry, now) {
+        return;
+    }
+    let state = CrashState::Counted;
+    context.outbox.add(
+        OutboxRow {
+            fingerprint,
+            run,
+            state,
+        },
+        now,
+    );
+    let is_poison = context.poison.is_poison(fingerprint, POISON_LIMITS, now);
+    let outcome = if is_poison { "poison" } else { "suspected" };
+    context.metrics.suspects.with_label_values(&[outcome]).inc();
+    let line = EventLine::new("crash_under_request")
+        .with_display("fingerprint", fingerprint)
+        .with_display("target", &target.id)
+        .with("crashes", context.poison.crashes(fingerprint, now));
+    context.events.emit(line.with("outcome", outcome));
+}
+
+/// Crashes to tell other daemons, as the store may not know them yet.
+pub(crate) fn unstored_crashes(context: &RelayContext) -> Vec<PoisonRow> {
+    let now = context.clock.now();
+    let until = now.after(CRASH_RETENTION);
+    let rows = context.outbox.rows(MAX_DIGEST_CRASHES).into_iter();
+    let rows = rows.map(|row| {
+        let entry = PoisonEntry::new([row.run], row.state, until);
+        PoisonRow::new(row.fingerprint, &entry, now)
+    });
+    rows.collect()
+}
+
+/// Records the crashes that another daemon tells of. If that daemon does not write them to the
+/// store soon, this one does.
+pub(crate) fn merge_peer_crashes(context: &RelayContext, rows: &[PoisonRow]) {
+    let now = context.clock.now();
+    for row in rows {
+        let (fingerprint, entry) = (row.fingerprint(), row.entry(now, CRASH_RETENTION));
+        for (run, state) in context.poison.unknown_runs(fingerprint, &entry, now) {
+            let row = OutboxRow {
+                fingerprint,
+                run,
+                state,
+            };
+            context.outbox.add(row, now.after(PEER_WRITE_DELAY));
+        }
+        context.poison.merge(fingerprint, &entry, now);
+    }
+}
+
+/// Clears the crashes under a request that made progress.
+fn clear_crashes(request: &ActiveRequest<'_>) {
+    let context = request.context;
+    if context.poison.is_empty() && context.suspicions.is_empty() {
+        return;
+    }
+    let fingerprint = request.fingerprint();
+    context.suspicions.forget(fingerprint);
+    let cleared = context.poison.clear(fingerprint, u32::MAX);
+    if cleared.is_empty() {
+        return;
+    }
+    let now = context.clock.now();
+    let state = CrashState::Cleared;
+    for run in &cleared {
+        let row = OutboxRow {
+            fingerprint,
+            run: *run,
+            state,
+        };
+        context.outbox.add(row, now);
+    }
+    context
+        .metrics
+        .suspects
+        .with_label_values(&["cleared"])
+        .inc();
+    let line = request
+        .log_line("crashes_cleared")
+        .with_display("fingerprint", fingerprint);
+    context.events.emit(line.with("crashes", cleared.len()));
+}
--- a/src/targets/stats.rs
+++ b/src/targets/stats.rs
@@ -17,6 +17,8 @@
 const LOST_THRESHOLD: u32 = 5;
 /// Shortest interval between two queries for a target's report.
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(250);
+/// Shortest interval between two probes of a target.
+const MIN_PROBE_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest ejection time.
 const MAX_EJECTION_TIME: Duration = Duration::from_secs(3);
 
@@ -35,6 +37,8 @@
     failed_connects: AtomicU32,
     peers_unreachable: AtomicU32,
     last_report_query: AtomicU64,
+    refused_at: AtomicU64,
+    last_probe: AtomicU64,
 }
 
 impl TargetStats {
@@ -93,6 +97,19 @@
         }
     }
 
+    /// Records that a connection was refused, that is, the target has ended.
+    pub fn record_refusal(&self, now: MonoTime) {
+        self.refused_at.store(now.0, Ordering::Relaxed);
+    }
+
+    /// Last time at which a connection was refused.
+    pub fn refused_at(&self) -> Option<MonoTime> {
+        match self.refused_at.load(Ordering::Relaxed) {
+            0 => None,
+            at => Some(MonoTime(at)),
+        }
+    }
+
     /// True after several consecutive failed connects of this daemon.
     pub fn is_unreachable(&self) -> bool {
         self.failed_connects.load(Ordering::Relaxed) >= UNREACHABLE_THRESHOLD
@@ -115,12 +132,13 @@
     /// True when the target's report may be queried now, which starts a new interval: one query at
     /// a time is enough for all requests.
     pub fn try_begin_report(&self, now: MonoTime) -> bool {
-        let last = self.last_report_query.load(Ordering::Relaxed);
-        let due = last == 0 || now.since(MonoTime(last)) >= MIN_REPORT_INTERVAL;
-        due && self
-            .last_report_query
-            .compare_exchange(last, now.0, Ordering::Relaxed, Ordering::Relaxed)
-            .is_ok()
+        try_begin(&self.last_report_query, MIN_REPORT_INTERVAL, now)
+    }
+
+    /// True when the target may be probed now, which starts a new interval: one probe at a time is
+    /// enough for all requests.
+    pub fn try_begin_probe(&self, now: MonoTime) -> bool {
+        try_begin(&self.last_probe, MIN_PROBE_INTERVAL, now)
     }
 
     /// Counts a request and reserves its tokens until the guard is dropped.
@@ -183,6 +201,15 @@
     }
 }
 
+/// Sets the time of the last run to `now`. False when that is less than `interval` ago.
+fn try_begin(last_run: &AtomicU64, interval: Duration, now: MonoTime) -> bool {
+    let last = last_run.load(Ordering::Relaxed);
+    let due = last == 0 || now.since(MonoTime(last)) >= interval;
+    due && last_run
+        .compare_exchange(last, now.0, Ordering::Relaxed, Ordering::Relaxed)
+        .is_ok()
+}
+
 /// Counts one request and its tokens at one target until dropped.
 #[derive(Debug)]
 pub struct ReservationGuard {
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -84,6 +84,7 @@
 /// every body.
 #[test_case(RefusalCause::NoConfiguration => 503)]
 #[test_case(RefusalCause::NoTarget => 503)]
+#[test_case(RefusalCause::Poison => 503)]
 #[test_case(RefusalCause::Failed => 502)]
 #[test_case(RefusalCause::TimedOut => 504)]
 #[test_case(RefusalCause::UnknownKey => 401)]
