Spend no fixed retry allowance before the fleet is known

A daemon divides the fixed allowance of the retry budget by the number of daemons that it knows. Before it had read their presence it counted as the only one and could take the whole allowance, in a store outage for as long as that lasted, so eight such daemons eight times as much as allowed.

Zero daemons now stands for an unknown fleet, without any allowance; the share by requests is not affected.

daemons_that_do_not_know_each_other_stay_within_the_budget granted 1,200 retries of 200 on the code before and passes now.

--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -67,7 +67,8 @@
         });
     }
 
-    /// Spends a retry if the budget, shared by `daemons` daemons, allows one.
+    /// Spends a retry if the budget, shared by `daemons` daemons, allows one. Zero stands for a fleet
+    /// that is not known yet, of which nothing of the fixed allowance may be spent.
     pub fn try_spend(&self, service: &ServiceId, daemons: usize, now: MonoTime) -> bool {
         let limits = *self.lock_limits();
         self.with_window(service, now, |window| {
@@ -122,7 +123,10 @@
 fn allows_retry(limits: &BudgetLimits, window: &VecDeque<CountBucket>, daemons: usize) -> bool {
     let requests: u32 = window.iter().map(|bucket| bucket.requests).sum();
     let retries: u32 = window.iter().map(|bucket| bucket.retries).sum();
-    let allowance = limits.allowance / daemons.max(1) as f64;
+    let allowance = match daemons {
+        0 => 0.0,
+        _ => limits.allowance / daemons as f64,
+    };
     let allowed = SPENDABLE_SHARE * (limits.ratio * f64::from(requests) + allowance);
     f64::from(retries + 1) <= allowed
 }
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -98,12 +98,7 @@
 
 #[test]
 fn daemons_together_stay_within_the_budget() {
-    let limits = BudgetLimits {
-        ratio: 0.2,
-        allowance: 200.0,
-        window: Duration::from_secs(10),
-    };
-    let daemons: Vec<RetryBudget> = (0..8).map(|_| RetryBudget::new(limits)).collect();
+    let daemons = fleet_budgets();
 
     let mut granted = 0;
     for step in 0..1_000_u64 {
@@ -124,6 +119,37 @@
     );
 }
 
+/// Limits of a fleet of eight daemons.
+const FLEET_LIMITS: BudgetLimits = BudgetLimits {
+    ratio: 0.2,
+    allowance: 200.0,
+    window: Duration::from_secs(10),
+};
+
+fn fleet_budgets() -> Vec<RetryBudget> {
+    (0..8).map(|_| RetryBudget::new(FLEET_LIMITS)).collect()
+}
+
+/// Retries that a budget grants at once.
+fn spend_all(budget: &RetryBudget, daemons: usize, now: MonoTime) -> u32 {
+    let granted = (0..).take_while(|_| budget.try_spend(&service(), daemons, now));
+    granted.count() as u32
+}
+
+/// Daemons that have not heard how many they are spend none of the fixed allowance. Each took the
+/// whole of it.
+#[test]
+fn daemons_that_do_not_know_each_other_stay_within_the_budget() {
+    let budgets = fleet_budgets();
+
+    let granted: u32 = budgets
+        .iter()
+        .map(|budget| spend_all(budget, 0, at(1_000)))
+        .sum();
+
+    assert!(f64::from(granted) <= FLEET_LIMITS.allowance, "{granted}");
+}
+
 #[test]
 fn budget_is_restored_after_its_window() {
     let limits = BudgetLimits {
