Spend fewer retries in the first window after a start

A daemon keeps in memory how many retries it has spent. One that restarts spent its whole share again within the same window of ten seconds, while the budget counts the arrivals of all daemons whenever they were started.

A process now spends a quarter of its share, in place of three quarters, until it has run for one window: what it may have spent before and what it spends now stay within the share.

--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -15,6 +15,10 @@
 /// a part of the fixed allowance.
 const SPENDABLE_SHARE: f64 = 0.75;
 
+/// The same in the first window after the start of the process. A process before it on this
+/// instance may have spent its share already, of which the new one knows nothing.
+const SPENDABLE_SHARE_AT_START: f64 = 1.0 - SPENDABLE_SHARE;
+
 /// Limits on the retries of one service, over all daemons together.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct BudgetLimits {
@@ -33,7 +37,8 @@
     retries: u32,
 }
 
-/// Retry budget of each service, counted over a sliding window.
+/// Retry budget of each service, counted over a sliding window. Times count from the start of the
+/// process.
 #[derive(Debug)]
 pub struct RetryBudget {
     limits: Mutex<BudgetLimits>,
@@ -72,7 +77,7 @@
     pub fn try_spend(&self, service: &ServiceId, daemons: usize, now: MonoTime) -> bool {
         let limits = *self.lock_limits();
         self.with_window(service, now, |window| {
-            let granted = allows_retry(&limits, window, daemons);
+            let granted = allows_retry(&limits, window, daemons, now);
             if let (true, Some(bucket)) = (granted, window.back_mut()) {
                 bucket.retries += 1;
             }
@@ -84,7 +89,7 @@
     pub fn may_spend(&self, service: &ServiceId, daemons: usize, now: MonoTime) -> bool {
         let limits = *self.lock_limits();
         self.with_window(service, now, |window| {
-            allows_retry(&limits, window, daemons)
+            allows_retry(&limits, window, daemons, now)
         })
     }
 
@@ -120,13 +125,24 @@
 }
 
 /// True when one more retry stays within this daemon's share of the limits.
-fn allows_retry(limits: &BudgetLimits, window: &VecDeque<CountBucket>, daemons: usize) -> bool {
+fn allows_retry(
+    limits: &BudgetLimits,
+    window: &VecDeque<CountBucket>,
+    daemons: usize,
+    now: MonoTime,
+) -> bool {
     let requests: u32 = window.iter().map(|bucket| bucket.requests).sum();
     let retries: u32 = window.iter().map(|bucket| bucket.retries).sum();
     let allowance = match daemons {
         0 => 0.0,
         _ => limits.allowance / daemons as f64,
     };
-    let allowed = SPENDABLE_SHARE * (limits.ratio * f64::from(requests) + allowance);
+    let uptime = now.since(MonoTime::default());
+    let share = if uptime < limits.window {
+        SPENDABLE_SHARE_AT_START
+    } else {
+        SPENDABLE_SHARE
+    };
+    let allowed = share * (limits.ratio * f64::from(requests) + allowance);
     f64::from(retries + 1) <= allowed
 }
