Spare requests that were beside a crash

- Most attempts without progress in a wave time out on a chain whose server is dead already.
Such a server counts only if nothing through it had stalled before the attempt began.
A connection that the addressed server closed counts as before.
- Requests with the same crashes explain each other; of those with six, only requests with more do.
From three crashes on, a request that is not decided waits for a random time of up to a second, or a quarter of the time left, so that the two are not beside each other once more.
- Crashes wait a second before they are written to the store.
One that is cleared before costs no call; other daemons hear of both meanwhile.

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -66,7 +66,7 @@
     remove_expired(state);
     let rows = context
         .outbox
-        .due(MAX_TRANSACTION_ROWS, context.clock.now());
+        .take_due(MAX_TRANSACTION_ROWS, context.clock.now());
     if rows.is_empty() {
         return;
     }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -34,8 +34,7 @@
 const RENEW_PERIOD: Duration = Duration::from_millis(700);
 /// Period of the leader's duties and of dropping entries whose grace period is over.
 const DUTY_PERIOD: Duration = Duration::from_millis(200);
-/// Period of writing crashes under requests to the store. Long enough for most requests beside a
-/// crash to be cleared before.
+/// Period of writing crashes under requests to the store.
 const CRASH_SYNC_PERIOD: Duration = Duration::from_millis(400);
 /// Time for which callers with a cached address response may still connect after this daemon has
 /// been removed from new responses.
--- a/src/poison/outbox.rs
+++ b/src/poison/outbox.rs
@@ -23,9 +23,18 @@
 #[derive(Debug, Clone, Copy)]
 struct WaitingRow {
     state: CrashState,
+    /// Time at which it is due for the store, or at which it is dropped if the store was never told
+    /// of the crash and it is cleared.
     due: MonoTime,
-    /// True once the store or another daemon may have been told.
-    shared: bool,
+    /// True once the store may have been told.
+    is_written: bool,
+}
+
+impl WaitingRow {
+    /// True for a crash that the store needs no call for.
+    fn is_local(&self) -> bool {
+        self.state == CrashState::Cleared && !self.is_written
+    }
 }
 
 type WaitingMap = BTreeMap<(PoisonFingerprint, CrashedRun), WaitingRow>;
@@ -38,33 +47,51 @@
 }
 
 impl CrashOutbox {
-    /// Adds a crash, which is due for the store at `due`. A crash that is cleared before anybody
-    /// was told of it is dropped.
+    /// Adds a crash, which is due for the store at `due`. One that is not waiting when it is cleared
+    /// is taken to be in the store.
     pub fn add(&self, row: OutboxRow, due: MonoTime) {
         let mut waiting = self.lock();
         let key = (row.fingerprint, row.run);
         let known = waiting.get(&key).copied();
-        if known.is_some_and(|known| known.state >= row.state) {
+        let is_known = known.is_some_and(|known| known.state >= row.state);
+        if is_known || (known.is_none() && waiting.len() >= MAX_ROWS) {
             return;
         }
-        let was_untold = known.is_some_and(|known| !known.shared);
-        if was_untold && row.state == CrashState::Cleared {
-            waiting.remove(&key);
-        } else if known.is_some() || waiting.len() < MAX_ROWS {
-            let state = row.state;
-            let shared = known.is_some_and(|known| known.shared);
-            waiting.insert(key, WaitingRow { state, due, shared });
-        }
+        let state = row.state;
+        let is_written = match known {
+            Some(known) => known.is_written,
+            None => state == CrashState::Cleared,
+        };
+        waiting.insert(
+            key,
+            WaitingRow {
+                state,
+                due,
+                is_written,
+            },
+        );
     }
 
-    /// Up to `limit` rows that are due for the store; they stay until [`Self::on_stored`].
-    pub fn due(&self, limit: usize, now: MonoTime) -> Vec<OutboxRow> {
-        self.share(limit, |row| row.due <= now)
+    /// Up to `limit` rows that are due for the store; they stay until [`Self::on_stored`]. Drops
+    /// cleared crashes that the store was never told of.
+    pub fn take_due(&self, limit: usize, now: MonoTime) -> Vec<OutboxRow> {
+        let mut waiting = self.lock();
+        waiting.retain(|_, row| !(row.is_local() && row.due <= now));
+        let due = waiting
+            .iter_mut()
+            .filter(|(_, row)| row.due <= now && !row.is_local());
+        let rows = due.take(limit).map(|(key, row)| {
+            row.is_written = true;
+            outbox_row(key, row)
+        });
+        rows.collect()
     }
 
     /// Up to `limit` rows for other daemons.
     pub fn rows(&self, limit: usize) -> Vec<OutboxRow> {
-        self.share(limit, |_| true)
+        let waiting = self.lock();
+        let rows = waiting.iter().take(limit);
+        rows.map(|(key, row)| outbox_row(key, row)).collect()
     }
 
     /// Drops a crash that the store has in this state or a later one.
@@ -79,21 +106,15 @@
         }
     }
 
-    fn share(&self, limit: usize, is_wanted: impl Fn(&WaitingRow) -> bool) -> Vec<OutboxRow> {
-        let mut waiting = self.lock();
-        let wanted = waiting.iter_mut().filter(|(_, row)| is_wanted(row));
-        let rows = wanted.take(limit).map(|((fingerprint, run), row)| {
-            row.shared = true;
-            OutboxRow {
-                fingerprint: *fingerprint,
-                run: *run,
-                state: row.state,
-            }
-        });
-        rows.collect()
-    }
-
     fn lock(&self) -> MutexGuard<'_, WaitingMap> {
         self.waiting.lock().expect("outbox is never poisoned")
     }
 }
+
+fn outbox_row(key: &(PoisonFingerprint, CrashedRun), row: &WaitingRow) -> OutboxRow {
+    OutboxRow {
+        fingerprint: key.0,
+        run: key.1,
+        state: row.state,
+    }
+}
--- a/src/poison/table.rs
+++ b/src/poison/table.rs
@@ -50,7 +50,7 @@
     /// Crashes of which at least one has no other explanation: no other request with as many
     /// crashes ran on that target.
     pub crashes: u32,
-    /// Crashes that are enough whatever else ran on the targets.
+    /// Crashes from which only requests with more of them are another explanation.
     pub certain_crashes: u32,
 }
 
@@ -153,8 +153,17 @@
             return false;
         };
         let crashes = entry.crashes();
-        crashes >= limits.certain_crashes
-            || crashes >= limits.crashes && has_sole_crash(&entries, fingerprint, entry, now)
+        let rival_crashes = if crashes >= limits.certain_crashes {
+            crashes + 1
+        } else {
+            crashes
+        };
+        let rivals = entries
+            .iter()
+            .filter(|(other, _)| **other != fingerprint)
+            .map(|(_, other)| other)
+            .filter(|other| other.until > now && other.crashes() >= rival_crashes);
+        crashes >= limits.crashes && has_sole_crash(entry, &rivals.collect::<Vec<_>>())
     }
 
     /// The runs of `entry` that are not known, or not in that state.
@@ -259,21 +268,8 @@
     entries.get(&fingerprint).filter(|entry| entry.until > now)
 }
 
-/// True when one of the crashes has no other explanation: no other request with as many crashes
-/// was on that target.
-fn has_sole_crash(
-    entries: &EntryMap,
-    fingerprint: PoisonFingerprint,
-    entry: &PoisonEntry,
-    now: MonoTime,
-) -> bool {
-    let crashes = entry.crashes();
-    let rivals: Vec<&PoisonEntry> = entries
-        .iter()
-        .filter(|(other, _)| **other != fingerprint)
-        .map(|(_, other)| other)
-        .filter(|other| other.until > now && other.crashes() >= crashes)
-        .collect();
+/// True when one of the crashes has no other explanation: no rival was on that target.
+fn has_sole_crash(entry: &PoisonEntry, rivals: &[&PoisonEntry]) -> bool {
     let mut runs = entry.counted();
     runs.any(|run| !rivals.iter().any(|rival| rival.counts(run)))
 }
--- a/src/relay/forwarding.rs
+++ b/src/relay/forwarding.rs
@@ -59,6 +59,18 @@
     /// Forwards events until the stream ends or fails.
     pub(super) async fn run(
         mut self,
+        response: PendingResponse,
+        delivered: &mut DeliveryProgress,
+    ) -> StreamEnd {
+        let end = self.forward(response, delivered).await;
+        if let StreamEnd::Failed(failed) = &end {
+            self.suspicion.on_failure(failed);
+        }
+        end
+    }
+
+    async fn forward(
+        &mut self,
         mut response: PendingResponse,
         delivered: &mut DeliveryProgress,
     ) -> StreamEnd {
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -8,7 +8,7 @@
 use crate::relay::exchange::{ActiveRequest, ExchangeEnd, forward_head};
 use crate::relay::local_reply::RefusalCause;
 use crate::relay::retry::{RelayFailure, RetryState, RetryStep};
-use crate::relay::suspicion::{AttemptSuspicion, check_for_crash};
+use crate::relay::suspicion::{AttemptSuspicion, check_for_crash, separate_suspects};
 use crate::targets::TargetEntry;
 use crate::wire::{BodyEnd, WireHead, read_body};
 use async_std::future::timeout;
@@ -42,6 +42,7 @@
     let mut error_response: Option<BufferedResponse> = None;
     let mut detail = String::from("no target is ready");
     loop {
+        separate_suspects(request).await;
         let now = context.clock.now();
         let view = context.targets.load();
         let targets = view.service_targets(&request.service.name);
--- a/src/relay/streaming.rs
+++ b/src/relay/streaming.rs
@@ -9,7 +9,7 @@
 use crate::relay::local_reply::RefusalCause;
 use crate::relay::retry::{RelayFailure, RetryState, RetryStep};
 use crate::relay::stall::StallDetector;
-use crate::relay::suspicion::{AttemptSuspicion, check_for_crash};
+use crate::relay::suspicion::{AttemptSuspicion, check_for_crash, separate_suspects};
 use crate::targets::{LayerChain, ReservationGuard, TargetEntry};
 use crate::telemetry::EventLine;
 use async_io::Timer;
@@ -56,6 +56,7 @@
         if request.is_poison() {
             return end_stream(request, &state, &delivered, state.final_step(), &detail).await;
         }
+        separate_suspects(request).await;
         state.set_departed(count_departed(request, &state));
         let chain = find_chain(request, model, &state, &delivered).await;
         let step = request.next_step(&state, chain.is_some());
--- a/src/relay/suspicion.rs
+++ b/src/relay/suspicion.rs
@@ -14,6 +14,7 @@
 use crate::targets::{TargetEntry, TargetView};
 use crate::telemetry::EventLine;
 use crate::units::MonoTime;
+use async_io::Timer;
 use async_std::task;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -21,20 +22,30 @@
 /// Crashes under which a request is refused.
 pub(super) const POISON_LIMITS: PoisonLimits = PoisonLimits {
     crashes: 3,
-    certain_crashes: 4,
+    certain_crashes: 6,
 };
 /// Time for which a crash counts.
 pub(crate) const CRASH_RETENTION: Duration = Duration::from_secs(600);
+/// Longest delay of a request whose crashes may be due to another one.
+const MAX_SEPARATION: Duration = Duration::from_secs(1);
+/// The same as a share of the time left.
+const SEPARATION_SHARE: f64 = 0.25;
 /// Events of an attempt that show that its targets run the request.
 const PROGRESS_EVENTS: u32 = 2;
 /// Time from the end of an attempt in which a refused connection shows that the target ended under
 /// it.
 const REFUSAL_WINDOW: Duration = Duration::from_secs(1);
+/// Time from the end of an attempt until other attempts through its targets have failed as well, if
+/// these had ended before.
+const STALL_DELAY: Duration = Duration::from_secs(1);
 /// Time from the end of an attempt in which the entry of a target that ended under it leaves the
 /// list: a few heartbeats.
 const DEPARTURE_WINDOW: Duration = Duration::from_secs(8);
 /// Most crashes in one message to other daemons.
 const MAX_DIGEST_CRASHES: usize = 64;
+/// Time after which a crash is written to the store, or a cleared one removed. Most requests that
+/// were beside a crash make progress before and cost no call.
+const WRITE_DELAY: Duration = Duration::from_secs(1);
 /// Time after which a daemon writes a crash to the store that another one has told of.
 const PEER_WRITE_DELAY: Duration = Duration::from_secs(2);
 /// Most attempts that are remembered; the oldest are dropped first.
@@ -44,22 +55,40 @@
 #[derive(Debug)]
 struct SuspectAttempt {
     fingerprint: PoisonFingerprint,
+    /// Targets of the chain; the request was sent to the first one.
     targets: Vec<Arc<TargetEntry>>,
     started: MonoTime,
     ended: MonoTime,
+    /// True when the first target closed the connection or it was lost.
+    is_disconnected: bool,
 }
 
 impl SuspectAttempt {
     /// The first target that has ended under the attempt. Others of the chain count no further, as
     /// the failure of a rack ends several.
-    fn crashed_target(&self, view: &TargetView) -> Option<&Arc<TargetEntry>> {
-        let last_refusal = self.ended.after(REFUSAL_WINDOW);
+    fn crashed_target(&self, view: &TargetView, now: MonoTime) -> Option<&Arc<TargetEntry>> {
+        let first_target = self.targets.first()?;
+        if self.is_disconnected && self.was_refused(first_target) {
+            return Some(first_target);
+        }
+        // Without a closed connection, the target may have ended before the attempt. Other attempts
+        // through it show that, a little later at the latest.
+        if now.since(self.ended) < STALL_DELAY {
+            return None;
+        }
         self.targets.iter().find(|target| {
-            let refused_at = target.stats.refused_at();
-            let is_refused = refused_at.is_some_and(|at| at >= self.started && at <= last_refusal);
-            is_refused || view.target(&target.id).is_none()
+            let stalled_since = target.stats.stalled_since();
+            let has_ended = self.was_refused(target) || view.target(&target.id).is_none();
+            has_ended && stalled_since.is_none_or(|since| self.started <= since)
         })
     }
+
+    /// True when the target's host has refused a connection during the attempt or soon after it.
+    fn was_refused(&self, target: &TargetEntry) -> bool {
+        let last_refusal = self.ended.after(REFUSAL_WINDOW);
+        let refused_at = target.stats.refused_at();
+        refused_at.is_some_and(|at| at >= self.started && at <= last_refusal)
+    }
 }
 
 /// Attempts that ended without progress lately.
@@ -95,7 +124,7 @@
     ) -> Vec<(PoisonFingerprint, Arc<TargetEntry>)> {
         let mut crashed = Vec::new();
         self.lock()
-            .retain(|attempt| match attempt.crashed_target(view) {
+            .retain(|attempt| match attempt.crashed_target(view, now) {
                 Some(target) => {
                     crashed.push((attempt.fingerprint, Arc::clone(target)));
                     false
@@ -118,6 +147,8 @@
     targets: Vec<Arc<TargetEntry>>,
     started: MonoTime,
     events: u32,
+    last_event: Option<MonoTime>,
+    is_disconnected: bool,
     is_dismissed: bool,
 }
 
@@ -129,6 +160,8 @@
             targets,
             started: request.context.clock.now(),
             events: 0,
+            last_event: None,
+            is_disconnected: false,
             is_dismissed: false,
         }
     }
@@ -140,14 +173,22 @@
 
     /// The attempt failed.
     pub(super) fn on_failure(&mut self, failed: &FailedAttempt) {
+        self.is_disconnected = failed.kind == FailureKind::Disconnected;
         if !failed.may_have_crashed() {
             self.dismiss();
+            return;
+        }
+        let now = self.request.context.clock.now();
+        let stalled_since = self.last_event.unwrap_or(now);
+        for target in &self.targets {
+            target.stats.record_stall(stalled_since);
         }
     }
 
     /// An event has arrived; several of them are progress.
     pub(super) fn on_event(&mut self) {
         self.events += 1;
+        self.last_event = Some(self.request.context.clock.now());
         if self.events == PROGRESS_EVENTS {
             self.on_progress();
         }
@@ -173,10 +214,25 @@
             targets: std::mem::take(&mut self.targets),
             started: self.started,
             ended: context.clock.now(),
+            is_disconnected: self.is_disconnected,
         });
     }
 }
 
+/// Delays a request whose crashes may just as well be due to another one, by a random time, so that
+/// the two are not beside each other once more.
+pub(super) async fn separate_suspects(request: &ActiveRequest<'_>) {
+    let context = request.context;
+    let now = context.clock.now();
+    let is_undecided = !context.poison.is_empty()
+        && !request.is_poison()
+        && context.poison.crashes(request.fingerprint(), now) >= POISON_LIMITS.crashes;
+    if is_undecided {
+        let limit = request.deadline.since(now).mul_f64(SEPARATION_SHARE);
+        Timer::after(MAX_SEPARATION.min(limit).mul_f64(fastrand::f64())).await;
+    }
+}
+
 /// After a failed attempt, finds out whether `target` has crashed, so that the next attempt already
 /// takes account of it.
 pub(super) async fn check_for_crash(
@@ -222,14 +278,12 @@
         return;
     }
     let state = CrashState::Counted;
-    context.outbox.add(
-        OutboxRow {
-            fingerprint,
-            run,
-            state,
-        },
-        now,
-    );
+    let row = OutboxRow {
+        fingerprint,
+        run,
+        state,
+    };
+    context.outbox.add(row, now.after(WRITE_DELAY));
     let is_poison = context.poison.is_poison(fingerprint, POISON_LIMITS, now);
     let outcome = if is_poison { "poison" } else { "suspected" };
     context.metrics.suspects.with_label_values(&[outcome]).inc();
@@ -290,7 +344,7 @@
             run: *run,
             state,
         };
-        context.outbox.add(row, now);
+        context.outbox.add(row, now.after(WRITE_DELAY));
     }
     context
         .metrics
--- a/src/targets/stats.rs
+++ b/src/targets/stats.rs
@@ -19,6 +19,8 @@
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(250);
 /// Shortest interval between two probes of a target.
 const MIN_PROBE_INTERVAL: Duration = Duration::from_millis(100);
+/// Age from which the time of a stall is replaced by that of a later one.
+const MAX_STALL_AGE: Duration = Duration::from_secs(5);
 /// Longest ejection time.
 const MAX_EJECTION_TIME: Duration = Duration::from_secs(3);
 
@@ -38,6 +40,7 @@
     peers_unreachable: AtomicU32,
     last_report_query: AtomicU64,
     refused_at: AtomicU64,
+    stalled_since: AtomicU64,
     last_probe: AtomicU64,
 }
 
@@ -110,6 +113,25 @@
         }
     }
 
+    /// Records that an attempt through the target failed and that nothing came through it after
+    /// `since`. Of several such times within a few seconds the first one is kept.
+    pub fn record_stall(&self, since: MonoTime) {
+        let known = self.stalled_since.load(Ordering::Relaxed);
+        let is_old = since.since(MonoTime(known)) > MAX_STALL_AGE;
+        if known == 0 || is_old || since.0 < known {
+            self.stalled_since.store(since.0, Ordering::Relaxed);
+        }
+    }
+
+    /// Time from which attempts through the target are known to have failed; `None` if one has been
+    /// successful since.
+    pub fn stalled_since(&self) -> Option<MonoTime> {
+        match self.stalled_since.load(Ordering::Relaxed) {
+            0 => None,
+            since => Some(MonoTime(since)),
+        }
+    }
+
     /// True after several consecutive failed connects of this daemon.
     pub fn is_unreachable(&self) -> bool {
         self.failed_connects.load(Ordering::Relaxed) >= UNREACHABLE_THRESHOLD
@@ -185,6 +207,7 @@
     /// Records a successful request, which ends a series of failures.
     pub fn record_success(&self) {
         self.record_connect(true);
+        self.stalled_since.store(0, Ordering::Relaxed);
         if self.failures.load(Ordering::Relaxed) != 0 {
             self.failures.store(0, Ordering::Relaxed);
         }
