Count this daemon before its own entry is listed

The list now counts as one daemon at least once it has been read. All 30 tests of platform_plain pass.

--- a/src/presence/table.rs
+++ b/src/presence/table.rs
@@ -40,11 +40,13 @@
 
     /// Replaces the snapshot.
     pub fn publish(&self, rows: BTreeMap<Arc<str>, PresenceRow>) {
-        self.peak_count.fetch_max(rows.len(), Ordering::Relaxed);
+        // A daemon whose own entry is not in the list yet still counts itself.
+        self.peak_count
+            .fetch_max(rows.len().max(1), Ordering::Relaxed);
         self.rows.store(Arc::new(rows));
     }
 
-    /// Largest number of daemons that were known at the same time.
+    /// Largest number of daemons that were known at the same time; 0 before the list was read.
     pub fn peak_count(&self) -> usize {
         self.peak_count.load(Ordering::Relaxed)
     }
