Count no departure as a crash that was announced or that nobody saw fail

An attempt without progress whose target left the list within 8 s counted as a crash also if the caller had left first or the target had announced that it leaves, as in a release. Now a departure counts only after a failed attempt, and not for targets that were leaving; a refused connection counts as before.

A crash that a peer has cleared is removed from the store by that peer alone; each daemon that heard of it made the same call.

--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -85,6 +85,9 @@
             Ok(mut entry) => {
                 let stats = self.stats.entry(entry.id.clone()).or_default();
                 entry.stats = Arc::clone(stats);
+                if !entry.is_ready() {
+                    entry.stats.mark_leaving();
+                }
                 self.entries.insert(Arc::clone(key), Arc::new(entry));
                 None
             }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -119,7 +119,8 @@
     plan_layers, split_layers,
 };
 pub use poison::{
-    CrashState, CrashedRun, PoisonEntry, PoisonFingerprint, PoisonLimits, PoisonRow, PoisonTable,
+    CrashOutbox, CrashState, CrashedRun, OutboxRow, PoisonEntry, PoisonFingerprint, PoisonLimits,
+    PoisonRow, PoisonTable,
 };
 pub use presence::{PresenceRow, PresenceTable};
 pub use reconcile::{
--- a/src/poison/outbox.rs
+++ b/src/poison/outbox.rs
@@ -72,6 +72,15 @@
         );
     }
 
+    /// Adds a crash that another daemon tells of. One that it has cleared is its own to remove from
+    /// the store, so it only replaces a crash that waits here.
+    pub fn add_from_peer(&self, row: OutboxRow, due: MonoTime) {
+        let is_waiting = self.lock().contains_key(&(row.fingerprint, row.run));
+        if is_waiting || row.state == CrashState::Counted {
+            self.add(row, due);
+        }
+    }
+
     /// Up to `limit` rows that are due for the store; they stay until [`Self::on_stored`]. Drops
     /// cleared crashes that the store was never told of.
     pub fn take_due(&self, limit: usize, now: MonoTime) -> Vec<OutboxRow> {
--- a/src/relay/suspicion.rs
+++ b/src/relay/suspicion.rs
@@ -4,28 +4,18 @@
 //! out to have ended under it, that is a crash under the request. Progress of such a request, at any
 //! target, clears it.
 
-use crate::loads::target_hash;
-use crate::poison::{
-    CrashState, CrashedRun, OutboxRow, PoisonEntry, PoisonFingerprint, PoisonLimits, PoisonRow,
-};
+use crate::poison::PoisonFingerprint;
 use crate::relay::attempt::{FailedAttempt, FailureKind, probe_target};
 use crate::relay::context::RelayContext;
+use crate::relay::crashes::{POISON_LIMITS, clear_crashes, record_crash};
 use crate::relay::exchange::ActiveRequest;
 use crate::targets::{TargetEntry, TargetView};
-use crate::telemetry::EventLine;
 use crate::units::MonoTime;
 use async_io::Timer;
 use async_std::task;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-/// Crashes under which a request is refused.
-pub(super) const POISON_LIMITS: PoisonLimits = PoisonLimits {
-    crashes: 3,
-    certain_crashes: 6,
-};
-/// Time for which a crash counts.
-pub(crate) const CRASH_RETENTION: Duration = Duration::from_secs(600);
 /// Longest delay of a request whose crashes may be due to another one.
 const MAX_SEPARATION: Duration = Duration::from_secs(1);
 /// The same as a share of the time left.
@@ -41,13 +31,6 @@
 /// Time from the end of an attempt in which the entry of a target that ended under it leaves the
 /// list: a few heartbeats.
 const DEPARTURE_WINDOW: Duration = Duration::from_secs(8);
-/// Most crashes in one message to other daemons.
-const MAX_DIGEST_CRASHES: usize = 64;
-/// Time after which a crash is written to the store, or a cleared one removed. Most requests that
-/// were beside a crash make progress before and cost no call.
-const WRITE_DELAY: Duration = Duration::from_secs(1);
-/// Time after which a daemon writes a crash to the store that another one has told of.
-const PEER_WRITE_DELAY: Duration = Duration::from_secs(2);
 /// Most attempts that are remembered; the oldest are dropped first.
 const MAX_ATTEMPTS: usize = 4_096;
 
@@ -59,8 +42,8 @@
     targets: Vec<Arc<TargetEntry>>,
     started: MonoTime,
     ended: MonoTime,
-    /// True when the first target closed the connection or it was lost.
-    is_disconnected: bool,
+    /// How it failed; `None` when the caller left first.
+    failure: Option<FailureKind>,
 }
 
 impl SuspectAttempt {
@@ -68,7 +51,7 @@
     /// the failure of a rack ends several.
     fn crashed_target(&self, view: &TargetView, now: MonoTime) -> Option<&Arc<TargetEntry>> {
         let first_target = self.targets.first()?;
-        if self.is_disconnected && self.was_refused(first_target) {
+        if self.failure == Some(FailureKind::Disconnected) && self.was_refused(first_target) {
             return Some(first_target);
         }
         // Without a closed connection, the target may have ended before the attempt. Other attempts
@@ -78,7 +61,10 @@
         }
         self.targets.iter().find(|target| {
             let stalled_since = target.stats.stalled_since();
-            let has_ended = self.was_refused(target) || view.target(&target.id).is_none();
+            let has_departed = self.failure.is_some()
+                && view.target(&target.id).is_none()
+                && !target.stats.is_leaving();
+            let has_ended = self.was_refused(target) || has_departed;
             has_ended && stalled_since.is_none_or(|since| self.started <= since)
         })
     }
@@ -148,7 +134,7 @@
     started: MonoTime,
     events: u32,
     last_event: Option<MonoTime>,
-    is_disconnected: bool,
+    failure: Option<FailureKind>,
     is_dismissed: bool,
 }
 
@@ -161,7 +147,7 @@
             started: request.context.clock.now(),
             events: 0,
             last_event: None,
-            is_disconnected: false,
+            failure: None,
             is_dismissed: false,
         }
     }
@@ -173,7 +159,7 @@
 
     /// The attempt failed.
     pub(super) fn on_failure(&mut self, failed: &FailedAttempt) {
-        self.is_disconnected = failed.kind == FailureKind::Disconnected;
+        self.failure = Some(failed.kind);
         if !failed.may_have_crashed() {
             self.dismiss();
             return;
@@ -198,7 +184,7 @@
     pub(super) fn on_progress(&mut self) {
         if !self.is_dismissed {
             self.dismiss();
-            clear_crashes(self.request);
+            clear_suspicion(self.request);
         }
     }
 }
@@ -214,7 +200,7 @@
             targets: std::mem::take(&mut self.targets),
             started: self.started,
             ended: context.clock.now(),
-            is_disconnected: self.is_disconnected,
+            failure: self.failure,
         });
     }
 }
@@ -266,93 +252,13 @@
     }
 }
 
-fn record_crash(
-    context: &RelayContext,
-    fingerprint: PoisonFingerprint,
-    target: &TargetEntry,
-    now: MonoTime,
-) {
-    let run = CrashedRun(target_hash(&target.id));
-    let entry = PoisonEntry::new([run], CrashState::Counted, now.after(CRASH_RETENTION));
-    if !context.poison.merge(fingerprint, &entry, now) {
-        return;
-    }
-    let state = CrashState::Counted;
-    let row = OutboxRow {
-        fingerprint,
-        run,
-        state,
-    };
-    context.outbox.add(row, now.after(WRITE_DELAY));
-    let is_poison = context.poison.is_poison(fingerprint, POISON_LIMITS, now);
-    let outcome = if is_poison { "poison" } else { "suspected" };
-    context.metrics.suspects.with_label_values(&[outcome]).inc();
-    let line = EventLine::new("crash_under_request")
-        .with_display("fingerprint", fingerprint)
-        .with_display("target", &target.id)
-        .with("crashes", context.poison.crashes(fingerprint, now));
-    context.events.emit(line.with("outcome", outcome));
-}
-
-/// Crashes to tell other daemons, as the store may not know them yet.
-pub(crate) fn unstored_crashes(context: &RelayContext) -> Vec<PoisonRow> {
-    let now = context.clock.now();
-    let until = now.after(CRASH_RETENTION);
-    let rows = context.outbox.rows(MAX_DIGEST_CRASHES).into_iter();
-    let rows = rows.map(|row| {
-        let entry = PoisonEntry::new([row.run], row.state, until);
-        PoisonRow::new(row.fingerprint, &entry, now)
-    });
-    rows.collect()
-}
-
-/// Records the crashes that another daemon tells of. If that daemon does not write them to the
-/// store soon, this one does.
-pub(crate) fn merge_peer_crashes(context: &RelayContext, rows: &[PoisonRow]) {
-    let now = context.clock.now();
-    for row in rows {
-        let (fingerprint, entry) = (row.fingerprint(), row.entry(now, CRASH_RETENTION));
-        for (run, state) in context.poison.unknown_runs(fingerprint, &entry, now) {
-            let row = OutboxRow {
-                fingerprint,
-                run,
-                state,
-            };
-            context.outbox.add(row, now.after(PEER_WRITE_DELAY));
-        }
-        context.poison.merge(fingerprint, &entry, now);
-    }
-}
-
-/// Clears the crashes under a request that made progress.
-fn clear_crashes(request: &ActiveRequest<'_>) {
+/// Forgets all that speaks against a request, as it made progress.
+fn clear_suspicion(request: &ActiveRequest<'_>) {
     let context = request.context;
-    if context.poison.is_empty() && context.suspicions.is_empty() {
-        return;
-    }
-    let fingerprint = request.fingerprint();
-    context.suspicions.forget(fingerprint);
-    let cleared = context.poison.clear(fingerprint, u32::MAX);
-    if cleared.is_empty() {
-        return;
+    if !context.suspicions.is_empty() {
+        context.suspicions.forget(request.fingerprint());
     }
-    let now = context.clock.now();
-    let state = CrashState::Cleared;
-    for run in &cleared {
-        let row = OutboxRow {
-            fingerprint,
-            run: *run,
-            state,
-        };
-        context.outbox.add(row, now.after(WRITE_DELAY));
+    if !context.poison.is_empty() {
+        clear_crashes(request);
     }
-    context
-        .metrics
-        .suspects
-        .with_label_values(&["cleared"])
-        .inc();
-    let line = request
-        .log_line("crashes_cleared")
-        .with_display("fingerprint", fingerprint);
-    context.events.emit(line.with("crashes", cleared.len()));
 }
--- a/src/targets/stats.rs
+++ b/src/targets/stats.rs
@@ -35,6 +35,7 @@
     ejected_until: AtomicU64,
     degraded_until: AtomicU64,
     replaced: AtomicBool,
+    leaving: AtomicBool,
     first_event: Mutex<GapEstimate>,
     failed_connects: AtomicU32,
     peers_unreachable: AtomicU32,
@@ -213,6 +214,16 @@
         }
     }
 
+    /// Records that the target has announced that it leaves.
+    pub fn mark_leaving(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// True when the target has announced that it leaves, so that its end is no crash.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
     /// Records that another target has taken over the address.
     pub fn mark_replaced(&self) {
         self.replaced.store(true, Ordering::Relaxed);
