Publish no earlier target list over a later one

Callers saw 503 for 200 just after a daemon had started (access_follows_the_configuration case 1, once), or a site was not ready within 20 s (caller_resumes_where_it_says, once).

Cause: the tasks that follow the configuration and the target list, and the timer that drops expired entries, each took the entries and published a view of them in two steps. A task that took them before a change could publish after the task that had made it; the daemon then kept the old view until the next change. A target that had left could stay in use in the same way, as DRAIN forbids.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -186,19 +186,20 @@
 /// Publishes the targets and the chains that they form.
 pub(super) fn publish_targets(state: &GatewayState) {
     let context = &state.context;
-    let entries = state.with_targets(|targets, _now| targets.entries());
-    let catalog = context.catalog.load();
-    let view = TargetView::new(entries, catalog.as_deref());
-    context.pool.sweep(|id| view.target(id).is_some());
-    let known_state = &context.metrics.known_state;
-    known_state
-        .with_label_values(&["targets"])
-        .set(gauge_value(view.targets().count()));
-    known_state
-        .with_label_values(&["chains"])
-        .set(gauge_value(view.chain_count()));
-    log_chains(state, &view);
-    context.targets.publish(view);
+    state.targets.publish(&context.targets, |entries| {
+        let catalog = context.catalog.load();
+        let view = TargetView::new(entries, catalog.as_deref());
+        context.pool.sweep(|id| view.target(id).is_some());
+        let known_state = &context.metrics.known_state;
+        known_state
+            .with_label_values(&["targets"])
+            .set(gauge_value(view.targets().count()));
+        known_state
+            .with_label_values(&["chains"])
+            .set(gauge_value(view.chain_count()));
+        log_chains(state, &view);
+        view
+    });
     state.mark_ready();
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,10 +6,12 @@
 mod follow;
 mod leader;
 mod ports;
+mod publisher;
 mod run;
 mod targets;
 
 pub use addresses::AddressReply;
 pub use ports::{GatewayPorts, LayerOrder, OrderOutcome, StoreSchema, TargetPort, TargetReport};
+pub use publisher::TargetPublisher;
 pub use run::{GatewayError, GatewayHandle, GatewayState, start_gateway};
 pub use targets::TargetRegistry;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -6,6 +6,7 @@
 };
 use crate::gateway::leader::run_leader_duty;
 use crate::gateway::ports::GatewayPorts;
+use crate::gateway::publisher::TargetPublisher;
 use crate::gateway::targets::TargetRegistry;
 use crate::ids::ServiceId;
 use crate::kernel::{DaemonPhase, TimerService, TimerSpec};
@@ -73,7 +74,7 @@
     pub(super) session: LeaseSession,
     pub(super) presence_key: Arc<str>,
     pub(super) mirrors: MirrorSet,
-    targets: Mutex<TargetRegistry>,
+    pub(super) targets: TargetPublisher,
     schedulers: Mutex<HashMap<ServiceId, OrderScheduler>>,
     leaderless_since: Mutex<Option<MonoTime>>,
     targets_listed: AtomicBool,
@@ -87,8 +88,7 @@
         act: impl FnOnce(&mut TargetRegistry, MonoTime) -> T,
     ) -> T {
         let now = self.context.clock.now();
-        let mut targets = self.targets.lock().expect("target lock is never poisoned");
-        act(&mut targets, now)
+        self.targets.update(|targets| act(targets, now))
     }
 
     pub(super) fn with_schedulers<T>(
@@ -207,7 +207,7 @@
     let state = Arc::new(GatewayState {
         presence_key: presence_key(&row),
         session: LeaseSession::new(ports.store.clone(), row, lease_floor),
-        targets: Mutex::new(TargetRegistry::new(
+        targets: TargetPublisher::new(TargetRegistry::new(
             schema.target_prefix,
             schema.read_target,
         )),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -76,7 +76,8 @@
 };
 pub use gateway::{
     AddressReply, GatewayError, GatewayHandle, GatewayPorts, GatewayState, LayerOrder,
-    OrderOutcome, StoreSchema, TargetPort, TargetRegistry, TargetReport, start_gateway,
+    OrderOutcome, StoreSchema, TargetPort, TargetPublisher, TargetRegistry, TargetReport,
+    start_gateway,
 };
 pub use http::{
     CallerWatch, ConnectionCount, ConnectionPool, ConnectionReuse, ExecutionOutcome, HttpCall,
@@ -153,7 +154,7 @@
     WatchRequest, WireEvent, decode_bytes, encode_bytes,
 };
 pub use targets::{
-    ChainPart, LayerChain, TargetEntry, TargetPhase, TargetStats, TargetView, find_chains,
+    ChainPart, LayerChain, TargetEntry, TargetPhase, TargetStats, TargetView, ViewCell, find_chains,
 };
 pub use telemetry::{
     EventLine, EventLog, LogError, MetricSet, SpanGuard, SpanOutcome, SpanRecord, TraceContext,
