Tell each crash under a request by one daemon only

On the grown site of 83 daemons each daemon passed on every crash that any other had told of, up to 64 in each message, until the store had it, and merged each row of each message by copying its table.

A message carries 16, from a random place on. A row that tells nothing new is not merged.

crash_of_a_peer_is_passed_on_only_when_it_is_due could not pass before: there was no such distinction. poison_outbox (6) and platform_poison (7) pass.

--- a/src/poison/outbox.rs
+++ b/src/poison/outbox.rs
@@ -28,11 +28,13 @@
     due: MonoTime,
     /// True once the store may have been told.
     is_written: bool,
+    /// True when another daemon has told of it.
+    is_from_peer: bool,
 }
 
 impl WaitingRow {
     /// True for a crash that the store needs no call for.
-    fn is_local(&self) -> bool {
+    fn needs_no_call(&self) -> bool {
         self.state == CrashState::Cleared && !self.is_written
     }
 }
@@ -50,6 +52,10 @@
     /// Adds a crash, which is due for the store at `due`. One that is not waiting when it is cleared
     /// is taken to be in the store.
     pub fn add(&self, row: OutboxRow, due: MonoTime) {
+        self.insert(row, due, false);
+    }
+
+    fn insert(&self, row: OutboxRow, due: MonoTime, is_from_peer: bool) {
         let mut waiting = self.lock();
         let key = (row.fingerprint, row.run);
         let known = waiting.get(&key).copied();
@@ -68,6 +74,7 @@
                 state,
                 due,
                 is_written,
+                is_from_peer,
             },
         );
     }
@@ -77,7 +84,7 @@
     pub fn add_from_peer(&self, row: OutboxRow, due: MonoTime) {
         let is_waiting = self.lock().contains_key(&(row.fingerprint, row.run));
         if is_waiting || row.state == CrashState::Counted {
-            self.add(row, due);
+            self.insert(row, due, true);
         }
     }
 
@@ -85,10 +92,10 @@
     /// cleared crashes that the store was never told of.
     pub fn take_due(&self, limit: usize, now: MonoTime) -> Vec<OutboxRow> {
         let mut waiting = self.lock();
-        waiting.retain(|_, row| !(row.is_local() && row.due <= now));
+        waiting.retain(|_, row| !(row.needs_no_call() && row.due <= now));
         let due = waiting
             .iter_mut()
-            .filter(|(_, row)| row.due <= now && !row.is_local());
+            .filter(|(_, row)| row.due <= now && !row.needs_no_call());
         let rows = due.take(limit).map(|(key, row)| {
             row.is_written = true;
             outbox_row(key, row)
@@ -96,11 +103,20 @@
         rows.collect()
     }
 
-    /// Up to `limit` rows for other daemons.
-    pub fn rows(&self, limit: usize) -> Vec<OutboxRow> {
+    /// Up to `limit` rows for other daemons, the first ones from a random place on. Those that
+    /// another daemon has told of are passed on only once they are due, as that daemon tells of
+    /// them itself until then.
+    pub fn rows(&self, limit: usize, now: MonoTime) -> Vec<OutboxRow> {
         let waiting = self.lock();
-        let rows = waiting.iter().take(limit);
-        rows.map(|(key, row)| outbox_row(key, row)).collect()
+        let is_wanted = |row: &WaitingRow| !row.is_from_peer || row.due <= now;
+        let wanted: Vec<OutboxRow> = waiting
+            .iter()
+            .filter(|(_, row)| is_wanted(row))
+            .map(|(key, row)| outbox_row(key, row))
+            .collect();
+        let start = fastrand::usize(..wanted.len().max(1));
+        let rows = wanted.iter().cycle().skip(start);
+        rows.take(limit.min(wanted.len())).copied().collect()
     }
 
     /// Drops a crash that the store has in this state or a later one.
--- a/src/relay/crashes.rs
+++ b/src/relay/crashes.rs
@@ -19,7 +19,7 @@
 /// Time for which a crash counts.
 pub(crate) const CRASH_RETENTION: Duration = Duration::from_secs(600);
 /// Most crashes in one message to other daemons.
-const MAX_DIGEST_CRASHES: usize = 64;
+const MAX_DIGEST_CRASHES: usize = 16;
 /// Time after which a crash is written to the store, or a cleared one removed. Most requests that
 /// were beside a crash make progress before and cost no call.
 const WRITE_DELAY: Duration = Duration::from_secs(1);
@@ -58,7 +58,7 @@
 pub(crate) fn unstored_crashes(context: &RelayContext) -> Vec<PoisonRow> {
     let now = context.clock.now();
     let until = now.after(CRASH_RETENTION);
-    let rows = context.outbox.rows(MAX_DIGEST_CRASHES).into_iter();
+    let rows = context.outbox.rows(MAX_DIGEST_CRASHES, now).into_iter();
     let rows = rows.map(|row| {
         let entry = PoisonEntry::new([row.run], row.state, until);
         PoisonRow::new(row.fingerprint, &entry, now)
@@ -72,7 +72,12 @@
     let now = context.clock.now();
     for row in rows {
         let (fingerprint, entry) = (row.fingerprint(), row.entry(now, CRASH_RETENTION));
-        for (run, state) in context.poison.unknown_runs(fingerprint, &entry, now) {
+        let unknown_runs = context.poison.unknown_runs(fingerprint, &entry, now);
+        // A merge copies the whole table.
+        if !unknown_runs.is_empty() {
+            context.poison.merge(fingerprint, &entry, now);
+        }
+        for (run, state) in unknown_runs {
             let row = OutboxRow {
                 fingerprint,
                 run,
@@ -82,7 +87,6 @@
                 .outbox
                 .add_from_peer(row, now.after(PEER_WRITE_DELAY));
         }
-        context.poison.merge(fingerprint, &entry, now);
     }
 }
 
--- a/tests/poison_outbox.rs
+++ b/tests/poison_outbox.rs
@@ -26,7 +26,7 @@
     let outbox = CrashOutbox::default();
     outbox.add(counted(), LATER);
     assert_eq!(outbox.take_due(32, NOW), Vec::new());
-    assert_eq!(outbox.rows(64), vec![counted()]);
+    assert_eq!(outbox.rows(64, NOW), vec![counted()]);
 
     assert_eq!(outbox.take_due(32, LATER), vec![counted()]);
     assert_eq!(outbox.take_due(32, LATER), vec![counted()]);
@@ -43,9 +43,9 @@
 
     outbox.add(cleared(), LATER);
 
-    assert_eq!(outbox.rows(64), vec![cleared()]);
+    assert_eq!(outbox.rows(64, NOW), vec![cleared()]);
     assert_eq!(outbox.take_due(32, LATER), Vec::new());
-    assert_eq!(outbox.rows(64), Vec::new());
+    assert_eq!(outbox.rows(64, NOW), Vec::new());
 }
 
 /// A crash that may have been written is removed, though the reply to the write was lost.
@@ -59,7 +59,7 @@
 
     assert_eq!(outbox.take_due(32, LATER), vec![cleared()]);
     outbox.on_stored(counted());
-    assert_eq!(outbox.rows(64), vec![cleared()]);
+    assert_eq!(outbox.rows(64, NOW), vec![cleared()]);
 }
 
 /// A peer removes what it has written itself; all others would make the same call.
@@ -80,5 +80,17 @@
 
     outbox.add_from_peer(counted(), NOW);
 
-    assert_eq!(outbox.rows(64), vec![cleared()]);
+    assert_eq!(outbox.rows(64, NOW), vec![cleared()]);
+}
+
+/// A crash that a peer tells of is passed on only when the store should have had it. In a large
+/// fleet every daemon sent every crash in each message.
+#[test]
+fn crash_of_a_peer_is_passed_on_only_when_it_is_due() {
+    let outbox = CrashOutbox::default();
+
+    outbox.add_from_peer(counted(), LATER);
+
+    assert_eq!(outbox.rows(64, NOW), Vec::new());
+    assert_eq!(outbox.rows(64, LATER), vec![counted()]);
 }
