Clear all crashes of a request at once, and other cuts after a second reading

- PoisonTable::clear copied the whole table once for each run; it now copies it once, and not at all when nothing counts.
- CrashOutbox::add_from_peer locked the outbox twice, with a gap between the look and the change; the condition stands in insert with its twins.
- The stand-in's close returned a flag that nobody read.

--- a/rig/src/site/http.rs
+++ b/rig/src/site/http.rs
@@ -49,10 +49,10 @@
         self.address
     }
 
-    /// Closes all connections; further ones are refused. Returns false when it was closed already.
-    pub(super) fn close(&self) -> bool {
+    /// Closes all connections; further ones are refused.
+    pub(super) fn close(&self) {
         let Some(streams) = self.lock().take() else {
-            return false;
+            return;
         };
         for stream in streams {
             // The peer may have closed the connection already.
@@ -62,7 +62,6 @@
         while TcpStream::connect(self.address).is_ok() {
             thread::yield_now();
         }
-        true
     }
 
     /// Adds a connection; false when the listener is closed.
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -50,7 +50,7 @@
             let entry = PoisonEntry::new([run], state, now.after(CRASH_RETENTION));
             context.poison.merge(fingerprint, &entry, now);
         }
-        CrashState::Cleared => context.poison.clear_run(fingerprint, run),
+        CrashState::Cleared => context.poison.clear_runs(fingerprint, &[run]),
     }
     context.outbox.on_stored(OutboxRow {
         fingerprint,
--- a/src/loads/mod.rs
+++ b/src/loads/mod.rs
@@ -1,6 +1,7 @@
-//! Gossip of reservations, and of crashes under requests while these are not in the store: daemons announce to each other what their requests have reserved at
+//! Gossip of reservations: daemons announce to each other what their requests have reserved at
 //! targets, so that each daemon chooses targets by the load from all of them. The store would be
-//! too slow and too expensive for figures that change with every request.
+//! too slow and too expensive for figures that change with every request. The same messages carry
+//! crashes under requests until the store has them.
 
 mod digest;
 mod exchange;
--- a/src/poison/outbox.rs
+++ b/src/poison/outbox.rs
@@ -58,14 +58,12 @@
     fn insert(&self, row: OutboxRow, due: MonoTime, is_from_peer: bool) {
         let mut waiting = self.lock();
         let key = (row.fingerprint, row.run);
-        let known = waiting.get(&key).copied();
-        let is_known = known.is_some_and(|known| known.state >= row.state);
-        if is_known || (known.is_none() && waiting.len() >= MAX_ROWS) {
-            return;
-        }
         let state = row.state;
-        let is_written = match known {
+        let is_written = match waiting.get(&key) {
+            Some(known) if known.state >= state => return,
             Some(known) => known.is_written,
+            None if waiting.len() >= MAX_ROWS => return,
+            None if is_from_peer && state == CrashState::Cleared => return,
             None => state == CrashState::Cleared,
         };
         waiting.insert(
@@ -82,10 +80,7 @@
     /// Adds a crash that another daemon tells of. One that it has cleared is its own to remove from
     /// the store, so it only replaces a crash that waits here.
     pub fn add_from_peer(&self, row: OutboxRow, due: MonoTime) {
-        let is_waiting = self.lock().contains_key(&(row.fingerprint, row.run));
-        if is_waiting || row.state == CrashState::Counted {
-            self.insert(row, due, true);
-        }
+        self.insert(row, due, true);
     }
 
     /// Up to `limit` rows that are due for the store; they stay until [`Self::on_stored`]. Drops
--- a/src/poison/row.rs
+++ b/src/poison/row.rs
@@ -16,7 +16,7 @@
     /// Fingerprint, lower half.
     #[prost(uint64, tag = "2")]
     pub low: u64,
-    /// Number of crashes that count; zero clears the fingerprint.
+    /// Number of crashes that count. Only daemons of earlier versions read it.
     #[prost(uint32, tag = "3")]
     pub crashes: u32,
     /// Time until the entry expires, in milliseconds.
--- a/src/poison/table.rs
+++ b/src/poison/table.rs
@@ -211,22 +211,21 @@
         let Some(entry) = entries.get(&fingerprint) else {
             return Vec::new();
         };
-        if entry.crashes() >= limit {
-            return Vec::new();
-        }
         let runs: Vec<CrashedRun> = entry.counted().collect();
-        for run in &runs {
-            self.clear_run(fingerprint, *run);
+        if runs.is_empty() || entry.crashes() >= limit {
+            return Vec::new();
         }
+        self.clear_runs(fingerprint, &runs);
         runs
     }
 
-    /// Clears one crash.
-    pub fn clear_run(&self, fingerprint: PoisonFingerprint, run: CrashedRun) {
+    /// Clears these crashes.
+    pub fn clear_runs(&self, fingerprint: PoisonFingerprint, runs: &[CrashedRun]) {
         self.entries.rcu(|entries| {
             let mut next = EntryMap::clone(entries);
             if let Some(entry) = next.get_mut(&fingerprint) {
-                entry.runs.insert(run, CrashState::Cleared);
+                let cleared = runs.iter().map(|run| (*run, CrashState::Cleared));
+                entry.runs.extend(cleared);
             }
             next
         });
