--- a/src/relay/forwarding.rs
+++ b/src/relay/forwarding.rs
@@ -11,7 +11,9 @@
 use crate::relay::stall::{StallDetector, StallStep};
 use crate::relay::suspicion::AttemptSuspicion;
 use crate::targets::LayerChain;
-use crate::wire::{BodyStep, CompleteEvent, EventSplitter, LAST_CHUNK, StreamError, encode_chunk};
+use crate::wire::{
+    BodyEnd, BodyStep, CompleteEvent, EventSplitter, LAST_CHUNK, StreamError, encode_chunk,
+};
 use async_std::future::timeout;
 
 /// What the caller has received so far.
@@ -86,6 +88,7 @@
                 return failed_stream(&"events missing: gap in the event ids");
             }
             if step == BodyStep::Done {
+                self.record_end(BodyEnd::Framed, &splitter, delivered);
                 return self.finish(response, &splitter, delivered, output).await;
             }
             if !output.is_empty() && !self.request.send(&output).await {
@@ -97,6 +100,7 @@
                 ReadOutcome::End => {
                     // The target has closed the connection, so it cannot be reused.
                     response.written = false;
+                    self.record_end(BodyEnd::Closed, &splitter, delivered);
                     return self.finish(response, &splitter, delivered, output).await;
                 }
                 ReadOutcome::Failed(failed) => return StreamEnd::Failed(failed),
@@ -195,6 +199,32 @@
             && pick_chain(chains, model, requirement, state.tried(), now, &mut rng).is_some()
     }
 
+    /// Counts how the target ended the stream. An end of the connection is also logged, since
+    /// nothing else shows whether the target has sent all events.
+    fn record_end(&self, end: BodyEnd, splitter: &EventSplitter, delivered: &DeliveryProgress) {
+        let context = self.request.context;
+        let unfinished_bytes = splitter.remainder().len();
+        let label = match (end, unfinished_bytes) {
+            (BodyEnd::Framed, _) => "framed",
+            (BodyEnd::Closed, 0) => "closed",
+            (BodyEnd::Closed, _) => "closed_inside_event",
+        };
+        context
+            .metrics
+            .stream_ends
+            .with_label_values(&[label])
+            .inc();
+        if end == BodyEnd::Closed {
+            let line = self
+                .request
+                .log_line("ended_by_close")
+                .with_display("target", &self.chain.head().id)
+                .with("last_event", delivered.last_id)
+                .with("unfinished_bytes", unfinished_bytes);
+            context.events.emit(line);
+        }
+    }
+
     /// Sends what is left of a complete response to the caller.
     async fn finish(
         &mut self,
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -13,6 +13,9 @@
     /// Requests suspected of crashing targets, by event: `suspected` and `poison` at a crash,
     /// `cleared` at progress.
     pub suspects: IntCounterVec,
+    /// Streams whose target ended them, by how: `framed` by a length or last chunk, and `closed` or
+    /// `closed_inside_event` by the end of the connection.
+    pub stream_ends: IntCounterVec,
     /// Seconds from the arrival of the request head, by kind. The only kind is `first_event`, until
     /// the first bytes of a stream are ready to be forwarded.
     pub latency: HistogramVec,
@@ -45,6 +48,11 @@
                 "Crashes of targets under requests and requests cleared of them",
                 &["event"],
             )?,
+            stream_ends: metrics.counter(
+                "relay_stream_ends_total",
+                "Streams ended by their targets, by how the end was determined",
+                &["end"],
+            )?,
             latency: metrics.latency_histogram(
                 "relay_answer_seconds",
                 "Seconds from the arrival of a request to its first event",
