--- a/rig/src/demo.rs
+++ b/rig/src/demo.rs
@@ -8,7 +8,7 @@
 use crate::oracle::reference_text;
 use crate::platform::{PlatformKnobs, PlatformStandIn};
 use crate::proxy::{FaultProxy, ProxyFaults};
-use crate::site::{ModelKnobs, SiteFleet, SiteRequest, SiteSpec, send_site_request};
+use crate::site::{ModelKnobs, SiteFleet, SiteRequest, SiteSpec, StreamCut, send_site_request};
 use crate::web::admin_send;
 use arbutusmount::{
     AskRequest, ChatMessage, ChatRequest, DaemonSettings, InstanceRole, InstanceRow, InstanceState,
@@ -119,7 +119,7 @@
         .filter(|server| !server.runs().is_empty());
     for server in busy_servers {
         server.set_knobs(ModelKnobs {
-            reset_at_event: Some(7),
+            cuts: vec![StreamCut::reset_at(7)],
             ..ModelKnobs::default()
         });
     }
--- a/rig/src/site/caller.rs
+++ b/rig/src/site/caller.rs
@@ -12,6 +12,8 @@
 pub struct SiteRequest {
     /// HTTP method.
     pub method: &'static str,
+    /// Protocol version, such as `HTTP/1.1`.
+    pub version: &'static str,
     /// Request target: path and query.
     pub target: String,
     /// Value of `X-Attempt-Id`.
@@ -29,6 +31,7 @@
     pub fn new(method: &'static str, target: &str, attempt_id: &str) -> Self {
         Self {
             method,
+            version: "HTTP/1.1",
             target: target.to_owned(),
             attempt_id: attempt_id.to_owned(),
             key: "key-1",
@@ -37,11 +40,11 @@
         }
     }
 
-    /// Encodes the request as HTTP/1.1.
+    /// Encodes the request.
     pub fn encode(&self) -> Vec<u8> {
         let mut text = format!(
-            "{} {} HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: {}\r\nX-Deadline-Ms: 3000\r\n",
-            self.method, self.target, self.attempt_id
+            "{} {} {}\r\nHost: desk.example\r\nX-Attempt-Id: {}\r\nX-Deadline-Ms: 3000\r\n",
+            self.method, self.target, self.version, self.attempt_id
         );
         if !self.key.is_empty() {
             write_text(
@@ -78,9 +81,10 @@
     pub status: u16,
     /// Head as text.
     pub head: String,
-    /// Body without its chunk framing; with the framing when the response is incomplete.
+    /// Body without its chunk framing, as far as it has arrived.
     pub body: Vec<u8>,
-    /// True when the whole body that the framing announces has arrived.
+    /// True when the whole body that the framing announces has arrived. A body with neither a
+    /// length nor chunks is whole when the connection was closed and not reset.
     pub complete: bool,
     /// Time until the whole response, or the end of the connection, was read.
     pub elapsed: Duration,
@@ -133,10 +137,10 @@
             response.longest_pause = longest_pause;
             return response;
         }
-        let count = stream.read(&mut buffer).unwrap_or(0);
-        if count == 0 {
-            return partial_response(&bytes, started.elapsed());
-        }
+        let count = match stream.read(&mut buffer) {
+            Ok(count @ 1..) => count,
+            end => return ended_response(&bytes, end.is_ok(), started.elapsed()),
+        };
         if !bytes.is_empty() {
             longest_pause = longest_pause.max(last_read.elapsed());
         }
@@ -153,30 +157,40 @@
         .and_then(|text| text.parse().ok());
     match length {
         Some(length) if rest.len() >= length => response.body = rest[..length].to_vec(),
-        Some(_) => return None,
-        None => response.body = join_chunks(rest)?,
+        None if response.field("transfer-encoding").is_some() => {
+            response.body = join_chunks(rest)?;
+        }
+        _ => return None,
     }
     response.complete = true;
     Some(response)
 }
 
-/// The response as far as it had arrived when the connection ended.
-fn partial_response(bytes: &[u8], elapsed: Duration) -> SiteResponse {
-    let empty = || SiteResponse {
-        status: 0,
-        head: String::new(),
-        body: Vec::new(),
-        complete: false,
-        elapsed,
-        longest_pause: Duration::ZERO,
-    };
-    match split_head(bytes) {
-        Some((response, rest)) => SiteResponse {
-            body: rest.to_vec(),
+/// The response as far as it had arrived when the connection ended; `closed` tells whether it was
+/// closed and neither reset nor silent for too long.
+fn ended_response(bytes: &[u8], closed: bool, elapsed: Duration) -> SiteResponse {
+    let Some((response, rest)) = split_head(bytes) else {
+        return SiteResponse {
+            status: 0,
+            head: String::new(),
+            body: Vec::new(),
+            complete: false,
             elapsed,
-            ..response
-        },
-        None => empty(),
+            longest_pause: Duration::ZERO,
+        };
+    };
+    let is_chunked = response.field("transfer-encoding").is_some();
+    let is_framed = is_chunked || response.field("content-length").is_some();
+    let body = if is_chunked {
+        split_chunks(rest).0
+    } else {
+        rest.to_vec()
+    };
+    SiteResponse {
+        body,
+        complete: closed && !is_framed,
+        elapsed,
+        ..response
     }
 }
 
@@ -200,17 +214,32 @@
 }
 
 /// The body made of its chunks, once the last chunk has arrived.
-fn join_chunks(mut rest: &[u8]) -> Option<Vec<u8>> {
+fn join_chunks(rest: &[u8]) -> Option<Vec<u8>> {
+    match split_chunks(rest) {
+        (body, true) => Some(body),
+        (_, false) => None,
+    }
+}
+
+/// The data of the complete chunks, and whether the last chunk has arrived.
+fn split_chunks(mut rest: &[u8]) -> (Vec<u8>, bool) {
     let mut body = Vec::new();
-    loop {
-        let line = rest.windows(2).position(|window| window == b"\r\n")?;
-        let text = std::str::from_utf8(&rest[..line]).ok()?;
-        let size = usize::from_str_radix(text, 16).ok()?;
-        let data = rest.get(line + 2..line + 2 + size)?;
-        rest = rest.get(line + 2 + size + 2..)?;
-        if size == 0 {
-            return Some(body);
+    while let Some((data, after)) = next_chunk(rest) {
+        if data.is_empty() {
+            return (body, true);
         }
         body.extend_from_slice(data);
+        rest = after;
     }
+    (body, false)
+}
+
+/// The data of the first chunk and the bytes after it.
+fn next_chunk(rest: &[u8]) -> Option<(&[u8], &[u8])> {
+    let line = rest.windows(2).position(|window| window == b"\r\n")?;
+    let text = std::str::from_utf8(&rest[..line]).ok()?;
+    let size = usize::from_str_radix(text, 16).ok()?;
+    let data = rest.get(line + 2..line + 2 + size)?;
+    let after = rest.get(line + 2 + size + 2..)?;
+    Some((data, after))
 }
--- a/rig/src/site/http.rs
+++ b/rig/src/site/http.rs
@@ -122,6 +122,9 @@
 }
 
 fn serve_connection(mut stream: TcpStream, handler: &Handler) {
+    // Otherwise, small writes wait for the acknowledgement of earlier ones, and a reset discards
+    // them. The peer may have closed the connection already.
+    let _ = stream.set_nodelay(true);
     let mut input = Vec::new();
     while let Some(request) = read_request(&mut stream, &mut input) {
         match handler(&request, &mut stream) {
--- a/rig/src/site/mod.rs
+++ b/rig/src/site/mod.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod http;
 mod model;
+mod model_stream;
 mod plain;
 mod store;
 
@@ -15,5 +16,6 @@
 pub use crash::{CrashRegistry, CrashRun};
 pub use fleet::{SiteDaemon, SiteFleet, SiteSpec, plain_server_entry, sample_config};
 pub use model::{ModelKnobs, ModelServer};
+pub use model_stream::{CutEnd, CutScope, StreamCut, StreamFraming, event_text};
 pub use plain::{PLAIN_BODY, PlainFault, PlainServer};
 pub use store::{SiteStore, StoreFault};
--- a/rig/src/site/model.rs
+++ b/rig/src/site/model.rs
@@ -3,9 +3,9 @@
 
 use crate::site::crash::{CrashPlace, CrashRegistry, StartServer};
 use crate::site::http::{AfterReply, Handler, ReceivedRequest, reply, serve_closable};
+use crate::site::model_stream::{StreamCut, StreamFraming, send_stream};
 use crate::site::store::SiteStore;
 use serde_json::{Value, json};
-use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -21,8 +21,10 @@
     pub event_gap: Duration,
     /// Number of events in a response.
     pub events: u64,
-    /// Event in the middle of which the connection is reset.
-    pub reset_at_event: Option<u64>,
+    /// How the end of a stream is shown.
+    pub framing: StreamFraming,
+    /// Where streams are broken off; the first cut that applies counts.
+    pub cuts: Vec<StreamCut>,
     /// Event before which the stream stalls, as when a later stage of the chain is dead; the
     /// connection closes after 5 s.
     pub hang_at_event: Option<u64>,
@@ -37,7 +39,8 @@
         Self {
             event_gap: Duration::from_millis(5),
             events: 20,
-            reset_at_event: None,
+            framing: StreamFraming::Chunked,
+            cuts: Vec::new(),
             hang_at_event: None,
             pause_at_event: None,
             stalled_address: None,
@@ -243,45 +246,12 @@
             state.runs.push(run);
             state.knobs.clone()
         });
-        let head = format!(
-            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Server-Stamp: stamp-{}\r\n\
-             X-Attempt-Id: {attempt_id}\r\nTransfer-Encoding: chunked\r\n\r\n",
+        let fields = format!(
+            "Content-Type: text/event-stream\r\nX-Server-Stamp: stamp-{}\r\n\
+             X-Attempt-Id: {attempt_id}\r\n",
             self.id
         );
-        if stream.write_all(head.as_bytes()).is_err() {
-            return AfterReply::Close;
-        }
-        for number in first_event..knobs.events {
-            thread::sleep(knobs.event_gap);
-            let event = format!("id: {number}\ndata: token {number}\n\n");
-            if let Some((event, time)) = knobs.pause_at_event
-                && event == number
-            {
-                thread::sleep(time);
-            }
-            if knobs.hang_at_event == Some(number) {
-                thread::sleep(Duration::from_secs(5));
-                return AfterReply::Close;
-            }
-            let is_reset = knobs.reset_at_event == Some(number);
-            let text = if is_reset {
-                &event[..event.len() / 2]
-            } else {
-                &event
-            };
-            let chunk = format!("{:x}\r\n{text}\r\n", text.len());
-            if stream.write_all(chunk.as_bytes()).is_err() {
-                return AfterReply::Close;
-            }
-            if is_reset {
-                thread::sleep(Duration::from_millis(30));
-                return AfterReply::Reset;
-            }
-        }
-        match stream.write_all(b"0\r\n\r\n") {
-            Ok(()) => AfterReply::Keep,
-            Err(_) => AfterReply::Close,
-        }
+        send_stream(stream, &fields, first_event, &knobs)
     }
 
     /// True when the first hop names this server and the layers that it holds.
--- /dev/null
+++ b/tests/platform_stream_ends.rs
@@ -0,0 +1,152 @@
+//! How streams of targets end over the platform's protocol: whole, or broken off at any byte.
+
+#[path = "support/site.rs"]
+mod site;
+
+use arbutusmount::BudgetLimits;
+use rig::{
+    CutEnd, CutScope, ModelKnobs, SiteFleet, SiteRequest, SiteResponse, StreamCut, StreamFraming,
+    event_text,
+};
+use site::{call, model_site, stream_call};
+use std::time::Duration;
+use test_case::test_matrix;
+
+/// Event that is cut.
+const CUT_EVENT: u64 = 7;
+/// Number of events in a complete stream.
+const EVENTS: u64 = 20;
+
+/// Starts a site that always allows a retry.
+fn retrying_site() -> SiteFleet {
+    let site = model_site();
+    site.daemons[0]
+        .state
+        .context
+        .budget
+        .set_limits(BudgetLimits {
+            ratio: 1.0,
+            allowance: 10_000.0,
+            window: Duration::from_secs(10),
+        });
+    site
+}
+
+fn set_knobs(site: &SiteFleet, framing: StreamFraming, cuts: &[StreamCut]) {
+    let knobs = ModelKnobs {
+        event_gap: Duration::from_millis(1),
+        events: EVENTS,
+        framing,
+        cuts: cuts.to_vec(),
+        ..ModelKnobs::default()
+    };
+    site.model_servers
+        .iter()
+        .for_each(|model| model.set_knobs(knobs.clone()));
+}
+
+/// Numbers of bytes after which a cut shows that the stream was broken off. Between two events, an
+/// orderly end of a stream without a length looks the same as one that was broken off, and so does
+/// one that sends its last chunk.
+fn visible_cuts(framing: StreamFraming, end: CutEnd) -> std::ops::RangeInclusive<usize> {
+    let length = event_text(CUT_EVENT).len();
+    match (framing, end) {
+        (StreamFraming::UntilClose, CutEnd::Close) | (_, CutEnd::LastChunk) => 1..=length - 1,
+        _ => 0..=length,
+    }
+}
+
+fn send(site: &SiteFleet, attempt: &str, version: &'static str) -> SiteResponse {
+    let request = SiteRequest {
+        version,
+        ..stream_call(attempt)
+    };
+    call(site, &request)
+}
+
+fn joined_events(count: u64) -> String {
+    (0..count).map(event_text).collect()
+}
+
+fn run_count(site: &SiteFleet, attempt: &str) -> usize {
+    let runs = site.model_servers.iter().flat_map(rig::ModelServer::runs);
+    runs.filter(|run| run.attempt_id == attempt).count()
+}
+
+/// Checks streams whose first server breaks them off: they go on at another server and are whole.
+fn check_resumed(framing: StreamFraming, end: CutEnd, version: &'static str) {
+    let site = retrying_site();
+    for bytes in visible_cuts(framing, end) {
+        let cut = StreamCut {
+            scope: CutScope::Started,
+            event: CUT_EVENT,
+            bytes,
+            end,
+        };
+        set_knobs(&site, framing, &[cut]);
+        let attempt = format!("a{bytes}");
+
+        let answer = send(&site, &attempt, version);
+
+        assert_eq!((answer.status, answer.complete), (200, true), "{cut:?}");
+        assert_eq!(
+            String::from_utf8_lossy(&answer.body),
+            joined_events(EVENTS),
+            "{cut:?}"
+        );
+        assert_eq!(run_count(&site, &attempt), 2, "{cut:?}");
+    }
+}
+
+/// Checks streams that are broken off once more by the server at which they went on, the last one
+/// that the route allows: they must not look complete, nor contain a part of an event.
+fn check_truncated(framing: StreamFraming, end: CutEnd, version: &'static str) {
+    let site = retrying_site();
+    let first = StreamCut {
+        scope: CutScope::Started,
+        ..StreamCut::reset_at(3)
+    };
+    for bytes in visible_cuts(framing, end) {
+        let cut = StreamCut {
+            scope: CutScope::Resumed,
+            event: CUT_EVENT,
+            bytes,
+            end,
+        };
+        set_knobs(&site, framing, &[first, cut]);
+        let whole_events = CUT_EVENT + u64::from(bytes == event_text(CUT_EVENT).len());
+
+        let answer = send(&site, &format!("a{bytes}"), version);
+
+        assert_eq!((answer.status, answer.complete), (200, false), "{cut:?}");
+        assert_eq!(
+            String::from_utf8_lossy(&answer.body),
+            joined_events(whole_events),
+            "{cut:?}"
+        );
+    }
+}
+
+/// A stream without a length that its server closed inside an event was passed on as complete.
+#[test_matrix([CutEnd::Close, CutEnd::Reset], ["HTTP/1.1", "HTTP/1.0"])]
+fn unframed_stream_cut_inside_an_event_is_resumed(end: CutEnd, version: &'static str) {
+    check_resumed(StreamFraming::UntilClose, end, version);
+}
+
+/// A stream that its server ended properly, but inside an event, was passed on as complete.
+#[test_matrix([CutEnd::Close, CutEnd::Reset, CutEnd::LastChunk], ["HTTP/1.1", "HTTP/1.0"])]
+fn chunked_stream_cut_inside_an_event_is_resumed(end: CutEnd, version: &'static str) {
+    check_resumed(StreamFraming::Chunked, end, version);
+}
+
+/// A resumed stream that was broken off in turn was passed on as complete.
+#[test_matrix([CutEnd::Close, CutEnd::Reset], ["HTTP/1.1", "HTTP/1.0"])]
+fn unframed_stream_cut_again_does_not_look_complete(end: CutEnd, version: &'static str) {
+    check_truncated(StreamFraming::UntilClose, end, version);
+}
+
+/// The same for streams that are framed by chunks.
+#[test_matrix([CutEnd::Close, CutEnd::Reset, CutEnd::LastChunk], ["HTTP/1.1", "HTTP/1.0"])]
+fn chunked_stream_cut_again_does_not_look_complete(end: CutEnd, version: &'static str) {
+    check_truncated(StreamFraming::Chunked, end, version);
+}
--- a/tests/platform_streams.rs
+++ b/tests/platform_streams.rs
@@ -5,7 +5,7 @@
 
 use arbutusmount::BudgetLimits;
 use async_std::task;
-use rig::{ModelKnobs, SiteFleet, send_site_request};
+use rig::{ModelKnobs, SiteFleet, StreamCut, send_site_request};
 use site::{call, model_site, stream_call, until};
 use std::time::Duration;
 use test_case::test_case;
@@ -29,9 +29,9 @@
 
 /// The head that serves the first call breaks the next one, which resumes at the other domain's
 /// chain.
-#[test_case(ModelKnobs { reset_at_event: Some(7), ..ModelKnobs::default() }; "reset in the middle of an event")]
+#[test_case(ModelKnobs { cuts: vec![StreamCut::reset_at(7)], ..ModelKnobs::default() }; "reset in the middle of an event")]
 #[test_case(ModelKnobs { hang_at_event: Some(7), ..ModelKnobs::default() }; "silence")]
-#[test_case(ModelKnobs { reset_at_event: Some(0), ..ModelKnobs::default() }; "reset in the first event")]
+#[test_case(ModelKnobs { cuts: vec![StreamCut::reset_at(0)], ..ModelKnobs::default() }; "reset in the first event")]
 fn stream_goes_on_at_another_chain_without_loss(knobs: ModelKnobs) {
     let site = model_site();
     call(&site, &stream_call("a0"));
@@ -64,7 +64,7 @@
 fn stream_that_cannot_go_on_does_not_look_complete() {
     let site = model_site();
     let cut = ModelKnobs {
-        reset_at_event: Some(7),
+        cuts: vec![StreamCut::reset_at(7)],
         ..ModelKnobs::default()
     };
     site.model_servers
