--- a/src/relay/forwarding.rs
+++ b/src/relay/forwarding.rs
@@ -12,10 +12,14 @@
 use crate::relay::suspicion::AttemptSuspicion;
 use crate::targets::LayerChain;
 use crate::wire::{
-    BodyEnd, BodyStep, CompleteEvent, EventSplitter, LAST_CHUNK, StreamError, encode_chunk,
+    BodyEnd, BodyStep, CompleteEvent, EventSplitter, LAST_CHUNK, StreamError, WireHead,
+    encode_chunk,
 };
 use async_std::future::timeout;
 
+/// Media type of server-sent events.
+const EVENT_STREAM_TYPE: &str = "text/event-stream";
+
 /// What the caller has received so far.
 #[derive(Debug, Default)]
 pub(super) struct DeliveryProgress {
@@ -101,6 +105,10 @@
                     // The target has closed the connection, so it cannot be reused.
                     response.written = false;
                     self.record_end(BodyEnd::Closed, &splitter, delivered);
+                    if is_event_stream(&response.head) && splitter.is_inside_event() {
+                        let cause = "connection closed inside an event";
+                        return StreamEnd::Failed(FailedAttempt::disconnected(cause));
+                    }
                     return self.finish(response, &splitter, delivered, output).await;
                 }
                 ReadOutcome::Failed(failed) => return StreamEnd::Failed(failed),
@@ -247,6 +255,14 @@
     }
 }
 
+/// True unless the response is a failure or declares another media type. Such a response has no
+/// events, and only its framing tells whether it is complete.
+fn is_event_stream(head: &WireHead) -> bool {
+    let media_type = head.field("content-type").unwrap_or(EVENT_STREAM_TYPE);
+    let essence = media_type.split(';').next().unwrap_or_default().trim();
+    (200..300).contains(&head.status()) && essence.eq_ignore_ascii_case(EVENT_STREAM_TYPE)
+}
+
 /// Outcome of an attempt whose stream is invalid or incomplete.
 fn failed_stream(cause: &impl std::fmt::Display) -> StreamEnd {
     StreamEnd::Failed(FailedAttempt::new(RelayFailure::OutcomeUnknown, cause))
--- a/src/wire/events.rs
+++ b/src/wire/events.rs
@@ -42,6 +42,12 @@
     pub fn remainder(&self) -> &[u8] {
         &self.pending
     }
+
+    /// True when the remainder holds a part of an event. Line ends and comments alone do not.
+    pub fn is_inside_event(&self) -> bool {
+        let mut lines = self.pending.split(|byte| matches!(byte, b'\n' | b'\r'));
+        lines.any(|line| !line.is_empty() && !line.starts_with(b":"))
+    }
 }
 
 /// Length of the first event with its empty line, which is searched from `start` on.
