--- a/rig/src/site/model.rs
+++ b/rig/src/site/model.rs
@@ -17,7 +17,7 @@
 /// Behaviour and faults of a model server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ModelKnobs {
-    /// Time before each event.
+    /// Time before each event. When it is zero, events are sent together as far as possible.
     pub event_gap: Duration,
     /// Number of events in a response.
     pub events: u64,
--- a/rig/src/site/model_stream.rs
+++ b/rig/src/site/model_stream.rs
@@ -32,6 +32,8 @@
     Reset,
     /// It sends the last chunk, as after a complete stream.
     LastChunk,
+    /// It goes on with the next event, so that the rest of this one is missing.
+    NextEvent,
 }
 
 /// Streams that a cut applies to.
@@ -106,58 +108,80 @@
         StreamFraming::Chunked => "Transfer-Encoding: chunked\r\n",
         StreamFraming::UntilClose => "",
     };
-    let head = format!("HTTP/1.1 200 OK\r\n{fields}{framing_line}\r\n");
-    stream.write_all(head.as_bytes())?;
+    let mut output = format!("HTTP/1.1 200 OK\r\n{fields}{framing_line}\r\n");
     for number in first_event..knobs.events {
-        thread::sleep(knobs.event_gap);
+        if !knobs.event_gap.is_zero() {
+            send_output(stream, &mut output)?;
+            thread::sleep(knobs.event_gap);
+        }
         if let Some((event, time)) = knobs.pause_at_event
             && event == number
         {
             thread::sleep(time);
         }
         if knobs.hang_at_event == Some(number) {
+            send_output(stream, &mut output)?;
             thread::sleep(HANG_TIME);
             return Ok(AfterReply::Close);
         }
         let event = event_text(number);
         let mut cuts = knobs.cuts.iter();
-        if let Some(cut) = cuts.find(|cut| cut.applies_to(number, first_event)) {
-            write_part(stream, &event[..cut.bytes], knobs.framing)?;
-            return break_off(stream, cut.end);
-        }
-        write_part(stream, &event, knobs.framing)?;
-    }
-    match knobs.framing {
-        StreamFraming::Chunked => {
-            stream.write_all(b"0\r\n\r\n")?;
-            Ok(AfterReply::Keep)
+        let Some(cut) = cuts.find(|cut| cut.applies_to(number, first_event)) else {
+            push_part(&mut output, &event, knobs.framing);
+            continue;
+        };
+        push_part(&mut output, &event[..cut.bytes], knobs.framing);
+        match cut.end {
+            CutEnd::NextEvent => {}
+            CutEnd::Close => return end_stream(stream, &mut output, AfterReply::Close),
+            CutEnd::LastChunk => return complete_stream(stream, output, StreamFraming::Chunked),
+            CutEnd::Reset => {
+                send_output(stream, &mut output)?;
+                thread::sleep(RESET_DELAY);
+                return Ok(AfterReply::Reset);
+            }
         }
-        StreamFraming::UntilClose => Ok(AfterReply::Close),
     }
+    complete_stream(stream, output, knobs.framing)
 }
 
-fn write_part(stream: &mut TcpStream, text: &str, framing: StreamFraming) -> io::Result<()> {
+fn complete_stream(
+    stream: &mut TcpStream,
+    mut output: String,
+    framing: StreamFraming,
+) -> io::Result<AfterReply> {
     match framing {
-        // An empty chunk would end the stream.
-        _ if text.is_empty() => Ok(()),
         StreamFraming::Chunked => {
-            let chunk = format!("{:x}\r\n{text}\r\n", text.len());
-            stream.write_all(chunk.as_bytes())
+            output.push_str("0\r\n\r\n");
+            end_stream(stream, &mut output, AfterReply::Keep)
         }
-        StreamFraming::UntilClose => stream.write_all(text.as_bytes()),
+        StreamFraming::UntilClose => end_stream(stream, &mut output, AfterReply::Close),
     }
 }
 
-fn break_off(stream: &mut TcpStream, end: CutEnd) -> io::Result<AfterReply> {
-    match end {
-        CutEnd::Close => Ok(AfterReply::Close),
-        CutEnd::Reset => {
-            thread::sleep(RESET_DELAY);
-            Ok(AfterReply::Reset)
-        }
-        CutEnd::LastChunk => {
-            stream.write_all(b"0\r\n\r\n")?;
-            Ok(AfterReply::Keep)
+fn end_stream(
+    stream: &mut TcpStream,
+    output: &mut String,
+    after: AfterReply,
+) -> io::Result<AfterReply> {
+    send_output(stream, output)?;
+    Ok(after)
+}
+
+fn send_output(stream: &mut TcpStream, output: &mut String) -> io::Result<()> {
+    stream.write_all(output.as_bytes())?;
+    output.clear();
+    Ok(())
+}
+
+fn push_part(output: &mut String, text: &str, framing: StreamFraming) {
+    match framing {
+        // An empty chunk would end the stream.
+        _ if text.is_empty() => {}
+        StreamFraming::Chunked => {
+            let size = format!("{:x}", text.len());
+            output.extend([size.as_str(), "\r\n", text, "\r\n"]);
         }
+        StreamFraming::UntilClose => output.push_str(text),
     }
 }
--- a/src/relay/forwarding.rs
+++ b/src/relay/forwarding.rs
@@ -53,6 +53,16 @@
     pub suspicion: AttemptSuspicion<'a>,
 }
 
+/// What to do after the bytes that have arrived were decoded.
+enum ForwardStep {
+    /// Wait for more bytes from the target.
+    ReadMore,
+    /// Send what is left: the stream is complete.
+    Finish,
+    /// Give the attempt up.
+    Fail(FailedAttempt),
+}
+
 /// Outcome of waiting for bytes from the target.
 enum ReadOutcome {
     Bytes,
@@ -83,22 +93,18 @@
         let mut splitter = EventSplitter::default();
         let mut output = Vec::new();
         loop {
-            let input = &mut response.stream.input;
-            let step = match response.decoder.advance(input, splitter.input()) {
-                Ok(step) => step,
-                Err(cause) => return failed_stream(&cause),
-            };
-            if !self.take_events(&response, &mut splitter, delivered, &mut output) {
-                return failed_stream(&"events missing: gap in the event ids");
-            }
-            if step == BodyStep::Done {
-                self.record_end(BodyEnd::Framed, &splitter, delivered);
+            let step = self.take_input(&mut response, &mut splitter, delivered, &mut output);
+            if let ForwardStep::Finish = step {
                 return self.finish(response, &splitter, delivered, output).await;
             }
+            // Sent also when the attempt has failed: the stream goes on after these events.
             if !output.is_empty() && !self.request.send(&output).await {
                 return StreamEnd::CallerGone;
             }
             output.clear();
+            if let ForwardStep::Fail(failed) = step {
+                return StreamEnd::Failed(failed);
+            }
             match self.read_more(&mut response, delivered).await {
                 ReadOutcome::Bytes => {}
                 ReadOutcome::End => {
@@ -116,6 +122,31 @@
         }
     }
 
+    /// Decodes the bytes that have arrived and moves complete events to the output.
+    fn take_input(
+        &mut self,
+        response: &mut PendingResponse,
+        splitter: &mut EventSplitter,
+        delivered: &mut DeliveryProgress,
+        output: &mut Vec<u8>,
+    ) -> ForwardStep {
+        let input = &mut response.stream.input;
+        let step = match response.decoder.advance(input, splitter.input()) {
+            Ok(step) => step,
+            Err(cause) => return invalid_stream(&cause),
+        };
+        if !self.take_events(response, splitter, delivered, output) {
+            return invalid_stream(&"events missing: gap in the event ids");
+        }
+        match step {
+            BodyStep::Incomplete => ForwardStep::ReadMore,
+            BodyStep::Done => {
+                self.record_end(BodyEnd::Framed, splitter, delivered);
+                ForwardStep::Finish
+            }
+        }
+    }
+
     /// Moves complete events to the output, drops those that the caller already has, and passes the
     /// time of each to the stall detector. Returns false when an event is missing.
     fn take_events(
@@ -263,9 +294,9 @@
     (200..300).contains(&head.status()) && essence.eq_ignore_ascii_case(EVENT_STREAM_TYPE)
 }
 
-/// Outcome of an attempt whose stream is invalid or incomplete.
-fn failed_stream(cause: &impl std::fmt::Display) -> StreamEnd {
-    StreamEnd::Failed(FailedAttempt::new(RelayFailure::OutcomeUnknown, cause))
+/// Ends an attempt whose stream is invalid or incomplete.
+fn invalid_stream(cause: &impl std::fmt::Display) -> ForwardStep {
+    ForwardStep::Fail(FailedAttempt::new(RelayFailure::OutcomeUnknown, cause))
 }
 
 /// What to do with an event.
--- a/tests/platform_stream_ends.rs
+++ b/tests/platform_stream_ends.rs
@@ -10,7 +10,7 @@
 };
 use site::{call, model_site, stream_call};
 use std::time::Duration;
-use test_case::test_matrix;
+use test_case::{test_case, test_matrix};
 
 /// Event that is cut.
 const CUT_EVENT: u64 = 7;
@@ -32,14 +32,17 @@
     site
 }
 
-fn set_knobs(site: &SiteFleet, framing: StreamFraming, cuts: &[StreamCut]) {
-    let knobs = ModelKnobs {
+fn cutting_knobs(framing: StreamFraming, cuts: &[StreamCut]) -> ModelKnobs {
+    ModelKnobs {
         event_gap: Duration::from_millis(1),
         events: EVENTS,
         framing,
         cuts: cuts.to_vec(),
         ..ModelKnobs::default()
-    };
+    }
+}
+
+fn set_knobs(site: &SiteFleet, knobs: &ModelKnobs) {
     site.model_servers
         .iter()
         .for_each(|model| model.set_knobs(knobs.clone()));
@@ -83,7 +86,7 @@
             bytes,
             end,
         };
-        set_knobs(&site, framing, &[cut]);
+        set_knobs(&site, &cutting_knobs(framing, &[cut]));
         let attempt = format!("a{bytes}");
 
         let answer = send(&site, &attempt, version);
@@ -113,7 +116,7 @@
             bytes,
             end,
         };
-        set_knobs(&site, framing, &[first, cut]);
+        set_knobs(&site, &cutting_knobs(framing, &[first, cut]));
         let whole_events = CUT_EVENT + u64::from(bytes == event_text(CUT_EVENT).len());
 
         let answer = send(&site, &format!("a{bytes}"), version);
@@ -150,3 +153,28 @@
 fn chunked_stream_cut_again_does_not_look_complete(end: CutEnd, version: &'static str) {
     check_truncated(StreamFraming::Chunked, end, version);
 }
+
+/// Events that arrived together with the proof that a later one is missing were not sent to the
+/// caller, but the stream went on after them.
+#[test_case(StreamFraming::Chunked)]
+#[test_case(StreamFraming::UntilClose)]
+fn events_before_a_gap_are_forwarded(framing: StreamFraming) {
+    let site = retrying_site();
+    let gap = StreamCut {
+        scope: CutScope::Started,
+        event: CUT_EVENT,
+        bytes: 0,
+        end: CutEnd::NextEvent,
+    };
+    let knobs = ModelKnobs {
+        event_gap: Duration::ZERO,
+        ..cutting_knobs(framing, &[gap])
+    };
+    set_knobs(&site, &knobs);
+
+    let answer = send(&site, "a1", "HTTP/1.1");
+
+    assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+    assert_eq!(String::from_utf8_lossy(&answer.body), joined_events(EVENTS));
+    assert_eq!(run_count(&site, "a1"), 2);
+}
