--- a/src/relay/forwarding.rs
+++ b/src/relay/forwarding.rs
@@ -111,7 +111,7 @@
                     // The target has closed the connection, so it cannot be reused.
                     response.written = false;
                     self.record_end(BodyEnd::Closed, &splitter, delivered);
-                    if is_event_stream(&response.head) && splitter.is_inside_event() {
+                    if is_cut_off(&response, &splitter) {
                         let cause = "connection closed inside an event";
                         return StreamEnd::Failed(FailedAttempt::disconnected(cause));
                     }
@@ -142,6 +142,9 @@
             BodyStep::Incomplete => ForwardStep::ReadMore,
             BodyStep::Done => {
                 self.record_end(BodyEnd::Framed, splitter, delivered);
+                if is_cut_off(response, splitter) {
+                    return invalid_stream(&"stream ended inside an event");
+                }
                 ForwardStep::Finish
             }
         }
@@ -294,6 +297,11 @@
     (200..300).contains(&head.status()) && essence.eq_ignore_ascii_case(EVENT_STREAM_TYPE)
 }
 
+/// True when a stream of events has ended inside one.
+fn is_cut_off(response: &PendingResponse, splitter: &EventSplitter) -> bool {
+    is_event_stream(&response.head) && splitter.is_inside_event()
+}
+
 /// Ends an attempt whose stream is invalid or incomplete.
 fn invalid_stream(cause: &impl std::fmt::Display) -> ForwardStep {
     ForwardStep::Fail(FailedAttempt::new(RelayFailure::OutcomeUnknown, cause))
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -178,6 +178,36 @@
     assert_eq!(rest, b"id: 2\nda");
 }
 
+/// An event that was cut off at any byte was taken for the end of its stream.
+#[test]
+fn every_part_of_an_event_counts_as_unfinished() {
+    for text in ["id: 2\ndata: x\n\n", "id: 2\r\ndata: x\r\n\r\n"] {
+        for length in 1..text.len() {
+            let mut splitter = EventSplitter::default();
+            splitter.input().extend_from_slice(b"id: 1\ndata: a\n\n");
+            splitter
+                .input()
+                .extend_from_slice(&text.as_bytes()[..length]);
+
+            while splitter.next_event().is_some() {}
+
+            assert!(splitter.is_inside_event(), "{:?}", &text[..length]);
+        }
+    }
+}
+
+#[test_case(b""; "nothing")]
+#[test_case(b"\r\n"; "a line end")]
+#[test_case(b": keep-alive\n"; "a comment")]
+fn remainder_without_a_part_of_an_event_is_no_unfinished_event(text: &[u8]) {
+    let mut splitter = EventSplitter::default();
+    splitter.input().extend_from_slice(text);
+
+    while splitter.next_event().is_some() {}
+
+    assert!(!splitter.is_inside_event());
+}
+
 proptest! {
     #[test]
     fn events_do_not_depend_on_how_bytes_arrive(
