--- a/src/relay/streaming.rs
+++ b/src/relay/streaming.rs
@@ -58,6 +58,10 @@
         }
         separate_suspects(request).await;
         state.set_departed(count_departed(request, &state));
+        let allowed = state.next_step(context.clock.now());
+        if allowed != RetryStep::TryNext {
+            return end_stream(request, &state, &delivered, allowed, &detail).await;
+        }
         let chain = find_chain(request, model, &state, &delivered).await;
         let step = request.next_step(&state, chain.is_some());
         let (Some(chain), RetryStep::TryNext) = (chain, step) else {
--- a/tests/platform_stream_ends.rs
+++ b/tests/platform_stream_ends.rs
@@ -12,6 +12,9 @@
 use std::time::Duration;
 use test_case::{test_case, test_matrix};
 
+/// Longest time from the end of the last attempt to the end of the answer: far less than a stream
+/// waits for a chain with capacity.
+const END_LIMIT: Duration = Duration::from_millis(700);
 /// Event that is cut.
 const CUT_EVENT: u64 = 7;
 /// Number of events in a complete stream.
@@ -178,3 +181,17 @@
     assert_eq!(String::from_utf8_lossy(&answer.body), joined_events(EVENTS));
     assert_eq!(run_count(&site, "a1"), 2);
 }
+
+/// A stream whose route allows no further attempt was held for 1.4 s before it was cut short, in the
+/// hope of a chain that it could not use.
+#[test]
+fn stream_without_attempts_left_is_cut_short_at_once() {
+    let site = retrying_site();
+    let cut = StreamCut::reset_at(CUT_EVENT);
+    set_knobs(&site, &cutting_knobs(StreamFraming::Chunked, &[cut]));
+
+    let answer = send(&site, "a1", "HTTP/1.1");
+
+    assert_eq!((answer.status, answer.complete), (200, false), "{answer:?}");
+    assert!(answer.elapsed < END_LIMIT, "{:?}", answer.elapsed);
+}
