--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -4,6 +4,7 @@
 use crate::hash::stable_hash;
 use crate::poison::PoisonFingerprint;
 use crate::relay::attempt::{FailedAttempt, OutgoingRequest};
+use crate::relay::caller_stream::CallerFraming;
 use crate::relay::context::RelayContext;
 use crate::relay::crashes::POISON_LIMITS;
 use crate::relay::local_reply::{LocalReply, RefusalCause};
@@ -142,6 +143,11 @@
             .with("age_ms", now.since(self.arrived).as_millis() as u64)
     }
 
+    /// Framing of an event stream on the caller's connection.
+    pub(super) fn framing(&self) -> CallerFraming {
+        CallerFraming::for_request(self.head)
+    }
+
     /// Sends bytes to the caller; false when the connection is gone.
     pub(super) async fn send(&self, bytes: &[u8]) -> bool {
         write_all(self.caller, bytes).await.is_ok()
--- a/src/relay/forwarding.rs
+++ b/src/relay/forwarding.rs
@@ -11,10 +11,7 @@
 use crate::relay::stall::{StallDetector, StallStep};
 use crate::relay::suspicion::AttemptSuspicion;
 use crate::targets::LayerChain;
-use crate::wire::{
-    BodyEnd, BodyStep, CompleteEvent, EventSplitter, LAST_CHUNK, StreamError, WireHead,
-    encode_chunk,
-};
+use crate::wire::{BodyEnd, BodyStep, CompleteEvent, EventSplitter, StreamError, WireHead};
 use async_std::future::timeout;
 
 /// Media type of server-sent events.
@@ -163,7 +160,7 @@
             match classify_event(&event, delivered) {
                 EventVerdict::Forward => {
                     append_head(self.request, response, delivered, output);
-                    encode_chunk(&event.bytes, output);
+                    self.request.framing().encode(&event.bytes, output);
                     delivered.last_id = event.id.or(delivered.last_id);
                 }
                 EventVerdict::Skip => {}
@@ -276,12 +273,14 @@
         mut output: Vec<u8>,
     ) -> StreamEnd {
         append_head(self.request, &response, delivered, &mut output);
-        encode_chunk(splitter.remainder(), &mut output);
-        output.extend_from_slice(LAST_CHUNK);
+        let framing = self.request.framing();
+        framing.encode(splitter.remainder(), &mut output);
+        framing.encode_end(&mut output);
         self.suspicion.on_progress();
         let status = response.head.status();
         keep_connection(self.request.context, &self.chain.head().id, response);
         if self.request.send(&output).await {
+            framing.complete(self.request.caller);
             StreamEnd::Complete(status)
         } else {
             StreamEnd::CallerGone
@@ -339,7 +338,8 @@
     if delivered.head_sent {
         return;
     }
-    let head = forward_head(&response.head, request.close).field("Transfer-Encoding", "chunked");
+    let head = forward_head(&response.head, request.close);
+    let head = request.framing().begin(head, request.caller);
     output.extend_from_slice(&head.finish());
     delivered.head_sent = true;
     let context = request.context;
--- a/src/relay/listener.rs
+++ b/src/relay/listener.rs
@@ -147,7 +147,8 @@
         service: matched.service,
         team: matched.team,
         arrived,
-        close: head.closes_connection() || draining,
+        // The end of a stream to a caller of HTTP/1.0 is the end of its connection.
+        close: !head.is_http_1_1() || head.closes_connection() || draining,
     };
     let watch = async {
         wait_for_close(socket, input).await;
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod budget;
+mod caller_stream;
 mod choice;
 mod context;
 mod crashes;
--- a/src/wire/stream.rs
+++ b/src/wire/stream.rs
@@ -149,6 +149,15 @@
     Ok(())
 }
 
+/// Sets whether closing the connection resets it, also when the process ends. A reset discards bytes
+/// that the peer has not received yet.
+pub fn reset_on_close(socket: &Async<TcpStream>, reset: bool) {
+    let linger = reset.then_some(Duration::ZERO);
+    if let Err(cause) = SockRef::from(socket.get_ref()).set_linger(linger) {
+        log::warn!("cannot set how a connection is closed: {cause}");
+    }
+}
+
 fn set_options(socket: &Async<TcpStream>) {
     let options = SockRef::from(socket.get_ref());
     let keepalive = TcpKeepalive::new()
--- a/tests/platform_stream_ends.rs
+++ b/tests/platform_stream_ends.rs
@@ -62,12 +62,16 @@
     }
 }
 
+/// Sends a request for a stream. Callers of HTTP/1.0 know no chunks and must not get any.
 fn send(site: &SiteFleet, attempt: &str, version: &'static str) -> SiteResponse {
     let request = SiteRequest {
         version,
         ..stream_call(attempt)
     };
-    call(site, &request)
+    let answer = call(site, &request);
+    let is_chunked = answer.field("transfer-encoding").is_some();
+    assert_eq!(is_chunked, version == "HTTP/1.1", "{answer:?}");
+    answer
 }
 
 fn joined_events(count: u64) -> String {
@@ -195,3 +199,26 @@
     assert_eq!((answer.status, answer.complete), (200, false), "{answer:?}");
     assert!(answer.elapsed < END_LIMIT, "{:?}", answer.elapsed);
 }
+
+/// A caller of HTTP/1.0 got chunks, which that version does not have, and a stream that was broken
+/// off and closed looked complete to one that keeps its connection open.
+#[test_case(&[]; "without a connection field")]
+#[test_case(&["keep-alive"]; "with keep-alive")]
+fn http_1_0_caller_gets_a_stream_that_ends_with_its_connection(connection: &[&str]) {
+    let site = model_site();
+    let fields = connection
+        .iter()
+        .map(|value| ("Connection", (*value).to_owned()));
+    let mut request = SiteRequest {
+        version: "HTTP/1.0",
+        ..stream_call("a1")
+    };
+    request.fields.extend(fields);
+
+    let answer = call(&site, &request);
+
+    assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+    assert_eq!(answer.field("transfer-encoding"), None);
+    assert_eq!(answer.field("connection"), Some("close"));
+    assert_eq!(String::from_utf8_lossy(&answer.body), joined_events(EVENTS));
+}
