--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -69,6 +69,7 @@
     request: &mut tide::Request<S>,
     limit: usize,
 ) -> Result<Vec<u8>, ProblemResponse> {
+    let declared = request.len();
     let mut body = Vec::new();
     let mut reader = request.take_body().into_reader().take(limit as u64 + 1);
     let read = reader.read_to_end(&mut body).await;
@@ -85,7 +86,14 @@
             detail,
         ));
     }
-    Ok(body)
+    // The reader ends without an error when the connection ends before the declared length.
+    match declared {
+        Some(length) if length != body.len() => Err(ProblemResponse::not_executed(
+            ProblemKind::BadRequest,
+            format!("body is incomplete: {} of {length} bytes", body.len()),
+        )),
+        _ => Ok(body),
+    }
 }
 
 async fn serve_connection<S: Clone + Send + Sync + 'static>(
