--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -4,7 +4,7 @@
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use futures_lite::future::poll_once;
-use http_types::{Method, Request, Url};
+use http_types::{Method, Request, Response, StatusCode, Url};
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
@@ -213,6 +213,7 @@
         let response = exchange
             .map_err(|_elapsed| SendError::TimedOut)?
             .map_err(|cause| SendError::Broken(cause.to_string()))?;
+        check_framing(&response, call.method)?;
         Ok(HttpResponse::new(
             response,
             stream,
@@ -249,6 +250,23 @@
     }
 }
 
+/// Refuses a response with neither a length nor chunks, whose body ends with its connection: the
+/// HTTP library takes such a body for an empty one.
+fn check_framing(response: &Response, method: Method) -> Result<()> {
+    let status = response.status();
+    let is_bodiless = method == Method::Head
+        || status.is_informational()
+        || matches!(status, StatusCode::NoContent | StatusCode::NotModified);
+    let is_framed = response.header("content-length").is_some()
+        || response.header("transfer-encoding").is_some();
+    if is_bodiless || is_framed {
+        return Ok(());
+    }
+    Err(SendError::Broken(
+        "response has neither a length nor chunks".to_owned(),
+    ))
+}
+
 /// True if the connection is open and has nothing to read.
 async fn is_idle(stream: &TcpStream) -> bool {
     let mut byte = [0; 1];
