--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -2,8 +2,9 @@
 
 use crate::http::pool::{ConnectionPool, SendError};
 use async_std::net::TcpStream;
-use futures_lite::AsyncReadExt;
+use futures_lite::{AsyncBufReadExt, AsyncReadExt};
 use http_types::Response;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -29,6 +30,8 @@
     stream: TcpStream,
     address: SocketAddr,
     pool: Arc<ConnectionPool>,
+    /// Bytes of the body that were read as lines.
+    body_bytes: u64,
 }
 
 impl HttpResponse {
@@ -43,6 +46,7 @@
             stream,
             address,
             pool,
+            body_bytes: 0,
         }
     }
 
@@ -58,9 +62,33 @@
             .map(|values| values.last().as_str())
     }
 
-    /// Response whose body can be read as a stream.
-    pub fn response_mut(&mut self) -> &mut Response {
-        &mut self.response
+    /// Reads the next line of the body, without its line end; `None` at the end of the body.
+    ///
+    /// # Errors
+    /// The error of the connection, `UnexpectedEof` if the body ends within a line or before its
+    /// declared length, `InvalidData` if the line is not UTF-8.
+    pub async fn read_line(&mut self) -> io::Result<Option<String>> {
+        let mut line = Vec::new();
+        let read = self.response.read_until(b'\n', &mut line).await?;
+        self.body_bytes += read as u64;
+        if read == 0 && !self.is_cut_off() {
+            return Ok(None);
+        }
+        if line.pop() != Some(b'\n') {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        if line.last() == Some(&b'\r') {
+            line.pop();
+        }
+        String::from_utf8(line)
+            .map(Some)
+            .map_err(|cause| io::Error::new(io::ErrorKind::InvalidData, cause))
+    }
+
+    /// True when fewer bytes of the body were read than declared.
+    fn is_cut_off(&self) -> bool {
+        self.content_length()
+            .is_some_and(|length| self.body_bytes < length)
     }
 
     /// Reads the whole body and returns the connection to the pool.
--- a/src/http/sse.rs
+++ b/src/http/sse.rs
@@ -1,7 +1,7 @@
 //! Server-sent events: reads them from a response and writes them to a caller.
 
 use crate::http::connection::HttpResponse;
-use futures_lite::{AsyncBufReadExt, Stream};
+use futures_lite::Stream;
 use futures_util::stream::TryStreamExt;
 use http_types::{Body, Response, StatusCode};
 use std::io;
@@ -10,16 +10,12 @@
 #[derive(Debug)]
 pub struct SseReader {
     source: HttpResponse,
-    line: String,
 }
 
 impl SseReader {
     /// Starts reading the body of `source`.
     pub fn new(source: HttpResponse) -> Self {
-        Self {
-            source,
-            line: String::new(),
-        }
+        Self { source }
     }
 
     /// Reads the data of the next event; `None` at the end of the body.
@@ -29,12 +25,9 @@
     pub async fn next(&mut self) -> io::Result<Option<String>> {
         let mut data = String::new();
         loop {
-            self.line.clear();
-            let read = self.source.response_mut().read_line(&mut self.line).await?;
-            if read == 0 {
+            let Some(line) = self.source.read_line().await? else {
                 return end_of_body(&data);
-            }
-            let line = self.line.trim_end_matches(['\r', '\n']);
+            };
             if line.is_empty() && !data.is_empty() {
                 return Ok(Some(data));
             }
--- a/src/store/watch.rs
+++ b/src/store/watch.rs
@@ -3,7 +3,6 @@
 use crate::http::HttpResponse;
 use crate::store::client::{Result, StoreError, StoreRecord};
 use crate::store::wire::{EventKind, WatchFrame};
-use futures_lite::AsyncBufReadExt;
 
 /// A change of a watched key.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -18,15 +17,11 @@
 #[derive(Debug)]
 pub struct StoreWatch {
     reply: HttpResponse,
-    line: String,
 }
 
 impl StoreWatch {
     pub(super) fn new(reply: HttpResponse) -> Self {
-        Self {
-            reply,
-            line: String::new(),
-        }
+        Self { reply }
     }
 
     /// Waits for the next frame and returns its changes. The list may be empty, as a frame may be
@@ -36,16 +31,14 @@
     /// [`StoreError::NotExecuted`] when the watch has ended or sent a malformed frame. It must then
     /// be opened again.
     pub async fn next(&mut self) -> Result<Vec<StoreEvent>> {
-        self.line.clear();
-        let read = self.reply.response_mut().read_line(&mut self.line).await;
         let ended = |cause: String| StoreError::NotExecuted(format!("store watch ended: {cause}"));
-        match read {
+        match self.reply.read_line().await {
             Err(cause) => Err(ended(cause.to_string())),
-            Ok(0) => Err(ended("connection closed by the store".to_owned())),
-            Ok(_) if self.line.trim().is_empty() => Ok(Vec::new()),
-            Ok(_) => {
+            Ok(None) => Err(ended("connection closed by the store".to_owned())),
+            Ok(Some(line)) if line.trim().is_empty() => Ok(Vec::new()),
+            Ok(Some(line)) => {
                 let frame: WatchFrame =
-                    serde_json::from_str(&self.line).map_err(|cause| ended(cause.to_string()))?;
+                    serde_json::from_str(&line).map_err(|cause| ended(cause.to_string()))?;
                 frame.result.events.iter().map(read_event).collect()
             }
         }
--- a/tests/http_response_ends.rs
+++ b/tests/http_response_ends.rs
@@ -1,6 +1,6 @@
-//! Responses over the own interface that end early, at any byte: none counts as complete.
+//! Responses and events over the own interface that end early, at any byte: none counts as complete.
 
-use arbutusmount::{ConnectionPool, HttpCall};
+use arbutusmount::{ConnectionPool, HttpCall, SseReader};
 use async_std::task;
 use http_types::Method;
 use std::io::{Read, Write};
@@ -40,6 +40,26 @@
     address
 }
 
+/// Reads the events of a response; the flag tells whether it ended without an error.
+fn read_events(address: SocketAddr) -> (Vec<String>, bool) {
+    let pool = ConnectionPool::new(Duration::from_secs(2), 1);
+    let call = HttpCall::new(address, Method::Get, "/");
+    task::block_on(async {
+        let Ok(response) = pool.send(&call).await else {
+            return (Vec::new(), false);
+        };
+        let mut reader = SseReader::new(response);
+        let mut events = Vec::new();
+        loop {
+            match reader.next().await {
+                Ok(Some(event)) => events.push(event),
+                Ok(None) => return (events, true),
+                Err(_cause) => return (events, false),
+            }
+        }
+    })
+}
+
 /// Reads a whole response; `None` when it is not complete.
 fn fetch(address: SocketAddr) -> Option<Vec<u8>> {
     let pool = ConnectionPool::new(Duration::from_secs(2), 1);
@@ -101,3 +121,26 @@
 
     assert_eq!(body, Some(Vec::new()));
 }
+
+const EVENTS: &str = "data: one\n\ndata: two\n\n";
+
+/// A part of an event was taken for an event, or its end for the end of the events.
+#[test_case(22, LinkEnd::Close; "closed inside the length")]
+#[test_case(22, LinkEnd::Reset; "reset inside the length")]
+#[test_case(0, LinkEnd::Close; "length inside an event")]
+fn events_cut_at_any_byte_are_whole_or_not_read(declared: usize, end: LinkEnd) {
+    let first = EVENTS.len() / 2;
+    for length in 0..EVENTS.len() {
+        let body_length = declared.max(length);
+        let events = &EVENTS[..length];
+        let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {body_length}\r\n\r\n{events}");
+        let address = serve_bytes(text.as_bytes(), end);
+
+        let (events, is_complete) = read_events(address);
+
+        let whole = usize::from(length >= first);
+        assert_eq!(events, vec!["one"; whole], "{length} bytes");
+        let is_whole = body_length == length && (length == 0 || length == first);
+        assert_eq!(is_complete, is_whole, "{length} bytes");
+    }
+}
