--- a/rig/tests/store_ends.rs
+++ b/rig/tests/store_ends.rs
@@ -77,11 +77,12 @@
     }
 }
 
-/// A page that did not say whether more follow was taken for the last one, so that the keys of
-/// further pages would have counted as removed.
-#[test]
-fn page_that_does_not_say_whether_more_follow_fails() {
-    let text = format!("{UNFRAMED_HEAD}{}", r#"{"Items":[],"StoreRevision":7}"#);
+/// A page that is not known to be the last one was taken for it, so that the keys of further pages
+/// would have counted as removed.
+#[test_case(r#"{"Items":[],"StoreRevision":7}"#; "without a flag")]
+#[test_case(r#"{"Items":[],"HasMore":true,"StoreRevision":7}"#; "empty, but more follow")]
+fn page_that_may_not_be_the_last_one_fails(body: &str) {
+    let text = format!("{UNFRAMED_HEAD}{body}");
 
     let outcome = call(&text, list);
 
