--- a/src/relay/forwarding.rs
+++ b/src/relay/forwarding.rs
@@ -6,26 +6,15 @@
 
 use crate::relay::attempt::{FailedAttempt, PendingResponse, keep_connection};
 use crate::relay::choice::{ChainRequirement, pick_chain};
+use crate::relay::event_progress::{DeliveryProgress, EventVerdict, classify_event, is_cut_off};
 use crate::relay::exchange::{ActiveRequest, forward_head};
 use crate::relay::retry::{RelayFailure, RetryState, RetryStep};
 use crate::relay::stall::{StallDetector, StallStep};
 use crate::relay::suspicion::AttemptSuspicion;
 use crate::targets::LayerChain;
-use crate::wire::{BodyEnd, BodyStep, CompleteEvent, EventSplitter, StreamError, WireHead};
+use crate::wire::{BodyEnd, BodyStep, EventSplitter, StreamError};
 use async_std::future::timeout;
 
-/// Media type of server-sent events.
-const EVENT_STREAM_TYPE: &str = "text/event-stream";
-
-/// What the caller has received so far.
-#[derive(Debug, Default)]
-pub(super) struct DeliveryProgress {
-    /// True when the response head was sent to the caller or is in the output.
-    pub head_sent: bool,
-    /// Id of the last forwarded event; at first the one after which the caller resumes, if any.
-    pub last_id: Option<u64>,
-}
-
 /// Outcome of an attempt.
 pub(super) enum StreamEnd {
     /// The stream is complete; its response had this status.
@@ -108,7 +97,7 @@
                     // The target has closed the connection, so it cannot be reused.
                     response.written = false;
                     self.record_end(BodyEnd::Closed, &splitter, delivered);
-                    if is_cut_off(&response, &splitter) {
+                    if is_cut_off(&response.head, &splitter) {
                         let cause = "connection closed inside an event";
                         return StreamEnd::Failed(FailedAttempt::disconnected(cause));
                     }
@@ -139,7 +128,7 @@
             BodyStep::Incomplete => ForwardStep::ReadMore,
             BodyStep::Done => {
                 self.record_end(BodyEnd::Framed, splitter, delivered);
-                if is_cut_off(response, splitter) {
+                if is_cut_off(&response.head, splitter) {
                     return invalid_stream(&"stream ended inside an event");
                 }
                 ForwardStep::Finish
@@ -288,45 +277,11 @@
     }
 }
 
-/// True unless the response is a failure or declares another media type. Such a response has no
-/// events, and only its framing tells whether it is complete.
-fn is_event_stream(head: &WireHead) -> bool {
-    let media_type = head.field("content-type").unwrap_or(EVENT_STREAM_TYPE);
-    let essence = media_type.split(';').next().unwrap_or_default().trim();
-    (200..300).contains(&head.status()) && essence.eq_ignore_ascii_case(EVENT_STREAM_TYPE)
-}
-
-/// True when a stream of events has ended inside one.
-fn is_cut_off(response: &PendingResponse, splitter: &EventSplitter) -> bool {
-    is_event_stream(&response.head) && splitter.is_inside_event()
-}
-
 /// Ends an attempt whose stream is invalid or incomplete.
 fn invalid_stream(cause: &impl std::fmt::Display) -> ForwardStep {
     ForwardStep::Fail(FailedAttempt::new(RelayFailure::OutcomeUnknown, cause))
 }
 
-/// What to do with an event.
-enum EventVerdict {
-    Forward,
-    /// The event was forwarded before.
-    Skip,
-    /// Events before this one are missing; the attempt fails.
-    Gap,
-}
-
-/// Decides by the ids whether to forward an event. Ids increase by one from event to event: an
-/// event with an id up to that of the last forwarded one is a repetition, and one with an id beyond
-/// the next shows that events are missing. Events without a number as id are always forwarded, and
-/// so is every event as long as no last id is known.
-fn classify_event(event: &CompleteEvent, delivered: &DeliveryProgress) -> EventVerdict {
-    match (event.id, delivered.last_id) {
-        (Some(id), Some(last)) if id <= last => EventVerdict::Skip,
-        (Some(id), Some(last)) if id > last + 1 => EventVerdict::Gap,
-        _ => EventVerdict::Forward,
-    }
-}
-
 /// Adds the response head to the output unless that was done before, and records the time since the
 /// arrival of the request.
 fn append_head(
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -6,6 +6,7 @@
 mod choice;
 mod context;
 mod crashes;
+mod event_progress;
 mod exchange;
 mod forwarding;
 mod listener;
