--- a/tests/resume.rs
+++ b/tests/resume.rs
@@ -77,6 +77,13 @@
         last.map_or(Duration::ZERO, |pair| pair[1] - fault)
     }
 
+    /// Milliseconds between the tokens, for failure messages.
+    fn gap_millis(&self) -> Vec<u128> {
+        let times = self.times.lock().expect("not poisoned");
+        let gaps = times.windows(2).map(|pair| (pair[1] - pair[0]).as_millis());
+        gaps.collect()
+    }
+
     /// Time from `fault` to the end of the longest gap that begins or ends after it.
     fn recovery(&self, fault: Instant) -> Duration {
         let times = self.times.lock().expect("not poisoned");
@@ -296,7 +303,8 @@
                     let last = last_position(&fleet, index, &known).await;
                     assert!(
                         last <= before + SLOW_TOKENS,
-                        "{layers}: ran {last} after {before}"
+                        "{layers}: ran {last} after {before}, gaps {:?} ms",
+                        probe.gap_millis()
                     );
                 }
                 repair_stage(&mut fleet, &proxies, trouble, index).await;
