--- a/src/routing/machine/mod.rs
+++ b/src/routing/machine/mod.rs
@@ -7,10 +7,12 @@
 use crate::ids::InstanceId;
 mod event;
 mod fault;
+mod pace;
 mod timeouts;
 
 pub use event::{AttemptEvent, AttemptLimits, AttemptNotice, AttemptStep, ChainConstraints};
 
+use crate::routing::machine::pace::TokenPace;
 use crate::routing::{
     AttemptFailure, DeliveryState, DeliveryStep, FinalAnswer, GapEstimate, StageFault, StageProbe,
 };
@@ -73,6 +75,7 @@
     attempts: u32,
     /// Gaps between the tokens of this request.
     gaps: GapEstimate,
+    pace: TokenPace,
     /// Start of the attempt or time of its last token, whichever is later.
     last_progress: MonoTime,
     /// Wait for the next token before the chain is probed; grows when a probe finds no fault.
@@ -113,6 +116,7 @@
             chain: Vec::new(),
             attempts: 0,
             gaps: GapEstimate::default(),
+            pace: TokenPace::default(),
             last_progress: MonoTime::default(),
             current_timeout: limits.first_token_limit,
             attempt_has_token: false,
@@ -346,6 +350,7 @@
     /// Adds a gap to the estimate. A late token is a sign of a fault and left out, unless so many
     /// are late in a row that their gaps have become usual.
     fn observe_gap(&mut self, gap: Duration) {
+        self.pace.observe(gap);
         let is_late = gap > self.token_timeout();
         self.late_tokens = if is_late { self.late_tokens + 1 } else { 0 };
         if !is_late || self.late_tokens > MAX_LATE_TOKENS {
@@ -401,6 +406,7 @@
         self.attempt_has_token = false;
         self.attempt_tokens = 0;
         self.late_tokens = 0;
+        self.pace.start_attempt();
         self.last_progress = now;
         self.current_timeout = self.first_token_timeout();
         self.phase = MachinePhase::Running { probing: false };
--- a/src/routing/machine/timeouts.rs
+++ b/src/routing/machine/timeouts.rs
@@ -25,7 +25,9 @@
     pub(super) fn token_timeout(&self) -> Duration {
         let limits = &self.limits;
         let timeout = self.gaps.timeout(limits.token_floor, limits.token_ceiling);
-        timeout.unwrap_or(limits.first_token_limit)
+        let timeout = timeout.unwrap_or(limits.first_token_limit);
+        let pace = self.pace.timeout().unwrap_or(timeout);
+        timeout.min(pace.max(limits.token_floor))
     }
 
     /// Timeout for the first token of an attempt, after which the chain is probed: a multiple of
