--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -42,6 +42,8 @@
 const CACHED_ADDRESS_TIME: Duration = Duration::from_millis(3_600);
 /// Time limit for revoking the lease at shutdown.
 const REVOKE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for which the last lines of the log are awaited before the process exits.
+const LOG_FLUSH_TIME: Duration = Duration::from_millis(150);
 /// Period of checking for requests in flight while draining.
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(50);
 
@@ -310,11 +312,17 @@
         let limit = context.drain_limit();
         loop {
             let elapsed = context.clock.now().since(started);
-            let idle = context.lifecycle.in_progress() == 0;
-            if elapsed >= limit || (idle && elapsed >= CACHED_ADDRESS_TIME) {
-                let cut = context.lifecycle.in_progress();
-                context.events.emit(EventLine::new("stop").with("cut", cut));
-                task::sleep(DRAIN_POLL_PERIOD.saturating_mul(3)).await;
+            if elapsed >= CACHED_ADDRESS_TIME && context.lifecycle.in_progress() == 0 {
+                context.stop_accepting();
+            }
+            // Read again: a request may have been accepted just before.
+            let in_progress = context.lifecycle.in_progress();
+            let is_idle = !context.accepts_any_request() && in_progress == 0;
+            if elapsed >= limit || is_idle {
+                context
+                    .events
+                    .emit(EventLine::new("stop").with("cut", in_progress));
+                task::sleep(LOG_FLUSH_TIME).await;
                 return;
             }
             task::sleep(DRAIN_POLL_PERIOD).await;
--- a/src/kernel/lifecycle.rs
+++ b/src/kernel/lifecycle.rs
@@ -84,13 +84,15 @@
 
     /// Counts a request as in progress until the guard is dropped.
     pub fn start_request(self: &std::sync::Arc<Self>) -> ProgressGuard {
-        self.in_progress.fetch_add(1, Ordering::AcqRel);
+        // The daemon that stops first refuses requests and then reads this count, so a request that
+        // it does not see has to see the refusal.
+        self.in_progress.fetch_add(1, Ordering::SeqCst);
         ProgressGuard(std::sync::Arc::clone(self))
     }
 
     /// Number of requests in progress.
     pub fn in_progress(&self) -> usize {
-        self.in_progress.load(Ordering::Acquire)
+        self.in_progress.load(Ordering::SeqCst)
     }
 }
 
--- a/src/relay/context.rs
+++ b/src/relay/context.rs
@@ -18,7 +18,7 @@
 use crate::wire::StreamPool;
 use arc_swap::ArcSwap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 /// Shared state of a relaying daemon.
@@ -59,6 +59,8 @@
     pub target_port: TargetPort,
     /// Start of draining, the graceful shutdown, in microseconds of the clock; 0 before.
     drain_start: AtomicU64,
+    /// True when the process exits as soon as no request is in progress.
+    is_stopping: AtomicBool,
 }
 
 /// Maximum number of idle connections kept for each target.
@@ -103,6 +105,17 @@
             .store(self.clock.now().0.max(1), Ordering::Release);
     }
 
+    /// Accepts no more requests. Those that were counted as in progress before may have been
+    /// accepted.
+    pub fn stop_accepting(&self) {
+        self.is_stopping.store(true, Ordering::SeqCst);
+    }
+
+    /// True until [`Self::stop_accepting`] is called.
+    pub fn accepts_any_request(&self) -> bool {
+        !self.is_stopping.load(Ordering::SeqCst)
+    }
+
     /// Longest time from the start of draining to the exit of the process.
     pub fn drain_limit(&self) -> Duration {
         self.bounds().grace().saturating_sub(GRACE_MARGIN)
@@ -112,6 +125,9 @@
     /// exits. Always true before draining; during it, a request is assumed to take at most three
     /// seconds.
     pub fn accepts_plain_requests(&self, time_left: Duration) -> bool {
+        if !self.accepts_any_request() {
+            return false;
+        }
         let time_left = time_left.min(MAX_PLAIN_DURATION);
         self.drain_elapsed()
             .is_none_or(|elapsed| elapsed + time_left <= self.drain_limit())
@@ -119,6 +135,9 @@
 
     /// True while new streams are accepted.
     pub fn accepts_streams(&self) -> bool {
+        if !self.accepts_any_request() {
+            return false;
+        }
         self.drain_elapsed()
             .is_none_or(|elapsed| elapsed < STREAM_CUTOFF)
     }
@@ -161,6 +180,7 @@
             events,
             target_port,
             drain_start: AtomicU64::new(0),
+            is_stopping: AtomicBool::new(false),
             bounds: ArcSwap::from_pointee(settings.bounds.clone()),
             settings,
         }))
--- a/tests/platform_plain.rs
+++ b/tests/platform_plain.rs
@@ -12,6 +12,7 @@
 use site::{call, plain_site, until};
 use std::io::Write;
 use std::net::{Shutdown, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use test_case::test_case;
 
@@ -302,3 +303,46 @@
     async_std::task::block_on(drained);
     held.join().expect("the caller ends");
 }
+
+/// Time that a target takes in the test of a daemon that stops, and the pause of its caller between
+/// two requests. The pause is shorter than the time between the decision to stop and the exit.
+const STOP_WORK_TIME: Duration = Duration::from_millis(400);
+const STOP_PAUSE: Duration = Duration::from_millis(100);
+
+/// A daemon that had found no request in progress took another one before its process exited, and
+/// cut it off.
+#[test]
+fn stopping_daemon_cuts_off_no_request() {
+    // Arrange
+    let mut site = plain_site();
+    let daemon = site.daemons.remove(0);
+    let (address, state) = (daemon.address, std::sync::Arc::clone(&daemon.state));
+    let set_time = |server: &rig::PlainServer| server.set_work_time(STOP_WORK_TIME);
+    site.plain_servers.iter().for_each(set_time);
+    let has_stopped = std::sync::Arc::new(AtomicBool::new(false));
+    let stop_flag = std::sync::Arc::clone(&has_stopped);
+    let caller = std::thread::spawn(move || {
+        let mut statuses = Vec::new();
+        while !stop_flag.load(Ordering::Acquire) {
+            let attempt = format!("a{}", statuses.len());
+            let answer = send_site_request(address, &SiteRequest::new("POST", "/post/x", &attempt));
+            statuses.push(answer.status);
+            std::thread::sleep(STOP_PAUSE);
+        }
+        statuses
+    });
+
+    // Act
+    async_std::task::block_on(daemon.drain());
+    let cut_off = state.context.lifecycle.in_progress();
+    has_stopped.store(true, Ordering::Release);
+
+    // Assert
+    let statuses = caller.join().expect("the caller ends");
+    assert_eq!(cut_off, 0, "{statuses:?}");
+    assert!(statuses.contains(&200), "{statuses:?}");
+    assert!(
+        statuses.iter().all(|status| [200, 503].contains(status)),
+        "{statuses:?}"
+    );
+}
