--- a/src/relay/crashes.rs
+++ b/src/relay/crashes.rs
@@ -90,8 +90,9 @@
     }
 }
 
-/// Clears the crashes under a request that made progress.
-pub(super) fn clear_crashes(request: &ActiveRequest<'_>) {
+/// Clears the crashes under a request that made progress at `target`, in a response with this
+/// status.
+pub(super) fn clear_crashes(request: &ActiveRequest<'_>, target: &TargetEntry, status: u16) {
     let context = request.context;
     let fingerprint = request.fingerprint();
     let cleared = context.poison.clear(fingerprint, u32::MAX);
@@ -114,6 +115,8 @@
         .inc();
     let line = request
         .log_line("crashes_cleared")
-        .with_display("fingerprint", fingerprint);
+        .with_display("fingerprint", fingerprint)
+        .with_display("target", &target.id)
+        .with("status", status);
     context.events.emit(line.with("crashes", cleared.len()));
 }
--- a/src/relay/forwarding.rs
+++ b/src/relay/forwarding.rs
@@ -155,7 +155,7 @@
                 EventVerdict::Skip => {}
                 EventVerdict::Gap => return false,
             }
-            self.suspicion.on_event();
+            self.suspicion.on_event(response.head.status());
             if let Some(elapsed) = self.detector.on_event(self.request.context.clock.now()) {
                 self.chain.head().stats.observe_first_event(elapsed);
             }
@@ -265,8 +265,8 @@
         let framing = self.request.framing();
         framing.encode(splitter.remainder(), &mut output);
         framing.encode_end(&mut output);
-        self.suspicion.on_progress();
         let status = response.head.status();
+        self.suspicion.on_progress(status);
         keep_connection(self.request.context, &self.chain.head().id, response);
         if self.request.send(&output).await {
             framing.complete(self.request.caller);
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -55,12 +55,17 @@
         let mut suspicion = AttemptSuspicion::start(request, vec![Arc::clone(&target)]);
         let outcome = attempt_plain(request, &state, &target).await;
         match &outcome {
-            Ok(_) => suspicion.on_progress(),
+            Ok(response) => suspicion.on_progress(response.head.status()),
             Err(failed) => suspicion.on_failure(failed),
         }
         drop(suspicion);
+        if let Ok(response) = &outcome
+            && is_failure(response)
+        {
+            log_failure(request, &target, response);
+        }
         let failure = match outcome {
-            Ok(response) if is_retryable(&response) && route.retry_rule.allows_reexecution() => {
+            Ok(response) if is_failure(&response) && route.retry_rule.allows_reexecution() => {
                 // Any such status counts as executed. No statistics of the target are updated.
                 detail = format!("status {} at {}", response.head.status(), target.id);
                 error_response = Some(response);
@@ -81,10 +86,20 @@
     }
 }
 
-fn is_retryable(response: &BufferedResponse) -> bool {
+fn is_failure(response: &BufferedResponse) -> bool {
     response.head.status() >= 500
 }
 
+/// Logs that a target responded with a failure.
+fn log_failure(request: &ActiveRequest<'_>, target: &TargetEntry, response: &BufferedResponse) {
+    let line = request
+        .log_line("target_failed_request")
+        .with_display("target", &target.id)
+        .with("status", response.head.status())
+        .with_display("fingerprint", request.fingerprint());
+    request.context.events.emit(line);
+}
+
 /// Logs a failed attempt and updates the statistics of its target.
 fn record_failure(request: &ActiveRequest<'_>, target: &Arc<TargetEntry>, failed: &FailedAttempt) {
     let context = request.context;
--- a/src/relay/suspicion.rs
+++ b/src/relay/suspicion.rs
@@ -171,20 +171,20 @@
         }
     }
 
-    /// An event has arrived; several of them are progress.
-    pub(super) fn on_event(&mut self) {
+    /// An event of a response with this status has arrived; several of them are progress.
+    pub(super) fn on_event(&mut self, status: u16) {
         self.events += 1;
         self.last_event = Some(self.request.context.clock.now());
         if self.events == PROGRESS_EVENTS {
-            self.on_progress();
+            self.on_progress(status);
         }
     }
 
-    /// A target has run the request and goes on running.
-    pub(super) fn on_progress(&mut self) {
+    /// A target has run the request and goes on running; its response has this status.
+    pub(super) fn on_progress(&mut self, status: u16) {
         if !self.is_dismissed {
             self.dismiss();
-            clear_suspicion(self.request);
+            clear_suspicion(self.request, &self.targets[0], status);
         }
     }
 }
@@ -214,6 +214,10 @@
         && !request.is_poison()
         && context.poison.crashes(request.fingerprint(), now) >= POISON_LIMITS.crashes;
     if is_undecided {
+        let line = request
+            .log_line("suspect_delayed")
+            .with_display("fingerprint", request.fingerprint());
+        context.events.emit(line);
         let limit = request.deadline.since(now).mul_f64(SEPARATION_SHARE);
         Timer::after(MAX_SEPARATION.min(limit).mul_f64(fastrand::f64())).await;
     }
@@ -252,13 +256,13 @@
     }
 }
 
-/// Forgets all that speaks against a request, as it made progress.
-fn clear_suspicion(request: &ActiveRequest<'_>) {
+/// Forgets all that speaks against a request, as it made progress at `target`.
+fn clear_suspicion(request: &ActiveRequest<'_>, target: &TargetEntry, status: u16) {
     let context = request.context;
     if !context.suspicions.is_empty() {
         context.suspicions.forget(request.fingerprint());
     }
     if !context.poison.is_empty() {
-        clear_crashes(request);
+        clear_crashes(request, target, status);
     }
 }
