--- a/rig/src/site/crash.rs
+++ b/rig/src/site/crash.rs
@@ -5,6 +5,7 @@
 use crate::site::store::SiteStore;
 use std::fmt;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -69,6 +70,11 @@
     store: SiteStore,
     live: Arc<Mutex<Vec<LiveServer>>>,
     runs: Arc<Mutex<Vec<CrashRun>>>,
+    keeps_ids: Arc<AtomicBool>,
+    /// Of the requests that crash servers, every so many are spared; 0 for none.
+    spares_every: Arc<AtomicUsize>,
+    /// Such requests so far.
+    arrivals: Arc<AtomicUsize>,
 }
 
 impl fmt::Debug for CrashRegistry {
@@ -84,6 +90,9 @@
             store,
             live: Arc::default(),
             runs: Arc::default(),
+            keeps_ids: Arc::default(),
+            spares_every: Arc::default(),
+            arrivals: Arc::default(),
         }
     }
 
@@ -96,6 +105,24 @@
         });
     }
 
+    /// From now on, servers start again under their old identifiers.
+    pub fn keep_ids(&self) {
+        self.keeps_ids.store(true, Ordering::Relaxed);
+    }
+
+    /// From now on, one in `number` of the requests that crash plain servers does not, but is
+    /// answered with status 500.
+    pub fn spare_every(&self, number: usize) {
+        self.spares_every.store(number, Ordering::Relaxed);
+    }
+
+    /// True when the request that has just arrived crashes no server.
+    pub(super) fn spares_next(&self) -> bool {
+        let number = self.spares_every.load(Ordering::Relaxed);
+        let arrivals = self.arrivals.fetch_add(1, Ordering::Relaxed) + 1;
+        number > 0 && arrivals.is_multiple_of(number)
+    }
+
     /// Requests that have crashed a server, in order.
     pub fn runs(&self) -> Vec<CrashRun> {
         self.runs.lock().expect("ledger is never poisoned").clone()
@@ -116,11 +143,16 @@
             });
         server.switch.close();
         let store = self.store.clone();
+        let next = if self.keeps_ids.load(Ordering::Relaxed) {
+            server.id.to_string()
+        } else {
+            next_id(&server.id)
+        };
         thread::spawn(move || {
             thread::sleep(LAPSE_TIME);
             store.remove(&format!("servers/{}", server.id));
             thread::sleep(DOWN_TIME.saturating_sub(LAPSE_TIME));
-            (server.start_again)(&next_id(&server.id));
+            (server.start_again)(&next);
         });
     }
 
--- a/rig/src/site/fleet.rs
+++ b/rig/src/site/fleet.rs
@@ -187,7 +187,7 @@
 pub fn plain_server_entry(server: &PlainServer, state: &str) -> Value {
     json!({
         "Service": "shop", "Address": server.address().to_string(), "Zone": "d0", "Version": "v1",
-        "Slots": 6, "State": state, "ColdRemainingMs": 0, "Sequence": 1,
+        "Slots": 6, "State": state, "ColdRemainingMs": 0, "Sequence": 1, "born": server.born_ms(),
     })
 }
 
--- a/rig/src/site/http.rs
+++ b/rig/src/site/http.rs
@@ -5,6 +5,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 /// Longest request head that a stand-in accepts.
 const HEAD_LIMITS: HeadLimits = HeadLimits {
@@ -88,6 +89,12 @@
     }
 }
 
+/// Time of day, in milliseconds since 1970.
+pub(super) fn unix_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.map_or(0, |time| time.as_millis() as u64)
+}
+
 /// Listens on a free loopback port and serves every request with `handler`, one thread per
 /// connection.
 pub(super) fn serve(handler: Handler) -> SocketAddr {
--- a/rig/src/site/plain.rs
+++ b/rig/src/site/plain.rs
@@ -2,7 +2,7 @@
 
 use crate::site::crash::{CrashPlace, CrashRegistry, StartServer};
 use crate::site::fleet::plain_server_entry;
-use crate::site::http::{AfterReply, Handler, ReceivedRequest, reply, serve_closable};
+use crate::site::http::{AfterReply, Handler, ReceivedRequest, reply, serve_closable, unix_ms};
 use crate::site::store::SiteStore;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
@@ -56,6 +56,8 @@
 pub struct PlainServer {
     id: Arc<str>,
     address: SocketAddr,
+    /// Time of its start, in milliseconds since 1970.
+    born_ms: u64,
     state: Arc<PlainState>,
 }
 
@@ -88,7 +90,13 @@
         let (handler_id, handler_state) = (Arc::clone(&id), Arc::clone(state));
         let handler_crashes = crashes.clone();
         let handler: Handler = Arc::new(move |request, stream| {
-            match handle_request(&handler_id, &handler_state, request, stream) {
+            match handle_request(
+                &handler_id,
+                &handler_state,
+                &handler_crashes,
+                request,
+                stream,
+            ) {
                 HandlerEnd::Replied(after) => after,
                 HandlerEnd::Crash(path) => {
                     if let Ok(address) = stream.local_addr() {
@@ -102,6 +110,7 @@
         let server = Self {
             id,
             address: switch.address(),
+            born_ms: unix_ms(),
             state: Arc::clone(state),
         };
         let (next_store, next_crashes) = (store.clone(), crashes.clone());
@@ -127,6 +136,11 @@
         self.address
     }
 
+    /// Time of its start, in milliseconds since 1970.
+    pub fn born_ms(&self) -> u64 {
+        self.born_ms
+    }
+
     /// Sets the fault, also of later runs; [`PlainFault::None`] ends it.
     pub fn set_fault(&self, fault: PlainFault) {
         *self.state.fault.lock().expect("fault is never poisoned") = fault;
@@ -154,6 +168,7 @@
 fn handle_request(
     id: &str,
     state: &PlainState,
+    crashes: &CrashRegistry,
     request: &ReceivedRequest,
     stream: &mut TcpStream,
 ) -> HandlerEnd {
@@ -165,6 +180,8 @@
     let path = request.head.path();
     if CrashPlace::of(path) == CrashPlace::Nowhere {
         HandlerEnd::Replied(end_run(fault, request, stream))
+    } else if crashes.spares_next() {
+        HandlerEnd::Replied(end_run(PlainFault::Fails, request, stream))
     } else {
         HandlerEnd::Crash(path.to_owned())
     }
--- a/tests/platform_poison.rs
+++ b/tests/platform_poison.rs
@@ -120,6 +120,22 @@
     assert!(late <= MAX_LATE_RUNS, "{late} of {} runs", runs.len());
 }
 
+/// Such a request is kept from servers also if some of them answer it with a failure in between. The
+/// failure was taken for proof that servers survive the request, and cleared its crashes.
+#[test_case("GET", "/get/crash", 2; "repeatable, every second time")]
+#[test_case("POST", "/post/crash", 2; "at most once, every second time")]
+#[test_case("GET", "/get/crash", 3; "repeatable, every third time")]
+#[test_case("POST", "/post/crash", 3; "at most once, every third time")]
+fn failures_between_crashes_clear_none(method: &'static str, target: &'static str, every: usize) {
+    let site = poison_site(PLAIN_SERVERS);
+    site.crashes.spare_every(every);
+
+    let runs = send_again(&site, method, target, counted_time_is_over(Instant::now()));
+
+    let late = late_runs(&runs);
+    assert!(late <= MAX_LATE_RUNS, "{late} of {} runs", runs.len());
+}
+
 /// Crashes count over all daemons while the store is away, too. Each daemon would otherwise let the
 /// request crash three servers.
 #[test]
