Clear crashes under a request only by a success

What callers saw: a request that ends servers came again and again and ended them each time, as long as servers also failed some of these requests with a 500 of their own.

Cause: any response that could be read was taken for progress, failures included, and progress clears all crashes of the request, those that other daemons had found too. A failure does not show that the target has run the part that ends others, so it is no evidence either way.

Change: a response with another status than 2xx leaves a request as suspect as it was, for plain services and for streams.

--- a/src/relay/forwarding.rs
+++ b/src/relay/forwarding.rs
@@ -266,7 +266,7 @@
         framing.encode(splitter.remainder(), &mut output);
         framing.encode_end(&mut output);
         let status = response.head.status();
-        self.suspicion.on_progress(status);
+        self.suspicion.on_response(status);
         keep_connection(self.request.context, &self.chain.head().id, response);
         if self.request.send(&output).await {
             framing.complete(self.request.caller);
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -55,7 +55,7 @@
         let mut suspicion = AttemptSuspicion::start(request, vec![Arc::clone(&target)]);
         let outcome = attempt_plain(request, &state, &target).await;
         match &outcome {
-            Ok(response) => suspicion.on_progress(response.head.status()),
+            Ok(response) => suspicion.on_response(response.head.status()),
             Err(failed) => suspicion.on_failure(failed),
         }
         drop(suspicion);
--- a/src/relay/suspicion.rs
+++ b/src/relay/suspicion.rs
@@ -2,7 +2,7 @@
 //!
 //! An attempt that ends without progress is remembered for some seconds. If one of its targets turns
 //! out to have ended under it, that is a crash under the request. Progress of such a request, at any
-//! target, clears it.
+//! target, clears it; a failure that a target responds with speaks neither for nor against it.
 
 use crate::poison::PoisonFingerprint;
 use crate::relay::attempt::{FailedAttempt, FailureKind, probe_target};
@@ -176,14 +176,18 @@
         self.events += 1;
         self.last_event = Some(self.request.context.clock.now());
         if self.events == PROGRESS_EVENTS {
-            self.on_progress(status);
+            self.on_response(status);
         }
     }
 
-    /// A target has run the request and goes on running; its response has this status.
-    pub(super) fn on_progress(&mut self, status: u16) {
-        if !self.is_dismissed {
-            self.dismiss();
+    /// A response with this status has arrived. Only a success shows that targets survive the
+    /// request: one that fails it may not have run the part that crashes others.
+    pub(super) fn on_response(&mut self, status: u16) {
+        if self.is_dismissed {
+            return;
+        }
+        self.dismiss();
+        if is_success(status) {
             clear_suspicion(self.request, &self.targets[0], status);
         }
     }
@@ -205,6 +209,10 @@
     }
 }
 
+fn is_success(status: u16) -> bool {
+    (200..300).contains(&status)
+}
+
 /// Delays a request whose crashes may just as well be due to another one, by a random time, so that
 /// the two are not beside each other once more.
 pub(super) async fn separate_suspects(request: &ActiveRequest<'_>) {
