Name a crashed run by the target and its start

What callers saw: with servers that start again under their old identifiers, a request that ends them came again and again and ended them each time.

Cause: a crash was named by the target's identifier alone, on the belief that a restart gets another one. The second crash of an identifier was taken for the first one told again, so two servers never reached the three crashes from which a request is refused. The entry's start time, which tells the runs apart, was not read.

Change: entries keep the start, a crash is named by identifier and start, a listed run with another start shows that the former one has ended, and such a run gets statistics of its own: marks of the former one (address taken over, leaving) kept requests from it, with a test.

--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -83,6 +83,10 @@
         let id = key.strip_prefix(self.prefix).unwrap_or(key);
         match (self.read)(id, value) {
             Ok(mut entry) => {
+                let known = self.entries.get(key);
+                if known.is_some_and(|known| !known.is_same_run(&entry)) {
+                    self.stats.remove(&entry.id);
+                }
                 let stats = self.stats.entry(entry.id.clone()).or_default();
                 entry.stats = Arc::clone(stats);
                 if !entry.is_ready() {
--- a/src/relay/crashes.rs
+++ b/src/relay/crashes.rs
@@ -1,8 +1,7 @@
 //! Crashes of targets under requests: what this daemon has found out, and what other daemons tell.
 
-use crate::loads::target_hash;
 use crate::poison::{
-    CrashState, CrashedRun, OutboxRow, PoisonEntry, PoisonFingerprint, PoisonLimits, PoisonRow,
+    CrashState, OutboxRow, PoisonEntry, PoisonFingerprint, PoisonLimits, PoisonRow,
 };
 use crate::relay::context::RelayContext;
 use crate::relay::exchange::ActiveRequest;
@@ -33,7 +32,7 @@
     target: &TargetEntry,
     now: MonoTime,
 ) {
-    let run = CrashedRun(target_hash(&target.id));
+    let run = target.crashed_run();
     let entry = PoisonEntry::new([run], CrashState::Counted, now.after(CRASH_RETENTION));
     if !context.poison.merge(fingerprint, &entry, now) {
         return;
@@ -50,6 +49,7 @@
     let line = EventLine::new("crash_under_request")
         .with_display("fingerprint", fingerprint)
         .with_display("target", &target.id)
+        .with("started_ms", target.started_ms)
         .with("crashes", context.poison.crashes(fingerprint, now));
     context.events.emit(line.with("outcome", outcome));
 }
--- a/src/targets/entry.rs
+++ b/src/targets/entry.rs
@@ -1,6 +1,8 @@
 //! One target as the platform's list describes it.
 
+use crate::hash::stable_hash;
 use crate::ids::{DomainId, InstanceId, ServiceId};
+use crate::poison::CrashedRun;
 use crate::targets::stats::TargetStats;
 use crate::units::LayerRange;
 use std::net::SocketAddr;
@@ -18,8 +20,11 @@
 /// One target.
 #[derive(Debug, Clone)]
 pub struct TargetEntry {
-    /// Identity of this run of the target; a restart gets another.
+    /// Identity of the target. A restart usually gets another, but may keep it.
     pub id: InstanceId,
+    /// Start of this run in milliseconds since 1970, which tells apart the runs that have the same
+    /// identity; 0 when it is not known.
+    pub started_ms: u64,
     /// Service that it belongs to.
     pub service: ServiceId,
     /// Listening address.
@@ -43,4 +48,15 @@
     pub fn is_ready(&self) -> bool {
         self.phase == TargetPhase::Ready
     }
+
+    /// True when both are entries of one run of a target.
+    pub fn is_same_run(&self, other: &Self) -> bool {
+        self.id == other.id && self.started_ms == other.started_ms
+    }
+
+    /// Names this run, the same in all daemons, once it has crashed.
+    pub fn crashed_run(&self) -> CrashedRun {
+        let id = self.id.as_str().as_bytes();
+        CrashedRun(stable_hash(&[id, &self.started_ms.to_be_bytes()]))
+    }
 }
--- a/src/targets/view.rs
+++ b/src/targets/view.rs
@@ -57,6 +57,12 @@
         self.targets.get(id)
     }
 
+    /// True when this run of a target is in the list.
+    pub fn has_run(&self, target: &TargetEntry) -> bool {
+        let listed = self.targets.get(&target.id);
+        listed.is_some_and(|listed| listed.is_same_run(target))
+    }
+
     /// All targets.
     pub fn targets(&self) -> impl Iterator<Item = &Arc<TargetEntry>> {
         self.targets.values()
--- a/tests/support/shapes.rs
+++ b/tests/support/shapes.rs
@@ -35,6 +35,7 @@
 ) -> Arc<TargetEntry> {
     Arc::new(TargetEntry {
         id: name.parse().expect("an identifier"),
+        started_ms: 0,
         service: "desk".parse().expect("an identifier"),
         address: "127.0.0.1:9".parse().expect("an address"),
         domain: domain.parse().expect("an identifier"),
--- a/tests/target_publisher.rs
+++ b/tests/target_publisher.rs
@@ -12,9 +12,12 @@
 /// Time for which a slow task waits for the other one to publish.
 const SLOW_TIME: Duration = Duration::from_millis(300);
 
-fn read_entry(id: &str, _value: &[u8]) -> Result<TargetEntry, String> {
+/// Decodes an entry whose value is the start of the target, in milliseconds.
+fn read_entry(id: &str, value: &[u8]) -> Result<TargetEntry, String> {
+    let started_ms = String::from_utf8_lossy(value).parse();
     Ok(TargetEntry {
         id: id.parse().expect("an identifier"),
+        started_ms: started_ms.map_err(|_cause| "not a number".to_owned())?,
         service: "desk".parse().expect("an identifier"),
         address: "127.0.0.1:9".parse().expect("an address"),
         domain: "d0".parse().expect("an identifier"),
@@ -26,10 +29,10 @@
     })
 }
 
-fn written(key: &str) -> MirrorChange {
+fn written(key: &str, started_ms: u64) -> MirrorChange {
     MirrorChange::Written(StoreItem {
         key: Arc::from(key),
-        value: Arc::from(&b""[..]),
+        value: Arc::from(started_ms.to_string().as_bytes()),
         revision: 1,
         create_revision: 1,
     })
@@ -58,7 +61,7 @@
             });
         });
         has_begun.recv().expect("the first task begins");
-        publisher.update(|targets| targets.on_changes(&[written("servers/a")], MonoTime(1)));
+        publisher.update(|targets| targets.on_changes(&[written("servers/a", 1)], MonoTime(1)));
         publisher.publish(cell, build);
         // The first task may have ended.
         let _ = published.send(());
@@ -68,3 +71,22 @@
     let id: InstanceId = "a".parse().expect("an identifier");
     assert!(cell.load().target(&id).is_some());
 }
+
+/// A target that starts again under its identity is not judged by what its run before did. Its
+/// statistics were kept, so that marks of the old run kept requests from the new one.
+#[test]
+fn new_run_of_a_target_has_statistics_of_its_own() {
+    let publisher = TargetPublisher::new(TargetRegistry::new("servers/", read_entry));
+    let stats = |started_ms| {
+        publisher.update(|targets| {
+            targets.on_changes(&[written("servers/a", started_ms)], MonoTime(1));
+            Arc::clone(&targets.entries()[0].stats)
+        })
+    };
+    stats(1).mark_replaced();
+
+    let same_run = stats(1).is_replaced();
+    let next_run = stats(2).is_replaced();
+
+    assert_eq!((same_run, next_run), (true, false));
+}
