Count a crash under a request whose caller has left

What callers would see: a request that ends servers and whose callers leave at once came again without end.

So with no other request to find the connection refused, the end of the server was never held against the request that ended it.

Change: a departure that was not announced counts also for an attempt whose caller left without progress. It still takes three of them, one without another explanation, to refuse a request.

--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -47,7 +47,7 @@
 pub use site::{
     CrashRegistry, CrashRun, CutEnd, CutScope, ModelKnobs, ModelServer, PLAIN_BODY, PlainFault,
     PlainServer, SiteDaemon, SiteFleet, SiteRequest, SiteResponse, SiteSpec, SiteStore, StoreFault,
-    StreamCut, StreamFraming, event_text, plain_server_entry, read_site_response, sample_config,
-    send_site_request,
+    StreamCut, StreamFraming, event_text, leave_site_request, plain_server_entry,
+    read_site_response, sample_config, send_site_request,
 };
 pub use web::{admin_get, admin_send, admin_text, json_response};
--- a/rig/src/site/caller.rs
+++ b/rig/src/site/caller.rs
@@ -109,6 +109,18 @@
     }
 }
 
+/// Sends a request on a new connection and closes it after `patience`, without reading.
+///
+/// # Panics
+/// When the daemon does not accept the connection or the request.
+pub fn leave_site_request(address: SocketAddr, request: &SiteRequest, patience: Duration) {
+    let mut stream = TcpStream::connect(address).expect("the daemon accepts connections");
+    stream
+        .write_all(&request.encode())
+        .expect("the daemon reads the request");
+    std::thread::sleep(patience);
+}
+
 /// Sends a request on a new connection and reads the response.
 ///
 /// # Panics
--- a/rig/src/site/mod.rs
+++ b/rig/src/site/mod.rs
@@ -12,7 +12,9 @@
 mod plain;
 mod store;
 
-pub use caller::{SiteRequest, SiteResponse, read_site_response, send_site_request};
+pub use caller::{
+    SiteRequest, SiteResponse, leave_site_request, read_site_response, send_site_request,
+};
 pub use crash::{CrashRegistry, CrashRun};
 pub use fleet::{SiteDaemon, SiteFleet, SiteSpec, plain_server_entry, sample_config};
 pub use model::{ModelKnobs, ModelServer};
--- a/src/relay/suspicion.rs
+++ b/src/relay/suspicion.rs
@@ -61,8 +61,7 @@
         }
         self.targets.iter().find(|target| {
             let stalled_since = target.stats.stalled_since();
-            let has_departed =
-                self.failure.is_some() && !view.has_run(target) && !target.stats.is_leaving();
+            let has_departed = !view.has_run(target) && !target.stats.is_leaving();
             let has_ended = self.was_refused(target) || has_departed;
             has_ended && stalled_since.is_none_or(|since| self.started <= since)
         })
--- a/tests/platform_poison.rs
+++ b/tests/platform_poison.rs
@@ -5,7 +5,7 @@
 
 use rig::{
     CrashRun, PLAIN_BODY, SiteDaemon, SiteFleet, SiteRequest, SiteSpec, StoreFault,
-    send_site_request,
+    leave_site_request, send_site_request,
 };
 use site::{stream_call, until};
 use std::net::SocketAddr;
@@ -17,6 +17,8 @@
 const DAEMONS: usize = 3;
 /// Time from one arrival of the request to the next.
 const ARRIVAL_GAP: Duration = Duration::from_millis(150);
+/// The same where each server is back before the request comes again.
+const SPARSE_GAP: Duration = Duration::from_millis(1_300);
 /// Time after the third crash from which further runs are counted.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Time for which the request comes again after that.
@@ -150,6 +152,66 @@
     assert!(late <= MAX_LATE_RUNS, "{late} of {} runs", runs.len());
 }
 
+/// Two such requests that come together are both kept from servers, although each of them may explain
+/// the crashes of the other one.
+#[test_case(0; "servers fail none of them")]
+#[test_case(4; "servers fail every fourth one")]
+fn two_requests_that_crash_servers_are_kept_from_them(spare_every: usize) {
+    let site = poison_site(PLAIN_SERVERS);
+    site.crashes.spare_every(spare_every);
+    let targets = ["/get/crash-a", "/get/crash-b"];
+
+    let started = Instant::now();
+    thread::scope(|scope| {
+        for target in targets {
+            let over = counted_time_is_over(started);
+            scope.spawn(|| send_again(&site, "GET", target, over));
+        }
+    });
+
+    for target in targets {
+        let runs = site.crashes.runs();
+        let runs: Vec<CrashRun> = runs
+            .into_iter()
+            .filter(|run| &*run.path == target)
+            .collect();
+        let late = runs.get(2).map_or(0, |_third| late_runs(&runs));
+        assert!(
+            late <= MAX_LATE_RUNS,
+            "{target}: {late} of {} runs",
+            runs.len()
+        );
+    }
+}
+
+/// Such a request is kept from servers also if its callers leave before the server ends and nothing
+/// else reaches that server. Its end was then never held against the request.
+#[test_case("GET", "/get/crash"; "repeatable")]
+#[test_case("POST", "/post/crash"; "at most once")]
+fn crashes_after_the_caller_left_count(method: &'static str, target: &'static str) {
+    let site = poison_site(PLAIN_SERVERS);
+    let work = Duration::from_millis(60);
+    site.plain_servers
+        .iter()
+        .for_each(|server| server.set_work_time(work));
+    let counted = CONTACT_TIME + SPARSE_GAP * (MAX_LATE_RUNS as u32 + 2);
+    let started = Instant::now();
+
+    for number in 0.. {
+        let third = site.crashes.runs().get(2).map_or(started, |third| third.at);
+        if third.elapsed() > counted {
+            break;
+        }
+        let address = site.daemons[number % DAEMONS].address;
+        leave_site_request(address, &poison(method, target, number), work / 3);
+        thread::sleep(SPARSE_GAP);
+    }
+
+    let runs = site.crashes.runs();
+    let late = late_runs(&runs);
+    assert!(late <= MAX_LATE_RUNS, "{late} of {} runs", runs.len());
+}
+
 /// Crashes count over all daemons while the store is away, too. Each daemon would otherwise let the
 /// request crash three servers.
 #[test]
