--- a/rig/src/site/mod.rs
+++ b/rig/src/site/mod.rs
@@ -7,6 +7,7 @@
 mod crash;
 mod fleet;
 mod http;
+mod limit;
 mod model;
 mod model_stream;
 mod plain;
@@ -17,6 +18,7 @@
 };
 pub use crash::{CrashRegistry, CrashRun};
 pub use fleet::{SiteDaemon, SiteFleet, SiteSpec, plain_server_entry, sample_config};
+pub use limit::LimitLedger;
 pub use model::{ModelKnobs, ModelServer};
 pub use model_stream::{CutEnd, CutScope, StreamCut, StreamFraming, event_text};
 pub use plain::{PLAIN_BODY, PlainFault, PlainServer};
--- a/rig/src/site/model.rs
+++ b/rig/src/site/model.rs
@@ -3,6 +3,7 @@
 
 use crate::site::crash::{CrashPlace, CrashRegistry, StartServer};
 use crate::site::http::{AfterReply, Handler, ReceivedRequest, reply, serve_closable, unix_ms};
+use crate::site::limit::{LIMIT_FIELD, LimitLedger};
 use crate::site::model_stream::{StreamCut, StreamFraming, send_stream};
 use crate::site::store::SiteStore;
 use serde_json::{Value, json};
@@ -79,6 +80,7 @@
     born_ms: u64,
     crashes: CrashRegistry,
     state: Arc<Mutex<ModelState>>,
+    limits: Arc<LimitLedger>,
 }
 
 impl ModelServer {
@@ -118,6 +120,7 @@
             born_ms: unix_ms(),
             crashes: crashes.clone(),
             state,
+            limits: Arc::default(),
         };
         let (next_store, next) = (store.clone(), server.clone());
         let start_again: StartServer = Arc::new(move |id: &str| {
@@ -149,6 +152,11 @@
         self.with_state(|state| state.layers)
     }
 
+    /// Limit that it names in its responses to requests, and the requests that reach it.
+    pub fn limits(&self) -> &LimitLedger {
+        &self.limits
+    }
+
     /// Streams that it has started.
     pub fn runs(&self) -> Vec<StreamRun> {
         self.with_state(|state| state.runs.clone())
@@ -214,6 +222,7 @@
     }
 
     fn stream_events(&self, request: &ReceivedRequest, stream: &mut TcpStream) -> AfterReply {
+        self.limits.record_arrival();
         let head = &request.head;
         let field = |name: &str| head.field(name).unwrap_or_default().to_owned();
         let attempt_id = field("X-Attempt-Id");
@@ -251,12 +260,19 @@
         });
         let fields = format!(
             "Content-Type: text/event-stream\r\nX-Server-Stamp: stamp-{}\r\n\
-             X-Attempt-Id: {attempt_id}\r\n",
-            self.id
+             X-Attempt-Id: {attempt_id}\r\n{}",
+            self.id,
+            self.limit_line(),
         );
         send_stream(stream, &fields, first_event, &knobs)
     }
 
+    /// Header line with the limit, if it names one.
+    fn limit_line(&self) -> String {
+        let limit = self.limits.limit();
+        limit.map_or_else(String::new, |limit| format!("{LIMIT_FIELD}: {limit}\r\n"))
+    }
+
     /// True when the first hop names this server and the layers that it holds.
     fn is_first_hop(&self, hops: &str) -> bool {
         let Some((from, to)) = self.layers() else {
--- a/rig/src/site/plain.rs
+++ b/rig/src/site/plain.rs
@@ -3,6 +3,7 @@
 use crate::site::crash::{CrashPlace, CrashRegistry, StartServer};
 use crate::site::fleet::plain_server_entry;
 use crate::site::http::{AfterReply, Handler, ReceivedRequest, reply, serve_closable, unix_ms};
+use crate::site::limit::{LIMIT_FIELD, LimitLedger};
 use crate::site::store::SiteStore;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
@@ -67,6 +68,7 @@
     fault: Mutex<PlainFault>,
     work_time: Mutex<Duration>,
     runs: Mutex<Vec<PlainRun>>,
+    limits: LimitLedger,
 }
 
 /// Body of a complete response.
@@ -151,6 +153,11 @@
         *self.state.work_time.lock().expect("time is never poisoned") = time;
     }
 
+    /// Limit that it names in its responses, and the requests that reach it, also in later runs.
+    pub fn limits(&self) -> &LimitLedger {
+        &self.state.limits
+    }
+
     /// Requests that it has run, also in later runs.
     pub fn runs(&self) -> Vec<PlainRun> {
         let runs = self.state.runs.lock();
@@ -172,6 +179,7 @@
     request: &ReceivedRequest,
     stream: &mut TcpStream,
 ) -> HandlerEnd {
+    state.limits.record_arrival();
     let fault = *state.fault.lock().expect("fault is never poisoned");
     match begin_run(id, fault, &state.runs, request, stream) {
         Some(after) => return HandlerEnd::Replied(after),
@@ -179,9 +187,9 @@
     }
     let path = request.head.path();
     if CrashPlace::of(path) == CrashPlace::Nowhere {
-        HandlerEnd::Replied(end_run(fault, request, stream))
+        HandlerEnd::Replied(end_run(fault, state, request, stream))
     } else if crashes.spares_next() {
-        HandlerEnd::Replied(end_run(PlainFault::Fails, request, stream))
+        HandlerEnd::Replied(end_run(PlainFault::Fails, state, request, stream))
     } else {
         HandlerEnd::Crash(path.to_owned())
     }
@@ -226,9 +234,16 @@
 }
 
 /// Replies to a request that has run.
-fn end_run(fault: PlainFault, request: &ReceivedRequest, stream: &mut TcpStream) -> AfterReply {
+fn end_run(
+    fault: PlainFault,
+    state: &PlainState,
+    request: &ReceivedRequest,
+    stream: &mut TcpStream,
+) -> AfterReply {
     let attempt_id = request.head.field("X-Attempt-Id").unwrap_or_default();
-    let stamp_fields = [("X-Server-Stamp", "stamp"), ("X-Attempt-Id", attempt_id)];
+    let limit = state.limits.limit();
+    let mut stamp_fields = vec![("X-Server-Stamp", "stamp"), ("X-Attempt-Id", attempt_id)];
+    stamp_fields.extend(limit.iter().map(|limit| (LIMIT_FIELD, &**limit)));
     let send = |stream: &mut TcpStream, text: String, after: AfterReply| match stream
         .write_all(text.as_bytes())
     {
