Keep requests to a target within the rate limit that it names

Cause: no line read the limit. Class: a bound that counts all daemons, enforced by none.

Change: a response's limit becomes part of what is known of that run of the target, with the time of the observation, and daemons tell each other of it in the load digests. Each request to a limited target, first tries, retries, resumed streams and reports alike, needs a permit. One daemon, chosen by rendezvous hashing from those that the store lists, hands them out at the limit, so that 83 daemons use it whole, where equal shares would serve nobody; a keeper begins with a pause and an empty bucket, as its predecessor's permits may still be used. A daemon that cannot reach the keeper sends that target nothing. Held back targets are not chosen; what no target takes is refused at once. A limit that is no number changes nothing; one of zero is still tried every five seconds, as only a response shows its end. Servers inside a chain get no requests and need no permit; orders need none.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 mod ids;
 mod instances;
 mod kernel;
+mod limits;
 mod loads;
 mod membership;
 mod mirror;
@@ -95,6 +96,10 @@
     DaemonError, DaemonHandle, DaemonPhase, KernelContext, LifecycleCell, MonoClock, PluginEntry,
     PluginError, PluginHost, TimerJob, TimerService, TimerSpec, WebApp, run_daemon, start_daemon,
 };
+pub use limits::{
+    KeeperTable, LimitCell, LimitChange, LimitRow, LimitStatement, PermitAsk, PermitClient,
+    PermitGrant, PermitReply, TakeOutcome, choose_keeper,
+};
 pub use loads::{LoadTable, ReservationDigest, ReservationRow, target_hash};
 pub use membership::{
     AddressPlan, CallNumber, IncarnationNumber, LeavingMarks, LeavingTarget, MarkRecord,
@@ -160,7 +165,7 @@
     EventLine, EventLog, LogError, MetricSet, SpanGuard, SpanOutcome, SpanRecord, TraceContext,
     TraceSink, init_logging,
 };
-pub use units::{ByteSize, LayerRange, MonoTime, TokenRate, UnitError};
+pub use units::{ByteSize, LayerRange, MonoTime, RequestRate, TokenRate, UnitError};
 pub use wire::{
     BodyDecoder, BodyError, BodyFraming, BodyStep, CallError, CompleteEvent, EventSplitter,
     HeadBuilder, HeadError, HeadLimits, HeadStep, ReadError, StreamError, StreamPool, WireCall,
--- a/src/loads/digest.rs
+++ b/src/loads/digest.rs
@@ -1,11 +1,14 @@
-//! Message in which a daemon announces its reservations and the crashes that it saw.
+//! Message in which a daemon announces its reservations, the crashes that it saw and the rate limits
+//! of targets.
 
 use crate::hash::stable_hash;
 use crate::ids::InstanceId;
+use crate::limits::{LimitRow, PermitAsk, PermitReply};
 use crate::poison::PoisonRow;
 use prost::Message;
 
-/// Everything that one daemon's requests have reserved.
+/// Everything that one daemon's requests have reserved. A datagram with sequence 0 announces nothing
+/// and carries a question or its reply.
 #[derive(Clone, PartialEq)]
 #[derive(Message)]
 pub struct ReservationDigest {
@@ -22,6 +25,15 @@
     /// Crashes under requests that the store may not know yet.
     #[prost(message, repeated, tag = "4")]
     pub crashes: Vec<PoisonRow>,
+    /// Rate limits of targets.
+    #[prost(message, repeated, tag = "5")]
+    pub limits: Vec<LimitRow>,
+    /// Question for permits of a target that the receiver keeps.
+    #[prost(message, optional, tag = "6")]
+    pub ask: Option<PermitAsk>,
+    /// Reply to such a question of the receiver.
+    #[prost(message, optional, tag = "7")]
+    pub reply: Option<PermitReply>,
 }
 
 /// Reservations at one target.
--- a/src/loads/exchange.rs
+++ b/src/loads/exchange.rs
@@ -4,7 +4,10 @@
 use crate::kernel::MonoClock;
 use crate::loads::digest::{ReservationDigest, ReservationRow, target_hash};
 use crate::loads::table::LoadTable;
-use crate::relay::{RelayContext, count_crashes, merge_peer_crashes, unstored_crashes};
+use crate::relay::{
+    RelayContext, answer_ask, count_crashes, known_limits, merge_limits, merge_peer_crashes,
+    unstored_crashes,
+};
 use async_io::{Async, Timer};
 use futures_lite::future::or;
 use prost::Message;
@@ -26,7 +29,8 @@
 /// # Errors
 /// When the address cannot be bound.
 pub async fn exchange_loads(context: Arc<RelayContext>, listen: SocketAddr) -> io::Result<()> {
-    let socket = Async::<UdpSocket>::bind(listen)?;
+    let socket = Arc::new(Async::<UdpSocket>::bind(listen)?);
+    context.permits.set_socket(Arc::clone(&socket));
     let mut table = LoadTable::default();
     let mut digest = ReservationDigest {
         sender: fastrand::u64(..),
@@ -54,8 +58,12 @@
         match received {
             Ok(Some(Ok((digest, from)))) => {
                 context.recent_peers.record(from);
-                merge_peer_crashes(&context, &digest.crashes);
-                table.record(digest, clock.now());
+                handle_permits(&context, &socket, &digest, from).await;
+                if digest.sequence > 0 {
+                    merge_limits(&context, &digest.limits);
+                    merge_peer_crashes(&context, &digest.crashes);
+                    table.record(digest, clock.now());
+                }
             }
             Ok(Some(Err(cause))) => log::debug!("malformed load digest: {cause}"),
             Ok(None) => {
@@ -64,6 +72,7 @@
                 digest.rows = local_rows(&context);
                 count_crashes(&context);
                 digest.crashes = unstored_crashes(&context);
+                digest.limits = known_limits(&context, digest.sequence);
                 send_digest(&context, &socket, &digest).await;
                 next_send = clock.now().after(SEND_PERIOD);
             }
@@ -76,6 +85,30 @@
     }
 }
 
+/// Replies to a question for permits, and hands on the reply to one of this daemon's own.
+async fn handle_permits(
+    context: &RelayContext,
+    socket: &Async<UdpSocket>,
+    digest: &ReservationDigest,
+    from: SocketAddr,
+) {
+    if let Some(reply) = digest.reply
+        && !context.permits.on_reply(reply)
+    {
+        log::debug!("nobody waits for the permits of {from}");
+    }
+    let Some(ask) = &digest.ask else {
+        return;
+    };
+    let reply = ReservationDigest {
+        reply: Some(answer_ask(context, ask)),
+        ..ReservationDigest::default()
+    };
+    if let Err(cause) = socket.send_to(&reply.encode_to_vec(), from).await {
+        log::debug!("cannot hand out permits to {from}: {cause}");
+    }
+}
+
 fn local_rows(context: &RelayContext) -> Vec<ReservationRow> {
     let view = context.targets.load();
     let rows = view.targets().map(|target| ReservationRow {
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -2,6 +2,7 @@
 
 use crate::ids::InstanceId;
 use crate::relay::context::RelayContext;
+use crate::relay::limits::observe_limit;
 use crate::relay::metadata::{DispatchMetadata, ReplyMetadata, RequestMetadata};
 use crate::relay::retry::RelayFailure;
 use crate::targets::TargetEntry;
@@ -153,6 +154,7 @@
     };
     let mut bytes = (context.codec.write_request)(request.head, dispatch).finish();
     bytes.extend_from_slice(request.body);
+    let sent_at = context.clock.now();
     let mut written = false;
     let (socket, input) = stream.socket_and_input();
     let write = async {
@@ -184,6 +186,7 @@
             "timeout while waiting for the response head",
         ))
     })?;
+    observe_limit(context, target, sent_at, head.status(), &metadata);
     if metadata.not_executed || head.status() == 421 {
         let cause = format!("status {}, request not executed", head.status());
         let kind = match head.status() {
--- a/src/relay/choice.rs
+++ b/src/relay/choice.rs
@@ -54,7 +54,10 @@
     rng: &mut fastrand::Rng,
 ) -> Option<&'a Arc<TargetEntry>> {
     let is_candidate = |target: &&Arc<TargetEntry>| {
-        target.is_ready() && !target.stats.is_replaced() && !tried.contains(&target.id)
+        target.is_ready()
+            && !target.stats.is_replaced()
+            && !target.stats.limit().is_held_back(now)
+            && !tried.contains(&target.id)
     };
     let mut candidates: Vec<&Arc<TargetEntry>> = targets.iter().filter(is_candidate).collect();
     if candidates
@@ -98,8 +101,11 @@
     now: MonoTime,
     rng: &mut fastrand::Rng,
 ) -> Option<&'a Arc<LayerChain>> {
-    let usable =
-        |chain: &&Arc<LayerChain>| !chain.is_ejected(now) && !tried.contains(&chain.head().id);
+    let usable = |chain: &&Arc<LayerChain>| {
+        !chain.is_ejected(now)
+            && !chain.head().stats.limit().is_held_back(now)
+            && !tried.contains(&chain.head().id)
+    };
     let (degraded, healthy): (Vec<_>, Vec<_>) = chains
         .iter()
         .filter(usable)
--- a/src/relay/context.rs
+++ b/src/relay/context.rs
@@ -4,6 +4,7 @@
 use crate::gateway::TargetPort;
 use crate::ids::InstanceId;
 use crate::kernel::{LifecycleCell, MonoClock};
+use crate::limits::{KeeperTable, PermitClient};
 use crate::poison::{CrashOutbox, PoisonTable};
 use crate::presence::PresenceTable;
 use crate::relay::budget::RetryBudget;
@@ -49,6 +50,10 @@
     pub suspicions: SuspicionList,
     /// Retry budget.
     pub budget: RetryBudget,
+    /// Permits that this daemon hands out to all for the targets that it keeps.
+    pub keeper: KeeperTable,
+    /// Questions to the keepers of other targets.
+    pub permits: PermitClient,
     /// Codec of the platform's request and response heads.
     pub codec: RelayCodec,
     /// Metrics of relaying.
@@ -175,6 +180,8 @@
             outbox: CrashOutbox::default(),
             suspicions: SuspicionList::default(),
             budget: RetryBudget::new(settings.bounds.budget()),
+            keeper: KeeperTable::default(),
+            permits: PermitClient::default(),
             codec,
             metrics: RelayMetrics::register(metrics)?,
             events,
--- a/src/relay/metadata.rs
+++ b/src/relay/metadata.rs
@@ -2,6 +2,7 @@
 //! of the platform's protocol.
 
 use crate::ids::{InstanceId, TeamId};
+use crate::limits::LimitStatement;
 use crate::targets::LayerChain;
 use crate::wire::{HeadBuilder, WireHead};
 use std::net::SocketAddr;
@@ -60,7 +61,7 @@
 }
 
 /// Metadata of a target's response.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct ReplyMetadata {
     /// Id of the request, as the target repeats it.
     pub attempt_id: Option<Arc<str>>,
@@ -69,6 +70,8 @@
     /// Address of the target that caused the failure, when it is another one of the chain than the
     /// responding one.
     pub faulty_address: Option<SocketAddr>,
+    /// Rate limit of the target.
+    pub limit: LimitStatement,
 }
 
 /// Codec between heads of the platform's protocol and metadata.
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -16,6 +16,9 @@
     /// Streams whose target ended them, by how: `framed` by a length or last chunk, and `closed` or
     /// `closed_inside_event` by the end of the connection.
     pub stream_ends: IntCounterVec,
+    /// Rate limits of targets, by event: `learned`, `changed` and `ended`, `held_back` for a request
+    /// that found no permit, `keeper_silent` for a question without a reply.
+    pub limits: IntCounterVec,
     /// Seconds from the arrival of the request head, by kind. The only kind is `first_event`, until
     /// the first bytes of a stream are ready to be forwarded.
     pub latency: HistogramVec,
@@ -53,6 +56,11 @@
                 "Streams ended by their targets, by how the end was determined",
                 &["end"],
             )?,
+            limits: metrics.counter(
+                "relay_target_limits_total",
+                "Rate limits of targets and requests that were held back, by event",
+                &["event"],
+            )?,
             latency: metrics.latency_histogram(
                 "relay_answer_seconds",
                 "Seconds from the arrival of a request to its first event",
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -6,6 +6,7 @@
 };
 use crate::relay::choice::pick_target;
 use crate::relay::exchange::{ActiveRequest, ExchangeEnd, forward_head};
+use crate::relay::limits::{AT_LIMIT, PermitOutcome, acquire_permit, return_permit};
 use crate::relay::local_reply::RefusalCause;
 use crate::relay::retry::{RelayFailure, RetryState, RetryStep};
 use crate::relay::suspicion::{AttemptSuspicion, check_for_crash, separate_suspects};
@@ -21,6 +22,8 @@
 /// Share of the remaining time that one attempt may take, when the request may be executed again
 /// and the attempt is not the last one that the route allows.
 const ATTEMPT_TIME_SHARE: f64 = 0.5;
+/// Longest time for which targets with a rate limit are asked for one after the other.
+const PERMIT_WAIT: Duration = Duration::from_millis(250);
 
 /// A complete response of a target.
 struct BufferedResponse {
@@ -43,17 +46,19 @@
     let mut detail = String::from("no target is ready");
     loop {
         separate_suspects(request).await;
-        let now = context.clock.now();
-        let view = context.targets.load();
-        let targets = view.service_targets(&request.service.name);
-        let local_domain = &context.settings.failure_domain;
-        let target = pick_target(targets, state.tried(), local_domain, now, &mut rng).cloned();
+        let target = find_target(request, &state, &mut rng).await;
+        if target.is_none() && is_held_back(request) {
+            detail = String::from(AT_LIMIT);
+        }
         let step = request.next_step(&state, target.is_some());
-        let (Some(target), RetryStep::TryNext) = (target, step) else {
+        let (Some(target), RetryStep::TryNext) = (target.as_ref(), step) else {
+            if let Some(target) = &target {
+                return_permit(context, target);
+            }
             return finish_request(request, &state, step, error_response, &detail).await;
         };
-        let mut suspicion = AttemptSuspicion::start(request, vec![Arc::clone(&target)]);
-        let outcome = attempt_plain(request, &state, &target).await;
+        let mut suspicion = AttemptSuspicion::start(request, vec![Arc::clone(target)]);
+        let outcome = attempt_plain(request, &state, target).await;
         match &outcome {
             Ok(response) => suspicion.on_response(response.head.status()),
             Err(failed) => suspicion.on_failure(failed),
@@ -62,7 +67,7 @@
         if let Ok(response) = &outcome
             && is_failure(response)
         {
-            log_failure(request, &target, response);
+            log_failure(request, target, response);
         }
         let failure = match outcome {
             Ok(response) if is_failure(&response) && route.retry_rule.allows_reexecution() => {
@@ -76,8 +81,8 @@
                 return forward_response(request, &response, state.tried().len()).await;
             }
             Err(failed) => {
-                record_failure(request, &target, &failed);
-                check_for_crash(request, &target, &failed).await;
+                record_failure(request, target, &failed);
+                check_for_crash(request, target, &failed).await;
                 detail = format!("{} at {}", failed.cause, target.id);
                 failed.failure
             }
@@ -86,6 +91,40 @@
     }
 }
 
+/// True when a target gets no request because of its rate limit.
+fn is_held_back(request: &ActiveRequest<'_>) -> bool {
+    let context = request.context;
+    let now = context.clock.now();
+    let view = context.targets.load();
+    let targets = view.service_targets(&request.service.name);
+    targets
+        .iter()
+        .any(|target| target.stats.limit().is_held_back(now))
+}
+
+/// Selects a target that takes one more request under its rate limit.
+async fn find_target(
+    request: &ActiveRequest<'_>,
+    state: &RetryState,
+    rng: &mut fastrand::Rng,
+) -> Option<Arc<TargetEntry>> {
+    let context = request.context;
+    let local_domain = &context.settings.failure_domain;
+    let started = context.clock.now();
+    loop {
+        let now = context.clock.now();
+        if now.since(started) >= PERMIT_WAIT {
+            return None;
+        }
+        let view = context.targets.load();
+        let targets = view.service_targets(&request.service.name);
+        let target = pick_target(targets, state.tried(), local_domain, now, rng)?;
+        if acquire_permit(context, target).await == PermitOutcome::Granted {
+            return Some(Arc::clone(target));
+        }
+    }
+}
+
 fn is_failure(response: &BufferedResponse) -> bool {
     response.head.status() >= 500
 }
--- a/src/relay/streaming.rs
+++ b/src/relay/streaming.rs
@@ -7,6 +7,7 @@
 use crate::relay::event_progress::DeliveryProgress;
 use crate::relay::exchange::{ActiveRequest, ExchangeEnd};
 use crate::relay::forwarding::{StreamEnd, StreamForwarder};
+use crate::relay::limits::{AT_LIMIT, PermitOutcome, acquire_permit, return_permit};
 use crate::relay::local_reply::RefusalCause;
 use crate::relay::retry::{RelayFailure, RetryState, RetryStep};
 use crate::relay::stall::StallDetector;
@@ -64,12 +65,18 @@
             return end_stream(request, &state, &delivered, allowed, &detail).await;
         }
         let chain = find_chain(request, model, &state, &delivered).await;
+        if chain.is_none() && is_held_back(request) {
+            detail = String::from(AT_LIMIT);
+        }
         let step = request.next_step(&state, chain.is_some());
-        let (Some(chain), RetryStep::TryNext) = (chain, step) else {
+        let (Some(chain), RetryStep::TryNext) = (chain.as_ref(), step) else {
+            if let Some(chain) = &chain {
+                return_permit(context, chain.head());
+            }
             return end_stream(request, &state, &delivered, step, &detail).await;
         };
-        let _reserved = reserve(&chain, request.metadata.expected_tokens());
-        match attempt_stream(request, &state, &chain, &mut delivered).await {
+        let _reserved = reserve(chain, request.metadata.expected_tokens());
+        match attempt_stream(request, &state, chain, &mut delivered).await {
             StreamEnd::Complete(status) => {
                 chain
                     .parts
@@ -81,7 +88,7 @@
             StreamEnd::CallerGone => return ExchangeEnd::Truncated,
             StreamEnd::Failed(failed) => {
                 detail = format!("{} at {}", failed.cause, chain.head().id);
-                let target = record_failure(request, &chain, &failed, &delivered);
+                let target = record_failure(request, chain, &failed, &delivered);
                 check_for_crash(request, &target, &failed).await;
                 state.on_failure(&chain.head().id, failed.failure, context.clock.now());
             }
@@ -96,6 +103,17 @@
     departed.count()
 }
 
+/// True when the first target of a chain gets no request because of its rate limit.
+fn is_held_back(request: &ActiveRequest<'_>) -> bool {
+    let context = request.context;
+    let now = context.clock.now();
+    let view = context.targets.load();
+    let chains = view.chains(&request.service.name);
+    chains
+        .iter()
+        .any(|chain| chain.head().stats.limit().is_held_back(now))
+}
+
 /// Selects a chain, waiting for one with capacity up to [`CAPACITY_WAIT`] or, when the stream has
 /// begun, [`RESUME_CAPACITY_WAIT`].
 async fn find_chain(
@@ -123,7 +141,10 @@
         let view = context.targets.load();
         let chains = view.chains(&request.service.name);
         if let Some(chain) = pick_chain(chains, model, requirement, state.tried(), now, &mut rng) {
-            return Some(Arc::clone(chain));
+            if acquire_permit(context, chain.head()).await == PermitOutcome::Granted {
+                return Some(Arc::clone(chain));
+            }
+            continue;
         }
         let waited = now.since(started);
         let limit = if delivered.head_sent {
@@ -200,6 +221,9 @@
     let chain = chain.clone();
     task::spawn(async move {
         let first_target = chain.head();
+        if acquire_permit(&context, first_target).await == PermitOutcome::HeldBack {
+            return;
+        }
         let report = match (context.target_port.report)(first_target.address).await {
             Ok(report) => report,
             Err(cause) => {
--- a/src/targets/entry.rs
+++ b/src/targets/entry.rs
@@ -54,9 +54,14 @@
         self.id == other.id && self.started_ms == other.started_ms
     }
 
-    /// Names this run, the same in all daemons, once it has crashed.
-    pub fn crashed_run(&self) -> CrashedRun {
+    /// Hash that names this run, the same in all daemons.
+    pub fn run_hash(&self) -> u64 {
         let id = self.id.as_str().as_bytes();
-        CrashedRun(stable_hash(&[id, &self.started_ms.to_be_bytes()]))
+        stable_hash(&[id, &self.started_ms.to_be_bytes()])
+    }
+
+    /// Names this run once it has crashed.
+    pub fn crashed_run(&self) -> CrashedRun {
+        CrashedRun(self.run_hash())
     }
 }
--- a/src/targets/stats.rs
+++ b/src/targets/stats.rs
@@ -1,6 +1,7 @@
 //! Load, reachability and ejection state of one target, updated by requests. Only the estimate of
 //! the first event takes a lock.
 
+use crate::limits::LimitCell;
 use crate::routing::GapEstimate;
 use crate::units::MonoTime;
 use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU32, AtomicU64, Ordering};
@@ -43,9 +44,15 @@
     refused_at: AtomicU64,
     stalled_since: AtomicU64,
     last_probe: AtomicU64,
+    limit: LimitCell,
 }
 
 impl TargetStats {
+    /// Rate limit that the target has named.
+    pub fn limit(&self) -> &LimitCell {
+        &self.limit
+    }
+
     /// Requests of this daemon in flight.
     pub fn in_progress(&self) -> u32 {
         self.in_progress.load(Ordering::Relaxed)
--- a/src/targets/view.rs
+++ b/src/targets/view.rs
@@ -63,6 +63,13 @@
         listed.is_some_and(|listed| listed.is_same_run(target))
     }
 
+    /// Looks up a run of a target by its hash. Takes time in proportion to the number of targets.
+    pub fn run(&self, hash: u64) -> Option<&Arc<TargetEntry>> {
+        self.targets
+            .values()
+            .find(|target| target.run_hash() == hash)
+    }
+
     /// All targets.
     pub fn targets(&self) -> impl Iterator<Item = &Arc<TargetEntry>> {
         self.targets.values()
--- a/src/units.rs
+++ b/src/units.rs
@@ -116,6 +116,29 @@
     }
 }
 
+/// Requests per second, parsed from a decimal number. Never negative, infinite or not a number.
+#[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd)]
+pub struct RequestRate(pub f64);
+
+impl FromStr for RequestRate {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let rate: f64 = text.trim().parse().map_err(|_cause| UnitError::BadNumber)?;
+        if rate.is_finite() && rate >= 0.0 {
+            Ok(Self(rate))
+        } else {
+            Err(UnitError::BadNumber)
+        }
+    }
+}
+
+impl fmt::Display for RequestRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
 /// A half-open range of model layers, displayed as `from..to`.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
--- a/tests/boundary.rs
+++ b/tests/boundary.rs
@@ -25,6 +25,7 @@
     "X-Hops",
     "X-Length-Hint",
     "At-Server",
+    "Server-Limit",
     "/resolve",
     "/kv-",
     "op/config",
