Hand out no permits before the list of daemons was read

Found by limit_and_its_end_become_known_to_all_daemons, which failed in 1 of 4 runs: a daemon that had just started had an empty list, took itself for the only daemon and handed itself permits at the whole rate; the keeper that it found later then began with a pause, so the request that would have shown the end of the limit came too late for the test (a run with the length of the list printed shows 0 at the start). Now it waits for the list; the test sends for as long as a change of keeper may take. The random part of the time until the next question is bounded, as it doubled that pause. New tests of restarts, of a keeper that does not reply, and of requests that no server takes.

--- a/src/relay/limits.rs
+++ b/src/relay/limits.rs
@@ -22,6 +22,8 @@
 const SILENT_KEEPER_TIME: Duration = Duration::from_millis(300);
 /// Shortest time from one question to the next when the keeper had no permit.
 const MIN_ASK_INTERVAL: Duration = Duration::from_millis(20);
+/// Longest random addition to the time until the next question.
+const MAX_ASK_SPREAD: Duration = Duration::from_millis(200);
 /// Time for which other daemons are told that a limit has ended.
 const ENDED_TIME: Duration = Duration::from_secs(10);
 /// Time after a change in which other daemons are told in every message.
@@ -81,7 +83,8 @@
     if grant.count == 0 {
         // Daemons that were turned away at the same time come back at different ones.
         let pause = grant.retry_after.max(MIN_ASK_INTERVAL);
-        limit.hold_back(now.after(pause.mul_f64(1.0 + fastrand::f64())));
+        let spread = pause.min(MAX_ASK_SPREAD).mul_f64(fastrand::f64());
+        limit.hold_back(now.after(pause + spread));
         return PermitOutcome::HeldBack;
     }
     if grant.count > 1 {
@@ -101,10 +104,11 @@
     let run = target.run_hash();
     let now = context.clock.now();
     let Some(keeper) = choose_keeper(rows.values(), run) else {
-        // Nobody is listed, as while the store is away: each daemon takes an equal share.
-        let daemons = context.presence.peak_count().max(1);
+        // Nobody is listed any more, as while the store is away: each daemon takes an equal share. A
+        // daemon that has not read the list yet does not know how many there are.
+        let daemons = context.presence.peak_count();
         let share = RequestRate(rate.0 / daemons as f64);
-        return Some(context.keeper.grant(run, share, wanted, now));
+        return (daemons > 0).then(|| context.keeper.grant(run, share, wanted, now));
     };
     if keeper.instance == context.settings.instance {
         return Some(context.keeper.grant(run, rate, wanted, now));
--- a/tests/platform_limits.rs
+++ b/tests/platform_limits.rs
@@ -3,8 +3,13 @@
 #[path = "support/site.rs"]
 mod site;
 
-use rig::{LimitLedger, SiteFleet, SiteRequest, SiteResponse, SiteSpec, send_site_request};
-use site::stream_call;
+use async_std::task;
+use rig::{
+    LimitLedger, SiteDaemon, SiteFleet, SiteRequest, SiteResponse, SiteSpec, send_site_request,
+};
+use serde_json::json;
+use site::{stream_call, until};
+use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -18,6 +23,13 @@
 const WINDOW: Duration = Duration::from_secs(4);
 /// Time after the contact time for which requests are counted.
 const COUNTED_TIME: Duration = Duration::from_secs(6);
+/// Time for which requests are sent so that one gets a permit, also if the target gets another keeper
+/// while the list of daemons is still being read.
+const HANDOVER_LOAD: Duration = Duration::from_secs(5);
+/// Listed daemons that do not reply. Most likely one of them is the keeper of a target.
+const SILENT_DAEMONS: usize = 6;
+/// Longest time until a request is refused that no server takes.
+const REFUSAL_TIME: Duration = Duration::from_millis(600);
 /// Callers that send requests, one after the other.
 const CALLERS: usize = 12;
 /// Time from one request of a caller to the next.
@@ -55,8 +67,12 @@
     }
 }
 
-/// Sends requests to all daemons in turn for `span` and returns the responses.
-fn send_load(site: &SiteFleet, kind: &str, span: Duration) -> Vec<SiteResponse> {
+fn addresses(site: &SiteFleet) -> Vec<SocketAddr> {
+    site.daemons.iter().map(|daemon| daemon.address).collect()
+}
+
+/// Sends requests to the daemons in turn for `span` and returns the responses.
+fn send_load(addresses: &[SocketAddr], kind: &str, span: Duration) -> Vec<SiteResponse> {
     let end = Instant::now() + span;
     let responses = Mutex::new(Vec::new());
     thread::scope(|scope| {
@@ -67,9 +83,9 @@
                     if Instant::now() > end {
                         break;
                     }
-                    let daemon = &site.daemons[(caller + number * CALLERS) % site.daemons.len()];
+                    let address = addresses[(caller + number * CALLERS) % addresses.len()];
                     let attempt = format!("a-{caller}-{number}");
-                    let response = send_site_request(daemon.address, &request(kind, &attempt));
+                    let response = send_site_request(address, &request(kind, &attempt));
                     let mut responses = responses.lock().expect("responses are never poisoned");
                     responses.push(response);
                     drop(responses);
@@ -108,7 +124,7 @@
     limits.set_limit(Some(&LIMIT.to_string()));
 
     let named = Instant::now();
-    let responses = send_load(&site, kind, CONTACT_TIME + COUNTED_TIME);
+    let responses = send_load(&addresses(&site), kind, CONTACT_TIME + COUNTED_TIME);
 
     assert_within_limit(limits, named, LIMIT);
     let served = limits.arrivals_since(named + CONTACT_TIME) as f64;
@@ -123,14 +139,134 @@
 #[test_case(8; "8 daemons")]
 fn first_server_of_a_chain_gets_no_more_than_its_limit(daemons: usize) {
     let site = model_site(daemons);
-    send_load(&site, "stream", Duration::from_secs(1));
+    send_load(&addresses(&site), "stream", Duration::from_secs(1));
     let limits = busiest_head(&site);
     limits.set_limit(Some(&LIMIT.to_string()));
 
     let named = Instant::now();
-    let responses = send_load(&site, "stream", CONTACT_TIME + COUNTED_TIME);
+    let responses = send_load(&addresses(&site), "stream", CONTACT_TIME + COUNTED_TIME);
 
     assert_within_limit(limits, named, LIMIT);
     let refused = responses.iter().filter(|r| r.status != 200).count();
     assert_eq!(refused, 0, "of {} streams", responses.len());
 }
+
+/// True when the daemon knows a limit of the plain server.
+fn knows_limit(daemon: &SiteDaemon, server: &str) -> bool {
+    let id = server.parse().expect("an identifier");
+    let view = daemon.state.context.targets.load();
+    view.target(&id)
+        .is_some_and(|target| target.stats.limit().is_limited())
+}
+
+/// Daemons that a server has not told hear of its limit, and of its end, from the others.
+#[test]
+fn limit_and_its_end_become_known_to_all_daemons() {
+    let site = plain_site(8);
+    let server = &site.plain_servers[0];
+    let first = &addresses(&site)[..1];
+
+    server.limits().set_limit(Some("5.4"));
+    send_load(first, "get", Duration::from_millis(500));
+    until("all daemons to know the limit", || {
+        let mut daemons = site.daemons.iter();
+        daemons.all(|daemon| knows_limit(daemon, server.id()))
+    });
+
+    server.limits().set_limit(None);
+    send_load(first, "get", HANDOVER_LOAD);
+    until("all daemons to know that it has ended", || {
+        let mut daemons = site.daemons.iter();
+        !daemons.any(|daemon| knows_limit(daemon, server.id()))
+    });
+}
+
+/// A daemon that starts later learns the limit before it sends the server more than its share.
+#[test]
+fn daemons_that_restart_keep_to_the_limit() {
+    let mut site = plain_site(6);
+    let server = site.plain_servers[0].clone();
+    server.limits().set_limit(Some("5.4"));
+    let named = Instant::now();
+    let leaving = site.daemons.split_off(2);
+
+    thread::scope(|scope| {
+        let staying = addresses(&site);
+        let load = scope.spawn(move || send_load(&staying, "get", Duration::from_secs(12)));
+        for daemon in leaving {
+            scope.spawn(|| task::block_on(daemon.drain()));
+            thread::sleep(Duration::from_secs(1));
+        }
+        for number in 0..4 {
+            let daemon = site.start_daemon(&format!("router-new-{number}"), "d0", 0);
+            scope.spawn(move || {
+                until("the new daemon to serve", || daemon.state.is_serving());
+                let address = [daemon.address];
+                send_load(&address, "get", Duration::from_secs(4));
+            });
+            thread::sleep(Duration::from_millis(700));
+        }
+        load.join().expect("the load ends");
+    });
+
+    assert_within_limit(server.limits(), named, LIMIT);
+}
+
+/// A listed daemon that does not reply may be the keeper: the server then gets nothing until that daemon
+/// has left the list, and the others serve all requests.
+#[test]
+fn silent_keeper_lets_no_request_through() {
+    let site = plain_site(2);
+    let ids: Vec<&str> = site
+        .plain_servers
+        .iter()
+        .map(|server| server.id())
+        .collect();
+    let limits: Vec<&LimitLedger> = site.plain_servers.iter().map(|s| s.limits()).collect();
+    limits[..2]
+        .iter()
+        .for_each(|ledger| ledger.set_limit(Some("5.4")));
+    for number in 0..SILENT_DAEMONS {
+        let name = format!("router-silent-{number}");
+        let row = json!({
+            "instance": name, "domain": "d0", "callers": "127.0.0.1:9", "peers": "127.0.0.1:9",
+        });
+        site.store.put(&format!("arbutusmount/daemon/{name}"), &row);
+    }
+
+    let named = Instant::now();
+    let responses = send_load(&addresses(&site), "get", CONTACT_TIME + COUNTED_TIME);
+
+    for (id, ledger) in ids.iter().zip(&limits[..2]) {
+        let most = ledger.busiest_window(named + CONTACT_TIME, WINDOW);
+        assert!(
+            most <= most_in_window(LIMIT),
+            "{most} requests in 4 s at {id}"
+        );
+    }
+    assert!(responses.iter().all(|response| response.status == 200));
+}
+
+/// What no server takes is refused at once, with a time to come back. It would otherwise wait for its
+/// deadline.
+#[test]
+fn requests_over_all_limits_are_refused_at_once() {
+    let site = plain_site(4);
+    for server in &site.plain_servers {
+        server.limits().set_limit(Some("2"));
+    }
+
+    let named = Instant::now();
+    let responses = send_load(&addresses(&site), "post", CONTACT_TIME + COUNTED_TIME);
+
+    for server in &site.plain_servers {
+        assert_within_limit(server.limits(), named, 2.0);
+    }
+    let refused: Vec<&SiteResponse> = responses.iter().filter(|r| r.status != 200).collect();
+    assert!(!refused.is_empty());
+    for response in refused {
+        assert_eq!(response.status, 503);
+        assert!(response.field("Retry-After").is_some());
+        assert!(response.elapsed < REFUSAL_TIME, "{:?}", response.elapsed);
+    }
+}
