--- a/src/admission/sharing.rs
+++ b/src/admission/sharing.rs
@@ -34,8 +34,9 @@
 const DEMAND_TTL: Duration = Duration::from_secs(5);
 /// Weight of the newest sample in the moving average of demand.
 const DEMAND_GAIN: f64 = 0.5;
-/// Smallest share of a limit that a daemon enforces, so that a team that moves to it can start.
-const MIN_LIMIT_SHARE: f64 = 0.05;
+/// Largest sum of the smallest shares that daemons enforce so that a team that moves to one of them can
+/// start. Together they exceed the limit by no more than this.
+const MIN_SHARE_SUM: f64 = 0.1;
 /// Most rows that are kept from peers.
 const MAX_PEER_ROWS: usize = 65_536;
 /// Demand up to which a team counts as idle, in tokens per second.
@@ -102,13 +103,16 @@
     pub fn limit_share(&self, team: &TeamId, now: MonoTime) -> f64 {
         let local = self.local.get(team).map_or(0.0, |demand| demand.per_second);
         let fresh = |(_, received): &&(f64, MonoTime)| now.since(*received) < DEMAND_TTL;
-        let peers: f64 = self.peers.get(team).map_or(0.0, |demands| {
-            demands.values().filter(fresh).map(|(rate, _)| rate).sum()
+        let peers: Vec<f64> = self.peers.get(team).map_or_else(Vec::new, |demands| {
+            let rates = demands.values().filter(fresh).map(|(rate, _)| *rate);
+            rates.collect()
         });
-        if peers <= 0.0 {
+        let peer_demand: f64 = peers.iter().sum();
+        if peer_demand <= 0.0 {
             return 1.0;
         }
-        (local / (local + peers)).max(MIN_LIMIT_SHARE)
+        let min_share = MIN_SHARE_SUM / (peers.len() + 1) as f64;
+        (local / (local + peer_demand)).max(min_share)
     }
 
     fn remove_expired(&mut self, now: MonoTime) {
--- a/tests/admission_core.rs
+++ b/tests/admission_core.rs
@@ -321,6 +321,40 @@
     assert!((forgotten - 1.0).abs() < 0.01, "{forgotten}");
 }
 
+/// All daemons together enforce hardly more than the limit, however many they are. Each of them had at
+/// least a twentieth, so 83 daemons handed out more than four times a team's limit.
+#[test_case(2)]
+#[test_case(8)]
+#[test_case(83)]
+#[test_case(430)]
+fn shares_of_all_daemons_stay_near_the_limit(daemons: usize) {
+    let name = team("desk");
+    let row = |demand: f64| DemandRow {
+        team: name.to_string(),
+        tokens_per_second: demand,
+    };
+    // One daemon sees most of the demand.
+    let demands: Vec<f64> = (0..daemons)
+        .map(|number| if number == 0 { 5_000.0 } else { 10.0 })
+        .collect();
+
+    let shares = (0..daemons).map(|local| {
+        let mut table = DemandTable::default();
+        for _ in 0..20 {
+            table.record_tokens(&name, demands[local]);
+            table.end_period(Duration::from_secs(1));
+        }
+        for (number, demand) in demands.iter().enumerate().filter(|(n, _)| *n != local) {
+            let peer = format!("router-{number}").parse().unwrap();
+            table.merge_peer(&peer, &[row(*demand)], MonoTime(0));
+        }
+        table.limit_share(&name, MonoTime(SECOND))
+    });
+
+    let total: f64 = shares.sum();
+    assert!((0.99..=1.1).contains(&total), "{total} of the limit");
+}
+
 #[derive(Debug, Clone)]
 enum QueueEvent {
     Arrive(u8, u8, u16),
