--- a/rig/src/site/mod.rs
+++ b/rig/src/site/mod.rs
@@ -5,6 +5,7 @@
 
 mod caller;
 mod crash;
+mod endless;
 mod fleet;
 mod http;
 mod limit;
@@ -17,6 +18,7 @@
     SiteRequest, SiteResponse, leave_site_request, read_site_response, send_site_request,
 };
 pub use crash::{CrashRegistry, CrashRun};
+pub use endless::{EndlessPart, send_endless};
 pub use fleet::{SiteDaemon, SiteFleet, SiteSpec, plain_server_entry, sample_config};
 pub use limit::LimitLedger;
 pub use model::{ModelKnobs, ModelServer};
--- a/rig/src/site/model.rs
+++ b/rig/src/site/model.rs
@@ -2,6 +2,7 @@
 //! events.
 
 use crate::site::crash::{CrashPlace, CrashRegistry, StartServer};
+use crate::site::endless::{EndlessPart, send_endless};
 use crate::site::http::{AfterReply, Handler, ReceivedRequest, reply, serve_closable, unix_ms};
 use crate::site::limit::{LIMIT_FIELD, LimitLedger};
 use crate::site::model_stream::{StreamCut, StreamFraming, send_stream};
@@ -24,6 +25,8 @@
     pub events: u64,
     /// How the end of a stream is shown.
     pub framing: StreamFraming,
+    /// Part of the response that has no end, in place of the events.
+    pub endless: Option<EndlessPart>,
     /// Where streams are broken off; the first cut that applies counts.
     pub cuts: Vec<StreamCut>,
     /// Event before which the stream stalls, as when a later stage of the chain is dead; the
@@ -41,6 +44,7 @@
             event_gap: Duration::from_millis(5),
             events: 20,
             framing: StreamFraming::Chunked,
+            endless: None,
             cuts: Vec::new(),
             hang_at_event: None,
             pause_at_event: None,
@@ -67,6 +71,8 @@
     sequence: u64,
     fence: u64,
     runs: Vec<StreamRun>,
+    /// Bytes that peers have taken of responses without end, before they closed the connection.
+    endless_bytes: Vec<usize>,
 }
 
 /// A stand-in model server; cheap to clone.
@@ -98,6 +104,7 @@
             sequence: 0,
             fence: 0,
             runs: Vec::new(),
+            endless_bytes: Vec::new(),
         }));
         let server_cell: Arc<Mutex<Option<ModelServer>>> = Arc::default();
         let (handler_cell, handler_store) = (Arc::clone(&server_cell), store.clone());
@@ -152,6 +159,11 @@
         self.with_state(|state| state.layers)
     }
 
+    /// Bytes taken of each response without end that is over.
+    pub fn endless_bytes(&self) -> Vec<usize> {
+        self.with_state(|state| state.endless_bytes.clone())
+    }
+
     /// Limit that it names in its responses to requests, and the requests that reach it.
     pub fn limits(&self) -> &LimitLedger {
         &self.limits
@@ -264,7 +276,12 @@
             self.id,
             self.limit_line(),
         );
-        send_stream(stream, &fields, first_event, &knobs)
+        let Some(part) = knobs.endless else {
+            return send_stream(stream, &fields, first_event, &knobs);
+        };
+        let sent = send_endless(stream, part, &fields);
+        self.with_state(|state| state.endless_bytes.push(sent));
+        AfterReply::Close
     }
 
     /// Header line with the limit, if it names one.
--- a/rig/src/site/plain.rs
+++ b/rig/src/site/plain.rs
@@ -1,6 +1,7 @@
 //! Stand-in for a plain server of the platform, with faults.
 
 use crate::site::crash::{CrashPlace, CrashRegistry, StartServer};
+use crate::site::endless::{EndlessPart, send_endless};
 use crate::site::fleet::plain_server_entry;
 use crate::site::http::{AfterReply, Handler, ReceivedRequest, reply, serve_closable, unix_ms};
 use crate::site::limit::{LIMIT_FIELD, LimitLedger};
@@ -35,6 +36,8 @@
     Full,
     /// Runs the request and replies with status 500.
     Fails,
+    /// Runs the request and replies with bytes without end.
+    Endless(EndlessPart),
     /// Runs the request and does not reply.
     Silent,
 }
@@ -69,6 +72,8 @@
     work_time: Mutex<Duration>,
     runs: Mutex<Vec<PlainRun>>,
     limits: LimitLedger,
+    /// Bytes that peers have taken of responses without end, before they closed the connection.
+    endless_bytes: Mutex<Vec<usize>>,
 }
 
 /// Body of a complete response.
@@ -158,6 +163,12 @@
         &self.state.limits
     }
 
+    /// Bytes taken of each response without end that is over.
+    pub fn endless_bytes(&self) -> Vec<usize> {
+        let bytes = self.state.endless_bytes.lock();
+        bytes.expect("ledger is never poisoned").clone()
+    }
+
     /// Requests that it has run, also in later runs.
     pub fn runs(&self) -> Vec<PlainRun> {
         let runs = self.state.runs.lock();
@@ -286,6 +297,12 @@
             AfterReply::Close,
         ),
         PlainFault::Fails => reply(stream, 500, &stamp_fields, b"failed"),
+        PlainFault::Endless(part) => {
+            let sent = send_endless(stream, part, &stamp_lines);
+            let ledger = state.endless_bytes.lock();
+            ledger.expect("ledger is never poisoned").push(sent);
+            AfterReply::Close
+        }
         PlainFault::Silent => {
             thread::sleep(SILENT_PERIOD);
             AfterReply::Close
