Bound what the own interface reads of a response without end

What would be seen: an engine or plain service that sends a line without end in place of a head filled the memory of its caller until the timeout (1.3 GB in a test), and an event stream without end was read for as long as bytes came, past every timeout.

Cause: the HTTP library reads a line of any length, the reader of events had no limit, and a connection that always has bytes to read never lets timers run.

The stand-in sends events and comments in chunks, since this side refuses responses without framing.

--- a/rig/src/site/endless.rs
+++ b/rig/src/site/endless.rs
@@ -62,7 +62,8 @@
             Self::ChunkLine => format!("{head}{chunked}5;"),
             Self::Trailers => format!("{head}{chunked}0\r\n"),
             Self::Event | Self::Comments => {
-                format!("{head}Content-Type: text/event-stream\r\n\r\nid: 0\ndata: ")
+                let event = "C\r\nid: 0\ndata: \r\n";
+                format!("{head}Content-Type: text/event-stream\r\n{chunked}{event}")
             }
         }
     }
@@ -70,11 +71,12 @@
     /// What is repeated without end.
     fn unit(self) -> &'static str {
         match self {
-            Self::StatusLine | Self::HeadField | Self::Body | Self::ChunkLine | Self::Event => "x",
+            Self::StatusLine | Self::HeadField | Self::Body | Self::ChunkLine => "x",
+            Self::Event => "4\r\nxxxx\r\n",
             Self::HeadFields | Self::Trailers => "X-Filler: x\r\n",
             Self::InterimResponses => "HTTP/1.1 103 Early Hints\r\n\r\n",
             Self::Chunks => "5\r\nxxxxx\r\n",
-            Self::Comments => "\n: x\n",
+            Self::Comments => "5\r\n\n: x\n\r\n",
         }
     }
 }
--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -1,7 +1,7 @@
 //! Response to a client call, which returns its connection to the pool.
 
+use crate::http::bounded::BoundedStream;
 use crate::http::pool::{ConnectionPool, SendError};
-use async_std::net::TcpStream;
 use futures_lite::{AsyncBufReadExt, AsyncReadExt};
 use http_types::Response;
 use std::io;
@@ -19,15 +19,17 @@
     NewConnection,
 }
 
-/// Maximum size of a response body that is read into memory, in bytes.
+/// Maximum size of a response body or of one of its lines, which are read into memory, in bytes.
 const MAX_RESPONSE_BYTES: u64 = 16 << 20;
+/// Bytes that may be read for one, with the framing of its chunks.
+const MAX_FRAMED_BYTES: usize = 20 << 20;
 
 /// Response to a call. [`bytes`](Self::bytes) and [`release`](Self::release) return its connection
 /// to the pool; the body must have been read to its end.
 #[derive(Debug)]
 pub struct HttpResponse {
     response: Response,
-    stream: TcpStream,
+    stream: BoundedStream,
     address: SocketAddr,
     pool: Arc<ConnectionPool>,
     /// Bytes of the body that were read as lines.
@@ -37,7 +39,7 @@
 impl HttpResponse {
     pub(super) fn new(
         response: Response,
-        stream: TcpStream,
+        stream: BoundedStream,
         address: SocketAddr,
         pool: Arc<ConnectionPool>,
     ) -> Self {
@@ -66,8 +68,9 @@
     ///
     /// # Errors
     /// The error of the connection, `UnexpectedEof` if the body ends within a line or before its
-    /// declared length, `InvalidData` if the line is not UTF-8.
+    /// declared length, `InvalidData` if the line is not UTF-8 or has no end.
     pub async fn read_line(&mut self) -> io::Result<Option<String>> {
+        self.stream.allow(MAX_FRAMED_BYTES);
         let mut line = Vec::new();
         let read = self.response.read_until(b'\n', &mut line).await?;
         self.body_bytes += read as u64;
@@ -97,6 +100,7 @@
     /// [`SendError::Broken`] if the body ends early, [`SendError::BadResponse`] if it is longer
     /// than 16 MiB.
     pub async fn bytes(mut self) -> Result<Vec<u8>, SendError> {
+        self.stream.allow(MAX_FRAMED_BYTES);
         let mut body = Vec::new();
         let mut reader = self
             .response
@@ -127,7 +131,7 @@
             .header("connection")
             .is_some_and(|value| value == "close");
         if !must_close {
-            self.pool.put_idle(self.address, self.stream);
+            self.pool.put_idle(self.address, self.stream.into_inner());
         }
     }
 
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP over `async-h1`: pooled client connections, the accept loop and problem responses.
 
+mod bounded;
 mod connection;
 mod fallback;
 mod pool;
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -1,5 +1,6 @@
 //! Pool of client connections.
 
+use crate::http::bounded::BoundedStream;
 use crate::http::connection::{ConnectionReuse, HttpResponse};
 use async_std::future::timeout;
 use async_std::net::TcpStream;
@@ -209,6 +210,7 @@
         call: &HttpCall,
     ) -> Result<HttpResponse> {
         let request = call.to_request()?;
+        let stream = BoundedStream::new(stream, MAX_HEAD_BYTES);
         let exchange = timeout(call.timeout, async_h1::connect(stream.clone(), request)).await;
         let response = exchange
             .map_err(|_elapsed| SendError::TimedOut)?
@@ -250,6 +252,10 @@
     }
 }
 
+/// Bytes that may be read until the head of a response is complete, with what is read ahead of the
+/// body.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
 /// Refuses a response with neither a length nor chunks, whose body ends with its connection: the
 /// HTTP library takes such a body for an empty one.
 fn check_framing(response: &Response, method: Method) -> Result<()> {
--- a/src/http/sse.rs
+++ b/src/http/sse.rs
@@ -6,6 +6,9 @@
 use http_types::{Body, Response, StatusCode};
 use std::io;
 
+/// Longest event, with the lines before it that belong to none.
+const MAX_EVENT_BYTES: usize = 512 * 1024;
+
 /// Reads server-sent events from the body of a response.
 #[derive(Debug)]
 pub struct SseReader {
@@ -21,13 +24,19 @@
     /// Reads the data of the next event; `None` at the end of the body.
     ///
     /// # Errors
-    /// The error of the connection, or `UnexpectedEof` if the body ends within an event.
+    /// The error of the connection, `UnexpectedEof` if the body ends within an event, or `InvalidData`
+    /// if the event has no end.
     pub async fn next(&mut self) -> io::Result<Option<String>> {
         let mut data = String::new();
+        let mut read_bytes = 0;
         loop {
             let Some(line) = self.source.read_line().await? else {
                 return end_of_body(&data);
             };
+            read_bytes += line.len() + 1;
+            if read_bytes > MAX_EVENT_BYTES {
+                return Err(io::ErrorKind::InvalidData.into());
+            }
             if line.is_empty() && !data.is_empty() {
                 return Ok(Some(data));
             }
--- /dev/null
+++ b/tests/http_endless.rs
@@ -0,0 +1,86 @@
+//! Responses over the own interface that have no end: memory and time stay bounded.
+
+use arbutusmount::{ConnectionPool, HttpCall, SseReader};
+use async_std::future::timeout;
+use async_std::task;
+use http_types::Method;
+use rig::{EndlessPart, send_endless};
+use std::io::Read;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::mpsc::{Receiver, channel};
+use std::thread;
+use std::time::Duration;
+use test_case::test_case;
+
+/// Most bytes of a response without end that a client takes, with what the sockets' buffers hold.
+const MAX_TAKEN_BYTES: usize = 32 << 20;
+/// Time after which a call is given up.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time within which a call ends: its timeout, and a second for reading and parsing.
+const MAX_CALL_TIME: Duration = Duration::from_secs(3);
+
+/// Starts a server that answers one request with bytes without end. The receiver gets the number of bytes
+/// that were taken.
+fn serve_endless(part: EndlessPart) -> (SocketAddr, Receiver<usize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+    let address = listener.local_addr().expect("a listener has an address");
+    let (sender, taken) = channel();
+    thread::spawn(move || {
+        let (mut stream, _peer) = listener.accept().expect("the client connects");
+        let mut request = [0; 4_096];
+        let _read = stream.read(&mut request).expect("the client sends");
+        // The test may have failed and ended.
+        let _ = sender.send(send_endless(&mut stream, part, ""));
+    });
+    (address, taken)
+}
+
+/// Reads events until the body ends or fails.
+async fn read_events(address: SocketAddr) {
+    let pool = ConnectionPool::new(CALL_TIMEOUT, 1);
+    let call = HttpCall::new(address, Method::Get, "/").timeout(CALL_TIMEOUT);
+    let Ok(response) = pool.send(&call).await else {
+        return;
+    };
+    let mut reader = SseReader::new(response);
+    while let Ok(Some(_event)) = reader.next().await {}
+}
+
+/// Reads a whole response.
+async fn fetch(address: SocketAddr) {
+    let pool = ConnectionPool::new(CALL_TIMEOUT, 1);
+    let call = HttpCall::new(address, Method::Get, "/").timeout(CALL_TIMEOUT);
+    let result: Result<(u16, serde_json::Value), _> = pool.fetch(&call).await;
+    assert!(result.is_err());
+}
+
+/// A response without end ends the call. A line without end was read into memory until the timeout, and
+/// the timeout did not come as long as there were bytes to read.
+#[test_case(EndlessPart::StatusLine)]
+#[test_case(EndlessPart::HeadField)]
+#[test_case(EndlessPart::HeadFields)]
+#[test_case(EndlessPart::InterimResponses)]
+#[test_case(EndlessPart::Body)]
+#[test_case(EndlessPart::Chunks)]
+#[test_case(EndlessPart::ChunkLine)]
+#[test_case(EndlessPart::Trailers)]
+#[test_case(EndlessPart::Event)]
+#[test_case(EndlessPart::Comments)]
+fn endless_response_is_given_up(part: EndlessPart) {
+    let (address, taken) = serve_endless(part);
+    let (event_address, event_taken) = serve_endless(part);
+
+    let ended = task::block_on(async {
+        let fetched = timeout(MAX_CALL_TIME, task::spawn(fetch(address))).await;
+        let read = timeout(MAX_CALL_TIME, task::spawn(read_events(event_address))).await;
+        (fetched.is_ok(), read.is_ok())
+    });
+
+    assert_eq!(ended, (true, true), "a call did not end");
+    for taken in [taken, event_taken] {
+        let taken = taken
+            .recv_timeout(MAX_CALL_TIME)
+            .expect("the connection is closed");
+        assert!(taken <= MAX_TAKEN_BYTES, "{taken} bytes taken");
+    }
+}
