--- a/src/http/bounded.rs
+++ b/src/http/bounded.rs
@@ -43,12 +43,12 @@
 impl AsyncRead for BoundedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut [u8],
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
         if self.since_yield >= YIELD_BYTES {
             self.since_yield = 0;
-            context.waker().wake_by_ref();
+            cx.waker().wake_by_ref();
             return Poll::Pending;
         }
         let allowance = self.allowance.load(Ordering::Relaxed);
@@ -56,8 +56,8 @@
             let cause = "response exceeds the size limit";
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, cause)));
         }
-        let length = buffer.len().min(allowance);
-        let read = Pin::new(&mut self.stream).poll_read(context, &mut buffer[..length]);
+        let length = buf.len().min(allowance);
+        let read = Pin::new(&mut self.stream).poll_read(cx, &mut buf[..length]);
         let count = ready!(read)?;
         self.allowance.fetch_sub(count, Ordering::Relaxed);
         self.since_yield += count;
@@ -68,17 +68,17 @@
 impl AsyncWrite for BoundedStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
+        cx: &mut Context<'_>,
+        buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
     }
 
-    fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_close(context)
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(cx)
     }
 }
