--- a/rig/src/site/crash.rs
+++ b/rig/src/site/crash.rs
@@ -43,6 +43,20 @@
     }
 }
 
+/// What the caller of a plain server sees when a request crashes it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum CrashManner {
+    /// The connection is closed.
+    #[default]
+    Close,
+    /// The connection is reset.
+    Reset,
+    /// A part of a response without a length comes, then the connection is closed.
+    PartialResponse,
+    /// Nothing: the host is dark, and neither closes connections nor answers on them.
+    Dark,
+}
+
 /// A request that crashes servers has reached one.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CrashRun {
@@ -73,6 +87,7 @@
     keeps_ids: Arc<AtomicBool>,
     /// Of the requests that crash servers, every so many are spared; 0 for none.
     spares_every: Arc<AtomicUsize>,
+    manner: Arc<Mutex<CrashManner>>,
     /// Such requests so far.
     arrivals: Arc<AtomicUsize>,
 }
@@ -92,6 +107,7 @@
             runs: Arc::default(),
             keeps_ids: Arc::default(),
             spares_every: Arc::default(),
+            manner: Arc::default(),
             arrivals: Arc::default(),
         }
     }
@@ -110,6 +126,16 @@
         self.keeps_ids.store(true, Ordering::Relaxed);
     }
 
+    /// Sets what callers of plain servers see of a crash from now on.
+    pub fn set_manner(&self, manner: CrashManner) {
+        *self.manner.lock().expect("manner is never poisoned") = manner;
+    }
+
+    /// What callers of plain servers see of a crash.
+    pub(super) fn manner(&self) -> CrashManner {
+        *self.manner.lock().expect("manner is never poisoned")
+    }
+
     /// From now on, one in `number` of the requests that crash plain servers does not, but is
     /// answered with status 500.
     pub fn spare_every(&self, number: usize) {
@@ -141,7 +167,9 @@
                 server: Arc::clone(&server.id),
                 path: Arc::from(path),
             });
-        server.switch.close();
+        if self.manner() != CrashManner::Dark {
+            server.switch.close();
+        }
         let store = self.store.clone();
         let next = if self.keeps_ids.load(Ordering::Relaxed) {
             server.id.to_string()
--- a/rig/src/site/plain.rs
+++ b/rig/src/site/plain.rs
@@ -1,6 +1,6 @@
 //! Stand-in for a plain server of the platform, with faults.
 
-use crate::site::crash::{CrashPlace, CrashRegistry, StartServer};
+use crate::site::crash::{CrashManner, CrashPlace, CrashRegistry, StartServer};
 use crate::site::endless::{EndlessPart, send_endless};
 use crate::site::fleet::plain_server_entry;
 use crate::site::http::{AfterReply, Handler, ReceivedRequest, reply, serve_closable, unix_ms};
@@ -105,12 +105,7 @@
                 stream,
             ) {
                 HandlerEnd::Replied(after) => after,
-                HandlerEnd::Crash(path) => {
-                    if let Ok(address) = stream.local_addr() {
-                        handler_crashes.crash(address, &path);
-                    }
-                    AfterReply::Close
-                }
+                HandlerEnd::Crash(path) => crash(&handler_crashes, &path, request, stream),
             }
         });
         let switch = serve_closable(handler);
@@ -206,6 +201,35 @@
     }
 }
 
+/// Crashes the server under a request with this path.
+fn crash(
+    crashes: &CrashRegistry,
+    path: &str,
+    request: &ReceivedRequest,
+    stream: &mut TcpStream,
+) -> AfterReply {
+    let manner = crashes.manner();
+    if manner == CrashManner::PartialResponse {
+        let attempt_id = request.head.field("X-Attempt-Id").unwrap_or_default();
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nX-Server-Stamp: stamp\r\nX-Attempt-Id: {attempt_id}\r\n\r\n"
+        );
+        // The daemon may have closed the connection.
+        let _ = stream.write_all(head.as_bytes());
+    }
+    if let Ok(address) = stream.local_addr() {
+        crashes.crash(address, path);
+    }
+    match manner {
+        CrashManner::Close | CrashManner::PartialResponse => AfterReply::Close,
+        CrashManner::Reset => AfterReply::Reset,
+        CrashManner::Dark => {
+            thread::sleep(SILENT_PERIOD);
+            AfterReply::Close
+        }
+    }
+}
+
 /// Refuses a request or records that the server runs it; `None` when it does.
 fn begin_run(
     id: &str,
--- a/tests/platform_poison.rs
+++ b/tests/platform_poison.rs
@@ -4,7 +4,7 @@
 mod site;
 
 use rig::{
-    CrashRun, PLAIN_BODY, SiteDaemon, SiteFleet, SiteRequest, SiteSpec, StoreFault,
+    CrashManner, CrashRun, PLAIN_BODY, SiteDaemon, SiteFleet, SiteRequest, SiteSpec, StoreFault,
     leave_site_request, send_site_request,
 };
 use site::{stream_call, until};
@@ -184,6 +184,28 @@
     }
 }
 
+/// Such a request is kept from servers whatever the daemon sees of their end. A part of a response that
+/// ends with its connection was taken for a success, which cleared the crashes.
+#[test_case("GET", "/get/crash", CrashManner::Reset; "reset, repeatable")]
+#[test_case("POST", "/post/crash", CrashManner::Reset; "reset, at most once")]
+#[test_case("GET", "/get/crash", CrashManner::PartialResponse; "part of a response, repeatable")]
+#[test_case("POST", "/post/crash", CrashManner::PartialResponse; "part of a response, at most once")]
+#[test_case("GET", "/get/crash", CrashManner::Dark; "dark host, repeatable")]
+#[test_case("POST", "/post/crash", CrashManner::Dark; "dark host, at most once")]
+fn crashes_count_however_servers_end(
+    method: &'static str,
+    target: &'static str,
+    manner: CrashManner,
+) {
+    let site = poison_site(PLAIN_SERVERS);
+    site.crashes.set_manner(manner);
+
+    let runs = send_again(&site, method, target, counted_time_is_over(Instant::now()));
+
+    let late = late_runs(&runs);
+    assert!(late <= MAX_LATE_RUNS, "{late} of {} runs", runs.len());
+}
+
 /// Such a request is kept from servers also if its callers leave before the server ends and nothing
 /// else reaches that server. Its end was then never held against the request.
 #[test_case("GET", "/get/crash"; "repeatable")]
