Take no response that ended with its connection for proof that a target survives

What callers would see: a request that ends servers after a part of their response came again without end.

Cause: a response without a length that ends with an orderly close counts as complete, and its success cleared the crashes; the server that had sent it was gone. It cannot be told from a complete one.

Change: such a response clears nothing, and its attempt stays suspect, so that an unannounced end of the target soon after counts as a crash. A stream clears with its second event, as before.

--- a/src/relay/forwarding.rs
+++ b/src/relay/forwarding.rs
@@ -84,7 +84,10 @@
         loop {
             let step = self.take_input(&mut response, &mut splitter, delivered, &mut output);
             if let ForwardStep::Finish = step {
-                return self.finish(response, &splitter, delivered, output).await;
+                let end = BodyEnd::Framed;
+                return self
+                    .finish(response, end, &splitter, delivered, output)
+                    .await;
             }
             // Sent also when the attempt has failed: the stream goes on after these events.
             if !output.is_empty() && !self.request.send(&output).await {
@@ -104,7 +107,10 @@
                         let cause = "connection closed inside an event";
                         return StreamEnd::Failed(FailedAttempt::disconnected(cause));
                     }
-                    return self.finish(response, &splitter, delivered, output).await;
+                    let end = BodyEnd::Closed;
+                    return self
+                        .finish(response, end, &splitter, delivered, output)
+                        .await;
                 }
                 ReadOutcome::Failed(failed) => return StreamEnd::Failed(failed),
             }
@@ -263,6 +269,7 @@
     async fn finish(
         &mut self,
         response: PendingResponse,
+        end: BodyEnd,
         splitter: &EventSplitter,
         delivered: &mut DeliveryProgress,
         mut output: Vec<u8>,
@@ -272,7 +279,7 @@
         framing.encode(splitter.remainder(), &mut output);
         framing.encode_end(&mut output);
         let status = response.head.status();
-        self.suspicion.on_response(status);
+        self.suspicion.on_response(status, end);
         keep_connection(self.request.context, &self.chain.head().id, response);
         if self.request.send(&output).await {
             framing.complete(self.request.caller);
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -29,6 +29,7 @@
 struct BufferedResponse {
     head: WireHead,
     body: Vec<u8>,
+    end: BodyEnd,
 }
 
 /// Relays a request to a plain service, with retries where they are allowed.
@@ -60,7 +61,7 @@
         let mut suspicion = AttemptSuspicion::start(request, vec![Arc::clone(target)]);
         let outcome = attempt_plain(request, &state, target).await;
         match &outcome {
-            Ok(response) => suspicion.on_response(response.head.status()),
+            Ok(response) => suspicion.on_response(response.head.status(), response.end),
             Err(failed) => suspicion.on_failure(failed),
         }
         drop(suspicion);
@@ -211,7 +212,7 @@
     if end == BodyEnd::Framed {
         keep_connection(request.context, &target.id, response);
     }
-    Ok(BufferedResponse { head, body })
+    Ok(BufferedResponse { head, body, end })
 }
 
 async fn forward_response(
--- a/src/relay/suspicion.rs
+++ b/src/relay/suspicion.rs
@@ -11,6 +11,7 @@
 use crate::relay::exchange::ActiveRequest;
 use crate::targets::{TargetEntry, TargetView};
 use crate::units::MonoTime;
+use crate::wire::BodyEnd;
 use async_io::Timer;
 use async_std::task;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -42,7 +43,7 @@
     targets: Vec<Arc<TargetEntry>>,
     started: MonoTime,
     ended: MonoTime,
-    /// How it failed; `None` when the caller left first.
+    /// How it failed; `None` when the caller left first, or when a response ended with its connection.
     failure: Option<FailureKind>,
 }
 
@@ -174,13 +175,21 @@
         self.events += 1;
         self.last_event = Some(self.request.context.clock.now());
         if self.events == PROGRESS_EVENTS {
-            self.on_response(status);
+            self.on_progress(status);
         }
     }
 
-    /// A response with this status has arrived. Only a success shows that targets survive the
-    /// request: one that fails it may not have run the part that crashes others.
-    pub(super) fn on_response(&mut self, status: u16) {
+    /// A response with this status has arrived. One that ended with its connection may be a part of
+    /// what a target sent that has crashed, so the attempt remains suspect.
+    pub(super) fn on_response(&mut self, status: u16, end: BodyEnd) {
+        if end == BodyEnd::Framed {
+            self.on_progress(status);
+        }
+    }
+
+    /// The targets have run the request, in part at least, and go on running. Only a success shows
+    /// that they survive it: one that fails it may not have run the part that crashes others.
+    fn on_progress(&mut self, status: u16) {
         if self.is_dismissed {
             return;
         }
