Hold a dark host's end against the requests that still wait for it

What callers would see: a request that runs at most once and whose servers go dark under it reached more of them than it need: nothing was known of the first ones for 3 s.

Cause: an attempt became suspect only at its end, which without an answer is its deadline.

Change: an attempt at a plain service whose target leaves the list without notice is suspect from then on; it goes on waiting, and a success still clears it.

--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -13,6 +13,7 @@
 use crate::targets::TargetEntry;
 use crate::wire::{BodyEnd, WireHead, read_body};
 use async_std::future::timeout;
+use futures_lite::future::or;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -59,7 +60,8 @@
             return finish_request(request, &state, step, error_response, &detail).await;
         };
         let mut suspicion = AttemptSuspicion::start(request, vec![Arc::clone(target)]);
-        let outcome = attempt_plain(request, &state, target).await;
+        let attempt = attempt_plain(request, &state, target);
+        let outcome = or(attempt, suspicion.watch_departure()).await;
         match &outcome {
             Ok(response) => suspicion.on_response(response.head.status(), response.end),
             Err(failed) => suspicion.on_failure(failed),
--- a/src/relay/suspicion.rs
+++ b/src/relay/suspicion.rs
@@ -32,6 +32,8 @@
 /// Time from the end of an attempt in which the entry of a target that ended under it leaves the
 /// list: a few heartbeats.
 const DEPARTURE_WINDOW: Duration = Duration::from_secs(8);
+/// Period of checking whether the target of an attempt is still listed.
+const DEPARTURE_POLL: Duration = Duration::from_millis(400);
 /// Most attempts that are remembered; the oldest are dropped first.
 const MAX_ATTEMPTS: usize = 4_096;
 
@@ -198,21 +200,37 @@
             clear_suspicion(self.request, &self.targets[0], status);
         }
     }
-}
 
-impl Drop for AttemptSuspicion<'_> {
-    fn drop(&mut self) {
-        if self.is_dismissed {
-            return;
-        }
+    /// Remembers the attempt as soon as its target has left the list without notice, while its
+    /// response is still awaited: from a host that has gone dark, none may come for seconds. Never
+    /// completes.
+    pub(super) async fn watch_departure<T>(&self) -> T {
         let context = self.request.context;
-        context.suspicions.add(SuspectAttempt {
+        let has_run = |target: &Arc<TargetEntry>| context.targets.load().has_run(target);
+        while self.targets.iter().all(has_run) {
+            Timer::after(DEPARTURE_POLL).await;
+        }
+        context.suspicions.add(self.suspect_attempt());
+        std::future::pending().await
+    }
+
+    fn suspect_attempt(&self) -> SuspectAttempt {
+        SuspectAttempt {
             fingerprint: self.request.fingerprint(),
-            targets: std::mem::take(&mut self.targets),
+            targets: self.targets.clone(),
             started: self.started,
-            ended: context.clock.now(),
+            ended: self.request.context.clock.now(),
             failure: self.failure,
-        });
+        }
+    }
+}
+
+impl Drop for AttemptSuspicion<'_> {
+    fn drop(&mut self) {
+        if !self.is_dismissed {
+            let attempt = self.suspect_attempt();
+            self.request.context.suspicions.add(attempt);
+        }
     }
 }
 
