Ask for a permit only when a request may be sent, and index targets by run

Read as a newcomer would: a plain request whose attempts were used up asked the keeper of a limited target before it got its final answer, which took up to 60 ms; each question cost its keeper a pass over all targets; the check for held back targets stood twice. platform_limits, platform_plain, platform_streams, platform_poison and platform_endless pass.

--- a/src/relay/limits.rs
+++ b/src/relay/limits.rs
@@ -11,6 +11,7 @@
 use crate::telemetry::EventLine;
 use crate::units::{MonoTime, RequestRate};
 use prost::Message;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Share of the rate, in seconds, that a daemon asks for at once: of high limits several permits,
@@ -67,6 +68,14 @@
     }
 }
 
+/// True when one of the targets gets no request because of its limit.
+pub(super) fn any_held_back<'a>(
+    mut targets: impl Iterator<Item = &'a Arc<TargetEntry>>,
+    now: MonoTime,
+) -> bool {
+    targets.any(|target| target.stats.limit().is_held_back(now))
+}
+
 async fn ask_keeper(
     context: &RelayContext,
     target: &TargetEntry,
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -6,7 +6,7 @@
 };
 use crate::relay::choice::pick_target;
 use crate::relay::exchange::{ActiveRequest, ExchangeEnd, forward_head};
-use crate::relay::limits::{AT_LIMIT, PermitOutcome, acquire_permit, return_permit};
+use crate::relay::limits::{AT_LIMIT, PermitOutcome, acquire_permit, any_held_back, return_permit};
 use crate::relay::local_reply::RefusalCause;
 use crate::relay::retry::{RelayFailure, RetryState, RetryStep};
 use crate::relay::suspicion::{AttemptSuspicion, check_for_crash, separate_suspects};
@@ -48,7 +48,12 @@
     let mut detail = String::from("no target is ready");
     loop {
         separate_suspects(request).await;
-        let target = find_target(request, &state, &mut rng).await;
+        let allowed = state.next_step(context.clock.now());
+        let target = if allowed == RetryStep::TryNext && !request.is_poison() {
+            find_target(request, &state, &mut rng).await
+        } else {
+            None
+        };
         if target.is_none() && is_held_back(request) {
             detail = String::from(AT_LIMIT);
         }
@@ -100,9 +105,7 @@
     let now = context.clock.now();
     let view = context.targets.load();
     let targets = view.service_targets(&request.service.name);
-    targets
-        .iter()
-        .any(|target| target.stats.limit().is_held_back(now))
+    any_held_back(targets.iter(), now)
 }
 
 /// Selects a target that takes one more request under its rate limit.
--- a/src/relay/streaming.rs
+++ b/src/relay/streaming.rs
@@ -7,7 +7,7 @@
 use crate::relay::event_progress::DeliveryProgress;
 use crate::relay::exchange::{ActiveRequest, ExchangeEnd};
 use crate::relay::forwarding::{StreamEnd, StreamForwarder};
-use crate::relay::limits::{AT_LIMIT, PermitOutcome, acquire_permit, return_permit};
+use crate::relay::limits::{AT_LIMIT, PermitOutcome, acquire_permit, any_held_back, return_permit};
 use crate::relay::local_reply::RefusalCause;
 use crate::relay::retry::{RelayFailure, RetryState, RetryStep};
 use crate::relay::stall::StallDetector;
@@ -109,9 +109,7 @@
     let now = context.clock.now();
     let view = context.targets.load();
     let chains = view.chains(&request.service.name);
-    chains
-        .iter()
-        .any(|chain| chain.head().stats.limit().is_held_back(now))
+    any_held_back(chains.iter().map(|chain| chain.head()), now)
 }
 
 /// Selects a chain, waiting for one with capacity up to [`CAPACITY_WAIT`] or, when the stream has
--- a/src/targets/view.rs
+++ b/src/targets/view.rs
@@ -12,6 +12,7 @@
 #[derive(Debug, Default)]
 pub struct TargetView {
     targets: HashMap<InstanceId, Arc<TargetEntry>>,
+    by_run: HashMap<u64, Arc<TargetEntry>>,
     by_service: HashMap<ServiceId, Vec<Arc<TargetEntry>>>,
     chains: HashMap<ServiceId, Vec<Arc<LayerChain>>>,
 }
@@ -41,12 +42,17 @@
                 );
             }
         }
+        let by_run = targets
+            .iter()
+            .map(|target| (target.run_hash(), Arc::clone(target)))
+            .collect();
         let targets = targets
             .into_iter()
             .map(|target| (target.id.clone(), target))
             .collect();
         Self {
             targets,
+            by_run,
             by_service,
             chains,
         }
@@ -63,11 +69,9 @@
         listed.is_some_and(|listed| listed.is_same_run(target))
     }
 
-    /// Looks up a run of a target by its hash. Takes time in proportion to the number of targets.
+    /// Looks up a run of a target by its hash.
     pub fn run(&self, hash: u64) -> Option<&Arc<TargetEntry>> {
-        self.targets
-            .values()
-            .find(|target| target.run_hash() == hash)
+        self.by_run.get(&hash)
     }
 
     /// All targets.
