--- a/rig/src/site/crash.rs
+++ b/rig/src/site/crash.rs
@@ -136,8 +136,8 @@
         *self.manner.lock().expect("manner is never poisoned")
     }
 
-    /// From now on, one in `number` of the requests that crash plain servers does not, but is
-    /// answered with status 500.
+    /// From now on, one in `number` of the requests that crash servers does not, but is answered with
+    /// status 500.
     pub fn spare_every(&self, number: usize) {
         self.spares_every.store(number, Ordering::Relaxed);
     }
--- a/rig/src/site/model.rs
+++ b/rig/src/site/model.rs
@@ -243,7 +243,12 @@
         if (!expected.is_empty() && expected != *self.id) || !self.is_first_hop(&hops) {
             return reply(stream, 421, &[("X-Instance-Id", &self.id)], b"");
         }
-        match CrashPlace::of(head.path()) {
+        let place = CrashPlace::of(head.path());
+        if place != CrashPlace::Nowhere && self.crashes.spares_next() {
+            let stamp = [("X-Server-Stamp", "stamp"), ("X-Attempt-Id", &attempt_id)];
+            return reply(stream, 500, &stamp, b"failed");
+        }
+        match place {
             CrashPlace::Nowhere => {}
             CrashPlace::First => {
                 self.crashes.crash(self.address, head.path());
--- a/tests/platform_poison.rs
+++ b/tests/platform_poison.rs
@@ -128,6 +128,8 @@
 #[test_case("POST", "/post/crash", 2; "at most once, every second time")]
 #[test_case("GET", "/get/crash", 3; "repeatable, every third time")]
 #[test_case("POST", "/post/crash", 3; "at most once, every third time")]
+#[test_case("POST", "/stream/crash", 2; "stream, every second time")]
+#[test_case("POST", "/stream/crash-last", 3; "stream at the last server of its chain, every third time")]
 fn failures_between_crashes_clear_none(method: &'static str, target: &'static str, every: usize) {
     let site = poison_site(PLAIN_SERVERS);
     site.crashes.spare_every(every);
@@ -236,9 +238,11 @@
 
 /// Crashes count over all daemons while the store is away, too. Each daemon would otherwise let the
 /// request crash three servers.
-#[test]
-fn crashes_of_all_daemons_count_while_the_store_is_away() {
+#[test_case(0; "servers fail none of them")]
+#[test_case(3; "servers fail every third one")]
+fn crashes_of_all_daemons_count_while_the_store_is_away(spare_every: usize) {
     let site = poison_site(MANY_PLAIN_SERVERS);
+    site.crashes.spare_every(spare_every);
     site.store.set_fault(0, StoreFault::Reset);
 
     let started = Instant::now();
