--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -17,7 +17,7 @@
 use crate::wire::{HeadBuilder, WireHead, write_all};
 use async_io::Async;
 use std::net::TcpStream;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 /// Timeout of a request whose caller names none.
@@ -70,6 +70,8 @@
     pub deadline: MonoTime,
     /// True when the connection is closed after the response.
     pub close: bool,
+    /// See [`Self::fingerprint`]; most requests need none.
+    pub fingerprint_cell: OnceLock<PoisonFingerprint>,
 }
 
 impl ActiveRequest<'_> {
@@ -124,8 +126,10 @@
     /// Fingerprint of path, team and body, by which the request is recognized when it comes again,
     /// at any daemon. Nothing else is sure to be the same then.
     pub(super) fn fingerprint(&self) -> PoisonFingerprint {
-        let team = self.team.as_ref().map_or("", |team| team.name.as_str());
-        PoisonFingerprint::new(&[self.head.path().as_bytes(), team.as_bytes(), self.body])
+        *self.fingerprint_cell.get_or_init(|| {
+            let team = self.team.as_ref().map_or("", |team| team.name.as_str());
+            PoisonFingerprint::new(&[self.head.path().as_bytes(), team.as_bytes(), self.body])
+        })
     }
 
     /// Id of the request in logs: the one that the caller gave it.
--- a/src/relay/listener.rs
+++ b/src/relay/listener.rs
@@ -16,7 +16,7 @@
 use bytes::BytesMut;
 use futures_lite::future::or;
 use std::net::TcpStream;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 /// Maximum number of bytes buffered while a response is pending. Further bytes stay in the socket
 /// buffer, and reading no longer detects that the caller closes the connection.
@@ -149,6 +149,7 @@
         arrived,
         // The end of a stream to a caller of HTTP/1.0 is the end of its connection.
         close: !head.is_http_1_1() || head.closes_connection() || draining,
+        fingerprint_cell: OnceLock::new(),
     };
     let watch = async {
         wait_for_close(socket, input).await;
