--- a/src/routing/attempt/notice.rs
+++ b/src/routing/attempt/notice.rs
@@ -1,7 +1,7 @@
 //! Effects of one request on others: ejection of engines at fault, and crash counts that are shared
 //! with the peers.
 
-use crate::hash::stable_hash;
+use crate::hash::run_hash;
 use crate::ids::InstanceId;
 use crate::kernel::KernelContext;
 use crate::poison::{CrashState, CrashedRun, PoisonEntry, PoisonFingerprint};
@@ -93,10 +93,7 @@
             .map(|(_, incarnation)| *incarnation)
             .next()
             .unwrap_or_default();
-        CrashedRun(stable_hash(&[
-            instance.as_str().as_bytes(),
-            &incarnation.to_be_bytes(),
-        ]))
+        CrashedRun(run_hash(instance, incarnation))
     }
 
     fn clear_crashes(&self) {
--- a/src/targets/entry.rs
+++ b/src/targets/entry.rs
@@ -1,6 +1,6 @@
 //! One target as the platform's list describes it.
 
-use crate::hash::stable_hash;
+use crate::hash::run_hash;
 use crate::ids::{DomainId, InstanceId, ServiceId};
 use crate::poison::CrashedRun;
 use crate::targets::stats::TargetStats;
@@ -56,8 +56,7 @@
 
     /// Hash that names this run, the same in all daemons.
     pub fn run_hash(&self) -> u64 {
-        let id = self.id.as_str().as_bytes();
-        stable_hash(&[id, &self.started_ms.to_be_bytes()])
+        run_hash(&self.id, self.started_ms)
     }
 
     /// Names this run once it has crashed.
