Check a rate in one place and read limit rows through one function

What makes a rate valid stood in RequestRate's parser and again in the merge of other daemons' limits, while the question for permits was taken unchecked. RequestRate::new now decides, and LimitRow::statement says what a row means in the type that responses use. A question with an invalid rate, which no daemon sends, now gets no permit instead of a bucket of that rate; nothing else changes.

--- a/src/limits/known.rs
+++ b/src/limits/known.rs
@@ -128,6 +128,12 @@
         self.lock().observation.and_then(|known| known.rate)
     }
 
+    /// What is known, as a response would say it.
+    pub fn statement(&self) -> LimitStatement {
+        let rate = self.rate();
+        rate.map_or(LimitStatement::Unlimited, LimitStatement::Limited)
+    }
+
     /// The latest observation: the limit, or `None` if it has ended, and its time.
     pub fn observation(&self) -> Option<(Option<RequestRate>, MonoTime)> {
         let state = self.lock();
--- a/src/limits/message.rs
+++ b/src/limits/message.rs
@@ -1,5 +1,7 @@
 //! What daemons tell each other about the rate limits of targets.
 
+use crate::limits::known::LimitStatement;
+use crate::units::RequestRate;
 use prost::Message;
 
 /// A limit that a daemon knows, first-hand or from others.
@@ -17,6 +19,17 @@
     pub age_ms: u64,
 }
 
+impl LimitRow {
+    /// What the daemon says about the limit.
+    pub fn statement(&self) -> LimitStatement {
+        match self.rate.map(RequestRate::new) {
+            None => LimitStatement::Unlimited,
+            Some(Some(rate)) => LimitStatement::Limited(rate),
+            Some(None) => LimitStatement::Malformed,
+        }
+    }
+}
+
 /// Asks the keeper of a target for permits.
 #[derive(Clone, Copy, PartialEq)]
 #[derive(Message)]
--- a/src/relay/limits.rs
+++ b/src/relay/limits.rs
@@ -144,19 +144,23 @@
 pub(crate) fn answer_ask(context: &RelayContext, ask: &PermitAsk) -> PermitReply {
     merge_limits(context, &[ask.limit]);
     let now = context.clock.now();
-    let rate = context.targets.load().run(ask.limit.target).map_or_else(
-        || ask.limit.rate.map(RequestRate),
-        |target| target.stats.limit().rate(),
+    let statement = context.targets.load().run(ask.limit.target).map_or_else(
+        || ask.limit.statement(),
+        |target| target.stats.limit().statement(),
     );
-    let grant = match rate {
-        Some(rate) => context
-            .keeper
-            .grant(ask.limit.target, rate, ask.wanted, now),
+    let without_keeper = |count| PermitGrant {
+        count,
+        retry_after: Duration::ZERO,
+    };
+    let grant = match statement {
+        LimitStatement::Limited(rate) => {
+            context
+                .keeper
+                .grant(ask.limit.target, rate, ask.wanted, now)
+        }
         // The limit has ended; the asking daemon hears of it with the next digest.
-        None => PermitGrant {
-            count: 1,
-            retry_after: Duration::ZERO,
-        },
+        LimitStatement::Unlimited => without_keeper(1),
+        LimitStatement::Malformed => without_keeper(0),
     };
     PermitReply {
         number: ask.number,
@@ -221,12 +225,13 @@
         let Some(target) = view.run(row.target) else {
             continue;
         };
-        let is_valid = |rate: f64| rate.is_finite() && rate >= 0.0;
-        if row.rate.is_some_and(|rate| !is_valid(rate)) {
-            continue;
-        }
+        let rate = match row.statement() {
+            LimitStatement::Unlimited => None,
+            LimitStatement::Limited(rate) => Some(rate),
+            LimitStatement::Malformed => continue,
+        };
         let at = MonoTime(now.0.saturating_sub(row.age_ms.saturating_mul(1_000)));
-        let change = target.stats.limit().merge(row.rate.map(RequestRate), at);
+        let change = target.stats.limit().merge(rate, at);
         log_change(context, target, change, "peer");
     }
 }
--- a/src/units.rs
+++ b/src/units.rs
@@ -120,16 +120,19 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd)]
 pub struct RequestRate(pub f64);
 
+impl RequestRate {
+    /// This many requests per second; `None` if that is negative, infinite or not a number.
+    pub fn new(rate: f64) -> Option<Self> {
+        (rate.is_finite() && rate >= 0.0).then_some(Self(rate))
+    }
+}
+
 impl FromStr for RequestRate {
     type Err = UnitError;
 
     fn from_str(text: &str) -> Result<Self> {
-        let rate: f64 = text.trim().parse().map_err(|_cause| UnitError::BadNumber)?;
-        if rate.is_finite() && rate >= 0.0 {
-            Ok(Self(rate))
-        } else {
-            Err(UnitError::BadNumber)
-        }
+        let rate = text.trim().parse().map_err(|_cause| UnitError::BadNumber)?;
+        Self::new(rate).ok_or(UnitError::BadNumber)
     }
 }
 
