--- a/src/admission/sharing.rs
+++ b/src/admission/sharing.rs
@@ -103,15 +103,14 @@
     pub fn limit_share(&self, team: &TeamId, now: MonoTime) -> f64 {
         let local = self.local.get(team).map_or(0.0, |demand| demand.per_second);
         let fresh = |(_, received): &&(f64, MonoTime)| now.since(*received) < DEMAND_TTL;
-        let peers: Vec<f64> = self.peers.get(team).map_or_else(Vec::new, |demands| {
-            let rates = demands.values().filter(fresh).map(|(rate, _)| *rate);
-            rates.collect()
-        });
-        let peer_demand: f64 = peers.iter().sum();
+        let demands = self.peers.get(team).into_iter().flat_map(HashMap::values);
+        let rates = demands.filter(fresh).map(|(rate, _)| rate);
+        let (peers, peer_demand) =
+            rates.fold((0, 0.0), |(count, sum), rate| (count + 1, sum + rate));
         if peer_demand <= 0.0 {
             return 1.0;
         }
-        let min_share = MIN_SHARE_SUM / (peers.len() + 1) as f64;
+        let min_share = MIN_SHARE_SUM / f64::from(peers + 1);
         (local / (local + peer_demand)).max(min_share)
     }
 
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -15,6 +15,9 @@
 /// Result of sending a call.
 pub type Result<T> = std::result::Result<T, SendError>;
 
+/// Bytes that may be read until the head of a response is complete, with what is read ahead of the
+/// body.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Maximum age of an idle connection that is reused.
 const MAX_IDLE: Duration = Duration::from_secs(20);
 
@@ -252,10 +255,6 @@
     }
 }
 
-/// Bytes that may be read until the head of a response is complete, with what is read ahead of the
-/// body.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
-
 /// Refuses a response with neither a length nor chunks, whose body ends with its connection: the
 /// HTTP library takes such a body for an empty one.
 fn check_framing(response: &Response, method: Method) -> Result<()> {
