Serve scripted bytes of the stand-ins from one function

The signed header lines of the plain stand-in, written again for a partial response, come from one function too. No assertion changes.

--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -49,6 +49,6 @@
     ModelServer, PLAIN_BODY, PlainFault, PlainServer, SiteDaemon, SiteFleet, SiteRequest,
     SiteResponse, SiteSpec, SiteStore, StoreFault, StreamCut, StreamFraming, event_text,
     leave_site_request, plain_server_entry, read_site_response, sample_config, send_endless,
-    send_site_request,
+    send_site_request, serve_once,
 };
 pub use web::{admin_get, admin_send, admin_text, json_response};
--- a/rig/src/site/http.rs
+++ b/rig/src/site/http.rs
@@ -95,6 +95,23 @@
     since_epoch.map_or(0, |time| time.as_millis() as u64)
 }
 
+/// Listens on a free loopback port, accepts one connection, reads what arrives first, and then lets `act`
+/// write to it. The connection is closed afterwards.
+///
+/// # Panics
+/// The thread that serves panics when the client does not connect or sends nothing.
+pub fn serve_once(act: impl FnOnce(&mut TcpStream) + Send + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+    let address = listener.local_addr().expect("a listener has an address");
+    thread::spawn(move || {
+        let (mut stream, _peer) = listener.accept().expect("the client connects");
+        let mut request = [0; 4_096];
+        let _read = stream.read(&mut request).expect("the client sends");
+        act(&mut stream);
+    });
+    address
+}
+
 /// Listens on a free loopback port and serves every request with `handler`, one thread per
 /// connection.
 pub(super) fn serve(handler: Handler) -> SocketAddr {
--- a/rig/src/site/mod.rs
+++ b/rig/src/site/mod.rs
@@ -20,6 +20,7 @@
 pub use crash::{CrashManner, CrashRegistry, CrashRun};
 pub use endless::{EndlessPart, send_endless};
 pub use fleet::{SiteDaemon, SiteFleet, SiteSpec, plain_server_entry, sample_config};
+pub use http::serve_once;
 pub use limit::LimitLedger;
 pub use model::{ModelKnobs, ModelServer};
 pub use model_stream::{CutEnd, CutScope, StreamCut, StreamFraming, event_text};
--- a/rig/src/site/plain.rs
+++ b/rig/src/site/plain.rs
@@ -210,10 +210,7 @@
 ) -> AfterReply {
     let manner = crashes.manner();
     if manner == CrashManner::PartialResponse {
-        let attempt_id = request.head.field("X-Attempt-Id").unwrap_or_default();
-        let head = format!(
-            "HTTP/1.1 200 OK\r\nX-Server-Stamp: stamp\r\nX-Attempt-Id: {attempt_id}\r\n\r\n"
-        );
+        let head = format!("HTTP/1.1 200 OK\r\n{}\r\n", stamp_lines(request));
         // The daemon may have closed the connection.
         let _ = stream.write_all(head.as_bytes());
     }
@@ -268,6 +265,12 @@
     None
 }
 
+/// Header lines of a response that a server has signed.
+fn stamp_lines(request: &ReceivedRequest) -> String {
+    let attempt_id = request.head.field("X-Attempt-Id").unwrap_or_default();
+    format!("X-Server-Stamp: stamp\r\nX-Attempt-Id: {attempt_id}\r\n")
+}
+
 /// Replies to a request that has run.
 fn end_run(
     fault: PlainFault,
@@ -285,7 +288,7 @@
         Ok(()) => after,
         Err(_) => AfterReply::Close,
     };
-    let stamp_lines = format!("X-Server-Stamp: stamp\r\nX-Attempt-Id: {attempt_id}\r\n");
+    let stamp_lines = stamp_lines(request);
     match fault {
         PlainFault::None | PlainFault::Full => reply(stream, 200, &stamp_fields, PLAIN_BODY),
         PlainFault::ResetAfterRun => AfterReply::Reset,
--- a/rig/tests/store_ends.rs
+++ b/rig/tests/store_ends.rs
@@ -3,10 +3,10 @@
 use arbutusmount::{PortResult, StorePort, StoreTransaction, WireClient};
 use arbutusmount_platform::store_port;
 use async_std::task;
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener};
+use rig::serve_once;
+use std::io::Write;
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::thread;
 use std::time::Duration;
 use test_case::test_case;
 
@@ -20,18 +20,12 @@
 
 /// Starts a store that replies once with these bytes and closes the connection.
 fn serve_reply(text: &str) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
-    let address = listener.local_addr().expect("a listener has an address");
     let text = text.to_owned();
-    thread::spawn(move || {
-        let (mut stream, _peer) = listener.accept().expect("the client connects");
-        let mut request = [0; 4_096];
-        let _read = stream.read(&mut request).expect("the client sends");
+    serve_once(move |stream| {
         stream
             .write_all(text.as_bytes())
             .expect("the client is connected");
-    });
-    address
+    })
 }
 
 /// Calls a store that replies with this text.
--- a/tests/http_endless.rs
+++ b/tests/http_endless.rs
@@ -4,11 +4,9 @@
 use async_std::future::timeout;
 use async_std::task;
 use http_types::Method;
-use rig::{EndlessPart, send_endless};
-use std::io::Read;
-use std::net::{SocketAddr, TcpListener};
+use rig::{EndlessPart, send_endless, serve_once};
+use std::net::SocketAddr;
 use std::sync::mpsc::{Receiver, channel};
-use std::thread;
 use std::time::Duration;
 use test_case::test_case;
 
@@ -22,15 +20,10 @@
 /// Starts a server that answers one request with bytes without end. The receiver gets the number of bytes
 /// that were taken.
 fn serve_endless(part: EndlessPart) -> (SocketAddr, Receiver<usize>) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
-    let address = listener.local_addr().expect("a listener has an address");
     let (sender, taken) = channel();
-    thread::spawn(move || {
-        let (mut stream, _peer) = listener.accept().expect("the client connects");
-        let mut request = [0; 4_096];
-        let _read = stream.read(&mut request).expect("the client sends");
+    let address = serve_once(move |stream| {
         // The test may have failed and ended.
-        let _ = sender.send(send_endless(&mut stream, part, ""));
+        let _ = sender.send(send_endless(stream, part, ""));
     });
     (address, taken)
 }
--- a/tests/http_response_ends.rs
+++ b/tests/http_response_ends.rs
@@ -3,8 +3,9 @@
 use arbutusmount::{ConnectionPool, HttpCall, SseReader};
 use async_std::task;
 use http_types::Method;
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener};
+use rig::serve_once;
+use std::io::Write;
+use std::net::SocketAddr;
 use std::thread;
 use std::time::Duration;
 use test_case::test_case;
@@ -21,23 +22,17 @@
 
 /// Starts a server that answers one request with these bytes and ends the connection.
 fn serve_bytes(bytes: &[u8], end: LinkEnd) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
-    let address = listener.local_addr().expect("a listener has an address");
     let bytes = bytes.to_vec();
-    thread::spawn(move || {
-        let (mut stream, _peer) = listener.accept().expect("the client connects");
-        let mut request = [0; 4_096];
-        let _read = stream.read(&mut request).expect("the client sends");
+    serve_once(move |stream| {
         stream.write_all(&bytes).expect("the client reads");
         if end == LinkEnd::Reset {
             thread::sleep(RESET_DELAY);
-            let options = socket2::SockRef::from(&stream);
+            let options = socket2::SockRef::from(&*stream);
             options
                 .set_linger(Some(Duration::ZERO))
                 .expect("SO_LINGER can be set");
         }
-    });
-    address
+    })
 }
 
 /// Reads the events of a response; the flag tells whether it ended without an error.
