--- a/src/relay/forwarding.rs
+++ b/src/relay/forwarding.rs
@@ -12,6 +12,7 @@
 use crate::relay::stall::{StallDetector, StallStep};
 use crate::relay::suspicion::AttemptSuspicion;
 use crate::targets::LayerChain;
+use crate::telemetry::EventLine;
 use crate::wire::{BodyEnd, BodyStep, EventSplitter, StreamError};
 use async_std::future::timeout;
 
@@ -183,8 +184,13 @@
         delivered: &DeliveryProgress,
     ) -> ReadOutcome {
         let context = self.request.context;
+        let mut was_stalled = false;
         loop {
             let now = context.clock.now();
+            if self.detector.is_stalled(now) && !was_stalled {
+                was_stalled = true;
+                self.log_stall(self.request.log_line("attempt_stalled"), delivered);
+            }
             let left = self.request.deadline.since(now);
             let step = if self.request.route.retry_rule.allows_reexecution() {
                 self.detector
@@ -198,7 +204,12 @@
             };
             match timeout(pause, response.stream.fill()).await {
                 Err(_elapsed) => {}
-                Ok(Ok(_)) => return ReadOutcome::Bytes,
+                Ok(Ok(_)) => {
+                    if was_stalled {
+                        self.log_stall(self.request.log_line("stall_over"), delivered);
+                    }
+                    return ReadOutcome::Bytes;
+                }
                 Ok(Err(StreamError::Closed)) if response.decoder.complete_at_close() => {
                     return ReadOutcome::End;
                 }
@@ -209,6 +220,18 @@
         }
     }
 
+    /// Logs that the attempt has stalled, or that it goes on.
+    fn log_stall(&self, line: EventLine, delivered: &DeliveryProgress) {
+        let context = self.request.context;
+        let idle_time = self.detector.idle_time(context.clock.now());
+        let line = line
+            .with_display("target", &self.chain.head().id)
+            .with("last_event", delivered.last_id);
+        context
+            .events
+            .emit(line.with("idle_ms", idle_time.as_millis() as u64));
+    }
+
     /// True when another attempt is allowed, the budget has a retry left and another chain has
     /// capacity. Otherwise the attempt continues: a stalled chain may recover, whereas aborting the
     /// attempt without a retry ends the stream.
--- a/src/relay/stall.rs
+++ b/src/relay/stall.rs
@@ -58,10 +58,20 @@
         previous.is_none().then(|| now.since(self.started))
     }
 
+    /// Time since the last event, or since the attempt was sent.
+    pub fn idle_time(&self, now: MonoTime) -> Duration {
+        now.since(self.last_event.unwrap_or(self.started))
+    }
+
+    /// True when the attempt has been silent for longer than its pace explains.
+    pub fn is_stalled(&self, now: MonoTime) -> bool {
+        self.idle_time(now) >= self.limit
+    }
+
     /// The step to take at `now`. `has_alternative` tells whether another chain can resume the
     /// stream; it is called only when the limit has passed and the longest wait has not.
     pub fn next_step(&self, now: MonoTime, has_alternative: impl FnOnce() -> bool) -> StallStep {
-        let idle_time = now.since(self.last_event.unwrap_or(self.started));
+        let idle_time = self.idle_time(now);
         if idle_time < self.limit {
             return StallStep::Wait(self.limit.saturating_sub(idle_time));
         }
--- a/src/relay/streaming.rs
+++ b/src/relay/streaming.rs
@@ -323,11 +323,13 @@
     detail: &str,
 ) -> ExchangeEnd {
     if delivered.head_sent {
-        let line = request.log_line("broken_off").with("detail", detail);
-        request
-            .context
-            .events
-            .emit(line.with("last_event", delivered.last_id));
+        let context = request.context;
+        let version = context.catalog.load().map(|catalog| catalog.version);
+        let line = request
+            .log_line("broken_off")
+            .with("detail", detail)
+            .with("last_event", delivered.last_id);
+        context.events.emit(line.with("version", version));
         return ExchangeEnd::Truncated;
     }
     let cause = request.final_cause(state, step);
