Never give up a stalled stream that nothing can take over

A stream whose chain was silent for 1.7 s was cut off even if no other chain could resume it. Its caller got part of a response and no end, although the chain went on: servers may be silent for a second or so, and this wait ends before that of callers, who leave after two seconds. MAX_STALL_WAIT ended the wait without anything to replace the attempt. Now only another chain does, the deadline or the caller; after 1.7 s the targets of the chain count as failing, as before, so that other requests go elsewhere and the part at fault is asked for.

--- a/src/relay/forwarding.rs
+++ b/src/relay/forwarding.rs
@@ -10,6 +10,7 @@
 use crate::relay::exchange::{ActiveRequest, forward_head};
 use crate::relay::retry::{RelayFailure, RetryState, RetryStep};
 use crate::relay::stall::{StallDetector, StallStep};
+use crate::relay::streaming::report_stalled_chain;
 use crate::relay::suspicion::AttemptSuspicion;
 use crate::targets::LayerChain;
 use crate::telemetry::EventLine;
@@ -185,8 +186,13 @@
     ) -> ReadOutcome {
         let context = self.request.context;
         let mut was_stalled = false;
+        let mut was_reported = false;
         loop {
             let now = context.clock.now();
+            if self.detector.is_long_stalled(now) && !was_reported {
+                was_reported = true;
+                report_stalled_chain(context, self.chain);
+            }
             if self.detector.is_stalled(now) && !was_stalled {
                 was_stalled = true;
                 self.log_stall(self.request.log_line("attempt_stalled"), delivered);
--- a/src/relay/stall.rs
+++ b/src/relay/stall.rs
@@ -10,9 +10,9 @@
 const MIN_STALL_TIME: Duration = Duration::from_millis(120);
 /// Upper limit of that gap, also used between the first and the second event.
 const MAX_STALL_TIME: Duration = Duration::from_millis(400);
-/// Longest wait for a stalled chain while no other chain has capacity: the event may still come,
-/// and aborting the stream gains nothing. Callers time out after two seconds.
-const MAX_STALL_WAIT: Duration = Duration::from_millis(1_700);
+/// Silence after which the targets of a chain count as failing although no other chain can take its
+/// stream over.
+const LONG_STALL_TIME: Duration = Duration::from_millis(1_700);
 /// Interval at which other chains are checked for capacity while waiting for a stalled one.
 const ALTERNATIVE_POLL: Duration = Duration::from_millis(50);
 
@@ -68,14 +68,20 @@
         self.idle_time(now) >= self.limit
     }
 
+    /// True when the attempt has been silent for so long that its chain is likely to have failed.
+    pub fn is_long_stalled(&self, now: MonoTime) -> bool {
+        self.idle_time(now) >= LONG_STALL_TIME
+    }
+
     /// The step to take at `now`. `has_alternative` tells whether another chain can resume the
-    /// stream; it is called only when the limit has passed and the longest wait has not.
+    /// stream; it is called only when the limit has passed. Without one, the attempt is never given
+    /// up: targets may be silent for a while and go on.
     pub fn next_step(&self, now: MonoTime, has_alternative: impl FnOnce() -> bool) -> StallStep {
         let idle_time = self.idle_time(now);
         if idle_time < self.limit {
             return StallStep::Wait(self.limit.saturating_sub(idle_time));
         }
-        if idle_time >= MAX_STALL_WAIT || has_alternative() {
+        if has_alternative() {
             return StallStep::GiveUp;
         }
         StallStep::Wait(ALTERNATIVE_POLL)
--- a/src/relay/streaming.rs
+++ b/src/relay/streaming.rs
@@ -207,6 +207,12 @@
     Arc::clone(target)
 }
 
+/// Makes a chain that has been silent for long count as failing, and finds out which part is at fault.
+pub(super) fn report_stalled_chain(context: &Arc<RelayContext>, chain: &LayerChain) {
+    chain.head().stats.record_failure(context.clock.now());
+    query_stalled_parts(context, chain);
+}
+
 /// Asks the first target of a stalled chain for its report, which names the targets that it waits
 /// for, so that those of the chain are ejected instead of the first one. Requests do not wait for
 /// the report.
