Claim the next chain of a stalled stream before its attempt is given up

Streams that stalled together were cut off when the retry budget, the capacity of the other chains or the rate limit of their heads sufficed for some of them only. Each looked whether it could go on elsewhere (has_alternative), dropped its attempt, and asked for chain, permit and retry afterwards, which others had taken meanwhile; there was no way back. A stalled stream now claims all three (claim_chain) while its attempt goes on, and keeps waiting for it when one of them is refused. The look also left out the tokens sent so far, which the selection counts.

--- a/src/relay/forwarding.rs
+++ b/src/relay/forwarding.rs
@@ -5,17 +5,17 @@
 //! [`classify_event`].
 
 use crate::relay::attempt::{FailedAttempt, PendingResponse, keep_connection};
-use crate::relay::choice::{ChainRequirement, pick_chain};
 use crate::relay::event_progress::{DeliveryProgress, EventVerdict, classify_event, is_cut_off};
 use crate::relay::exchange::{ActiveRequest, forward_head};
-use crate::relay::retry::{RelayFailure, RetryState, RetryStep};
+use crate::relay::retry::{RelayFailure, RetryState};
 use crate::relay::stall::{StallDetector, StallStep};
-use crate::relay::streaming::report_stalled_chain;
+use crate::relay::streaming::{claim_chain, report_stalled_chain};
 use crate::relay::suspicion::AttemptSuspicion;
 use crate::targets::LayerChain;
 use crate::telemetry::EventLine;
 use crate::wire::{BodyEnd, BodyStep, EventSplitter, StreamError};
 use async_std::future::timeout;
+use std::sync::Arc;
 
 /// Longest event, and longest body that holds none.
 const MAX_EVENT_BYTES: usize = 512 * 1024;
@@ -28,6 +28,8 @@
     CallerGone,
     /// The attempt failed.
     Failed(FailedAttempt),
+    /// The attempt stalled; the chain has been claimed for the next one.
+    Replaced(FailedAttempt, Arc<LayerChain>),
 }
 
 /// Forwards the events of one attempt.
@@ -60,6 +62,8 @@
     /// The target closed the connection where the response may end.
     End,
     Failed(FailedAttempt),
+    /// The stream has stalled, and this chain has been claimed for it.
+    Replaced(Arc<LayerChain>),
 }
 
 impl StreamForwarder<'_> {
@@ -70,7 +74,7 @@
         delivered: &mut DeliveryProgress,
     ) -> StreamEnd {
         let end = self.forward(response, delivered).await;
-        if let StreamEnd::Failed(failed) = &end {
+        if let StreamEnd::Failed(failed) | StreamEnd::Replaced(failed, _) = &end {
             self.suspicion.on_failure(failed);
         }
         end
@@ -115,6 +119,9 @@
                         .await;
                 }
                 ReadOutcome::Failed(failed) => return StreamEnd::Failed(failed),
+                ReadOutcome::Replaced(chain) => {
+                    return StreamEnd::Replaced(no_event_in_time(), chain);
+                }
             }
         }
     }
@@ -193,20 +200,22 @@
                 was_reported = true;
                 report_stalled_chain(context, self.chain);
             }
-            if self.detector.is_stalled(now) && !was_stalled {
-                was_stalled = true;
-                self.log_stall(self.request.log_line("attempt_stalled"), delivered);
-            }
             let left = self.request.deadline.since(now);
-            let step = if self.request.route.retry_rule.allows_reexecution() {
-                self.detector
-                    .next_step(now, || self.has_alternative(delivered))
-            } else {
-                StallStep::Wait(left)
-            };
-            let pause = match step {
-                StallStep::Wait(pause) if !left.is_zero() => pause.min(left),
-                _ => return ReadOutcome::Failed(FailedAttempt::timed_out("no event in time")),
+            if left.is_zero() {
+                return ReadOutcome::Failed(no_event_in_time());
+            }
+            let pause = match self.detector.next_step(now) {
+                StallStep::Wait(pause) => pause.min(left),
+                StallStep::SeekOther(pause) => {
+                    if !was_stalled {
+                        was_stalled = true;
+                        self.log_stall(self.request.log_line("attempt_stalled"), delivered);
+                    }
+                    if let Some(chain) = self.claim_other_chain(delivered).await {
+                        return ReadOutcome::Replaced(chain);
+                    }
+                    pause.min(left)
+                }
             };
             match timeout(pause, response.stream.fill()).await {
                 Err(_elapsed) => {}
@@ -238,34 +247,13 @@
             .emit(line.with("idle_ms", idle_time.as_millis() as u64));
     }
 
-    /// True when another attempt is allowed, the budget has a retry left and another chain has
-    /// capacity. Otherwise the attempt continues: a stalled chain may recover, whereas aborting the
-    /// attempt without a retry ends the stream.
-    fn has_alternative(&self, delivered: &DeliveryProgress) -> bool {
-        let request = self.request;
-        let context = request.context;
-        let now = context.clock.now();
+    /// Claims another chain for the stream if an attempt there is allowed.
+    async fn claim_other_chain(&self, delivered: &DeliveryProgress) -> Option<Arc<LayerChain>> {
         let mut state = self.state.clone();
         let first_target = &self.chain.head().id;
-        let step = state.on_failure(first_target, RelayFailure::OutcomeUnknown, now);
-        let Some(model) = &request.service.model else {
-            return false;
-        };
-        // Unlike the selection of the chain for the retry, this check does not add the id of the
-        // last event to the expected tokens.
-        let requirement = ChainRequirement {
-            domain: &context.settings.failure_domain,
-            tokens: f64::from(request.metadata.expected_tokens()),
-            is_resumed: delivered.head_sent,
-        };
-        let view = context.targets.load();
-        let chains = view.chains(&request.service.name);
-        let mut rng = fastrand::Rng::new();
-        let daemons = context.presence.peak_count();
-        let service = &request.service.name;
-        step == RetryStep::TryNext
-            && context.budget.may_spend(service, daemons, now)
-            && pick_chain(chains, model, requirement, state.tried(), now, &mut rng).is_some()
+        let now = self.request.context.clock.now();
+        state.on_failure(first_target, RelayFailure::OutcomeUnknown, now);
+        claim_chain(self.request, &state, delivered).await
     }
 
     /// Counts how the target ended the stream. An end of the connection is also logged, since
@@ -319,6 +307,10 @@
     }
 }
 
+fn no_event_in_time() -> FailedAttempt {
+    FailedAttempt::timed_out("no event in time")
+}
+
 /// Ends an attempt whose stream is invalid or incomplete.
 fn invalid_stream(cause: &impl std::fmt::Display) -> ForwardStep {
     ForwardStep::Fail(FailedAttempt::new(RelayFailure::OutcomeUnknown, cause))
--- a/src/relay/stall.rs
+++ b/src/relay/stall.rs
@@ -21,8 +21,9 @@
 pub enum StallStep {
     /// Wait for this long.
     Wait(Duration),
-    /// Abort the attempt.
-    GiveUp,
+    /// The attempt has stalled: look for another chain, and again after this long if there is none.
+    /// The attempt goes on meanwhile, as targets may be silent for a while and go on.
+    SeekOther(Duration),
 }
 
 /// Stall detection for one attempt of a stream. From the second event on, the limit follows the
@@ -63,27 +64,18 @@
         now.since(self.last_event.unwrap_or(self.started))
     }
 
-    /// True when the attempt has been silent for longer than its pace explains.
-    pub fn is_stalled(&self, now: MonoTime) -> bool {
-        self.idle_time(now) >= self.limit
-    }
-
     /// True when the attempt has been silent for so long that its chain is likely to have failed.
     pub fn is_long_stalled(&self, now: MonoTime) -> bool {
         self.idle_time(now) >= LONG_STALL_TIME
     }
 
-    /// The step to take at `now`. `has_alternative` tells whether another chain can resume the
-    /// stream; it is called only when the limit has passed. Without one, the attempt is never given
-    /// up: targets may be silent for a while and go on.
-    pub fn next_step(&self, now: MonoTime, has_alternative: impl FnOnce() -> bool) -> StallStep {
+    /// The step to take at `now`.
+    pub fn next_step(&self, now: MonoTime) -> StallStep {
         let idle_time = self.idle_time(now);
         if idle_time < self.limit {
-            return StallStep::Wait(self.limit.saturating_sub(idle_time));
-        }
-        if has_alternative() {
-            return StallStep::GiveUp;
+            StallStep::Wait(self.limit.saturating_sub(idle_time))
+        } else {
+            StallStep::SeekOther(ALTERNATIVE_POLL)
         }
-        StallStep::Wait(ALTERNATIVE_POLL)
     }
 }
--- a/src/relay/streaming.rs
+++ b/src/relay/streaming.rs
@@ -54,29 +54,22 @@
         last_id: request.metadata.resume_after,
     };
     let mut detail = String::from("no chain has room");
+    let mut claimed: Option<Arc<LayerChain>> = None;
     loop {
-        if request.is_poison() {
-            return end_stream(request, &state, &delivered, state.final_step(), &detail).await;
-        }
-        separate_suspects(request).await;
-        state.set_departed(count_departed(request, &state));
-        let allowed = state.next_step(context.clock.now());
-        if allowed != RetryStep::TryNext {
-            return end_stream(request, &state, &delivered, allowed, &detail).await;
-        }
-        let chain = find_chain(request, model, &state, &delivered).await;
-        if chain.is_none() && is_held_back(request) {
-            detail = String::from(AT_LIMIT);
-        }
-        let step = request.next_step(&state, chain.is_some());
-        let (Some(chain), RetryStep::TryNext) = (chain.as_ref(), step) else {
-            if let Some(chain) = &chain {
-                return_permit(context, chain.head());
+        let chain = match claimed.take() {
+            Some(chain) => chain,
+            None => {
+                match find_next_chain(request, model, &mut state, &delivered, &mut detail).await {
+                    Ok(chain) => chain,
+                    Err(step) => {
+                        return end_stream(request, &state, &delivered, step, &detail).await;
+                    }
+                }
             }
-            return end_stream(request, &state, &delivered, step, &detail).await;
         };
-        let _reserved = reserve(chain, request.metadata.expected_tokens());
-        match attempt_stream(request, &state, chain, &mut delivered).await {
+        let _reserved = reserve(&chain, request.metadata.expected_tokens());
+        let end = attempt_stream(request, &state, &chain, &mut delivered).await;
+        let (failed, next_chain) = match end {
             StreamEnd::Complete(status) => {
                 chain
                     .parts
@@ -86,16 +79,74 @@
                 return ExchangeEnd::Relayed(status);
             }
             StreamEnd::CallerGone => return ExchangeEnd::Truncated,
-            StreamEnd::Failed(failed) => {
-                detail = format!("{} at {}", failed.cause, chain.head().id);
-                let target = record_failure(request, chain, &failed, &delivered);
-                check_for_crash(request, &target, &failed).await;
-                state.on_failure(&chain.head().id, failed.failure, context.clock.now());
+            StreamEnd::Failed(failed) => (failed, None),
+            StreamEnd::Replaced(failed, next_chain) => (failed, Some(next_chain)),
+        };
+        detail = format!("{} at {}", failed.cause, chain.head().id);
+        let target = record_failure(request, &chain, &failed, &delivered);
+        check_for_crash(request, &target, &failed).await;
+        state.on_failure(&chain.head().id, failed.failure, context.clock.now());
+        claimed = next_chain;
+    }
+}
+
+/// Finds the chain of the next attempt, or the step that ends the request without one.
+async fn find_next_chain(
+    request: &ActiveRequest<'_>,
+    model: &ModelShape,
+    state: &mut RetryState,
+    delivered: &DeliveryProgress,
+    detail: &mut String,
+) -> std::result::Result<Arc<LayerChain>, RetryStep> {
+    let context = request.context;
+    if request.is_poison() {
+        return Err(state.final_step());
+    }
+    separate_suspects(request).await;
+    state.set_departed(count_departed(request, state));
+    let allowed = state.next_step(context.clock.now());
+    if allowed != RetryStep::TryNext {
+        return Err(allowed);
+    }
+    let chain = find_chain(request, model, state, delivered).await;
+    if chain.is_none() && is_held_back(request) {
+        *detail = String::from(AT_LIMIT);
+    }
+    let step = request.next_step(state, chain.is_some());
+    match (chain, step) {
+        (Some(chain), RetryStep::TryNext) => Ok(chain),
+        (chain, step) => {
+            if let Some(chain) = chain {
+                return_permit(context, chain.head());
             }
+            Err(step)
         }
     }
 }
 
+/// Claims a chain that can take a stalled stream over at once: with capacity, a permit of its head and a
+/// retry of the budget. `state` includes the stalled attempt.
+pub(super) async fn claim_chain(
+    request: &ActiveRequest<'_>,
+    state: &RetryState,
+    delivered: &DeliveryProgress,
+) -> Option<Arc<LayerChain>> {
+    let context = request.context;
+    let model = request.service.model.as_ref()?;
+    if state.next_step(context.clock.now()) != RetryStep::TryNext {
+        return None;
+    }
+    let chain = choose_chain(request, model, state, delivered)?;
+    if acquire_permit(context, chain.head()).await == PermitOutcome::HeldBack {
+        return None;
+    }
+    if request.next_step(state, true) == RetryStep::TryNext {
+        return Some(chain);
+    }
+    return_permit(context, chain.head());
+    None
+}
+
 /// Number of tried targets that have since left the target list.
 fn count_departed(request: &ActiveRequest<'_>, state: &RetryState) -> usize {
     let view = request.context.targets.load();
@@ -112,38 +163,49 @@
     any_held_back(chains.iter().map(|chain| chain.head()), now)
 }
 
-/// Selects a chain, waiting for one with capacity up to [`CAPACITY_WAIT`] or, when the stream has
-/// begun, [`RESUME_CAPACITY_WAIT`].
-async fn find_chain(
+/// Selects a chain that has capacity for the request now.
+fn choose_chain(
     request: &ActiveRequest<'_>,
     model: &ModelShape,
     state: &RetryState,
     delivered: &DeliveryProgress,
 ) -> Option<Arc<LayerChain>> {
     let context = request.context;
-    let mut rng = fastrand::Rng::new();
-    let local_domain = &context.settings.failure_domain;
-    let started = context.clock.now();
     // Event ids are used as a count of the tokens generated so far. They are added to the expected
     // tokens, which already include the whole expected response; [`reserve`] counts only the
     // expected tokens.
     let tokens =
         f64::from(request.metadata.expected_tokens()) + delivered.last_id.unwrap_or(0) as f64;
+    let requirement = ChainRequirement {
+        domain: &context.settings.failure_domain,
+        tokens,
+        is_resumed: delivered.head_sent,
+    };
+    let view = context.targets.load();
+    let chains = view.chains(&request.service.name);
+    let now = context.clock.now();
+    let mut rng = fastrand::Rng::new();
+    pick_chain(chains, model, requirement, state.tried(), now, &mut rng).cloned()
+}
+
+/// Selects a chain, waiting for one with capacity up to [`CAPACITY_WAIT`] or, when the stream has
+/// begun, [`RESUME_CAPACITY_WAIT`].
+async fn find_chain(
+    request: &ActiveRequest<'_>,
+    model: &ModelShape,
+    state: &RetryState,
+    delivered: &DeliveryProgress,
+) -> Option<Arc<LayerChain>> {
+    let context = request.context;
+    let started = context.clock.now();
     loop {
-        let now = context.clock.now();
-        let requirement = ChainRequirement {
-            domain: local_domain,
-            tokens,
-            is_resumed: delivered.head_sent,
-        };
-        let view = context.targets.load();
-        let chains = view.chains(&request.service.name);
-        if let Some(chain) = pick_chain(chains, model, requirement, state.tried(), now, &mut rng) {
+        if let Some(chain) = choose_chain(request, model, state, delivered) {
             if acquire_permit(context, chain.head()).await == PermitOutcome::Granted {
-                return Some(Arc::clone(chain));
+                return Some(chain);
             }
             continue;
         }
+        let now = context.clock.now();
         let waited = now.since(started);
         let limit = if delivered.head_sent {
             RESUME_CAPACITY_WAIT
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -341,26 +341,27 @@
 fn stall_limit_follows_the_gaps_of_the_stream() {
     let (detector, now) = detector_after(&[20, 20, 20, 20, 20, 20]);
 
-    let soon = detector.next_step(at(now + 60), || true);
-    let late = detector.next_step(at(now + 130), || true);
+    let soon = detector.next_step(at(now + 60));
+    let late = detector.next_step(at(now + 130));
 
     assert!(matches!(soon, StallStep::Wait(_)));
-    assert_eq!(late, StallStep::GiveUp);
+    assert!(matches!(late, StallStep::SeekOther(_)));
 }
 
-/// A stalled stream must not be aborted while no other chain has capacity, however long that takes: its
-/// chain may still be at work.
+/// Another chain is looked for as long as a stalled stream lasts, and at short intervals, so that the first
+/// one with capacity is found.
 #[test_case(700)]
 #[test_case(1_800)]
 #[test_case(10_000)]
-fn stalled_chain_is_waited_for_while_no_other_has_room(silence: u64) {
+fn another_chain_is_looked_for_as_long_as_a_stream_is_stalled(silence: u64) {
     let (detector, now) = detector_after(&[20, 20, 20]);
 
-    let alone = detector.next_step(at(now + silence), || false);
-    let with_other = detector.next_step(at(now + silence), || true);
+    let step = detector.next_step(at(now + silence));
 
-    assert!(matches!(alone, StallStep::Wait(_)));
-    assert_eq!(with_other, StallStep::GiveUp);
+    let StallStep::SeekOther(interval) = step else {
+        panic!("the attempt has stalled: {step:?}");
+    };
+    assert!(interval <= Duration::from_millis(100), "{interval:?}");
 }
 
 #[test]
