Keep a stalled attempt of a stream until another one has brought an event

A stream whose chain was silent for 1.1 s and went on was cut off, or got 502 before its first event, when the attempt that was to replace it failed: the stalled attempt was dropped as soon as the next one was chosen. The decision to leave was taken on a look at other chains, and nothing held the response any more while the next chain read the prompt. StreamRelay now runs attempts beside each other. A stalled attempt is read on while another one opens; the one that brings the next event serves the caller, and only then are the others dropped. The same holds before the first event, where the time limit of the first event ended the attempt. RetryState counts running attempts like failed ones, so that MaxAttempts and the retry budget hold for both together. Streams that may not be resumed have one attempt, as before.

Seen on the way: a response of comments without end was given up only because its caller read so slowly that the attempt seemed stalled.

The selection of chains and the records of failures moved to files of their own.

--- a/src/relay/event_progress.rs
+++ b/src/relay/event_progress.rs
@@ -6,7 +6,7 @@
 const EVENT_STREAM_TYPE: &str = "text/event-stream";
 
 /// What the caller has received so far.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct DeliveryProgress {
     /// True when the response head was sent to the caller or is in the output.
     pub head_sent: bool,
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -18,6 +18,9 @@
 mod retry;
 mod settings;
 mod stall;
+mod stream_chain;
+mod stream_failure;
+mod stream_opening;
 mod streaming;
 mod suspicion;
 
--- a/src/relay/retry.rs
+++ b/src/relay/retry.rs
@@ -48,6 +48,8 @@
     max_targets: u32,
     deadline: MonoTime,
     tried: Vec<InstanceId>,
+    /// Targets of the attempts that are not over.
+    running: Vec<InstanceId>,
     not_executed: u32,
     may_have_executed: u32,
     departed: u32,
@@ -63,25 +65,36 @@
             max_targets,
             deadline,
             tried: Vec::new(),
+            running: Vec::new(),
             not_executed: 0,
             may_have_executed: 0,
             departed: 0,
         }
     }
 
-    /// Targets of all failed attempts.
+    /// Targets of all attempts, failed ones and those that are not over.
     pub fn tried(&self) -> &[InstanceId] {
         &self.tried
     }
 
-    /// True when a target may have executed the request.
+    /// Attempts after the first one.
+    pub fn retries(&self) -> usize {
+        self.tried.len().saturating_sub(1)
+    }
+
+    /// True when a target may have executed the request or may be executing it.
     pub fn may_have_executed(&self) -> bool {
-        self.may_have_executed > 0
+        self.executions() > 0
     }
 
     /// True when an attempt was made before.
     pub fn is_retry(&self) -> bool {
-        self.not_executed + self.may_have_executed > 0
+        self.not_executed + self.executions() > 0
+    }
+
+    /// Attempts whose target may have executed the request or may be executing it.
+    fn executions(&self) -> u32 {
+        self.may_have_executed + self.running.len() as u32
     }
 
     /// Time from `now` to the deadline.
@@ -95,6 +108,13 @@
         self.departed = departed as u32;
     }
 
+    /// Records that an attempt at `target` is sent. Until it fails, it counts as one whose target may
+    /// have executed the request, so that further attempts beside it stay within the limits.
+    pub fn on_start(&mut self, target: &InstanceId) {
+        self.tried.push(target.clone());
+        self.running.push(target.clone());
+    }
+
     /// Records a failed attempt at `target` and returns [`Self::next_step`]. A caller that first
     /// looks for another target ignores the result and calls that method afterwards.
     pub fn on_failure(
@@ -103,7 +123,12 @@
         failure: RelayFailure,
         now: MonoTime,
     ) -> RetryStep {
-        self.tried.push(target.clone());
+        match self.running.iter().position(|running| running == target) {
+            Some(index) => {
+                self.running.swap_remove(index);
+            }
+            None => self.tried.push(target.clone()),
+        }
         match failure {
             RelayFailure::NotSent | RelayFailure::NotExecuted => self.not_executed += 1,
             RelayFailure::OutcomeUnknown | RelayFailure::Failed => self.may_have_executed += 1,
@@ -113,9 +138,9 @@
 
     /// The step to take at `now`, if another target is left and the retry budget allows a retry.
     pub fn next_step(&self, now: MonoTime) -> RetryStep {
-        let may_execute_again = self.may_have_executed == 0 || self.rule.allows_reexecution();
+        let may_execute_again = !self.may_have_executed() || self.rule.allows_reexecution();
         let executions = self
-            .may_have_executed
+            .executions()
             .saturating_sub(self.departed.min(MAX_DEPARTED));
         let within_limits =
             executions < self.max_targets.max(1) && self.not_executed < MAX_NOT_EXECUTED;
@@ -127,9 +152,10 @@
 
     /// The step to take when no further target is tried.
     pub fn final_step(&self) -> RetryStep {
-        match self.may_have_executed {
-            0 => RetryStep::Refuse,
-            _ => RetryStep::Fail,
+        if self.may_have_executed() {
+            RetryStep::Fail
+        } else {
+            RetryStep::Refuse
         }
     }
 }
--- /dev/null
+++ b/src/relay/stream_chain.rs
@@ -0,0 +1,159 @@
+//! Selects the chain of the next attempt of a stream.
+
+use crate::catalog::ModelShape;
+use crate::relay::choice::{ChainRequirement, pick_chain};
+use crate::relay::event_progress::DeliveryProgress;
+use crate::relay::exchange::ActiveRequest;
+use crate::relay::limits::{AT_LIMIT, PermitOutcome, acquire_permit, any_held_back, return_permit};
+use crate::relay::retry::{RetryState, RetryStep};
+use crate::relay::suspicion::separate_suspects;
+use crate::targets::{LayerChain, ReservationGuard};
+use async_io::Timer;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Longest time that a request waits for a chain with capacity.
+const CAPACITY_WAIT: Duration = Duration::from_millis(250);
+/// The same for a stream that has begun. It is longer because the caller of such a stream loses
+/// more than one that is asked to retry its request.
+const RESUME_CAPACITY_WAIT: Duration = Duration::from_millis(1_400);
+/// Interval at which chains are checked for capacity.
+const CAPACITY_POLL: Duration = Duration::from_millis(25);
+
+/// Finds the chain of the next attempt, or the step that ends the request without one.
+pub(super) async fn find_next_chain(
+    request: &ActiveRequest<'_>,
+    model: &ModelShape,
+    state: &mut RetryState,
+    delivered: &DeliveryProgress,
+    detail: &mut String,
+) -> std::result::Result<Arc<LayerChain>, RetryStep> {
+    let context = request.context;
+    if request.is_poison() {
+        return Err(state.final_step());
+    }
+    separate_suspects(request).await;
+    state.set_departed(count_departed(request, state));
+    let allowed = state.next_step(context.clock.now());
+    if allowed != RetryStep::TryNext {
+        return Err(allowed);
+    }
+    let chain = find_chain(request, model, state, delivered).await;
+    if chain.is_none() && is_held_back(request) {
+        *detail = String::from(AT_LIMIT);
+    }
+    let step = request.next_step(state, chain.is_some());
+    match (chain, step) {
+        (Some(chain), RetryStep::TryNext) => Ok(chain),
+        (chain, step) => {
+            if let Some(chain) = chain {
+                return_permit(context, chain.head());
+            }
+            Err(step)
+        }
+    }
+}
+
+/// Claims a chain that can take a stalled stream over at once: with capacity, a permit of its head and a
+/// retry of the budget. `state` counts the stalled attempt as running.
+pub(super) async fn claim_chain(
+    request: &ActiveRequest<'_>,
+    state: &RetryState,
+    delivered: &DeliveryProgress,
+) -> Option<Arc<LayerChain>> {
+    let context = request.context;
+    let model = request.service.model.as_ref()?;
+    if state.next_step(context.clock.now()) != RetryStep::TryNext {
+        return None;
+    }
+    let chain = choose_chain(request, model, state, delivered)?;
+    if acquire_permit(context, chain.head()).await == PermitOutcome::HeldBack {
+        return None;
+    }
+    if request.next_step(state, true) == RetryStep::TryNext {
+        return Some(chain);
+    }
+    return_permit(context, chain.head());
+    None
+}
+
+/// Number of tried targets that have since left the target list.
+pub(super) fn count_departed(request: &ActiveRequest<'_>, state: &RetryState) -> usize {
+    let view = request.context.targets.load();
+    let departed = state.tried().iter().filter(|id| view.target(id).is_none());
+    departed.count()
+}
+
+/// True when the first target of a chain gets no request because of its rate limit.
+fn is_held_back(request: &ActiveRequest<'_>) -> bool {
+    let context = request.context;
+    let now = context.clock.now();
+    let view = context.targets.load();
+    let chains = view.chains(&request.service.name);
+    any_held_back(chains.iter().map(|chain| chain.head()), now)
+}
+
+/// Selects a chain that has capacity for the request now.
+fn choose_chain(
+    request: &ActiveRequest<'_>,
+    model: &ModelShape,
+    state: &RetryState,
+    delivered: &DeliveryProgress,
+) -> Option<Arc<LayerChain>> {
+    let context = request.context;
+    // Event ids are used as a count of the tokens generated so far. They are added to the expected
+    // tokens, which already include the whole expected response; [`reserve`] counts only the
+    // expected tokens.
+    let tokens =
+        f64::from(request.metadata.expected_tokens()) + delivered.last_id.unwrap_or(0) as f64;
+    let requirement = ChainRequirement {
+        domain: &context.settings.failure_domain,
+        tokens,
+        is_resumed: delivered.head_sent,
+    };
+    let view = context.targets.load();
+    let chains = view.chains(&request.service.name);
+    let now = context.clock.now();
+    let mut rng = fastrand::Rng::new();
+    pick_chain(chains, model, requirement, state.tried(), now, &mut rng).cloned()
+}
+
+/// Selects a chain, waiting for one with capacity up to [`CAPACITY_WAIT`] or, when the stream has
+/// begun, [`RESUME_CAPACITY_WAIT`].
+async fn find_chain(
+    request: &ActiveRequest<'_>,
+    model: &ModelShape,
+    state: &RetryState,
+    delivered: &DeliveryProgress,
+) -> Option<Arc<LayerChain>> {
+    let context = request.context;
+    let started = context.clock.now();
+    loop {
+        if let Some(chain) = choose_chain(request, model, state, delivered) {
+            if acquire_permit(context, chain.head()).await == PermitOutcome::Granted {
+                return Some(chain);
+            }
+            continue;
+        }
+        let now = context.clock.now();
+        let waited = now.since(started);
+        let limit = if delivered.head_sent {
+            RESUME_CAPACITY_WAIT
+        } else {
+            CAPACITY_WAIT
+        };
+        if waited >= limit || state.time_left(now) <= CAPACITY_POLL {
+            return None;
+        }
+        Timer::after(CAPACITY_POLL).await;
+    }
+}
+
+/// Counts the request and reserves its tokens at every target of the chain.
+pub(super) fn reserve(chain: &LayerChain, tokens: u32) -> Vec<ReservationGuard> {
+    chain
+        .parts
+        .iter()
+        .map(|part| part.target.stats.reserve(tokens))
+        .collect()
+}
--- /dev/null
+++ b/src/relay/stream_failure.rs
@@ -0,0 +1,110 @@
+//! Records failed and stalled attempts of a stream, and finds out which target is at fault.
+
+use crate::relay::attempt::{FailedAttempt, FailureKind, probe_target};
+use crate::relay::context::RelayContext;
+use crate::relay::event_progress::DeliveryProgress;
+use crate::relay::exchange::ActiveRequest;
+use crate::relay::limits::{PermitOutcome, acquire_permit};
+use crate::relay::retry::RelayFailure;
+use crate::targets::{LayerChain, TargetEntry};
+use crate::telemetry::EventLine;
+use async_std::task;
+use std::sync::Arc;
+
+/// Logs a failed attempt and updates the statistics of the target that caused it: the one that the
+/// response names, or else the first target of the chain. Returns this target.
+pub(super) fn record_failure(
+    request: &ActiveRequest<'_>,
+    chain: &LayerChain,
+    failed: &FailedAttempt,
+    delivered: &DeliveryProgress,
+) -> Arc<TargetEntry> {
+    let context = request.context;
+    let now = context.clock.now();
+    let faulty_address = failed.metadata.faulty_address;
+    let faulty_part = chain
+        .parts
+        .iter()
+        .find(|part| Some(part.target.address) == faulty_address);
+    let target = faulty_part.map_or(chain.head(), |part| &part.target);
+    match failed.failure {
+        RelayFailure::NotExecuted
+            if failed.kind == FailureKind::Misdirected && faulty_part.is_none() =>
+        {
+            target.stats.mark_replaced();
+        }
+        RelayFailure::NotSent => target.stats.record_failure(now),
+        _ if failed.kind == FailureKind::TimedOut || faulty_part.is_some() => {
+            target.stats.record_failure(now);
+        }
+        _ => target.stats.record_bad_reply(now),
+    }
+    if failed.kind == FailureKind::TimedOut {
+        query_stalled_parts(context, chain);
+    }
+    context.pool.remove(&chain.head().id);
+    log_failure(request, chain, target, failed, delivered);
+    Arc::clone(target)
+}
+
+/// Logs and counts a failed attempt.
+pub(super) fn log_failure(
+    request: &ActiveRequest<'_>,
+    chain: &LayerChain,
+    blamed: &TargetEntry,
+    failed: &FailedAttempt,
+    delivered: &DeliveryProgress,
+) {
+    let line = request
+        .log_line("attempt_failed")
+        .with_display("target", &chain.head().id)
+        .with_display("blamed", &blamed.id)
+        .with("last_event", delivered.last_id);
+    request.record_failed_attempt(failed, line);
+}
+
+/// Makes a chain that has been silent for long count as failing, and finds out which part is at fault.
+pub(super) fn report_stalled_chain(context: &Arc<RelayContext>, chain: &LayerChain) {
+    chain.head().stats.record_failure(context.clock.now());
+    query_stalled_parts(context, chain);
+}
+
+/// Asks the first target of a stalled chain for its report, which names the targets that it waits
+/// for, so that those of the chain are ejected instead of the first one. Requests do not wait for
+/// the report.
+fn query_stalled_parts(context: &Arc<RelayContext>, chain: &LayerChain) {
+    let first_target = chain.head();
+    if chain.parts.len() < 2 || !first_target.stats.try_begin_report(context.clock.now()) {
+        return;
+    }
+    let context = Arc::clone(context);
+    let chain = chain.clone();
+    task::spawn(async move {
+        let first_target = chain.head();
+        if acquire_permit(&context, first_target).await == PermitOutcome::HeldBack {
+            return;
+        }
+        let report = match (context.target_port.report)(first_target.address).await {
+            Ok(report) => report,
+            Err(cause) => {
+                let line = EventLine::new("report_failed").with_display("target", &first_target.id);
+                context.events.emit(line.with_display("cause", cause));
+                return;
+            }
+        };
+        let now = context.clock.now();
+        let stalled = chain.parts.iter().filter(|part| {
+            part.target.id != first_target.id && report.stalled_on.contains(&part.target.address)
+        });
+        for part in stalled {
+            part.target.stats.record_failure(now);
+            part.target.stats.record_connect(false);
+            first_target.stats.clear_ejection();
+            probe_target(&context, &part.target).await;
+            let line = EventLine::new("part_stalled").with_display("target", &part.target.id);
+            context
+                .events
+                .emit(line.with_display("head", &first_target.id));
+        }
+    });
+}
--- a/src/relay/streaming.rs
+++ b/src/relay/streaming.rs
@@ -1,40 +1,31 @@
 //! Requests to models: an event stream that resumes at another chain when its own fails.
+//!
+//! An attempt that stalls is kept until another one has brought an event: its targets may only be silent
+//! for a while. Whichever attempt brings the next event serves the caller from then on.
 
 use crate::catalog::ModelShape;
-use crate::relay::attempt::{FailedAttempt, FailureKind, open_response, probe_target};
-use crate::relay::choice::{ChainRequirement, pick_chain};
-use crate::relay::context::RelayContext;
+use crate::relay::attempt::FailedAttempt;
 use crate::relay::event_progress::DeliveryProgress;
 use crate::relay::exchange::{ActiveRequest, ExchangeEnd};
-use crate::relay::forwarding::{StreamEnd, StreamForwarder};
-use crate::relay::limits::{AT_LIMIT, PermitOutcome, acquire_permit, any_held_back, return_permit};
+use crate::relay::forwarding::{ForwardStep, ReadOutcome, StreamForwarder};
 use crate::relay::local_reply::RefusalCause;
 use crate::relay::retry::{RelayFailure, RetryState, RetryStep};
-use crate::relay::stall::StallDetector;
-use crate::relay::suspicion::{AttemptSuspicion, check_for_crash, separate_suspects};
-use crate::targets::{LayerChain, ReservationGuard, TargetEntry};
+use crate::relay::stall::{StallDetector, StallStep};
+use crate::relay::stream_chain::{claim_chain, count_departed, find_next_chain};
+use crate::relay::stream_failure::{log_failure, record_failure, report_stalled_chain};
+use crate::relay::stream_opening::{OpenedStream, OpeningAttempt, OpeningResult, next_opened};
+use crate::relay::suspicion::check_for_crash;
+use crate::targets::LayerChain;
 use crate::telemetry::EventLine;
+use crate::units::MonoTime;
+use crate::wire::BodyEnd;
 use async_io::Timer;
-use async_std::task;
+use futures_lite::future::or;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Shortest timeout for the first event of a stream while other chains may be tried.
-const MIN_FIRST_EVENT_TIME: Duration = Duration::from_millis(250);
-/// Longest timeout for the first event of a stream while other chains may be tried.
-const MAX_FIRST_EVENT_TIME: Duration = Duration::from_secs(1);
-/// Longest time that a request waits for a chain with capacity.
-const CAPACITY_WAIT: Duration = Duration::from_millis(250);
-/// The same for a stream that has begun. It is longer because the caller of such a stream loses
-/// more than one that is asked to retry its request.
-const RESUME_CAPACITY_WAIT: Duration = Duration::from_millis(1_400);
-/// Interval at which chains are checked for capacity.
-const CAPACITY_POLL: Duration = Duration::from_millis(25);
-
 /// Relays a request to a model and resumes the stream at other chains as long as that is allowed.
 pub(super) async fn relay_stream(request: &ActiveRequest<'_>) -> ExchangeEnd {
-    let context = request.context;
-    let route = &request.route;
     let Some(model) = &request.service.model else {
         return request
             .reply_locally(
@@ -43,363 +34,343 @@
             )
             .await;
     };
-    if !context.accepts_streams() {
+    if !request.context.accepts_streams() {
         return request
             .reply_locally(RefusalCause::Draining, "no new streams while draining")
             .await;
     }
-    let mut state = RetryState::new(route.retry_rule, route.max_targets, request.deadline);
-    let mut delivered = DeliveryProgress {
-        head_sent: false,
-        last_id: request.metadata.resume_after,
-    };
-    let mut detail = String::from("no chain has room");
-    let mut claimed: Option<Arc<LayerChain>> = None;
-    loop {
-        let chain = match claimed.take() {
-            Some(chain) => chain,
-            None => {
-                match find_next_chain(request, model, &mut state, &delivered, &mut detail).await {
-                    Ok(chain) => chain,
-                    Err(step) => {
-                        return end_stream(request, &state, &delivered, step, &detail).await;
-                    }
-                }
-            }
-        };
-        let _reserved = reserve(&chain, request.metadata.expected_tokens());
-        let end = attempt_stream(request, &state, &chain, &mut delivered).await;
-        let (failed, next_chain) = match end {
-            StreamEnd::Complete(status) => {
-                chain
-                    .parts
-                    .iter()
-                    .for_each(|part| part.target.stats.record_success());
-                request.log_success(status, state.tried().len());
-                return ExchangeEnd::Relayed(status);
-            }
-            StreamEnd::CallerGone => return ExchangeEnd::Truncated,
-            StreamEnd::Failed(failed) => (failed, None),
-            StreamEnd::Replaced(failed, next_chain) => (failed, Some(next_chain)),
-        };
-        detail = format!("{} at {}", failed.cause, chain.head().id);
-        let target = record_failure(request, &chain, &failed, &delivered);
-        check_for_crash(request, &target, &failed).await;
-        state.on_failure(&chain.head().id, failed.failure, context.clock.now());
-        claimed = next_chain;
-    }
+    StreamRelay::new(request, model).run().await
 }
 
-/// Finds the chain of the next attempt, or the step that ends the request without one.
-async fn find_next_chain(
-    request: &ActiveRequest<'_>,
-    model: &ModelShape,
-    state: &mut RetryState,
-    delivered: &DeliveryProgress,
-    detail: &mut String,
-) -> std::result::Result<Arc<LayerChain>, RetryStep> {
-    let context = request.context;
-    if request.is_poison() {
-        return Err(state.final_step());
-    }
-    separate_suspects(request).await;
-    state.set_departed(count_departed(request, state));
-    let allowed = state.next_step(context.clock.now());
-    if allowed != RetryStep::TryNext {
-        return Err(allowed);
-    }
-    let chain = find_chain(request, model, state, delivered).await;
-    if chain.is_none() && is_held_back(request) {
-        *detail = String::from(AT_LIMIT);
+/// What the relay of a stream waits for.
+enum RelayEvent<'a> {
+    /// An attempt has something for the caller, or has failed before.
+    Opened(Arc<LayerChain>, OpeningResult<'a>),
+    /// The attempt that serves the caller was read from.
+    Read(ReadOutcome),
+    /// The newest attempt may have stalled, or the deadline has passed.
+    Timer,
+}
+
+/// The attempts of one stream.
+struct StreamRelay<'a> {
+    request: &'a ActiveRequest<'a>,
+    model: &'a ModelShape,
+    state: RetryState,
+    delivered: DeliveryProgress,
+    /// Detail of a local reply.
+    detail: String,
+    /// Attempt that serves the caller.
+    current: Option<StreamForwarder<'a>>,
+    /// Attempts that have not brought anything yet, the newest one last.
+    openings: Vec<OpeningAttempt<'a>>,
+    /// The silence of the newest attempt, once it has stalled.
+    stall: Option<StallRecord>,
+}
+
+/// What was done about a stalled attempt.
+#[derive(Debug, Clone, Copy)]
+struct StallRecord {
+    /// Time at which another chain was last looked for.
+    last_look: MonoTime,
+    /// True when its chain counts as failing.
+    is_reported: bool,
+}
+
+impl<'a> StreamRelay<'a> {
+    fn new(request: &'a ActiveRequest<'a>, model: &'a ModelShape) -> Self {
+        let route = &request.route;
+        Self {
+            request,
+            model,
+            state: RetryState::new(route.retry_rule, route.max_targets, request.deadline),
+            delivered: DeliveryProgress {
+                head_sent: false,
+                last_id: request.metadata.resume_after,
+            },
+            detail: String::from("no chain has room"),
+            current: None,
+            openings: Vec::new(),
+            stall: None,
+        }
     }
-    let step = request.next_step(state, chain.is_some());
-    match (chain, step) {
-        (Some(chain), RetryStep::TryNext) => Ok(chain),
-        (chain, step) => {
-            if let Some(chain) = chain {
-                return_permit(context, chain.head());
+
+    async fn run(mut self) -> ExchangeEnd {
+        loop {
+            if self.current.is_none() && self.openings.is_empty() {
+                let Self { request, model, .. } = self;
+                let (state, detail) = (&mut self.state, &mut self.detail);
+                let found = find_next_chain(request, model, state, &self.delivered, detail);
+                match found.await {
+                    Ok(chain) => self.start_attempt(&chain),
+                    Err(step) => return self.end(step).await,
+                }
+            }
+            let end = match self.next_event().await {
+                RelayEvent::Opened(_, Ok(opened)) => self.on_opened(*opened).await,
+                RelayEvent::Opened(chain, Err(failed)) => {
+                    self.on_failure(&chain, &failed).await;
+                    None
+                }
+                RelayEvent::Read(outcome) => self.on_read(outcome).await,
+                RelayEvent::Timer => {
+                    self.on_timer().await;
+                    None
+                }
+            };
+            if let Some(end) = end {
+                return end;
             }
-            Err(step)
         }
     }
-}
 
-/// Claims a chain that can take a stalled stream over at once: with capacity, a permit of its head and a
-/// retry of the budget. `state` includes the stalled attempt.
-pub(super) async fn claim_chain(
-    request: &ActiveRequest<'_>,
-    state: &RetryState,
-    delivered: &DeliveryProgress,
-) -> Option<Arc<LayerChain>> {
-    let context = request.context;
-    let model = request.service.model.as_ref()?;
-    if state.next_step(context.clock.now()) != RetryStep::TryNext {
-        return None;
+    fn start_attempt(&mut self, chain: &Arc<LayerChain>) {
+        let opening = OpeningAttempt::start(self.request, &self.state, chain, &self.delivered);
+        self.state.on_start(&chain.head().id);
+        self.openings.push(opening);
+        self.stall = None;
     }
-    let chain = choose_chain(request, model, state, delivered)?;
-    if acquire_permit(context, chain.head()).await == PermitOutcome::HeldBack {
-        return None;
+
+    async fn next_event(&mut self) -> RelayEvent<'a> {
+        let now = self.request.context.clock.now();
+        if self.state.time_left(now).is_zero() {
+            // Also when there is always something to read.
+            return RelayEvent::Timer;
+        }
+        let pause = self.pause(now);
+        let Self {
+            current, openings, ..
+        } = self;
+        let read = async {
+            match current {
+                Some(forwarder) => RelayEvent::Read(forwarder.read().await),
+                None => std::future::pending().await,
+            }
+        };
+        let opened = async {
+            let (chain, result) = next_opened(openings).await;
+            RelayEvent::Opened(chain, result)
+        };
+        let timer = async {
+            Timer::after(pause).await;
+            RelayEvent::Timer
+        };
+        // In this order, so that the attempt that serves the caller is preferred.
+        or(read, or(opened, timer)).await
     }
-    if request.next_step(state, true) == RetryStep::TryNext {
-        return Some(chain);
+
+    /// Time until [`Self::on_timer`] has something to do.
+    fn pause(&self, now: MonoTime) -> Duration {
+        let step = self.newest().map(|(_, detector)| detector.next_step(now));
+        let pause = match (step, self.stall) {
+            (Some(StallStep::Wait(pause)), _) => pause,
+            (Some(StallStep::SeekOther(interval)), Some(stall)) => {
+                interval.saturating_sub(now.since(stall.last_look))
+            }
+            _ => Duration::ZERO,
+        };
+        pause.min(self.state.time_left(now))
     }
-    return_permit(context, chain.head());
-    None
-}
 
-/// Number of tried targets that have since left the target list.
-fn count_departed(request: &ActiveRequest<'_>, state: &RetryState) -> usize {
-    let view = request.context.targets.load();
-    let departed = state.tried().iter().filter(|id| view.target(id).is_none());
-    departed.count()
-}
+    /// Chain and stall detection of the newest attempt.
+    fn newest(&self) -> Option<(&Arc<LayerChain>, StallDetector)> {
+        let opening = self.openings.last();
+        let opening = opening.map(|opening| (&opening.chain, opening.detector));
+        let current = self.current.as_ref();
+        opening.or_else(|| current.map(|current| (&current.chain, current.detector)))
+    }
 
-/// True when the first target of a chain gets no request because of its rate limit.
-fn is_held_back(request: &ActiveRequest<'_>) -> bool {
-    let context = request.context;
-    let now = context.clock.now();
-    let view = context.targets.load();
-    let chains = view.chains(&request.service.name);
-    any_held_back(chains.iter().map(|chain| chain.head()), now)
-}
+    /// An attempt has brought an event or the end of its response: it serves the caller from now on.
+    async fn on_opened(&mut self, opened: OpenedStream<'a>) -> Option<ExchangeEnd> {
+        self.drop_stalled();
+        self.current = Some(opened.forwarder);
+        self.delivered = opened.delivered;
+        self.on_step(opened.step, opened.output).await
+    }
 
-/// Selects a chain that has capacity for the request now.
-fn choose_chain(
-    request: &ActiveRequest<'_>,
-    model: &ModelShape,
-    state: &RetryState,
-    delivered: &DeliveryProgress,
-) -> Option<Arc<LayerChain>> {
-    let context = request.context;
-    // Event ids are used as a count of the tokens generated so far. They are added to the expected
-    // tokens, which already include the whole expected response; [`reserve`] counts only the
-    // expected tokens.
-    let tokens =
-        f64::from(request.metadata.expected_tokens()) + delivered.last_id.unwrap_or(0) as f64;
-    let requirement = ChainRequirement {
-        domain: &context.settings.failure_domain,
-        tokens,
-        is_resumed: delivered.head_sent,
-    };
-    let view = context.targets.load();
-    let chains = view.chains(&request.service.name);
-    let now = context.clock.now();
-    let mut rng = fastrand::Rng::new();
-    pick_chain(chains, model, requirement, state.tried(), now, &mut rng).cloned()
-}
+    async fn on_read(&mut self, outcome: ReadOutcome) -> Option<ExchangeEnd> {
+        let mut output = Vec::new();
+        let current = self.current.as_mut()?;
+        let idle_time = current.detector.idle_time(self.request.context.clock.now());
+        let events = current.events;
+        let step = current.on_read(outcome, &mut self.delivered, &mut output);
+        if current.events > events {
+            self.end_stall(idle_time);
+        }
+        self.on_step(step, output).await
+    }
 
-/// Selects a chain, waiting for one with capacity up to [`CAPACITY_WAIT`] or, when the stream has
-/// begun, [`RESUME_CAPACITY_WAIT`].
-async fn find_chain(
-    request: &ActiveRequest<'_>,
-    model: &ModelShape,
-    state: &RetryState,
-    delivered: &DeliveryProgress,
-) -> Option<Arc<LayerChain>> {
-    let context = request.context;
-    let started = context.clock.now();
-    loop {
-        if let Some(chain) = choose_chain(request, model, state, delivered) {
-            if acquire_permit(context, chain.head()).await == PermitOutcome::Granted {
-                return Some(chain);
-            }
-            continue;
+    /// Sends what the attempt that serves the caller has brought, and takes the next step.
+    async fn on_step(&mut self, step: ForwardStep, output: Vec<u8>) -> Option<ExchangeEnd> {
+        if let ForwardStep::Finish(end) = step {
+            return Some(self.finish(end, output).await);
         }
-        let now = context.clock.now();
-        let waited = now.since(started);
-        let limit = if delivered.head_sent {
-            RESUME_CAPACITY_WAIT
-        } else {
-            CAPACITY_WAIT
+        // Sent also when the attempt has failed: the stream goes on after these events.
+        if !output.is_empty() && !self.request.send(&output).await {
+            return Some(ExchangeEnd::Truncated);
+        }
+        if let ForwardStep::Fail(failed) = step
+            && let Some(mut current) = self.current.take()
+        {
+            current.suspicion.on_failure(&failed);
+            self.on_failure(&current.chain, &failed).await;
+        }
+        None
+    }
+
+    async fn finish(&mut self, end: BodyEnd, output: Vec<u8>) -> ExchangeEnd {
+        let Some(current) = self.current.take() else {
+            return ExchangeEnd::Truncated;
         };
-        if waited >= limit || state.time_left(now) <= CAPACITY_POLL {
-            return None;
+        match current.finish(end, &mut self.delivered, output).await {
+            Some(status) => {
+                self.request.log_success(status, self.state.retries());
+                ExchangeEnd::Relayed(status)
+            }
+            None => ExchangeEnd::Truncated,
         }
-        Timer::after(CAPACITY_POLL).await;
     }
-}
 
-/// Counts the request and reserves its tokens at every target of the chain.
-fn reserve(chain: &LayerChain, tokens: u32) -> Vec<ReservationGuard> {
-    chain
-        .parts
-        .iter()
-        .map(|part| part.target.stats.reserve(tokens))
-        .collect()
-}
+    /// Records the failure of an attempt that is over.
+    async fn on_failure(&mut self, chain: &LayerChain, failed: &FailedAttempt) {
+        let head = &chain.head().id;
+        self.detail = format!("{} at {head}", failed.cause);
+        let target = record_failure(self.request, chain, failed, &self.delivered);
+        check_for_crash(self.request, &target, failed).await;
+        let now = self.request.context.clock.now();
+        self.state.on_failure(head, failed.failure, now);
+        self.stall = None;
+    }
 
-/// Logs a failed attempt and updates the statistics of the target that caused it: the one that the
-/// response names, or else the first target of the chain. Returns this target.
-fn record_failure(
-    request: &ActiveRequest<'_>,
-    chain: &LayerChain,
-    failed: &FailedAttempt,
-    delivered: &DeliveryProgress,
-) -> Arc<TargetEntry> {
-    let context = request.context;
-    let now = context.clock.now();
-    let faulty_address = failed.metadata.faulty_address;
-    let faulty_part = chain
-        .parts
-        .iter()
-        .find(|part| Some(part.target.address) == faulty_address);
-    let target = faulty_part.map_or(chain.head(), |part| &part.target);
-    match failed.failure {
-        RelayFailure::NotExecuted
-            if failed.kind == FailureKind::Misdirected && faulty_part.is_none() =>
-        {
-            target.stats.mark_replaced();
+    /// Ends all attempts when the deadline has passed; else looks for another chain if the newest
+    /// attempt has stalled.
+    async fn on_timer(&mut self) {
+        let now = self.request.context.clock.now();
+        if self.state.time_left(now).is_zero() {
+            return self.expire().await;
+        }
+        let Some((chain, detector)) = self.newest() else {
+            return;
+        };
+        let chain = Arc::clone(chain);
+        if let StallStep::Wait(_) = detector.next_step(now) {
+            return;
         }
-        RelayFailure::NotSent => target.stats.record_failure(now),
-        _ if failed.kind == FailureKind::TimedOut || faulty_part.is_some() => {
-            target.stats.record_failure(now);
+        self.note_stall(&chain, detector);
+        self.state
+            .set_departed(count_departed(self.request, &self.state));
+        let claimed = claim_chain(self.request, &self.state, &self.delivered).await;
+        let is_overdue = claimed.is_some() || detector.is_long_stalled(now);
+        if is_overdue && let Some(stall) = &mut self.stall {
+            if !stall.is_reported {
+                report_stalled_chain(self.request.context, &chain);
+            }
+            stall.is_reported = true;
+        }
+        if let Some(claimed) = claimed {
+            self.start_attempt(&claimed);
         }
-        _ => target.stats.record_bad_reply(now),
-    }
-    if failed.kind == FailureKind::TimedOut {
-        query_stalled_parts(context, chain);
     }
-    context.pool.remove(&chain.head().id);
-    let line = request
-        .log_line("attempt_failed")
-        .with_display("target", &chain.head().id)
-        .with_display("blamed", &target.id)
-        .with("last_event", delivered.last_id);
-    request.record_failed_attempt(failed, line);
-    Arc::clone(target)
-}
-
-/// Makes a chain that has been silent for long count as failing, and finds out which part is at fault.
-pub(super) fn report_stalled_chain(context: &Arc<RelayContext>, chain: &LayerChain) {
-    chain.head().stats.record_failure(context.clock.now());
-    query_stalled_parts(context, chain);
-}
 
-/// Asks the first target of a stalled chain for its report, which names the targets that it waits
-/// for, so that those of the chain are ejected instead of the first one. Requests do not wait for
-/// the report.
-fn query_stalled_parts(context: &Arc<RelayContext>, chain: &LayerChain) {
-    let first_target = chain.head();
-    if chain.parts.len() < 2 || !first_target.stats.try_begin_report(context.clock.now()) {
-        return;
-    }
-    let context = Arc::clone(context);
-    let chain = chain.clone();
-    task::spawn(async move {
-        let first_target = chain.head();
-        if acquire_permit(&context, first_target).await == PermitOutcome::HeldBack {
+    /// Notes that the newest attempt has stalled and that another chain is looked for.
+    fn note_stall(&mut self, chain: &LayerChain, detector: StallDetector) {
+        let now = self.request.context.clock.now();
+        if let Some(stall) = &mut self.stall {
+            stall.last_look = now;
             return;
         }
-        let report = match (context.target_port.report)(first_target.address).await {
-            Ok(report) => report,
-            Err(cause) => {
-                let line = EventLine::new("report_failed").with_display("target", &first_target.id);
-                context.events.emit(line.with_display("cause", cause));
-                return;
-            }
-        };
-        let now = context.clock.now();
-        let stalled = chain.parts.iter().filter(|part| {
-            part.target.id != first_target.id && report.stalled_on.contains(&part.target.address)
+        self.stall = Some(StallRecord {
+            last_look: now,
+            is_reported: false,
         });
-        for part in stalled {
-            part.target.stats.record_failure(now);
-            part.target.stats.record_connect(false);
-            first_target.stats.clear_ejection();
-            probe_target(&context, &part.target).await;
-            let line = EventLine::new("part_stalled").with_display("target", &part.target.id);
-            context
-                .events
-                .emit(line.with_display("head", &first_target.id));
-        }
-    });
-}
+        let line = self.request.log_line("attempt_stalled");
+        self.log_attempt(line, chain, detector.idle_time(now));
+    }
 
-/// Makes one attempt at a chain and forwards its events.
-async fn attempt_stream(
-    request: &ActiveRequest<'_>,
-    state: &RetryState,
-    chain: &LayerChain,
-    delivered: &mut DeliveryProgress,
-) -> StreamEnd {
-    let context = request.context;
-    let now = context.clock.now();
-    let time_left = state.time_left(now);
-    let first_target = chain.head();
-    let dispatch = request.dispatch(time_left, first_target, Some(chain), delivered.last_id);
-    let may_reexecute = request.route.retry_rule.allows_reexecution();
-    let limit = if may_reexecute {
-        let expected = first_target
-            .stats
-            .first_event_timeout(MIN_FIRST_EVENT_TIME, MAX_FIRST_EVENT_TIME);
-        // The timeout grows with each attempt: when all chains are slow, trying others gains
-        // nothing.
-        time_left.min(expected.saturating_mul(1 + state.tried().len() as u32))
-    } else {
-        time_left
-    };
-    let targets = chain.parts.iter().map(|part| Arc::clone(&part.target));
-    let mut suspicion = AttemptSuspicion::start(request, targets.collect());
-    let opened = open_response(
-        context,
-        &request.outgoing(),
-        &dispatch,
-        first_target,
-        may_reexecute,
-        limit,
-    )
-    .await;
-    match opened {
-        Err(failed) => {
-            suspicion.on_failure(&failed);
-            StreamEnd::Failed(failed)
+    /// The attempt that serves the caller goes on after a stall: those that were to replace it are
+    /// dropped.
+    fn end_stall(&mut self, idle_time: Duration) {
+        if self.stall.is_none() && self.openings.is_empty() {
+            return;
         }
-        Ok(response) if response.head.status() >= 500 && may_reexecute && !delivered.head_sent => {
-            suspicion.dismiss();
-            let cause = format!("status {}", response.head.status());
-            StreamEnd::Failed(FailedAttempt {
-                metadata: response.metadata,
-                ..FailedAttempt::new(RelayFailure::Failed, cause)
-            })
+        self.stall = None;
+        if let Some(current) = &self.current {
+            let line = self.request.log_line("stall_over");
+            self.log_attempt(line, &current.chain, idle_time);
         }
-        Ok(response) if delivered.head_sent && response.head.status() != 200 => {
-            suspicion.dismiss();
-            let cause = format!("status {} when resuming", response.head.status());
-            StreamEnd::Failed(FailedAttempt::new(RelayFailure::OutcomeUnknown, cause))
+        let now = self.request.context.clock.now();
+        for opening in std::mem::take(&mut self.openings) {
+            let idle_time = opening.detector.idle_time(now);
+            let line = self.request.log_line("attempt_dropped");
+            self.log_attempt(line, &opening.chain, idle_time);
+            let head = &opening.chain.head().id;
+            self.state
+                .on_failure(head, RelayFailure::OutcomeUnknown, now);
         }
-        Ok(response) => {
-            let detector = StallDetector::new(now, limit);
-            let forwarder = StreamForwarder {
-                request,
-                chain,
-                state,
-                detector,
-                suspicion,
-            };
-            forwarder.run(response, delivered).await
+    }
+
+    /// Another attempt has brought something: those that have stalled are dropped.
+    fn drop_stalled(&mut self) {
+        self.stall = None;
+        let failed = no_event_in_time();
+        for chain in self.take_attempts(&failed) {
+            self.state.on_failure(
+                &chain.head().id,
+                failed.failure,
+                self.request.context.clock.now(),
+            );
+            log_failure(self.request, &chain, chain.head(), &failed, &self.delivered);
         }
     }
-}
 
-/// Ends a request without a further attempt. A response that has begun is truncated, any other
-/// request gets a local reply.
-async fn end_stream(
-    request: &ActiveRequest<'_>,
-    state: &RetryState,
-    delivered: &DeliveryProgress,
-    step: RetryStep,
-    detail: &str,
-) -> ExchangeEnd {
-    if delivered.head_sent {
+    /// The deadline has passed.
+    async fn expire(&mut self) {
+        let failed = no_event_in_time();
+        for chain in self.take_attempts(&failed) {
+            self.on_failure(&chain, &failed).await;
+        }
+    }
+
+    /// Ends all attempts; returns their chains.
+    fn take_attempts(&mut self, failed: &FailedAttempt) -> Vec<Arc<LayerChain>> {
+        let openings = std::mem::take(&mut self.openings);
+        let mut chains: Vec<_> = openings.into_iter().map(|opening| opening.chain).collect();
+        if let Some(mut current) = self.current.take() {
+            current.suspicion.on_failure(failed);
+            chains.push(Arc::clone(&current.chain));
+        }
+        chains
+    }
+
+    fn log_attempt(&self, line: EventLine, chain: &LayerChain, idle_time: Duration) {
+        let line = line
+            .with_display("target", &chain.head().id)
+            .with("last_event", self.delivered.last_id);
+        let context = self.request.context;
+        context
+            .events
+            .emit(line.with("idle_ms", idle_time.as_millis() as u64));
+    }
+
+    /// Ends the request without a further attempt. A response that has begun is truncated, any other
+    /// request gets a local reply.
+    async fn end(self, step: RetryStep) -> ExchangeEnd {
+        let request = self.request;
+        if !self.delivered.head_sent {
+            let cause = request.final_cause(&self.state, step);
+            return request.reply_locally(cause, &self.detail).await;
+        }
         let context = request.context;
         let version = context.catalog.load().map(|catalog| catalog.version);
         let line = request
             .log_line("broken_off")
-            .with("detail", detail)
-            .with("last_event", delivered.last_id);
+            .with("detail", self.detail.as_str())
+            .with("last_event", self.delivered.last_id);
         context.events.emit(line.with("version", version));
-        return ExchangeEnd::Truncated;
+        ExchangeEnd::Truncated
     }
-    let cause = request.final_cause(state, step);
-    request.reply_locally(cause, detail).await
+}
+
+fn no_event_in_time() -> FailedAttempt {
+    FailedAttempt::timed_out("no event in time")
 }
--- a/src/wire/events.rs
+++ b/src/wire/events.rs
@@ -17,6 +17,13 @@
     pub id: Option<u64>,
 }
 
+impl CompleteEvent {
+    /// True when it holds comments alone, so that it is no event to the caller.
+    pub fn is_comment(&self) -> bool {
+        !has_fields(&self.bytes)
+    }
+}
+
 impl EventSplitter {
     /// Buffer to which the caller appends decoded body bytes.
     pub fn input(&mut self) -> &mut Vec<u8> {
@@ -45,11 +52,16 @@
 
     /// True when the remainder holds a part of an event. Line ends and comments alone do not.
     pub fn is_inside_event(&self) -> bool {
-        let mut lines = self.pending.split(|byte| matches!(byte, b'\n' | b'\r'));
-        lines.any(|line| !line.is_empty() && !line.starts_with(b":"))
+        has_fields(&self.pending)
     }
 }
 
+/// True when one of the lines is neither empty nor a comment.
+fn has_fields(bytes: &[u8]) -> bool {
+    let mut lines = bytes.split(|byte| matches!(byte, b'\n' | b'\r'));
+    lines.any(|line| !line.is_empty() && !line.starts_with(b":"))
+}
+
 /// Length of the first event with its empty line, which is searched from `start` on.
 fn event_length(bytes: &[u8], start: usize) -> Option<usize> {
     let mut position = start;
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -60,6 +60,31 @@
     assert_eq!(step, RetryStep::Fail);
 }
 
+/// An attempt that goes on beside another one may be executed, so it counts like a failed one.
+#[test]
+fn running_attempts_count_towards_max_targets() {
+    let mut state = RetryState::new(STREAM, 2, at(20_000));
+    state.on_start(&id("a"));
+    assert_eq!(state.next_step(at(10)), RetryStep::TryNext);
+
+    state.on_start(&id("b"));
+
+    assert_eq!(state.next_step(at(20)), RetryStep::Fail);
+    assert_eq!(state.tried(), [id("a"), id("b")]);
+}
+
+#[test]
+fn running_attempt_that_was_not_executed_counts_no_longer() {
+    let mut state = RetryState::new(STREAM, 1, at(20_000));
+    state.on_start(&id("a"));
+
+    state.on_failure(&id("a"), RelayFailure::NotExecuted, at(20));
+
+    assert_eq!(state.next_step(at(30)), RetryStep::TryNext);
+    assert_eq!(state.final_step(), RetryStep::Refuse);
+    assert_eq!(state.tried(), [id("a")]);
+}
+
 #[test]
 fn departed_target_does_not_count_towards_max_targets() {
     let mut state = RetryState::new(STREAM, 2, at(20_000));
