Keep a slow attempt of a plain request until another one has responded

A repeatable request whose server took more than half of its time got 502 or 504 although the server would have answered in time: the attempt was given up at half of the time left, before a second target had answered, also when no second one was left or the second one failed. PlainRelay keeps the attempt and tries another target beside it; the first complete response counts, a failed one is forwarded only when none is running any more. The target that is overtaken counts as failing from the moment at which another one is tried, as before. The second attempt asks for its permit and the retry budget without waiting, so that the first one is never left unread for long. Requests that may run only once have one attempt, as before.

--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -11,18 +11,24 @@
 use crate::relay::retry::{RelayFailure, RetryState, RetryStep};
 use crate::relay::suspicion::{AttemptSuspicion, check_for_crash, separate_suspects};
 use crate::targets::TargetEntry;
+use crate::units::MonoTime;
 use crate::wire::{BodyEnd, WireHead, read_body};
+use async_io::Timer;
 use async_std::future::timeout;
 use futures_lite::future::or;
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 /// Size limit of a response, which is buffered until it is complete. A longer one fails the
 /// attempt.
 const MAX_RESPONSE_BYTES: usize = 512 * 1024;
-/// Share of the remaining time that one attempt may take, when the request may be executed again
-/// and the attempt is not the last one that the route allows.
+/// Share of the remaining time after which another target is tried beside the one that has not
+/// responded, when the request may be executed again.
 const ATTEMPT_TIME_SHARE: f64 = 0.5;
+/// Interval at which another target is looked for then.
+const TARGET_POLL: Duration = Duration::from_millis(50);
 /// Longest time for which targets with a rate limit are asked for one after the other.
 const PERMIT_WAIT: Duration = Duration::from_millis(250);
 
@@ -41,61 +47,208 @@
         let detail = "draining: process may exit before the response is complete";
         return request.reply_locally(RefusalCause::Draining, detail).await;
     }
-    let mut rng = fastrand::Rng::new();
-    let route = &request.route;
-    let mut state = RetryState::new(route.retry_rule, route.max_targets, request.deadline);
-    let mut error_response: Option<BufferedResponse> = None;
-    let mut detail = String::from("no target is ready");
-    loop {
+    PlainRelay::new(request).run().await
+}
+
+/// What the relay of a plain request waits for.
+enum RelayEvent {
+    /// An attempt at this target is over.
+    Ended(Arc<TargetEntry>, AttemptResult),
+    /// The newest attempt takes so long that another target is tried as well.
+    Overdue,
+}
+
+/// Response of an attempt, or its failure.
+type AttemptResult = std::result::Result<BufferedResponse, FailedAttempt>;
+/// An attempt that is not over.
+type RunningAttempt<'a> =
+    Pin<Box<dyn Future<Output = (Arc<TargetEntry>, AttemptResult)> + Send + 'a>>;
+
+/// The attempts of one plain request. One that takes long is kept while another target is tried: the first
+/// complete response counts.
+struct PlainRelay<'a> {
+    request: &'a ActiveRequest<'a>,
+    state: RetryState,
+    rng: fastrand::Rng,
+    /// Last response with status 500 or above, for when there is no other one.
+    error_response: Option<BufferedResponse>,
+    /// Detail of a local reply.
+    detail: String,
+    running: FuturesUnordered<RunningAttempt<'a>>,
+    /// Target of the newest attempt.
+    newest: Option<Arc<TargetEntry>>,
+    /// Time from which another target is tried beside the running attempts.
+    overdue_at: MonoTime,
+}
+
+impl<'a> PlainRelay<'a> {
+    fn new(request: &'a ActiveRequest<'a>) -> Self {
+        let route = &request.route;
+        Self {
+            request,
+            state: RetryState::new(route.retry_rule, route.max_targets, request.deadline),
+            rng: fastrand::Rng::new(),
+            error_response: None,
+            detail: String::from("no target is ready"),
+            running: FuturesUnordered::new(),
+            newest: None,
+            overdue_at: request.deadline,
+        }
+    }
+
+    async fn run(mut self) -> ExchangeEnd {
+        loop {
+            if self.running.is_empty()
+                && let Err(step) = self.start_next().await
+            {
+                return self.finish(step).await;
+            }
+            let ended = match self.next_event().await {
+                RelayEvent::Ended(target, result) => self.on_end(&target, result).await,
+                RelayEvent::Overdue => {
+                    self.start_beside().await;
+                    None
+                }
+            };
+            if let Some(response) = ended {
+                return forward_response(self.request, &response, self.state.retries()).await;
+            }
+        }
+    }
+
+    /// Starts the next attempt, or returns the step that ends the request without one.
+    async fn start_next(&mut self) -> std::result::Result<(), RetryStep> {
+        let request = self.request;
         separate_suspects(request).await;
-        let allowed = state.next_step(context.clock.now());
+        let allowed = self.state.next_step(request.context.clock.now());
         let target = if allowed == RetryStep::TryNext && !request.is_poison() {
-            find_target(request, &state, &mut rng).await
+            find_target(request, &self.state, &mut self.rng).await
         } else {
             None
         };
         if target.is_none() && is_held_back(request) {
-            detail = String::from(AT_LIMIT);
+            self.detail = String::from(AT_LIMIT);
         }
-        let step = request.next_step(&state, target.is_some());
-        let (Some(target), RetryStep::TryNext) = (target.as_ref(), step) else {
-            if let Some(target) = &target {
-                return_permit(context, target);
-            }
-            return finish_request(request, &state, step, error_response, &detail).await;
+        self.start_if_allowed(target)
+    }
+
+    /// Starts an attempt beside the running ones if that is allowed and a target is left; else looks
+    /// again a little later.
+    async fn start_beside(&mut self) {
+        let request = self.request;
+        let now = request.context.clock.now();
+        self.overdue_at = now.after(TARGET_POLL);
+        if self.state.next_step(now) != RetryStep::TryNext {
+            return;
+        }
+        let TargetTry::Found(target) = try_target(request, &self.state, &mut self.rng).await else {
+            return;
         };
-        let mut suspicion = AttemptSuspicion::start(request, vec![Arc::clone(target)]);
-        let attempt = attempt_plain(request, &state, target);
-        let outcome = or(attempt, suspicion.watch_departure()).await;
-        match &outcome {
-            Ok(response) => suspicion.on_response(response.head.status(), response.end),
-            Err(failed) => suspicion.on_failure(failed),
+        let overdue = self.newest.clone();
+        if let (Ok(()), Some(overdue)) = (self.start_if_allowed(Some(target)), overdue) {
+            overdue.stats.record_failure(now);
+            let line = request
+                .log_line("attempt_stalled")
+                .with_display("target", &overdue.id);
+            request.context.events.emit(line);
         }
-        drop(suspicion);
-        if let Ok(response) = &outcome
-            && is_failure(response)
-        {
-            log_failure(request, target, response);
+    }
+
+    /// Starts an attempt at the target if the limits allow it, else gives its permit back.
+    fn start_if_allowed(
+        &mut self,
+        target: Option<Arc<TargetEntry>>,
+    ) -> std::result::Result<(), RetryStep> {
+        let step = self.request.next_step(&self.state, target.is_some());
+        match (target, step) {
+            (Some(target), RetryStep::TryNext) => {
+                self.start_attempt(target);
+                Ok(())
+            }
+            (target, step) => {
+                if let Some(target) = &target {
+                    return_permit(self.request.context, target);
+                }
+                Err(step)
+            }
         }
-        let failure = match outcome {
-            Ok(response) if is_failure(&response) && route.retry_rule.allows_reexecution() => {
+    }
+
+    fn start_attempt(&mut self, target: Arc<TargetEntry>) {
+        let request = self.request;
+        let now = request.context.clock.now();
+        let time_left = self.state.time_left(now);
+        let may_reexecute = request.route.retry_rule.allows_reexecution();
+        self.overdue_at = if may_reexecute {
+            now.after(time_left.mul_f64(ATTEMPT_TIME_SHARE))
+        } else {
+            request.deadline
+        };
+        self.state.on_start(&target.id);
+        self.newest = Some(Arc::clone(&target));
+        self.running
+            .push(Box::pin(run_attempt(request, target, time_left)));
+    }
+
+    async fn next_event(&mut self) -> RelayEvent {
+        let now = self.request.context.clock.now();
+        let pause = self.overdue_at.since(now);
+        let ended = async {
+            match self.running.next().await {
+                Some((target, result)) => RelayEvent::Ended(target, result),
+                None => RelayEvent::Overdue,
+            }
+        };
+        let overdue = async {
+            Timer::after(pause).await;
+            RelayEvent::Overdue
+        };
+        or(ended, overdue).await
+    }
+
+    /// Handles the end of an attempt; returns the response that is to be forwarded.
+    async fn on_end(
+        &mut self,
+        target: &Arc<TargetEntry>,
+        result: AttemptResult,
+    ) -> Option<BufferedResponse> {
+        let request = self.request;
+        let failure = match result {
+            Ok(response) if is_failure(&response) => {
+                log_failure(request, target, &response);
+                if !request.route.retry_rule.allows_reexecution() {
+                    target.stats.record_success();
+                    return Some(response);
+                }
                 // Any such status counts as executed. No statistics of the target are updated.
-                detail = format!("status {} at {}", response.head.status(), target.id);
-                error_response = Some(response);
+                self.detail = format!("status {} at {}", response.head.status(), target.id);
+                self.error_response = Some(response);
                 RelayFailure::Failed
             }
             Ok(response) => {
                 target.stats.record_success();
-                return forward_response(request, &response, state.tried().len()).await;
+                return Some(response);
             }
             Err(failed) => {
                 record_failure(request, target, &failed);
                 check_for_crash(request, target, &failed).await;
-                detail = format!("{} at {}", failed.cause, target.id);
+                self.detail = format!("{} at {}", failed.cause, target.id);
                 failed.failure
             }
         };
-        state.on_failure(&target.id, failure, context.clock.now());
+        let now = request.context.clock.now();
+        self.state.on_failure(&target.id, failure, now);
+        None
+    }
+
+    /// Ends the request without a further attempt. If targets sent error responses (status 500 or
+    /// above), the last of them is forwarded, else a local reply is sent.
+    async fn finish(self, step: RetryStep) -> ExchangeEnd {
+        if let Some(response) = &self.error_response {
+            return forward_response(self.request, response, self.state.retries()).await;
+        }
+        let cause = self.request.final_cause(&self.state, step);
+        self.request.reply_locally(cause, &self.detail).await
     }
 }
 
@@ -114,23 +267,49 @@
     state: &RetryState,
     rng: &mut fastrand::Rng,
 ) -> Option<Arc<TargetEntry>> {
-    let context = request.context;
-    let local_domain = &context.settings.failure_domain;
-    let started = context.clock.now();
+    let started = request.context.clock.now();
     loop {
-        let now = context.clock.now();
-        if now.since(started) >= PERMIT_WAIT {
+        if request.context.clock.now().since(started) >= PERMIT_WAIT {
             return None;
         }
-        let view = context.targets.load();
-        let targets = view.service_targets(&request.service.name);
-        let target = pick_target(targets, state.tried(), local_domain, now, rng)?;
-        if acquire_permit(context, target).await == PermitOutcome::Granted {
-            return Some(Arc::clone(target));
+        match try_target(request, state, rng).await {
+            TargetTry::Found(target) => return Some(target),
+            TargetTry::HeldBack => {}
+            TargetTry::NoneLeft => return None,
         }
     }
 }
 
+/// Outcome of asking for one target.
+enum TargetTry {
+    /// It takes one more request.
+    Found(Arc<TargetEntry>),
+    /// The one that was selected takes none now.
+    HeldBack,
+    /// No target is left.
+    NoneLeft,
+}
+
+/// Selects a target and asks for a permit.
+async fn try_target(
+    request: &ActiveRequest<'_>,
+    state: &RetryState,
+    rng: &mut fastrand::Rng,
+) -> TargetTry {
+    let context = request.context;
+    let local_domain = &context.settings.failure_domain;
+    let view = context.targets.load();
+    let targets = view.service_targets(&request.service.name);
+    let now = context.clock.now();
+    let Some(target) = pick_target(targets, state.tried(), local_domain, now, rng) else {
+        return TargetTry::NoneLeft;
+    };
+    match acquire_permit(context, target).await {
+        PermitOutcome::Granted => TargetTry::Found(Arc::clone(target)),
+        PermitOutcome::HeldBack => TargetTry::HeldBack,
+    }
+}
+
 fn is_failure(response: &BufferedResponse) -> bool {
     response.head.status() >= 500
 }
@@ -165,24 +344,33 @@
     request.record_failed_attempt(failed, line);
 }
 
+/// Makes one attempt and holds its failure against the request where that is due.
+async fn run_attempt(
+    request: &ActiveRequest<'_>,
+    target: Arc<TargetEntry>,
+    time_left: Duration,
+) -> (Arc<TargetEntry>, AttemptResult) {
+    let mut suspicion = AttemptSuspicion::start(request, vec![Arc::clone(&target)]);
+    let attempt = attempt_plain(request, &target, time_left);
+    let result = or(attempt, suspicion.watch_departure()).await;
+    match &result {
+        Ok(response) => suspicion.on_response(response.head.status(), response.end),
+        Err(failed) => suspicion.on_failure(failed),
+    }
+    (target, result)
+}
+
 async fn attempt_plain(
     request: &ActiveRequest<'_>,
-    state: &RetryState,
     target: &Arc<TargetEntry>,
-) -> Result<BufferedResponse, FailedAttempt> {
+    limit: Duration,
+) -> AttemptResult {
     let context = request.context;
     // Counts the request as in flight; plain requests reserve no tokens.
     let _reserved = target.stats.reserve(0);
     let now = context.clock.now();
-    let time_left = state.time_left(now);
     let may_reexecute = request.route.retry_rule.allows_reexecution();
-    let last = state.tried().len() + 1 >= request.route.max_targets as usize;
-    let limit = if may_reexecute && !last {
-        time_left.mul_f64(ATTEMPT_TIME_SHARE)
-    } else {
-        time_left
-    };
-    let dispatch = request.dispatch(time_left, target, None, None);
+    let dispatch = request.dispatch(limit, target, None, None);
     // A request that may be executed only once gets a new connection: if a target closes a reused
     // one, there is no way to know whether it has read the request.
     let response = open_response(
@@ -203,7 +391,7 @@
     target: &Arc<TargetEntry>,
     mut response: PendingResponse,
     limit: Duration,
-) -> Result<BufferedResponse, FailedAttempt> {
+) -> AttemptResult {
     let read = read_body(
         &mut response.stream,
         &mut response.decoder,
@@ -245,19 +433,3 @@
         ExchangeEnd::Truncated
     }
 }
-
-/// Ends a request without a further attempt. If targets sent error responses (status 500 or above),
-/// the last of them is forwarded, else a local reply is sent.
-async fn finish_request(
-    request: &ActiveRequest<'_>,
-    state: &RetryState,
-    step: RetryStep,
-    error_response: Option<BufferedResponse>,
-    detail: &str,
-) -> ExchangeEnd {
-    if let Some(response) = error_response {
-        return forward_response(request, &response, state.tried().len()).await;
-    }
-    let cause = request.final_cause(state, step);
-    request.reply_locally(cause, detail).await
-}
