Return a full read at once instead of losing it to a timeout

A request of 16 KiB and more that lay in the socket when the idle limit of its connection passed got neither an answer nor a refusal, and no line in the log: read_some took the bytes out of the socket, let other tasks run, and was dropped by the timeout of the idle connection before it returned, so that the connection was closed as idle. A configuration that lowers IdleTimeoutMs brings the limit close to callers that still go by the one before. The same loss let a stream stall that had its events in hand, and an end by close pass for complete.

read_some returns at once; pause_after_read lets other tasks run once the bytes are handled, so that a peer without pause still keeps nobody waiting (platform_endless passes). wire_stream, full_read_is_returned_at_once and long_request_that_has_arrived_outlives_the_idle_limit, failed before (None for the read, Idle for the request) and pass now.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -168,6 +168,7 @@
 pub use units::{ByteSize, LayerRange, MonoTime, RequestRate, TokenRate, UnitError};
 pub use wire::{
     BodyDecoder, BodyError, BodyFraming, BodyStep, CallError, CompleteEvent, EventSplitter,
-    HeadBuilder, HeadError, HeadLimits, HeadStep, ReadError, StreamError, StreamPool, WireCall,
-    WireClient, WireHead, WireResponse, parse_request, parse_response,
+    HeadBuilder, HeadError, HeadLimits, HeadOutcome, HeadStep, ReadError, StreamError, StreamPool,
+    WireCall, WireClient, WireHead, WireResponse, WireStream, parse_request, parse_response,
+    read_request_head,
 };
--- a/src/relay/forwarding.rs
+++ b/src/relay/forwarding.rs
@@ -51,19 +51,29 @@
 
 /// Outcome of waiting for bytes from the target.
 pub(super) enum ReadOutcome {
-    /// Bytes have arrived.
-    Bytes,
+    /// So many bytes have arrived.
+    Bytes(usize),
     /// The target closed the connection where the response may end.
     End,
     /// The connection was lost, or closed where the response cannot end.
     Lost(StreamError),
 }
 
+impl ReadOutcome {
+    /// Bytes that have arrived.
+    pub(super) fn count(&self) -> usize {
+        match self {
+            Self::Bytes(count) => *count,
+            Self::End | Self::Lost(_) => 0,
+        }
+    }
+}
+
 impl StreamForwarder<'_> {
     /// Waits for bytes from the target. Nothing is lost when the future is dropped.
     pub(super) async fn read(&mut self) -> ReadOutcome {
         match self.response.stream.fill().await {
-            Ok(_) => ReadOutcome::Bytes,
+            Ok(count) => ReadOutcome::Bytes(count),
             Err(StreamError::Closed) if self.response.decoder.complete_at_close() => {
                 ReadOutcome::End
             }
@@ -79,7 +89,7 @@
         output: &mut Vec<u8>,
     ) -> ForwardStep {
         match outcome {
-            ReadOutcome::Bytes => self.take_input(delivered, output),
+            ReadOutcome::Bytes(_) => self.take_input(delivered, output),
             ReadOutcome::End => self.end_by_close(delivered),
             ReadOutcome::Lost(cause) => ForwardStep::Fail(FailedAttempt::disconnected(cause)),
         }
--- a/src/relay/listener.rs
+++ b/src/relay/listener.rs
@@ -9,7 +9,7 @@
 use crate::units::MonoTime;
 use crate::wire::{
     HeadError, HeadLimits, HeadOutcome, ReadError, WireHead, WireServer, WireStream,
-    read_request_body, read_request_head, read_some,
+    pause_after_read, read_request_body, read_request_head, read_some,
 };
 use async_io::Async;
 use async_std::task;
@@ -189,8 +189,9 @@
 /// `input`; never returns once there are [`MAX_PIPELINED_BYTES`].
 async fn wait_for_close(socket: &Async<TcpStream>, input: &mut BytesMut) {
     while input.len() < MAX_PIPELINED_BYTES {
-        if read_some(socket, input).await.is_err() {
-            return;
+        match read_some(socket, input).await {
+            Ok(count) => pause_after_read(count).await,
+            Err(_) => return,
         }
     }
     std::future::pending::<()>().await;
--- a/src/relay/stream_opening.rs
+++ b/src/relay/stream_opening.rs
@@ -9,7 +9,7 @@
 use crate::relay::stream_chain::reserve;
 use crate::relay::suspicion::AttemptSuspicion;
 use crate::targets::LayerChain;
-use crate::wire::EventSplitter;
+use crate::wire::{EventSplitter, pause_after_read};
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
@@ -149,7 +149,9 @@
     let mut step = forwarder.take_input(&mut delivered, &mut output);
     while matches!(step, ForwardStep::ReadMore) && forwarder.events == 0 {
         let outcome = forwarder.read().await;
+        let count = outcome.count();
         step = forwarder.on_read(outcome, &mut delivered, &mut output);
+        pause_after_read(count).await;
     }
     match step {
         ForwardStep::Fail(failed) if forwarder.events == 0 => {
--- a/src/relay/streaming.rs
+++ b/src/relay/streaming.rs
@@ -18,7 +18,7 @@
 use crate::targets::LayerChain;
 use crate::telemetry::EventLine;
 use crate::units::MonoTime;
-use crate::wire::BodyEnd;
+use crate::wire::{BodyEnd, pause_after_read};
 use async_io::Timer;
 use futures_lite::future::or;
 use std::sync::Arc;
@@ -112,7 +112,12 @@
                     self.on_failure(&chain, &failed).await;
                     None
                 }
-                RelayEvent::Read(outcome) => self.on_read(outcome).await,
+                RelayEvent::Read(outcome) => {
+                    let count = outcome.count();
+                    let end = self.on_read(outcome).await;
+                    pause_after_read(count).await;
+                    end
+                }
                 RelayEvent::Timer => {
                     self.on_timer().await;
                     None
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -19,4 +19,4 @@
 pub use pool::StreamPool;
 pub use reading::{BodyEnd, ReadError, read_body, read_final_head};
 pub use server::{HeadOutcome, WireServer, read_request_body, read_request_head};
-pub use stream::{StreamError, WireStream, read_some, reset_on_close, write_all};
+pub use stream::{StreamError, WireStream, pause_after_read, read_some, reset_on_close, write_all};
--- a/src/wire/reading.rs
+++ b/src/wire/reading.rs
@@ -2,7 +2,7 @@
 
 use crate::wire::body::{BodyDecoder, BodyError, BodyStep};
 use crate::wire::head::{HeadError, HeadLimits, HeadStep, WireHead, parse_response};
-use crate::wire::stream::{StreamError, WireStream, read_some};
+use crate::wire::stream::{StreamError, WireStream, pause_after_read, read_some};
 use async_io::Async;
 use bytes::BytesMut;
 use std::fmt;
@@ -61,14 +61,19 @@
     input: &mut BytesMut,
     limits: HeadLimits,
 ) -> Result<WireHead> {
+    let mut count = 0;
     loop {
         match parse_response(input, limits).map_err(ReadError::Head)? {
             HeadStep::Complete(head, length) => {
                 let _used = input.split_to(length);
                 return Ok(head);
             }
-            HeadStep::Incomplete => read_some(socket, input).await.map_err(ReadError::Stream)?,
-        };
+            HeadStep::Incomplete => {
+                pause_after_read(count).await;
+                let read = read_some(socket, input).await;
+                count = read.map_err(ReadError::Stream)?;
+            }
+        }
     }
 }
 
@@ -100,6 +105,7 @@
     limit: usize,
 ) -> Result<(Vec<u8>, BodyEnd)> {
     let mut body = Vec::new();
+    let mut count = 0;
     loop {
         match decoder
             .advance(&mut stream.input, &mut body)
@@ -107,13 +113,14 @@
         {
             BodyStep::Done => return Ok((body, BodyEnd::Framed)),
             BodyStep::Incomplete if body.len() > limit => return Err(ReadError::BodyTooLong),
-            BodyStep::Incomplete => match stream.fill().await {
-                Ok(_) => {}
-                Err(StreamError::Closed) if decoder.complete_at_close() => {
-                    return Ok((body, BodyEnd::Closed));
-                }
-                Err(cause) => return Err(ReadError::Stream(cause)),
-            },
+            BodyStep::Incomplete => pause_after_read(count).await,
+        }
+        match stream.fill().await {
+            Ok(read) => count = read,
+            Err(StreamError::Closed) if decoder.complete_at_close() => {
+                return Ok((body, BodyEnd::Closed));
+            }
+            Err(cause) => return Err(ReadError::Stream(cause)),
         }
     }
 }
--- a/src/wire/server.rs
+++ b/src/wire/server.rs
@@ -3,7 +3,7 @@
 use crate::wire::body::{BodyDecoder, BodyFraming};
 use crate::wire::head::{HeadError, HeadLimits, HeadStep, WireHead, parse_request};
 use crate::wire::reading::{ReadError, read_body};
-use crate::wire::stream::WireStream;
+use crate::wire::stream::{WireStream, pause_after_read};
 use async_io::{Async, Timer};
 use async_std::future::timeout;
 use std::io;
@@ -80,6 +80,7 @@
 }
 
 async fn read_head(stream: &mut WireStream, limits: HeadLimits) -> HeadOutcome {
+    let mut count = 0;
     loop {
         match parse_request(&stream.input, limits) {
             Err(cause) => return HeadOutcome::Invalid(cause),
@@ -88,8 +89,10 @@
                 return HeadOutcome::Request(head);
             }
             Ok(HeadStep::Incomplete) => {
-                if stream.fill().await.is_err() {
-                    return HeadOutcome::ConnectionLost;
+                pause_after_read(count).await;
+                match stream.fill().await {
+                    Ok(read) => count = read,
+                    Err(_) => return HeadOutcome::ConnectionLost,
                 }
             }
         }
--- a/src/wire/stream.rs
+++ b/src/wire/stream.rs
@@ -115,8 +115,17 @@
     }
 }
 
+/// Lets other tasks run after a read of this many bytes if there may be more at once: a peer that sends
+/// faster than this daemon reads must not keep the thread from timers and other requests. To be awaited
+/// once the bytes are handled, as a read that waits here is lost to a timeout.
+pub async fn pause_after_read(count: usize) {
+    if count == READ_BUFFER_BYTES {
+        yield_now().await;
+    }
+}
+
 /// Appends the bytes that have arrived to `input`, waiting for at least one; returns how many were
-/// read.
+/// read. Nothing is lost when the future is dropped.
 ///
 /// # Errors
 /// [`StreamError::Closed`] or [`StreamError::Broken`].
@@ -129,14 +138,7 @@
     };
     match socket.read_with(read).await {
         Ok(0) => Err(StreamError::Closed),
-        Ok(count) => {
-            if count == READ_BUFFER_BYTES {
-                // A peer that sends faster than this daemon reads must not keep the thread from
-                // timers and other requests.
-                yield_now().await;
-            }
-            Ok(count)
-        }
+        Ok(count) => Ok(count),
         Err(cause) => Err(StreamError::Broken(cause.kind())),
     }
 }
