Let prompt parts crash the stand-in model servers, at once or after some events

A stand-in crashed only by the path of a request and on its arrival. Now any part of a prompt but the last can, and a crash can come 30 ms after four events of the stream. No behaviour of daemons changes.

--- a/rig/src/site/crash.rs
+++ b/rig/src/site/crash.rs
@@ -12,8 +12,15 @@
 
 /// Path segment of requests that crash the server that they are sent to.
 const CRASH_SEGMENT: &str = "/crash";
+/// Path segment of requests that crash the server that they are sent to some time after it has begun
+/// its response.
+const CRASH_BEGUN_SEGMENT: &str = "/crash-begun";
 /// Path segment of requests that crash the last server of their chain.
 const CRASH_LAST_SEGMENT: &str = "/crash-last";
+/// Events of a response that a server sends before it crashes under a request of that kind.
+pub(super) const BEGUN_EVENTS: u64 = 4;
+/// Time from the last of these events to the crash.
+pub(super) const BEGUN_TIME: Duration = Duration::from_millis(30);
 /// Time from a crash to the removal of the server's entry.
 const LAPSE_TIME: Duration = Duration::from_millis(800);
 /// Time from a crash to the start of the server's next run.
@@ -24,8 +31,10 @@
 pub(super) enum CrashPlace {
     /// None.
     Nowhere,
-    /// The one that the request is sent to.
+    /// The one that the request is sent to, on arrival.
     First,
+    /// The one that the request is sent to, [`BEGUN_TIME`] after [`BEGUN_EVENTS`] events.
+    Begun,
     /// The last one of its chain.
     Last,
 }
@@ -35,6 +44,8 @@
     pub(super) fn of(path: &str) -> Self {
         if path.contains(CRASH_LAST_SEGMENT) {
             Self::Last
+        } else if path.contains(CRASH_BEGUN_SEGMENT) {
+            Self::Begun
         } else if path.contains(CRASH_SEGMENT) {
             Self::First
         } else {
@@ -68,6 +79,26 @@
     pub path: Arc<str>,
 }
 
+/// A part of prompts that crashes each server that begins to write a response.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BadPart {
+    /// Identifier in `X-Prompt-Prefix`.
+    pub id: Arc<str>,
+    /// Whether the server sends some events first.
+    pub is_begun: bool,
+}
+
+/// A request with a bad part has reached a server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BadArrival {
+    /// Time at which it did.
+    pub at: Instant,
+    /// Identifier of the part.
+    pub part: Arc<str>,
+    /// True when the server crashed under it; false when it was spared.
+    pub is_crash: bool,
+}
+
 /// Starts the next run of a server, with the identifier given.
 pub(super) type StartServer = Arc<dyn Fn(&str) + Send + Sync>;
 
@@ -90,6 +121,8 @@
     manner: Arc<Mutex<CrashManner>>,
     /// Such requests so far.
     arrivals: Arc<AtomicUsize>,
+    bad_parts: Arc<Mutex<Vec<BadPart>>>,
+    bad_arrivals: Arc<Mutex<Vec<BadArrival>>>,
 }
 
 impl fmt::Debug for CrashRegistry {
@@ -109,9 +142,48 @@
             spares_every: Arc::default(),
             manner: Arc::default(),
             arrivals: Arc::default(),
+            bad_parts: Arc::default(),
+            bad_arrivals: Arc::default(),
         }
     }
 
+    /// From now on, these parts of prompts crash servers, unless one is the last of its prompt.
+    pub fn set_bad_parts(&self, parts: Vec<BadPart>) {
+        *self.bad_parts.lock().expect("parts are never poisoned") = parts;
+    }
+
+    /// The first bad part of a prompt, given as the value of `X-Prompt-Prefix`. The last part of
+    /// the prompt does not count.
+    pub(super) fn bad_part(&self, prompt: &str) -> Option<BadPart> {
+        let (shared_parts, _last) = prompt.rsplit_once(',')?;
+        let ids = shared_parts
+            .split(',')
+            .filter_map(|part| part.split(':').next());
+        let bad_parts = self.bad_parts.lock().expect("parts are never poisoned");
+        ids.filter_map(|id| bad_parts.iter().find(|bad| *bad.id == *id))
+            .next()
+            .cloned()
+    }
+
+    /// Records that a request with a bad part has reached a server.
+    pub(super) fn record_bad_arrival(&self, part: &BadPart, is_crash: bool) {
+        let mut arrivals = self.lock_bad_arrivals();
+        arrivals.push(BadArrival {
+            at: Instant::now(),
+            part: Arc::clone(&part.id),
+            is_crash,
+        });
+    }
+
+    /// Requests with bad parts that have reached servers, in order.
+    pub fn bad_arrivals(&self) -> Vec<BadArrival> {
+        self.lock_bad_arrivals().clone()
+    }
+
+    fn lock_bad_arrivals(&self) -> MutexGuard<'_, Vec<BadArrival>> {
+        self.bad_arrivals.lock().expect("ledger is never poisoned")
+    }
+
     /// Adds a running server.
     pub(super) fn add(&self, id: &str, switch: ListenerSwitch, start_again: StartServer) {
         self.lock_live().push(LiveServer {
--- a/rig/src/site/mod.rs
+++ b/rig/src/site/mod.rs
@@ -17,7 +17,7 @@
 pub use caller::{
     SiteRequest, SiteResponse, leave_site_request, read_site_response, send_site_request,
 };
-pub use crash::{CrashManner, CrashRegistry, CrashRun};
+pub use crash::{BadArrival, BadPart, CrashManner, CrashRegistry, CrashRun};
 pub use endless::{EndlessPart, send_endless};
 pub use fleet::{SiteDaemon, SiteFleet, SiteSpec, plain_server_entry, sample_config};
 pub use http::serve_once;
--- a/rig/src/site/model.rs
+++ b/rig/src/site/model.rs
@@ -1,11 +1,11 @@
 //! Stand-in for a model server of the platform: accepts layer orders, reports stalls and streams
 //! events.
 
-use crate::site::crash::{CrashPlace, CrashRegistry, StartServer};
+use crate::site::crash::{BEGUN_EVENTS, BEGUN_TIME, CrashPlace, CrashRegistry, StartServer};
 use crate::site::endless::{EndlessPart, send_endless};
 use crate::site::http::{AfterReply, Handler, ReceivedRequest, reply, serve_closable, unix_ms};
 use crate::site::limit::{LIMIT_FIELD, LimitLedger};
-use crate::site::model_stream::{StreamCut, StreamFraming, send_stream};
+use crate::site::model_stream::{StreamCut, StreamFraming, send_beginning, send_stream};
 use crate::site::store::SiteStore;
 use serde_json::{Value, json};
 use std::net::{SocketAddr, TcpStream};
@@ -243,13 +243,22 @@
         if (!expected.is_empty() && expected != *self.id) || !self.is_first_hop(&hops) {
             return reply(stream, 421, &[("X-Instance-Id", &self.id)], b"");
         }
-        let place = CrashPlace::of(head.path());
-        if place != CrashPlace::Nowhere && self.crashes.spares_next() {
+        let bad_part = self.crashes.bad_part(&field("X-Prompt-Prefix"));
+        let place = match &bad_part {
+            Some(part) if part.is_begun => CrashPlace::Begun,
+            Some(_part) => CrashPlace::First,
+            None => CrashPlace::of(head.path()),
+        };
+        let is_spared = place != CrashPlace::Nowhere && self.crashes.spares_next();
+        if let Some(part) = &bad_part {
+            self.crashes.record_bad_arrival(part, !is_spared);
+        }
+        if is_spared {
             let stamp = [("X-Server-Stamp", "stamp"), ("X-Attempt-Id", &attempt_id)];
             return reply(stream, 500, &stamp, b"failed");
         }
         match place {
-            CrashPlace::Nowhere => {}
+            CrashPlace::Nowhere | CrashPlace::Begun => {}
             CrashPlace::First => {
                 self.crashes.crash(self.address, head.path());
                 return AfterReply::Close;
@@ -281,6 +290,12 @@
             self.id,
             self.limit_line(),
         );
+        if place == CrashPlace::Begun {
+            send_beginning(stream, &fields, first_event, &knobs, BEGUN_EVENTS);
+            thread::sleep(BEGUN_TIME);
+            self.crashes.crash(self.address, head.path());
+            return AfterReply::Close;
+        }
         let Some(part) = knobs.endless else {
             return send_stream(stream, &fields, first_event, &knobs);
         };
--- a/rig/src/site/model_stream.rs
+++ b/rig/src/site/model_stream.rs
@@ -98,17 +98,38 @@
     write_stream(stream, fields, first_event, knobs).unwrap_or(AfterReply::Close)
 }
 
-fn write_stream(
+/// Writes the head of a response and its first events, and no end.
+pub(super) fn send_beginning(
     stream: &mut TcpStream,
     fields: &str,
     first_event: u64,
     knobs: &ModelKnobs,
-) -> io::Result<AfterReply> {
-    let framing_line = match knobs.framing {
+    events: u64,
+) {
+    let mut output = begin_response(fields, knobs.framing);
+    for number in first_event..first_event + events {
+        push_part(&mut output, &event_text(number), knobs.framing);
+    }
+    // The daemon may have closed the connection.
+    let _sent = stream.write_all(output.as_bytes());
+}
+
+/// Status line and fields of a response.
+fn begin_response(fields: &str, framing: StreamFraming) -> String {
+    let framing_line = match framing {
         StreamFraming::Chunked => "Transfer-Encoding: chunked\r\n",
         StreamFraming::UntilClose => "",
     };
-    let mut output = format!("HTTP/1.1 200 OK\r\n{fields}{framing_line}\r\n");
+    format!("HTTP/1.1 200 OK\r\n{fields}{framing_line}\r\n")
+}
+
+fn write_stream(
+    stream: &mut TcpStream,
+    fields: &str,
+    first_event: u64,
+    knobs: &ModelKnobs,
+) -> io::Result<AfterReply> {
+    let mut output = begin_response(fields, knobs.framing);
     for number in first_event..knobs.events {
         if !knobs.event_gap.is_zero() {
             send_output(stream, &mut output)?;
