--- a/tests/platform_poison.rs
+++ b/tests/platform_poison.rs
@@ -113,6 +113,7 @@
 #[test_case("POST", "/post/crash"; "at most once")]
 #[test_case("POST", "/stream/crash"; "stream at the first server of its chain")]
 #[test_case("POST", "/stream/crash-last"; "stream at the last server of its chain")]
+#[test_case("POST", "/stream/crash-begun"; "stream at the first server of its chain, after four events")]
 fn request_that_crashes_servers_is_kept_from_them(method: &'static str, target: &'static str) {
     let site = poison_site(PLAIN_SERVERS);
 
