--- a/rig/src/site/crash.rs
+++ b/rig/src/site/crash.rs
@@ -156,13 +156,12 @@
     /// the prompt does not count.
     pub(super) fn bad_part(&self, prompt: &str) -> Option<BadPart> {
         let (shared_parts, _last) = prompt.rsplit_once(',')?;
-        let ids = shared_parts
+        let mut ids = shared_parts
             .split(',')
             .filter_map(|part| part.split(':').next());
         let bad_parts = self.bad_parts.lock().expect("parts are never poisoned");
-        ids.filter_map(|id| bad_parts.iter().find(|bad| *bad.id == *id))
-            .next()
-            .cloned()
+        let found = ids.find_map(|id| bad_parts.iter().find(|bad| *bad.id == *id));
+        found.cloned()
     }
 
     /// Records that a request with a bad part has reached a server.
