--- a/tests/platform_poison_parts.rs
+++ b/tests/platform_poison_parts.rs
@@ -168,7 +168,7 @@
     for caller in bad {
         caller.join().expect("the caller ends");
     }
-    let sound = sound.into_iter().map(|caller| caller.join());
+    let sound = sound.into_iter().map(thread::JoinHandle::join);
     sound.map(|call| call.expect("the caller ends")).collect()
 }
 
