Explain crashes by the fingerprint beside most of them, and the rest by the next one

Each fingerprint was judged alone: refused from three crashes on, if one of them had no rival with as many. A part of a prompt is beside crashes of others far more often than a whole request, so a rare one with crashes of another and one of its own would have been refused (by reading). Now the fingerprint with most crashes that nothing else explains is refused, and explains the crashes of all beside it; fingerprints that were always together are refused only together below six crashes, so that a request with some of them decides. Computed once for each change of the table, not for each request; a change no longer copies the entries; the table holds 4,096, and drops those with the fewest crashes first.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -125,8 +125,8 @@
     plan_layers, split_layers,
 };
 pub use poison::{
-    CrashOutbox, CrashState, CrashedRun, OutboxRow, PoisonEntry, PoisonFingerprint, PoisonLimits,
-    PoisonRow, PoisonTable,
+    CrashOutbox, CrashState, CrashedRun, HarmlessParts, OutboxRow, PartId, PoisonEntry,
+    PoisonFingerprint, PoisonLimits, PoisonRow, PoisonTable, PoisonVerdict,
 };
 pub use presence::{PresenceRow, PresenceTable};
 pub use reconcile::{
--- a/src/poison/table.rs
+++ b/src/poison/table.rs
@@ -1,20 +1,25 @@
-//! Crashes recorded for requests, by fingerprint.
+//! Crashes recorded for requests and for the parts of their prompts, by fingerprint.
 //!
 //! Daemons merge what each of them has seen. A crash is identified by the run of the target that
 //! ended, so that it counts once, whichever daemon saw it and however often it is reported. A crash
 //! that was cleared stays cleared: a daemon that has not heard of it cannot bring it back.
 
 use crate::poison::fingerprint::PoisonFingerprint;
+use crate::poison::verdict::PoisonVerdict;
 use crate::units::MonoTime;
 use arc_swap::ArcSwap;
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::num::ParseIntError;
 use std::str::FromStr;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-/// Most fingerprints that are kept; those that expire first are dropped first.
-const MAX_ENTRIES: usize = 1_024;
+/// Most fingerprints that are kept; those with the fewest crashes are dropped first, and of these the
+/// ones that expire first. A target that ends has up to a batch of requests on it, each with some
+/// parts.
+const MAX_ENTRIES: usize = 4_096;
 
 /// Hash of the identity of a target's run that crashed, the same in all daemons.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -47,13 +52,21 @@
 /// Crashes under which a request is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PoisonLimits {
-    /// Crashes of which at least one has no other explanation: no other request with as many
-    /// crashes ran on that target.
+    /// Crashes that nothing with more crashes explains.
     pub crashes: u32,
-    /// Crashes from which only requests with more of them are another explanation.
+    /// Crashes from which fingerprints that were always beside each other are refused alike.
     pub certain_crashes: u32,
 }
 
+impl Default for PoisonLimits {
+    fn default() -> Self {
+        Self {
+            crashes: 3,
+            certain_crashes: 6,
+        }
+    }
+}
+
 /// Crashes recorded for a fingerprint.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PoisonEntry {
@@ -96,10 +109,6 @@
         runs.map(|(run, _)| *run)
     }
 
-    fn counts(&self, run: CrashedRun) -> bool {
-        self.runs.get(&run) == Some(&CrashState::Counted)
-    }
-
     fn merge(&mut self, other: &Self) {
         for (run, state) in &other.runs {
             let known = self.runs.entry(*run).or_insert(*state);
@@ -109,61 +118,77 @@
     }
 }
 
-type EntryMap = HashMap<PoisonFingerprint, PoisonEntry>;
+pub(super) type EntryMap = HashMap<PoisonFingerprint, Arc<PoisonEntry>>;
+
+/// Entries at one time, and what follows from them.
+#[derive(Debug, Default)]
+struct TableSnapshot {
+    entries: EntryMap,
+    /// Computed when it is first needed.
+    verdict: OnceLock<PoisonVerdict>,
+}
 
 /// Fingerprints of suspected and refused requests. Requests read it without locks; it is nearly
 /// always empty.
 #[derive(Debug, Default)]
 pub struct PoisonTable {
-    entries: ArcSwap<EntryMap>,
+    limits: PoisonLimits,
+    snapshot: ArcSwap<TableSnapshot>,
 }
 
 impl PoisonTable {
+    /// An empty table.
+    pub fn new(limits: PoisonLimits) -> Self {
+        Self {
+            limits,
+            ..Self::default()
+        }
+    }
+
     /// True when no fingerprint is recorded, so that a request need not compute its own.
     pub fn is_empty(&self) -> bool {
-        self.entries.load().is_empty()
+        self.snapshot.load().entries.is_empty()
     }
 
     /// Crashes that count for a fingerprint; 0 when it is unknown or has expired.
     pub fn crashes(&self, fingerprint: PoisonFingerprint, now: MonoTime) -> u32 {
-        live_entry(&self.entries.load(), fingerprint, now).map_or(0, PoisonEntry::crashes)
+        let snapshot = self.snapshot.load();
+        live_entry(&snapshot.entries, fingerprint, now).map_or(0, |entry| entry.crashes())
     }
 
     /// The entry of a fingerprint, unless it has expired.
     pub fn entry(&self, fingerprint: PoisonFingerprint, now: MonoTime) -> Option<PoisonEntry> {
-        live_entry(&self.entries.load(), fingerprint, now).cloned()
+        let snapshot = self.snapshot.load();
+        live_entry(&snapshot.entries, fingerprint, now).map(|entry| PoisonEntry::clone(entry))
     }
 
-    /// Time until the entry of a fingerprint expires.
-    pub fn time_left(&self, fingerprint: PoisonFingerprint, now: MonoTime) -> Duration {
-        let entries = self.entries.load();
-        let entry = live_entry(&entries, fingerprint, now);
-        entry.map_or(Duration::ZERO, |entry| entry.until.since(now))
-    }
-
-    /// True when such a request is to be refused, as it crashes the targets that run it.
-    pub fn is_poison(
+    /// The time for which a request with these fingerprints is still refused, as it crashes the
+    /// targets that run it; `None` when it is not.
+    pub fn refusal_time(
         &self,
-        fingerprint: PoisonFingerprint,
-        limits: PoisonLimits,
+        fingerprints: &[PoisonFingerprint],
         now: MonoTime,
-    ) -> bool {
-        let entries = self.entries.load();
-        let Some(entry) = live_entry(&entries, fingerprint, now) else {
-            return false;
-        };
-        let crashes = entry.crashes();
-        let rival_crashes = if crashes >= limits.certain_crashes {
-            crashes + 1
-        } else {
-            crashes
-        };
-        let rivals = entries
+    ) -> Option<Duration> {
+        let snapshot = self.snapshot.load();
+        let is_known = |one: &PoisonFingerprint| live_entry(&snapshot.entries, *one, now).is_some();
+        if !fingerprints.iter().any(is_known) {
+            return None;
+        }
+        let reasons = self.verdict_of(&snapshot, now).reasons(fingerprints);
+        let entries = reasons
             .iter()
-            .filter(|(other, _)| **other != fingerprint)
-            .map(|(_, other)| other)
-            .filter(|other| other.until > now && other.crashes() >= rival_crashes);
-        crashes >= limits.crashes && has_sole_crash(entry, &rivals.collect::<Vec<_>>())
+            .filter_map(|one| live_entry(&snapshot.entries, *one, now));
+        entries.map(|entry| entry.until.since(now)).max()
+    }
+
+    /// What the crashes that are known say.
+    pub fn verdict(&self, now: MonoTime) -> PoisonVerdict {
+        self.verdict_of(&self.snapshot.load(), now).clone()
+    }
+
+    fn verdict_of<'a>(&self, snapshot: &'a TableSnapshot, now: MonoTime) -> &'a PoisonVerdict {
+        let decide = || PoisonVerdict::new(&snapshot.entries, self.limits, now);
+        snapshot.verdict.get_or_init(decide)
     }
 
     /// The runs of `entry` that are not known, or not in that state.
@@ -173,8 +198,8 @@
         entry: &PoisonEntry,
         now: MonoTime,
     ) -> Vec<(CrashedRun, CrashState)> {
-        let entries = self.entries.load();
-        let known = live_entry(&entries, fingerprint, now);
+        let snapshot = self.snapshot.load();
+        let known = live_entry(&snapshot.entries, fingerprint, now);
         let is_unknown = |run: &CrashedRun, state: &CrashState| {
             let found = known.and_then(|known| known.runs.get(run));
             found.is_none_or(|found| found < state)
@@ -191,24 +216,46 @@
         now: MonoTime,
     ) -> bool {
         let before = self.crashes(fingerprint, now);
-        self.entries.rcu(|entries| {
-            let mut next = EntryMap::clone(entries);
-            let known = next.entry(fingerprint).or_insert_with(|| entry.clone());
-            if known.until <= now {
-                *known = entry.clone();
+        self.merge_all(&[(fingerprint, entry.clone())], now);
+        self.crashes(fingerprint, now) > before
+    }
+
+    /// Adds crashes of several fingerprints in one step.
+    pub fn merge_all(&self, added: &[(PoisonFingerprint, PoisonEntry)], now: MonoTime) {
+        if added.is_empty() {
+            return;
+        }
+        self.update(|entries| {
+            for (fingerprint, entry) in added {
+                let known = entries
+                    .entry(*fingerprint)
+                    .or_insert_with(|| Arc::new(entry.clone()));
+                if known.until <= now {
+                    *known = Arc::new(entry.clone());
+                }
+                Arc::make_mut(known).merge(entry);
+            }
+            drop_weakest(entries);
+        });
+    }
+
+    /// Replaces the entries by changed ones.
+    fn update(&self, change: impl Fn(&mut EntryMap)) {
+        self.snapshot.rcu(|snapshot| {
+            let mut entries = snapshot.entries.clone();
+            change(&mut entries);
+            TableSnapshot {
+                entries,
+                verdict: OnceLock::new(),
             }
-            known.merge(entry);
-            drop_first_to_expire(&mut next);
-            next
         });
-        self.crashes(fingerprint, now) > before
     }
 
     /// Clears the crashes of a fingerprint that has fewer than `limit`, as such a request made
     /// progress. Returns the runs that no longer count.
     pub fn clear(&self, fingerprint: PoisonFingerprint, limit: u32) -> Vec<CrashedRun> {
-        let entries = self.entries.load();
-        let Some(entry) = entries.get(&fingerprint) else {
+        let snapshot = self.snapshot.load();
+        let Some(entry) = snapshot.entries.get(&fingerprint) else {
             return Vec::new();
         };
         let runs: Vec<CrashedRun> = entry.counted().collect();
@@ -221,21 +268,25 @@
 
     /// Clears these crashes.
     pub fn clear_runs(&self, fingerprint: PoisonFingerprint, runs: &[CrashedRun]) {
-        self.entries.rcu(|entries| {
-            let mut next = EntryMap::clone(entries);
-            if let Some(entry) = next.get_mut(&fingerprint) {
+        if !self.snapshot.load().entries.contains_key(&fingerprint) {
+            return;
+        }
+        self.update(|entries| {
+            if let Some(entry) = entries.get_mut(&fingerprint) {
                 let cleared = runs.iter().map(|run| (*run, CrashState::Cleared));
-                entry.runs.extend(cleared);
+                Arc::make_mut(entry).runs.extend(cleared);
             }
-            next
         });
     }
 
     /// All entries that have not expired.
     pub fn entries(&self, now: MonoTime) -> Vec<(PoisonFingerprint, PoisonEntry)> {
-        let entries = self.entries.load();
-        let known = entries.iter().filter(|(_, entry)| entry.until > now);
-        known.map(|(key, entry)| (*key, entry.clone())).collect()
+        let snapshot = self.snapshot.load();
+        let known = snapshot.entries.iter();
+        let known = known.filter(|(_, entry)| entry.until > now);
+        known
+            .map(|(key, entry)| (*key, PoisonEntry::clone(entry)))
+            .collect()
     }
 
     /// Removes and returns the entries that expired at least `grace` ago.
@@ -245,15 +296,16 @@
         grace: Duration,
     ) -> Vec<(PoisonFingerprint, PoisonEntry)> {
         let is_expired = |entry: &PoisonEntry| entry.until.after(grace) <= now;
-        let entries = self.entries.load();
-        let expired = entries.iter().filter(|(_, entry)| is_expired(entry));
-        let expired: Vec<_> = expired.map(|(key, entry)| (*key, entry.clone())).collect();
+        let snapshot = self.snapshot.load();
+        let expired = snapshot
+            .entries
+            .iter()
+            .filter(|(_, entry)| is_expired(entry));
+        let expired: Vec<_> = expired
+            .map(|(key, entry)| (*key, PoisonEntry::clone(entry)))
+            .collect();
         if !expired.is_empty() {
-            self.entries.rcu(|entries| {
-                let mut next = EntryMap::clone(entries);
-                next.retain(|_, entry| !is_expired(entry));
-                next
-            });
+            self.update(|entries| entries.retain(|_, entry| !is_expired(entry)));
         }
         expired
     }
@@ -263,22 +315,21 @@
     entries: &EntryMap,
     fingerprint: PoisonFingerprint,
     now: MonoTime,
-) -> Option<&PoisonEntry> {
+) -> Option<&Arc<PoisonEntry>> {
     entries.get(&fingerprint).filter(|entry| entry.until > now)
 }
 
-/// True when one of the crashes has no other explanation: no rival was on that target.
-fn has_sole_crash(entry: &PoisonEntry, rivals: &[&PoisonEntry]) -> bool {
-    let mut runs = entry.counted();
-    runs.any(|run| !rivals.iter().any(|rival| rival.counts(run)))
-}
-
-fn drop_first_to_expire(entries: &mut EntryMap) {
-    while entries.len() > MAX_ENTRIES {
-        let next_to_expire = entries.iter().min_by_key(|(_, entry)| entry.until);
-        let Some(fingerprint) = next_to_expire.map(|(fingerprint, _)| *fingerprint) else {
-            return;
-        };
-        entries.remove(&fingerprint);
+/// Drops the entries with the fewest crashes, down to the limit.
+fn drop_weakest(entries: &mut EntryMap) {
+    if entries.len() <= MAX_ENTRIES {
+        return;
+    }
+    let ranked = entries
+        .iter()
+        .map(|(key, entry)| (entry.crashes(), entry.until, *key));
+    let mut ranked: Vec<_> = ranked.collect();
+    ranked.sort_unstable_by_key(|rank| Reverse(*rank));
+    for (_, _, fingerprint) in &ranked[MAX_ENTRIES..] {
+        entries.remove(fingerprint);
     }
 }
--- a/src/relay/crashes.rs
+++ b/src/relay/crashes.rs
@@ -1,8 +1,6 @@
 //! Crashes of targets under requests: what this daemon has found out, and what other daemons tell.
 
-use crate::poison::{
-    CrashState, OutboxRow, PoisonEntry, PoisonFingerprint, PoisonLimits, PoisonRow,
-};
+use crate::poison::{CrashState, OutboxRow, PoisonEntry, PoisonFingerprint, PoisonRow};
 use crate::relay::context::RelayContext;
 use crate::relay::exchange::ActiveRequest;
 use crate::targets::TargetEntry;
@@ -10,11 +8,6 @@
 use crate::units::MonoTime;
 use std::time::Duration;
 
-/// Crashes under which a request is refused.
-pub(super) const POISON_LIMITS: PoisonLimits = PoisonLimits {
-    crashes: 3,
-    certain_crashes: 6,
-};
 /// Time for which a crash counts.
 pub(crate) const CRASH_RETENTION: Duration = Duration::from_secs(600);
 /// Most crashes in one message to other daemons.
@@ -43,7 +36,7 @@
         state: CrashState::Counted,
     };
     context.outbox.add(row, now.after(WRITE_DELAY));
-    let is_poison = context.poison.is_poison(fingerprint, POISON_LIMITS, now);
+    let is_poison = context.poison.refusal_time(&[fingerprint], now).is_some();
     let outcome = if is_poison { "poison" } else { "suspected" };
     context.metrics.suspects.with_label_values(&[outcome]).inc();
     let line = EventLine::new("crash_under_request")
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -6,7 +6,6 @@
 use crate::relay::attempt::{FailedAttempt, OutgoingRequest};
 use crate::relay::caller_stream::CallerFraming;
 use crate::relay::context::RelayContext;
-use crate::relay::crashes::POISON_LIMITS;
 use crate::relay::local_reply::{LocalReply, RefusalCause};
 use crate::relay::metadata::{DispatchMetadata, RequestMetadata};
 use crate::relay::retry::{RetryState, RetryStep};
@@ -118,9 +117,21 @@
 
     /// True when such a request crashes the targets that run it and is kept from them.
     pub(super) fn is_poison(&self) -> bool {
+        self.refusal_time().is_some()
+    }
+
+    /// Time for which such a request is still kept from targets, if it is.
+    fn refusal_time(&self) -> Option<Duration> {
         let poison = &self.context.poison;
-        let now = self.context.clock.now();
-        !poison.is_empty() && poison.is_poison(self.fingerprint(), POISON_LIMITS, now)
+        if poison.is_empty() {
+            return None;
+        }
+        poison.refusal_time(&self.fingerprints(), self.context.clock.now())
+    }
+
+    /// All fingerprints under which crashes are recorded for this request.
+    pub(super) fn fingerprints(&self) -> Vec<PoisonFingerprint> {
+        vec![self.fingerprint()]
     }
 
     /// Fingerprint of path, team and body, by which the request is recognized when it comes again,
@@ -185,8 +196,7 @@
         let timeout = self.metadata.time_left.unwrap_or(DEFAULT_TIMEOUT);
         let base = match cause {
             RefusalCause::Poison => {
-                let now = self.context.clock.now();
-                return self.context.poison.time_left(self.fingerprint(), now);
+                return self.refusal_time().unwrap_or_default();
             }
             RefusalCause::Draining => DRAINING_RETRY_AFTER,
             _ => RETRY_AFTER,
--- a/src/relay/suspicion.rs
+++ b/src/relay/suspicion.rs
@@ -4,10 +4,10 @@
 //! out to have ended under it, that is a crash under the request. Progress of such a request, at any
 //! target, clears it; a failure that a target responds with speaks neither for nor against it.
 
-use crate::poison::PoisonFingerprint;
+use crate::poison::{PoisonFingerprint, PoisonLimits};
 use crate::relay::attempt::{FailedAttempt, FailureKind, probe_target};
 use crate::relay::context::RelayContext;
-use crate::relay::crashes::{POISON_LIMITS, clear_crashes, record_crash};
+use crate::relay::crashes::{clear_crashes, record_crash};
 use crate::relay::exchange::ActiveRequest;
 use crate::targets::{TargetEntry, TargetView};
 use crate::units::MonoTime;
@@ -245,7 +245,7 @@
     let now = context.clock.now();
     let is_undecided = !context.poison.is_empty()
         && !request.is_poison()
-        && context.poison.crashes(request.fingerprint(), now) >= POISON_LIMITS.crashes;
+        && context.poison.crashes(request.fingerprint(), now) >= PoisonLimits::default().crashes;
     if is_undecided {
         let line = request
             .log_line("suspect_delayed")
