Clear the crashes of a request only by a whole answer, not by two events of a stream

The beginning of an answer says nothing on its rest. An attempt now stays suspect until its answer has ended whole, and only a whole one with success clears.

--- a/src/poison/table.rs
+++ b/src/poison/table.rs
@@ -45,7 +45,7 @@
 pub enum CrashState {
     /// It counts.
     Counted,
-    /// Such a request has since made progress.
+    /// Such a request has since been answered whole.
     Cleared,
 }
 
@@ -251,8 +251,8 @@
         });
     }
 
-    /// Clears the crashes of a fingerprint that has fewer than `limit`, as such a request made
-    /// progress. Returns the runs that no longer count.
+    /// Clears the crashes of a fingerprint that has fewer than `limit`, as such a request was
+    /// answered. Returns the runs that no longer count.
     pub fn clear(&self, fingerprint: PoisonFingerprint, limit: u32) -> Vec<CrashedRun> {
         let snapshot = self.snapshot.load();
         let Some(entry) = snapshot.entries.get(&fingerprint) else {
--- a/src/relay/context.rs
+++ b/src/relay/context.rs
@@ -46,7 +46,7 @@
     pub poison: PoisonTable,
     /// Crashes of which not all daemons have been told.
     pub outbox: CrashOutbox,
-    /// Attempts that ended without progress lately.
+    /// Attempts that ended without a whole response lately.
     pub suspicions: SuspicionList,
     /// Retry budget.
     pub budget: RetryBudget,
--- a/src/relay/crashes.rs
+++ b/src/relay/crashes.rs
@@ -13,7 +13,7 @@
 /// Most crashes in one message to other daemons.
 const MAX_DIGEST_CRASHES: usize = 16;
 /// Time after which a crash is written to the store, or a cleared one removed. Most requests that
-/// were beside a crash make progress before and cost no call.
+/// were beside a crash are answered whole before and cost no call.
 const WRITE_DELAY: Duration = Duration::from_secs(1);
 /// Time after which a daemon writes a crash to the store that another one has told of.
 const PEER_WRITE_DELAY: Duration = Duration::from_secs(2);
@@ -83,8 +83,7 @@
     }
 }
 
-/// Clears the crashes under a request that made progress at `target`, in a response with this
-/// status.
+/// Clears the crashes under a request to which `target` has sent a whole response with this status.
 pub(super) fn clear_crashes(request: &ActiveRequest<'_>, target: &TargetEntry, status: u16) {
     let context = request.context;
     let fingerprint = request.fingerprint();
--- a/src/relay/forwarding.rs
+++ b/src/relay/forwarding.rs
@@ -167,7 +167,7 @@
                 EventVerdict::Skip => {}
                 EventVerdict::Gap => return false,
             }
-            self.suspicion.on_event(response.head.status());
+            self.suspicion.on_event();
             if let Some(elapsed) = self.detector.on_event(self.request.context.clock.now()) {
                 self.chain.head().stats.observe_first_event(elapsed);
             }
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -11,7 +11,7 @@
     /// Attempts by outcome.
     pub attempts: IntCounterVec,
     /// Requests suspected of crashing targets, by event: `suspected` and `poison` at a crash,
-    /// `cleared` at progress.
+    /// `cleared` at a whole response with success.
     pub suspects: IntCounterVec,
     /// Streams whose target ended them, by how: `framed` by a length or last chunk, and `closed` or
     /// `closed_inside_event` by the end of the connection.
--- a/src/relay/suspicion.rs
+++ b/src/relay/suspicion.rs
@@ -1,8 +1,9 @@
 //! Suspicion that a request crashes the targets that run it.
 //!
-//! An attempt that ends without progress is remembered for some seconds. If one of its targets turns
-//! out to have ended under it, that is a crash under the request. Progress of such a request, at any
-//! target, clears it; a failure that a target responds with speaks neither for nor against it.
+//! An attempt that ends without a whole response is remembered for some seconds. If one of its targets
+//! turns out to have ended under it, that is a crash under the request. A whole response with success,
+//! at any target, clears the request; a failure that a target responds with speaks neither for nor
+//! against it, and so does the beginning of a response, since a target may end later on.
 
 use crate::poison::{PoisonFingerprint, PoisonLimits};
 use crate::relay::attempt::{FailedAttempt, FailureKind, probe_target};
@@ -21,8 +22,6 @@
 const MAX_SEPARATION: Duration = Duration::from_secs(1);
 /// The same as a share of the time left.
 const SEPARATION_SHARE: f64 = 0.25;
-/// Events of an attempt that show that its targets run the request.
-const PROGRESS_EVENTS: u32 = 2;
 /// Time from the end of an attempt in which a refused connection shows that the target ended under
 /// it.
 const REFUSAL_WINDOW: Duration = Duration::from_secs(1);
@@ -37,7 +36,7 @@
 /// Most attempts that are remembered; the oldest are dropped first.
 const MAX_ATTEMPTS: usize = 4_096;
 
-/// An attempt that ended without progress.
+/// An attempt that ended without a whole response.
 #[derive(Debug)]
 struct SuspectAttempt {
     fingerprint: PoisonFingerprint,
@@ -78,7 +77,7 @@
     }
 }
 
-/// Attempts that ended without progress lately.
+/// Attempts that ended without a whole response lately.
 #[derive(Debug, Default)]
 pub struct SuspicionList {
     attempts: Mutex<Vec<SuspectAttempt>>,
@@ -126,14 +125,13 @@
     }
 }
 
-/// Suspicion against a request in one attempt. Unless the attempt makes progress or reaches no
+/// Suspicion against a request in one attempt. Unless the response is whole or the attempt reaches no
 /// target, it is remembered when this is dropped, also when the caller leaves.
 #[derive(Debug)]
 pub(super) struct AttemptSuspicion<'a> {
     request: &'a ActiveRequest<'a>,
     targets: Vec<Arc<TargetEntry>>,
     started: MonoTime,
-    events: u32,
     last_event: Option<MonoTime>,
     failure: Option<FailureKind>,
     is_dismissed: bool,
@@ -146,7 +144,6 @@
             request,
             targets,
             started: request.context.clock.now(),
-            events: 0,
             last_event: None,
             failure: None,
             is_dismissed: false,
@@ -172,27 +169,16 @@
         }
     }
 
-    /// An event of a response with this status has arrived; several of them are progress.
-    pub(super) fn on_event(&mut self, status: u16) {
-        self.events += 1;
+    /// An event has arrived.
+    pub(super) fn on_event(&mut self) {
         self.last_event = Some(self.request.context.clock.now());
-        if self.events == PROGRESS_EVENTS {
-            self.on_progress(status);
-        }
     }
 
     /// A response with this status has arrived. One that ended with its connection may be a part of
-    /// what a target sent that has crashed, so the attempt remains suspect.
+    /// what a target sent that has crashed, so the attempt remains suspect. Only a success shows that
+    /// targets survive the request: one that fails it may not have run the part that crashes others.
     pub(super) fn on_response(&mut self, status: u16, end: BodyEnd) {
-        if end == BodyEnd::Framed {
-            self.on_progress(status);
-        }
-    }
-
-    /// The targets have run the request, in part at least, and go on running. Only a success shows
-    /// that they survive it: one that fails it may not have run the part that crashes others.
-    fn on_progress(&mut self, status: u16) {
-        if self.is_dismissed {
+        if end == BodyEnd::Closed {
             return;
         }
         self.dismiss();
@@ -289,7 +275,7 @@
     }
 }
 
-/// Forgets all that speaks against a request, as it made progress at `target`.
+/// Forgets all that speaks against a request, as `target` responded to it with success.
 fn clear_suspicion(request: &ActiveRequest<'_>, target: &TargetEntry, status: u16) {
     let context = request.context;
     if !context.suspicions.is_empty() {
--- a/tests/poison_table.rs
+++ b/tests/poison_table.rs
@@ -24,7 +24,9 @@
 }
 
 fn crash_all(table: &PoisonTable, request: &str, runs: &[u64]) {
-    runs.iter().for_each(|run| crash(table, request, *run));
+    for run in runs {
+        crash(table, request, *run);
+    }
 }
 
 /// True when a request with these fingerprints is refused.
