Count crashes by the parts of prompts, and refuse requests with a part that explains them

Requests with one part in their prompts crashed server after server, as each had a fingerprint of its own (path, team, body) and none reached three crashes. A whole answer speaks for all parts of its request: for 20 s they are not recorded at that daemon, and their crashes are cleared on all. New log lines refusal_began and refusal_ended name the runs that decided; crash_under_request names request, run and parts. A list of parts that can't be read, or with more than 64, counts as none.

--- a/src/relay/context.rs
+++ b/src/relay/context.rs
@@ -5,11 +5,12 @@
 use crate::ids::InstanceId;
 use crate::kernel::{LifecycleCell, MonoClock};
 use crate::limits::{KeeperTable, PermitClient};
-use crate::poison::{CrashOutbox, PoisonTable};
+use crate::poison::{CrashOutbox, HarmlessParts, PoisonTable};
 use crate::presence::PresenceTable;
 use crate::relay::budget::RetryBudget;
 use crate::relay::metadata::RelayCodec;
 use crate::relay::metrics::RelayMetrics;
+use crate::relay::refusals::RefusalLog;
 use crate::relay::settings::{GatewayBounds, GatewaySettings};
 use crate::relay::suspicion::SuspicionList;
 use crate::snapshots::RecentPeers;
@@ -46,6 +47,10 @@
     pub poison: PoisonTable,
     /// Crashes of which not all daemons have been told.
     pub outbox: CrashOutbox,
+    /// Parts of prompts that are known not to crash targets.
+    pub harmless: HarmlessParts,
+    /// Refusals that have been logged.
+    pub refusals: RefusalLog,
     /// Attempts that ended without a whole response lately.
     pub suspicions: SuspicionList,
     /// Retry budget.
@@ -178,6 +183,8 @@
             pool: StreamPool::new(MAX_IDLE_CONNECTIONS),
             poison: PoisonTable::default(),
             outbox: CrashOutbox::default(),
+            harmless: HarmlessParts::default(),
+            refusals: RefusalLog::default(),
             suspicions: SuspicionList::default(),
             budget: RetryBudget::new(settings.bounds.budget()),
             keeper: KeeperTable::default(),
--- a/src/relay/crashes.rs
+++ b/src/relay/crashes.rs
@@ -1,11 +1,14 @@
 //! Crashes of targets under requests: what this daemon has found out, and what other daemons tell.
 
-use crate::poison::{CrashState, OutboxRow, PoisonEntry, PoisonFingerprint, PoisonRow};
+use crate::poison::{
+    CrashState, CrashedRun, OutboxRow, PartId, PoisonEntry, PoisonFingerprint, PoisonRow,
+};
 use crate::relay::context::RelayContext;
 use crate::relay::exchange::ActiveRequest;
 use crate::targets::TargetEntry;
 use crate::telemetry::EventLine;
 use crate::units::MonoTime;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Time for which a crash counts.
@@ -18,32 +21,108 @@
 /// Time after which a daemon writes a crash to the store that another one has told of.
 const PEER_WRITE_DELAY: Duration = Duration::from_secs(2);
 
-/// Records that a target ended under a request.
-pub(super) fn record_crash(
+/// A part of a prompt that a request shares with others.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct SuspectPart {
+    /// Identifier on the wire.
+    pub id: PartId,
+    /// Fingerprint under which its crashes are recorded.
+    pub fingerprint: PoisonFingerprint,
+}
+
+/// A request under which a target has ended.
+#[derive(Debug)]
+pub(super) struct CrashedRequest {
+    /// Id of the request in logs.
+    pub log_id: Arc<str>,
+    /// Fingerprint of the request.
+    pub fingerprint: PoisonFingerprint,
+    /// Parts of its prompt that it shares with others.
+    pub parts: Vec<SuspectPart>,
+    /// Target that ended.
+    pub target: Arc<TargetEntry>,
+}
+
+impl CrashedRequest {
+    /// Fingerprints that may be to blame: that of the request, and those of its parts that no whole
+    /// answer has lately shown to be harmless.
+    fn suspects(&self, context: &RelayContext, now: MonoTime) -> Vec<PoisonFingerprint> {
+        let parts = self.parts.iter().map(|part| part.fingerprint);
+        let parts = parts.filter(|part| !context.harmless.contains(*part, now));
+        std::iter::once(self.fingerprint).chain(parts).collect()
+    }
+}
+
+/// Records that targets ended under requests.
+pub(super) fn record_crashes(context: &RelayContext, crashed: &[CrashedRequest], now: MonoTime) {
+    let mut added = Vec::new();
+    let mut logged = Vec::new();
+    for request in crashed {
+        let run = request.target.crashed_run();
+        let entry = PoisonEntry::new([run], CrashState::Counted, now.after(CRASH_RETENTION));
+        let is_new = |one: &PoisonFingerprint| {
+            let unknown_runs = context.poison.unknown_runs(*one, &entry, now);
+            !unknown_runs.is_empty()
+        };
+        let suspects = request.suspects(context, now);
+        if is_new(&request.fingerprint) {
+            logged.push((request, suspects.clone()));
+        }
+        let new = suspects.into_iter().filter(is_new);
+        added.extend(new.map(|one| (one, entry.clone())));
+    }
+    context.poison.merge_all(&added, now);
+    for (fingerprint, entry) in &added {
+        entry.counted().for_each(|run| {
+            add_to_outbox(context, *fingerprint, run, CrashState::Counted, now);
+        });
+    }
+    for (request, suspects) in logged {
+        log_crash(context, request, &suspects, now);
+    }
+}
+
+fn add_to_outbox(
     context: &RelayContext,
     fingerprint: PoisonFingerprint,
-    target: &TargetEntry,
+    run: CrashedRun,
+    state: CrashState,
     now: MonoTime,
 ) {
-    let run = target.crashed_run();
-    let entry = PoisonEntry::new([run], CrashState::Counted, now.after(CRASH_RETENTION));
-    if !context.poison.merge(fingerprint, &entry, now) {
-        return;
-    }
     let row = OutboxRow {
         fingerprint,
         run,
-        state: CrashState::Counted,
+        state,
     };
     context.outbox.add(row, now.after(WRITE_DELAY));
-    let is_poison = context.poison.refusal_time(&[fingerprint], now).is_some();
+}
+
+fn log_crash(
+    context: &RelayContext,
+    request: &CrashedRequest,
+    suspects: &[PoisonFingerprint],
+    now: MonoTime,
+) {
+    let is_poison = context.poison.refusal_time(suspects, now).is_some();
     let outcome = if is_poison { "poison" } else { "suspected" };
     context.metrics.suspects.with_label_values(&[outcome]).inc();
+    let parts = request.parts.iter();
+    let parts = parts.filter(|part| suspects.contains(&part.fingerprint));
+    let parts: Vec<String> = parts
+        .map(|part| {
+            let crashes = context.poison.crashes(part.fingerprint, now);
+            format!("{}={}:{crashes}", part.id, part.fingerprint)
+        })
+        .collect();
+    let target = &request.target;
     let line = EventLine::new("crash_under_request")
-        .with_display("fingerprint", fingerprint)
+        .with("request", request.log_id.as_ref())
+        .with_display("fingerprint", request.fingerprint)
         .with_display("target", &target.id)
         .with("started_ms", target.started_ms)
-        .with("crashes", context.poison.crashes(fingerprint, now));
+        .with_display("run", target.crashed_run())
+        .with("crashes", context.poison.crashes(request.fingerprint, now))
+        .with("parts", parts.join(","));
     context.events.emit(line.with("outcome", outcome));
 }
 
@@ -60,16 +139,17 @@
 }
 
 /// Records the crashes that another daemon tells of. If that daemon does not write them to the
-/// store soon, this one does.
+/// store soon, this one does. Those of parts that are known to be harmless here are cleared.
 pub(crate) fn merge_peer_crashes(context: &RelayContext, rows: &[PoisonRow]) {
     let now = context.clock.now();
+    let mut added = Vec::new();
     for row in rows {
         let (fingerprint, entry) = (row.fingerprint(), row.entry(now, CRASH_RETENTION));
         let unknown_runs = context.poison.unknown_runs(fingerprint, &entry, now);
-        // A merge copies the whole table.
-        if !unknown_runs.is_empty() {
-            context.poison.merge(fingerprint, &entry, now);
+        if unknown_runs.is_empty() {
+            continue;
         }
+        added.push((fingerprint, entry));
         for (run, state) in unknown_runs {
             let row = OutboxRow {
                 fingerprint,
@@ -81,34 +161,46 @@
                 .add_from_peer(row, now.after(PEER_WRITE_DELAY));
         }
     }
+    context.poison.merge_all(&added, now);
+    for (fingerprint, _) in &added {
+        if context.harmless.contains(*fingerprint, now) {
+            clear_fingerprint(context, *fingerprint, now);
+        }
+    }
 }
 
-/// Clears the crashes under a request to which `target` has sent a whole response with this status.
+/// Clears the crashes under a request to which `target` has sent a whole response with this status,
+/// and those under the parts of its prompt.
 pub(super) fn clear_crashes(request: &ActiveRequest<'_>, target: &TargetEntry, status: u16) {
     let context = request.context;
-    let fingerprint = request.fingerprint();
-    let cleared = context.poison.clear(fingerprint, u32::MAX);
-    if cleared.is_empty() {
-        return;
-    }
     let now = context.clock.now();
+    for fingerprint in request.fingerprints() {
+        let crashes = clear_fingerprint(context, fingerprint, now);
+        if crashes == 0 {
+            continue;
+        }
+        let line = request
+            .log_line("crashes_cleared")
+            .with_display("fingerprint", fingerprint)
+            .with_display("target", &target.id)
+            .with("status", status);
+        context.events.emit(line.with("crashes", crashes));
+    }
+}
+
+/// Clears the crashes of a fingerprint and returns their number.
+fn clear_fingerprint(
+    context: &RelayContext,
+    fingerprint: PoisonFingerprint,
+    now: MonoTime,
+) -> usize {
+    let cleared = context.poison.clear(fingerprint, u32::MAX);
     for run in &cleared {
-        let row = OutboxRow {
-            fingerprint,
-            run: *run,
-            state: CrashState::Cleared,
-        };
-        context.outbox.add(row, now.after(WRITE_DELAY));
+        add_to_outbox(context, fingerprint, *run, CrashState::Cleared, now);
     }
-    context
-        .metrics
-        .suspects
-        .with_label_values(&["cleared"])
-        .inc();
-    let line = request
-        .log_line("crashes_cleared")
-        .with_display("fingerprint", fingerprint)
-        .with_display("target", &target.id)
-        .with("status", status);
-    context.events.emit(line.with("crashes", cleared.len()));
+    if !cleared.is_empty() {
+        let counter = &context.metrics.suspects;
+        counter.with_label_values(&["cleared"]).inc();
+    }
+    cleared.len()
 }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -6,6 +6,7 @@
 use crate::relay::attempt::{FailedAttempt, OutgoingRequest};
 use crate::relay::caller_stream::CallerFraming;
 use crate::relay::context::RelayContext;
+use crate::relay::crashes::SuspectPart;
 use crate::relay::local_reply::{LocalReply, RefusalCause};
 use crate::relay::metadata::{DispatchMetadata, RequestMetadata};
 use crate::relay::retry::{RetryState, RetryStep};
@@ -131,7 +132,24 @@
 
     /// All fingerprints under which crashes are recorded for this request.
     pub(super) fn fingerprints(&self) -> Vec<PoisonFingerprint> {
-        vec![self.fingerprint()]
+        let parts = self.suspect_parts().into_iter();
+        let parts = parts.map(|part| part.fingerprint);
+        std::iter::once(self.fingerprint()).chain(parts).collect()
+    }
+
+    /// Parts of the prompt that the request shares with others. A part is recognized by its id and
+    /// the service, since another model may well survive it. No path begins like these fingerprints.
+    pub(super) fn suspect_parts(&self) -> Vec<SuspectPart> {
+        let service = self.service.name.as_str().as_bytes();
+        let parts = self.metadata.shared_parts.iter().map(|id| {
+            let text = id.to_string();
+            let fingerprint = PoisonFingerprint::new(&[b"part", service, text.as_bytes()]);
+            SuspectPart {
+                id: *id,
+                fingerprint,
+            }
+        });
+        parts.collect()
     }
 
     /// Fingerprint of path, team and body, by which the request is recognized when it comes again,
--- a/src/relay/metadata.rs
+++ b/src/relay/metadata.rs
@@ -3,6 +3,7 @@
 
 use crate::ids::{InstanceId, TeamId};
 use crate::limits::LimitStatement;
+use crate::poison::PartId;
 use crate::targets::LayerChain;
 use crate::wire::{HeadBuilder, WireHead};
 use std::net::SocketAddr;
@@ -27,6 +28,9 @@
     pub expected_answer_tokens: Option<u32>,
     /// Id of the event after which the caller resumes a stream.
     pub resume_after: Option<u64>,
+    /// Parts of the prompt that other requests may hold as well, without repetitions. Empty when
+    /// the caller names none or the list is malformed.
+    pub shared_parts: Arc<[PartId]>,
 }
 
 impl RequestMetadata {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -15,6 +15,7 @@
 mod metadata;
 mod metrics;
 mod plain;
+mod refusals;
 mod retry;
 mod settings;
 mod stall;
--- a/src/relay/suspicion.rs
+++ b/src/relay/suspicion.rs
@@ -8,8 +8,9 @@
 use crate::poison::{PoisonFingerprint, PoisonLimits};
 use crate::relay::attempt::{FailedAttempt, FailureKind, probe_target};
 use crate::relay::context::RelayContext;
-use crate::relay::crashes::{clear_crashes, record_crash};
+use crate::relay::crashes::{CrashedRequest, SuspectPart, clear_crashes, record_crashes};
 use crate::relay::exchange::ActiveRequest;
+use crate::relay::refusals::log_refusals;
 use crate::targets::{TargetEntry, TargetView};
 use crate::units::MonoTime;
 use crate::wire::BodyEnd;
@@ -39,7 +40,11 @@
 /// An attempt that ended without a whole response.
 #[derive(Debug)]
 struct SuspectAttempt {
+    /// Id of the request in logs.
+    log_id: Arc<str>,
     fingerprint: PoisonFingerprint,
+    /// Parts of the prompt that the request shares with others.
+    parts: Vec<SuspectPart>,
     /// Targets of the chain; the request was sent to the first one.
     targets: Vec<Arc<TargetEntry>>,
     started: MonoTime,
@@ -103,16 +108,17 @@
 
     /// Removes and returns the attempts under which a target has ended, with this target. Drops
     /// those for which none has in time.
-    fn take_crashed(
-        &self,
-        view: &TargetView,
-        now: MonoTime,
-    ) -> Vec<(PoisonFingerprint, Arc<TargetEntry>)> {
+    fn take_crashed(&self, view: &TargetView, now: MonoTime) -> Vec<CrashedRequest> {
         let mut crashed = Vec::new();
         self.lock()
             .retain(|attempt| match attempt.crashed_target(view, now) {
                 Some(target) => {
-                    crashed.push((attempt.fingerprint, Arc::clone(target)));
+                    crashed.push(CrashedRequest {
+                        log_id: Arc::clone(&attempt.log_id),
+                        fingerprint: attempt.fingerprint,
+                        parts: attempt.parts.clone(),
+                        target: Arc::clone(target),
+                    });
                     false
                 }
                 None => now.since(attempt.ended) <= DEPARTURE_WINDOW,
@@ -202,7 +208,9 @@
 
     fn suspect_attempt(&self) -> SuspectAttempt {
         SuspectAttempt {
+            log_id: Arc::from(self.request.log_id()),
             fingerprint: self.request.fingerprint(),
+            parts: self.request.suspect_parts(),
             targets: self.targets.clone(),
             started: self.started,
             ended: self.request.context.clock.now(),
@@ -229,9 +237,8 @@
 pub(super) async fn separate_suspects(request: &ActiveRequest<'_>) {
     let context = request.context;
     let now = context.clock.now();
-    let is_undecided = !context.poison.is_empty()
-        && !request.is_poison()
-        && context.poison.crashes(request.fingerprint(), now) >= PoisonLimits::default().crashes;
+    let is_undecided =
+        !context.poison.is_empty() && !request.is_poison() && may_crash_targets(request, now);
     if is_undecided {
         let line = request
             .log_line("suspect_delayed")
@@ -242,6 +249,16 @@
     }
 }
 
+/// True when crashes under the request or a part of its prompt are explained neither by it nor by
+/// another one.
+fn may_crash_targets(request: &ActiveRequest<'_>, now: MonoTime) -> bool {
+    let poison = &request.context.poison;
+    let verdict = poison.verdict(now);
+    let mut parts = request.suspect_parts().into_iter();
+    poison.crashes(request.fingerprint(), now) >= PoisonLimits::default().crashes
+        || parts.any(|part| verdict.is_undecided(part.fingerprint))
+}
+
 /// After a failed attempt, finds out whether `target` has crashed, so that the next attempt already
 /// takes account of it.
 pub(super) async fn check_for_crash(
@@ -263,21 +280,23 @@
     count_crashes(context);
 }
 
-/// Records the crashes under requests that have become known.
+/// Records the crashes under requests that have become known, here or from other daemons.
 pub(crate) fn count_crashes(context: &RelayContext) {
-    if context.suspicions.is_empty() {
-        return;
-    }
     let now = context.clock.now();
-    let view = context.targets.load();
-    for (fingerprint, target) in context.suspicions.take_crashed(&view, now) {
-        record_crash(context, fingerprint, &target, now);
+    if !context.suspicions.is_empty() {
+        let view = context.targets.load();
+        let crashed = context.suspicions.take_crashed(&view, now);
+        record_crashes(context, &crashed, now);
     }
+    log_refusals(context, now);
 }
 
-/// Forgets all that speaks against a request, as `target` responded to it with success.
+/// Forgets all that speaks against a request and the parts of its prompt, as `target` responded to it with success.
 fn clear_suspicion(request: &ActiveRequest<'_>, target: &TargetEntry, status: u16) {
     let context = request.context;
+    let parts = request.suspect_parts().into_iter();
+    let parts: Vec<PoisonFingerprint> = parts.map(|part| part.fingerprint).collect();
+    context.harmless.record(&parts, context.clock.now());
     if !context.suspicions.is_empty() {
         context.suspicions.forget(request.fingerprint());
     }
