Tell other daemons first of the fingerprints with most crashes, and store none with a single one

Sixteen rows chosen at random went into a message, and each row to the store after a second. Now 32 rows go along, those of the fingerprints with most runs first; a fingerprint with one run is told of for some seconds and costs no call.

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -64,9 +64,11 @@
     let context = &state.context;
     count_crashes(context);
     remove_expired(state);
+    let now = context.clock.now();
+    let known_runs = |fingerprint| context.poison.known_runs(fingerprint, now);
     let rows = context
         .outbox
-        .take_due(MAX_TRANSACTION_ROWS, context.clock.now());
+        .take_due(MAX_TRANSACTION_ROWS, now, known_runs);
     if rows.is_empty() {
         return;
     }
--- a/src/poison/outbox.rs
+++ b/src/poison/outbox.rs
@@ -3,11 +3,18 @@
 use crate::poison::fingerprint::PoisonFingerprint;
 use crate::poison::table::{CrashState, CrashedRun};
 use crate::units::MonoTime;
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::sync::{Mutex, MutexGuard};
+use std::time::Duration;
 
 /// Most crashes that wait; further ones are only kept in memory.
-const MAX_ROWS: usize = 1_024;
+const MAX_ROWS: usize = 8_192;
+/// Runs of a fingerprint from which on they are written to the store and passed on for other daemons.
+/// Most requests are beside one crash and never come again.
+const MIN_STORED_RUNS: u32 = 2;
+/// Time for which a daemon goes on telling of a fingerprint's only run once it is due.
+const SINGLE_RUN_TIME: Duration = Duration::from_secs(4);
 
 /// A crash to be written to the store or removed from it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -84,13 +91,26 @@
     }
 
     /// Up to `limit` rows that are due for the store; they stay until [`Self::on_stored`]. Drops
-    /// cleared crashes that the store was never told of.
-    pub fn take_due(&self, limit: usize, now: MonoTime) -> Vec<OutboxRow> {
+    /// cleared crashes that the store was never told of, and single ones after a while. `known_runs`
+    /// returns the number of runs that are known for a fingerprint.
+    pub fn take_due(
+        &self,
+        limit: usize,
+        now: MonoTime,
+        known_runs: impl Fn(PoisonFingerprint) -> u32,
+    ) -> Vec<OutboxRow> {
         let mut waiting = self.lock();
-        waiting.retain(|_, row| !(row.needs_no_call() && row.due <= now));
+        let is_single = |key: &(PoisonFingerprint, CrashedRun), row: &WaitingRow| {
+            !row.is_written && known_runs(key.0) < MIN_STORED_RUNS
+        };
+        waiting.retain(|key, row| {
+            let is_dropped = row.needs_no_call() && row.due <= now;
+            let is_over = row.due.after(SINGLE_RUN_TIME) <= now && is_single(key, row);
+            !is_dropped && !is_over
+        });
         let due = waiting
             .iter_mut()
-            .filter(|(_, row)| row.due <= now && !row.needs_no_call());
+            .filter(|(key, row)| row.due <= now && !row.needs_no_call() && !is_single(key, row));
         let rows = due.take(limit).map(|(key, row)| {
             row.is_written = true;
             outbox_row(key, row)
@@ -98,20 +118,29 @@
         rows.collect()
     }
 
-    /// Up to `limit` rows for other daemons, the first ones from a random place on. Those that
-    /// another daemon has told of are passed on only once they are due, as that daemon tells of
-    /// them itself until then.
-    pub fn rows(&self, limit: usize, now: MonoTime) -> Vec<OutboxRow> {
+    /// Up to `limit` rows for other daemons: first those of the fingerprints with most runs, and of
+    /// equal ones a random choice. Those that another daemon has told of are passed on only once
+    /// they are due, as that daemon tells of them itself until then, and only if they are not single.
+    pub fn rows(
+        &self,
+        limit: usize,
+        now: MonoTime,
+        known_runs: impl Fn(PoisonFingerprint) -> u32,
+    ) -> Vec<OutboxRow> {
         let waiting = self.lock();
-        let is_wanted = |row: &WaitingRow| !row.is_from_peer || row.due <= now;
-        let wanted: Vec<OutboxRow> = waiting
+        let rows = waiting
             .iter()
-            .filter(|(_, row)| is_wanted(row))
-            .map(|(key, row)| outbox_row(key, row))
+            .map(|(key, row)| (known_runs(key.0), key, row));
+        let wanted = rows.filter(|(runs, _, row)| {
+            !row.is_from_peer || (row.due <= now && *runs >= MIN_STORED_RUNS)
+        });
+        let mut wanted: Vec<(u32, OutboxRow)> = wanted
+            .map(|(runs, key, row)| (runs, outbox_row(key, row)))
             .collect();
-        let start = fastrand::usize(..wanted.len().max(1));
-        let rows = wanted.iter().cycle().skip(start);
-        rows.take(limit.min(wanted.len())).copied().collect()
+        fastrand::shuffle(&mut wanted);
+        wanted.sort_by_key(|(runs, _)| Reverse(*runs));
+        wanted.truncate(limit);
+        wanted.into_iter().map(|(_, row)| row).collect()
     }
 
     /// Drops a crash that the store has in this state or a later one.
--- a/src/poison/table.rs
+++ b/src/poison/table.rs
@@ -156,6 +156,13 @@
         live_entry(&snapshot.entries, fingerprint, now).map_or(0, |entry| entry.crashes())
     }
 
+    /// Runs that are known for a fingerprint, whether or not they count.
+    pub fn known_runs(&self, fingerprint: PoisonFingerprint, now: MonoTime) -> u32 {
+        let snapshot = self.snapshot.load();
+        let entry = live_entry(&snapshot.entries, fingerprint, now);
+        entry.map_or(0, |entry| entry.runs.len() as u32)
+    }
+
     /// The entry of a fingerprint, unless it has expired.
     pub fn entry(&self, fingerprint: PoisonFingerprint, now: MonoTime) -> Option<PoisonEntry> {
         let snapshot = self.snapshot.load();
--- a/src/relay/crashes.rs
+++ b/src/relay/crashes.rs
@@ -13,8 +13,8 @@
 
 /// Time for which a crash counts.
 pub(crate) const CRASH_RETENTION: Duration = Duration::from_secs(600);
-/// Most crashes in one message to other daemons.
-const MAX_DIGEST_CRASHES: usize = 16;
+/// Most crashes in one message to other daemons, about 1.3 KB.
+const MAX_DIGEST_CRASHES: usize = 32;
 /// Time after which a crash is written to the store, or a cleared one removed. Most requests that
 /// were beside a crash are answered whole before and cost no call.
 const WRITE_DELAY: Duration = Duration::from_secs(1);
@@ -73,15 +73,31 @@
     }
     context.poison.merge_all(&added, now);
     for (fingerprint, entry) in &added {
-        entry.counted().for_each(|run| {
+        for run in runs_to_tell(context, *fingerprint, entry, now) {
             add_to_outbox(context, *fingerprint, run, CrashState::Counted, now);
-        });
+        }
     }
     for (request, suspects) in logged {
         log_crash(context, request, &suspects, now);
     }
 }
 
+/// The runs of a fingerprint that go to the store: those of the entry that was added, and the one
+/// known before if it was the only one, which the outbox may have dropped.
+fn runs_to_tell(
+    context: &RelayContext,
+    fingerprint: PoisonFingerprint,
+    added: &PoisonEntry,
+    now: MonoTime,
+) -> Vec<CrashedRun> {
+    let known = context.poison.entry(fingerprint, now);
+    let runs: Vec<CrashedRun> = known.iter().flat_map(PoisonEntry::counted).collect();
+    if runs.len() == 2 {
+        return runs;
+    }
+    added.counted().collect()
+}
+
 fn add_to_outbox(
     context: &RelayContext,
     fingerprint: PoisonFingerprint,
@@ -130,8 +146,9 @@
 pub(crate) fn unstored_crashes(context: &RelayContext) -> Vec<PoisonRow> {
     let now = context.clock.now();
     let until = now.after(CRASH_RETENTION);
-    let rows = context.outbox.rows(MAX_DIGEST_CRASHES, now).into_iter();
-    let rows = rows.map(|row| {
+    let known_runs = |fingerprint| context.poison.known_runs(fingerprint, now);
+    let rows = context.outbox.rows(MAX_DIGEST_CRASHES, now, known_runs);
+    let rows = rows.into_iter().map(|row| {
         let entry = PoisonEntry::new([row.run], row.state, until);
         PoisonRow::new(row.fingerprint, &entry, now)
     });
@@ -162,7 +179,16 @@
         }
     }
     context.poison.merge_all(&added, now);
-    for (fingerprint, _) in &added {
+    for (fingerprint, entry) in &added {
+        for run in runs_to_tell(context, *fingerprint, entry, now) {
+            let row = OutboxRow {
+                fingerprint: *fingerprint,
+                run,
+                state: CrashState::Counted,
+            };
+            let due = now.after(PEER_WRITE_DELAY);
+            context.outbox.add_from_peer(row, due);
+        }
         if context.harmless.contains(*fingerprint, now) {
             clear_fingerprint(context, *fingerprint, now);
         }
--- a/tests/poison_outbox.rs
+++ b/tests/poison_outbox.rs
@@ -1,6 +1,7 @@
 //! Crashes that wait for the store: which calls they cost, and what other daemons are told.
 
 use arbutusmount::{CrashOutbox, CrashState, CrashedRun, MonoTime, OutboxRow, PoisonFingerprint};
+use std::time::Duration;
 
 const NOW: MonoTime = MonoTime(1_000);
 const LATER: MonoTime = MonoTime(2_000);
@@ -21,18 +22,23 @@
     row(CrashState::Cleared)
 }
 
+/// As if two runs were known for each fingerprint.
+fn two_runs(_fingerprint: PoisonFingerprint) -> u32 {
+    2
+}
+
 #[test]
 fn crash_waits_until_it_is_due_and_then_until_it_is_stored() {
     let outbox = CrashOutbox::default();
     outbox.add(counted(), LATER);
-    assert_eq!(outbox.take_due(32, NOW), Vec::new());
-    assert_eq!(outbox.rows(64, NOW), vec![counted()]);
+    assert_eq!(outbox.take_due(32, NOW, two_runs), Vec::new());
+    assert_eq!(outbox.rows(64, NOW, two_runs), vec![counted()]);
 
-    assert_eq!(outbox.take_due(32, LATER), vec![counted()]);
-    assert_eq!(outbox.take_due(32, LATER), vec![counted()]);
+    assert_eq!(outbox.take_due(32, LATER, two_runs), vec![counted()]);
+    assert_eq!(outbox.take_due(32, LATER, two_runs), vec![counted()]);
     outbox.on_stored(counted());
 
-    assert_eq!(outbox.take_due(32, LATER), Vec::new());
+    assert_eq!(outbox.take_due(32, LATER, two_runs), Vec::new());
 }
 
 /// A crash that is cleared before it was written costs no call; other daemons hear of both.
@@ -43,9 +49,9 @@
 
     outbox.add(cleared(), LATER);
 
-    assert_eq!(outbox.rows(64, NOW), vec![cleared()]);
-    assert_eq!(outbox.take_due(32, LATER), Vec::new());
-    assert_eq!(outbox.rows(64, NOW), Vec::new());
+    assert_eq!(outbox.rows(64, NOW, two_runs), vec![cleared()]);
+    assert_eq!(outbox.take_due(32, LATER, two_runs), Vec::new());
+    assert_eq!(outbox.rows(64, NOW, two_runs), Vec::new());
 }
 
 /// A crash that may have been written is removed, though the reply to the write was lost.
@@ -53,13 +59,13 @@
 fn crash_cleared_after_it_was_written_is_removed() {
     let outbox = CrashOutbox::default();
     outbox.add(counted(), NOW);
-    outbox.take_due(32, NOW);
+    outbox.take_due(32, NOW, two_runs);
 
     outbox.add(cleared(), LATER);
 
-    assert_eq!(outbox.take_due(32, LATER), vec![cleared()]);
+    assert_eq!(outbox.take_due(32, LATER, two_runs), vec![cleared()]);
     outbox.on_stored(counted());
-    assert_eq!(outbox.rows(64, NOW), vec![cleared()]);
+    assert_eq!(outbox.rows(64, NOW, two_runs), vec![cleared()]);
 }
 
 /// A peer removes what it has written itself; all others would make the same call.
@@ -69,7 +75,7 @@
 
     outbox.add_from_peer(cleared(), NOW);
 
-    assert_eq!(outbox.take_due(32, LATER), Vec::new());
+    assert_eq!(outbox.take_due(32, LATER, two_runs), Vec::new());
 }
 
 #[test]
@@ -80,7 +86,7 @@
 
     outbox.add_from_peer(counted(), NOW);
 
-    assert_eq!(outbox.rows(64, NOW), vec![cleared()]);
+    assert_eq!(outbox.rows(64, NOW, two_runs), vec![cleared()]);
 }
 
 /// A crash that a peer tells of is passed on only when the store should have had it. In a large
@@ -91,6 +97,44 @@
 
     outbox.add_from_peer(counted(), LATER);
 
-    assert_eq!(outbox.rows(64, NOW), Vec::new());
-    assert_eq!(outbox.rows(64, LATER), vec![counted()]);
+    assert_eq!(outbox.rows(64, NOW, two_runs), Vec::new());
+    assert_eq!(outbox.rows(64, LATER, two_runs), vec![counted()]);
+}
+
+/// A fingerprint with a single run costs no call of the store, and other daemons hear of it for a
+/// few seconds. A target that ends has a batch of requests on it, most of which never come again.
+#[test]
+fn single_crash_is_told_for_a_while_and_never_stored() {
+    let outbox = CrashOutbox::default();
+    outbox.add(counted(), NOW);
+
+    assert_eq!(outbox.take_due(32, LATER, |_| 1), Vec::new());
+    assert_eq!(outbox.rows(64, LATER, |_| 1), vec![counted()]);
+
+    let much_later = LATER.after(Duration::from_secs(10));
+    assert_eq!(outbox.take_due(32, much_later, |_| 1), Vec::new());
+    assert_eq!(outbox.rows(64, much_later, |_| 1), Vec::new());
+}
+
+/// Other daemons hear first of the fingerprints with most crashes. A random choice of all those that
+/// were beside a crash hid the one that mattered.
+#[test]
+fn fingerprints_with_most_runs_are_told_first() {
+    let outbox = CrashOutbox::default();
+    for beside in 0..500 {
+        let fingerprint = PoisonFingerprint(beside);
+        outbox.add(
+            OutboxRow {
+                fingerprint,
+                ..counted()
+            },
+            LATER,
+        );
+    }
+    let known_runs = |fingerprint| 1 + u32::from(fingerprint == PoisonFingerprint(250));
+
+    let told = outbox.rows(32, NOW, known_runs);
+
+    assert_eq!(told.len(), 32);
+    assert_eq!(told[0].fingerprint, PoisonFingerprint(250));
 }
