--- a/rig/src/site/crash.rs
+++ b/rig/src/site/crash.rs
@@ -17,6 +17,8 @@
 const CRASH_BEGUN_SEGMENT: &str = "/crash-begun";
 /// Path segment of requests that crash the last server of their chain.
 const CRASH_LAST_SEGMENT: &str = "/crash-last";
+/// Path in the record of servers that end by a fault of their own.
+const OWN_FAULT: &str = "none";
 /// Events of a response that a server sends before it crashes under a request of that kind.
 pub(super) const BEGUN_EVENTS: u64 = 4;
 /// Time from the last of these events to the crash.
@@ -255,12 +257,23 @@
         });
     }
 
+    /// Ends the server that has run for longest, as a fault of its own; it starts again later.
+    pub fn end_oldest(&self) {
+        let oldest = self
+            .lock_live()
+            .first()
+            .map(|server| server.switch.address());
+        if let Some(address) = oldest {
+            self.crash(address, OWN_FAULT);
+        }
+    }
+
     fn take(&self, address: SocketAddr) -> Option<LiveServer> {
         let mut live = self.lock_live();
         let index = live
             .iter()
             .position(|server| server.switch.address() == address)?;
-        Some(live.swap_remove(index))
+        Some(live.remove(index))
     }
 
     fn lock_live(&self) -> MutexGuard<'_, Vec<LiveServer>> {
