--- a/tests/platform_poison_parts.rs
+++ b/tests/platform_poison_parts.rs
@@ -4,8 +4,11 @@
 #[path = "support/site.rs"]
 mod site;
 
-use rig::{BadArrival, BadPart, SiteFleet, SiteRequest, SiteResponse, SiteSpec, send_site_request};
-use site::stream_call;
+use rig::{
+    BadArrival, BadPart, SiteFleet, SiteRequest, SiteResponse, SiteSpec, StoreFault,
+    send_site_request,
+};
+use site::{stream_call, until};
 use std::thread;
 use std::time::{Duration, Instant};
 use test_case::test_case;
@@ -74,11 +77,16 @@
     ..MIDDLE_PART
 };
 
-fn part_site(case: &PartCase) -> SiteFleet {
+/// Model servers in each failure domain.
+const MODELS: usize = 4;
+/// The same on a site whose daemons do not hear of servers that come back.
+const MANY_MODELS: usize = 8;
+
+fn part_site(case: &PartCase, models_per_domain: usize) -> SiteFleet {
     let site = SiteFleet::start(SiteSpec {
         daemons: DAEMONS,
         plain_servers: 0,
-        models_per_domain: 4,
+        models_per_domain,
         domains: 3,
     });
     site.crashes.spare_every(case.spare_every);
@@ -172,6 +180,23 @@
     sound.map(|call| call.expect("the caller ends")).collect()
 }
 
+/// Checks that few requests with bad parts have reached servers late.
+fn assert_few_late(site: &SiteFleet, case: &PartCase) {
+    let arrivals = site.crashes.bad_arrivals();
+    for part in case.bad_parts {
+        let decided = deciding_crash(&arrivals, part).expect("the part has crashed servers");
+        let of_part = arrivals.iter().filter(|arrival| &*arrival.part == *part);
+        let late = of_part
+            .filter(|arrival| arrival.at > decided + CONTACT_TIME)
+            .count();
+        let all = arrivals.len();
+        assert!(
+            late <= MAX_LATE_ARRIVALS,
+            "{part}: {late} late, {all} in all"
+        );
+    }
+}
+
 /// Requests with a part that crashes servers are kept from them, though no two are alike, and sound
 /// ones that share their key, route and other parts are served. Nothing was counted by part.
 #[test_case(MIDDLE_PART; "middle part")]
@@ -182,7 +207,7 @@
 #[test_case(TWO_PARTS; "two parts at once")]
 fn requests_with_a_part_that_crashes_servers_are_kept_from_them(case: PartCase) {
     // Arrange
-    let site = part_site(&case);
+    let site = part_site(&case, MODELS);
     for number in 0..DAEMONS {
         let request = prompt_call(SOUND_PROMPT, "first", number);
         assert!(has_begun(&send_site_request(
@@ -221,3 +246,36 @@
         counted.len()
     );
 }
+
+/// Daemons tell each other of the part while the store is away. Each would otherwise let it crash
+/// three servers.
+#[test]
+fn requests_with_the_part_are_kept_from_servers_while_the_store_is_away() {
+    let case = MIDDLE_PART;
+    let site = part_site(&case, MANY_MODELS);
+    site.store.set_fault(0, StoreFault::Reset);
+
+    send_requests(&site, &case);
+
+    assert_few_late(&site, &case);
+}
+
+/// A daemon that has just started knows the part that the others refuse.
+#[test]
+fn daemon_that_starts_later_refuses_the_part() {
+    let case = MIDDLE_PART;
+    let site = part_site(&case, MODELS);
+    send_requests(&site, &case);
+    let before = site.crashes.bad_arrivals().len();
+    let late = site.start_daemon("router-late", "d0", 0);
+    until("the daemon to serve", || {
+        late.state.is_serving() && late.state.context.targets.load().chain_count() > 0
+    });
+
+    let bad = send_site_request(late.address, &prompt_call(case.bad[0], "bad", 9_000));
+    let sound = send_site_request(late.address, &prompt_call(SOUND_PROMPT, "sound", 9_000));
+
+    assert_eq!(bad.status, 503);
+    assert!(has_begun(&sound));
+    assert_eq!(site.crashes.bad_arrivals().len(), before);
+}
