Take a response that ended with its connection for whole once its target has gone on running

Such a response with success now clears its request and parts when 8 s have passed in which its target neither left the list nor refused a connection.

--- a/rig/src/site/model.rs
+++ b/rig/src/site/model.rs
@@ -131,7 +131,11 @@
         };
         let (next_store, next) = (store.clone(), server.clone());
         let start_again: StartServer = Arc::new(move |id: &str| {
-            Self::start(&next_store, &next.crashes, id, &next.zone, &next.card);
+            let server = Self::start(&next_store, &next.crashes, id, &next.zone, &next.card);
+            server.set_knobs(ModelKnobs {
+                stalled_address: None,
+                ..next.with_state(|state| state.knobs.clone())
+            });
         });
         crashes.add(id, switch, start_again);
         *server_cell.lock().expect("server is never poisoned") = Some(server.clone());
--- a/src/poison/table.rs
+++ b/src/poison/table.rs
@@ -176,18 +176,28 @@
         fingerprints: &[PoisonFingerprint],
         now: MonoTime,
     ) -> Option<Duration> {
+        let reasons = self.refusal_reasons(fingerprints, now);
         let snapshot = self.snapshot.load();
-        let is_known = |one: &PoisonFingerprint| live_entry(&snapshot.entries, *one, now).is_some();
-        if !fingerprints.iter().any(is_known) {
-            return None;
-        }
-        let reasons = self.verdict_of(&snapshot, now).reasons(fingerprints);
         let entries = reasons
             .iter()
             .filter_map(|one| live_entry(&snapshot.entries, *one, now));
         entries.map(|entry| entry.until.since(now)).max()
     }
 
+    /// The fingerprints of a request for which it is refused; none if it is not.
+    pub fn refusal_reasons(
+        &self,
+        fingerprints: &[PoisonFingerprint],
+        now: MonoTime,
+    ) -> Vec<PoisonFingerprint> {
+        let snapshot = self.snapshot.load();
+        let is_known = |one: &PoisonFingerprint| live_entry(&snapshot.entries, *one, now).is_some();
+        if !fingerprints.iter().any(is_known) {
+            return Vec::new();
+        }
+        self.verdict_of(&snapshot, now).reasons(fingerprints)
+    }
+
     /// What the crashes that are known say.
     pub fn verdict(&self, now: MonoTime) -> PoisonVerdict {
         self.verdict_of(&self.snapshot.load(), now).clone()
--- a/src/relay/crashes.rs
+++ b/src/relay/crashes.rs
@@ -214,6 +214,19 @@
     }
 }
 
+/// Clears the crashes under these requests and parts: they were answered, and their targets have gone
+/// on running.
+pub(super) fn clear_survivors(
+    context: &RelayContext,
+    survived: &[PoisonFingerprint],
+    now: MonoTime,
+) {
+    context.harmless.record(survived, now);
+    for fingerprint in survived {
+        clear_fingerprint(context, *fingerprint, now);
+    }
+}
+
 /// Clears the crashes of a fingerprint and returns their number.
 fn clear_fingerprint(
     context: &RelayContext,
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -197,7 +197,8 @@
         let line = self
             .log_line("answered")
             .with("cause", cause.name())
-            .with("detail", detail);
+            .with("detail", detail)
+            .with("refused_for", self.refusal_reasons(cause));
         self.context
             .events
             .emit(line.with("retry_after_ms", retry_ms));
@@ -208,6 +209,19 @@
         }
     }
 
+    /// For the log: the fingerprints for which a request is refused with this cause, separated by
+    /// commas.
+    fn refusal_reasons(&self, cause: RefusalCause) -> Option<String> {
+        if cause != RefusalCause::Poison {
+            return None;
+        }
+        let now = self.context.clock.now();
+        let poison = &self.context.poison;
+        let reasons = poison.refusal_reasons(&self.fingerprints(), now);
+        let reasons: Vec<String> = reasons.iter().map(ToString::to_string).collect();
+        Some(reasons.join(","))
+    }
+
     /// Base of `Retry-After`; the value sent is between it and twice as much. Limited to a share of
     /// the caller's timeout, unless no earlier retry can be served.
     fn retry_delay(&self, cause: RefusalCause) -> Duration {
--- a/src/relay/suspicion.rs
+++ b/src/relay/suspicion.rs
@@ -8,7 +8,9 @@
 use crate::poison::{PoisonFingerprint, PoisonLimits};
 use crate::relay::attempt::{FailedAttempt, FailureKind, probe_target};
 use crate::relay::context::RelayContext;
-use crate::relay::crashes::{CrashedRequest, SuspectPart, clear_crashes, record_crashes};
+use crate::relay::crashes::{
+    CrashedRequest, SuspectPart, clear_crashes, clear_survivors, record_crashes,
+};
 use crate::relay::exchange::ActiveRequest;
 use crate::relay::refusals::log_refusals;
 use crate::targets::{TargetEntry, TargetView};
@@ -51,6 +53,17 @@
     ended: MonoTime,
     /// How it failed; `None` when the caller left first, or when a response ended with its connection.
     failure: Option<FailureKind>,
+    /// True when a response with success ended with its connection.
+    is_answered: bool,
+}
+
+/// What has become of attempts that were remembered.
+#[derive(Debug, Default)]
+struct SettledAttempts {
+    /// Those under which a target has ended.
+    crashed: Vec<CrashedRequest>,
+    /// Fingerprints of those that were answered and whose targets have gone on running.
+    survived: Vec<PoisonFingerprint>,
 }
 
 impl SuspectAttempt {
@@ -74,6 +87,20 @@
         })
     }
 
+    fn crashed_request(&self, target: &Arc<TargetEntry>) -> CrashedRequest {
+        CrashedRequest {
+            log_id: Arc::clone(&self.log_id),
+            fingerprint: self.fingerprint,
+            parts: self.parts.clone(),
+            target: Arc::clone(target),
+        }
+    }
+
+    fn fingerprints(&self) -> impl Iterator<Item = PoisonFingerprint> {
+        let parts = self.parts.iter().map(|part| part.fingerprint);
+        std::iter::once(self.fingerprint).chain(parts)
+    }
+
     /// True when the target's host has refused a connection during the attempt or soon after it.
     fn was_refused(&self, target: &TargetEntry) -> bool {
         let last_refusal = self.ended.after(REFUSAL_WINDOW);
@@ -106,24 +133,22 @@
             .retain(|attempt| attempt.fingerprint != fingerprint);
     }
 
-    /// Removes and returns the attempts under which a target has ended, with this target. Drops
-    /// those for which none has in time.
-    fn take_crashed(&self, view: &TargetView, now: MonoTime) -> Vec<CrashedRequest> {
-        let mut crashed = Vec::new();
-        self.lock()
-            .retain(|attempt| match attempt.crashed_target(view, now) {
-                Some(target) => {
-                    crashed.push(CrashedRequest {
-                        log_id: Arc::clone(&attempt.log_id),
-                        fingerprint: attempt.fingerprint,
-                        parts: attempt.parts.clone(),
-                        target: Arc::clone(target),
-                    });
-                    false
-                }
-                None => now.since(attempt.ended) <= DEPARTURE_WINDOW,
-            });
-        crashed
+    /// Removes and returns the attempts under which a target has ended, with this target, and those
+    /// for which none has in time.
+    fn take_settled(&self, view: &TargetView, now: MonoTime) -> SettledAttempts {
+        let mut settled = SettledAttempts::default();
+        self.lock().retain(|attempt| {
+            if let Some(target) = attempt.crashed_target(view, now) {
+                settled.crashed.push(attempt.crashed_request(target));
+                return false;
+            }
+            let is_over = now.since(attempt.ended) > DEPARTURE_WINDOW;
+            if is_over && attempt.is_answered {
+                settled.survived.extend(attempt.fingerprints());
+            }
+            !is_over
+        });
+        settled
     }
 
     fn lock(&self) -> MutexGuard<'_, Vec<SuspectAttempt>> {
@@ -140,6 +165,7 @@
     started: MonoTime,
     last_event: Option<MonoTime>,
     failure: Option<FailureKind>,
+    is_answered: bool,
     is_dismissed: bool,
 }
 
@@ -152,6 +178,7 @@
             started: request.context.clock.now(),
             last_event: None,
             failure: None,
+            is_answered: false,
             is_dismissed: false,
         }
     }
@@ -181,10 +208,12 @@
     }
 
     /// A response with this status has arrived. One that ended with its connection may be a part of
-    /// what a target sent that has crashed, so the attempt remains suspect. Only a success shows that
-    /// targets survive the request: one that fails it may not have run the part that crashes others.
+    /// what a target sent that has crashed, so the attempt remains suspect until that target has gone
+    /// on running for a while. Only a success shows that targets survive the request: one that fails
+    /// it may not have run the part that crashes others.
     pub(super) fn on_response(&mut self, status: u16, end: BodyEnd) {
         if end == BodyEnd::Closed {
+            self.is_answered = is_success(status);
             return;
         }
         self.dismiss();
@@ -215,6 +244,7 @@
             started: self.started,
             ended: self.request.context.clock.now(),
             failure: self.failure,
+            is_answered: self.is_answered,
         }
     }
 }
@@ -285,8 +315,9 @@
     let now = context.clock.now();
     if !context.suspicions.is_empty() {
         let view = context.targets.load();
-        let crashed = context.suspicions.take_crashed(&view, now);
-        record_crashes(context, &crashed, now);
+        let settled = context.suspicions.take_settled(&view, now);
+        record_crashes(context, &settled.crashed, now);
+        clear_survivors(context, &settled.survived, now);
     }
     log_refusals(context, now);
 }
--- a/tests/platform_poison_blame.rs
+++ b/tests/platform_poison_blame.rs
@@ -3,7 +3,7 @@
 #[path = "support/site.rs"]
 mod site;
 
-use rig::{ModelKnobs, SiteFleet, SiteRequest, SiteSpec, send_site_request};
+use rig::{ModelKnobs, SiteFleet, SiteRequest, SiteSpec, StreamFraming, send_site_request};
 use site::stream_call;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
@@ -15,6 +15,8 @@
 const ARRIVAL_GAP: Duration = Duration::from_millis(15);
 /// Time for which requests come before the first fault.
 const CALM_TIME: Duration = Duration::from_secs(1);
+/// The same where a response shows only some time after its end that its target has gone on running.
+const LONG_CALM_TIME: Duration = Duration::from_secs(12);
 /// Time for which requests come after the last fault.
 const LATER_TIME: Duration = Duration::from_secs(3);
 /// Time between the events of a stream, so that many are in progress when a server ends.
@@ -31,8 +33,33 @@
     servers: usize,
     /// Time between them.
     gap: Duration,
+    /// How servers end their streams.
+    framing: StreamFraming,
 }
 
+const RACK: FaultCase = FaultCase {
+    times: 1,
+    servers: 4,
+    gap: Duration::ZERO,
+    framing: StreamFraming::Chunked,
+};
+const SINGLE_ENDS: FaultCase = FaultCase {
+    times: 20,
+    servers: 1,
+    gap: Duration::from_millis(400),
+    ..RACK
+};
+const IN_TURN: FaultCase = FaultCase {
+    times: 12,
+    servers: 1,
+    gap: Duration::from_millis(1_500),
+    ..RACK
+};
+const ENDS_UNTIL_CLOSE: FaultCase = FaultCase {
+    framing: StreamFraming::UntilClose,
+    ..SINGLE_ENDS
+};
+
 /// An ordinary request, unlike all others.
 fn ordinary_call(number: usize) -> SiteRequest {
     let mut request = stream_call(&format!("o-{number}"));
@@ -54,9 +81,10 @@
 
 /// Ordinary requests are served whichever servers end beside them. Counting the crashes alone would
 /// condemn the parts that all of them share.
-#[test_case(FaultCase { times: 1, servers: 4, gap: Duration::ZERO }; "a rack")]
-#[test_case(FaultCase { times: 20, servers: 1, gap: Duration::from_millis(400) }; "twenty single crashes")]
-#[test_case(FaultCase { times: 12, servers: 1, gap: Duration::from_millis(1_500) }; "servers that restart in turn")]
+#[test_case(RACK; "a rack")]
+#[test_case(SINGLE_ENDS; "twenty single crashes")]
+#[test_case(IN_TURN; "servers that restart in turn")]
+#[test_case(ENDS_UNTIL_CLOSE; "twenty single crashes of servers whose streams end with their connections")]
 fn ordinary_requests_are_not_refused(case: FaultCase) {
     // Arrange
     let site = SiteFleet::start(SiteSpec {
@@ -68,6 +96,7 @@
     for server in &site.model_servers {
         server.set_knobs(ModelKnobs {
             event_gap: EVENT_GAP,
+            framing: case.framing,
             ..ModelKnobs::default()
         });
     }
@@ -93,7 +122,10 @@
                 .map(|status| status.expect("the caller ends"))
                 .collect()
         });
-        thread::sleep(CALM_TIME);
+        thread::sleep(match case.framing {
+            StreamFraming::Chunked => CALM_TIME,
+            StreamFraming::UntilClose => LONG_CALM_TIME,
+        });
         for _ in 0..case.times {
             for _ in 0..case.servers {
                 site.crashes.end_oldest();
