--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -6,7 +6,7 @@
 use crate::relay::attempt::{FailedAttempt, OutgoingRequest};
 use crate::relay::caller_stream::CallerFraming;
 use crate::relay::context::RelayContext;
-use crate::relay::crashes::POISON_LIMITS;
+use crate::relay::crashes::SuspectPart;
 use crate::relay::local_reply::{LocalReply, RefusalCause};
 use crate::relay::metadata::{DispatchMetadata, RequestMetadata};
 use crate::relay::retry::{RetryState, RetryStep};
@@ -118,9 +118,38 @@
 
     /// True when such a request crashes the targets that run it and is kept from them.
     pub(super) fn is_poison(&self) -> bool {
+        self.refusal_time().is_some()
+    }
+
+    /// Time for which such a request is still kept from targets, if it is.
+    fn refusal_time(&self) -> Option<Duration> {
         let poison = &self.context.poison;
-        let now = self.context.clock.now();
-        !poison.is_empty() && poison.is_poison(self.fingerprint(), POISON_LIMITS, now)
+        if poison.is_empty() {
+            return None;
+        }
+        poison.refusal_time(&self.fingerprints(), self.context.clock.now())
+    }
+
+    /// All fingerprints under which crashes are recorded for this request.
+    pub(super) fn fingerprints(&self) -> Vec<PoisonFingerprint> {
+        let parts = self.suspect_parts().into_iter();
+        let parts = parts.map(|part| part.fingerprint);
+        std::iter::once(self.fingerprint()).chain(parts).collect()
+    }
+
+    /// Parts of the prompt that the request shares with others. A part is recognized by its id and
+    /// the service, since another model may well survive it. No path begins like these fingerprints.
+    pub(super) fn suspect_parts(&self) -> Vec<SuspectPart> {
+        let service = self.service.name.as_str().as_bytes();
+        let parts = self.metadata.shared_parts.iter().map(|id| {
+            let text = id.to_string();
+            let fingerprint = PoisonFingerprint::new(&[b"part", service, text.as_bytes()]);
+            SuspectPart {
+                id: *id,
+                fingerprint,
+            }
+        });
+        parts.collect()
     }
 
     /// Fingerprint of path, team and body, by which the request is recognized when it comes again,
@@ -168,7 +197,8 @@
         let line = self
             .log_line("answered")
             .with("cause", cause.name())
-            .with("detail", detail);
+            .with("detail", detail)
+            .with("refused_for", self.refusal_reasons(cause));
         self.context
             .events
             .emit(line.with("retry_after_ms", retry_ms));
@@ -179,14 +209,26 @@
         }
     }
 
+    /// For the log: the fingerprints for which a request is refused with this cause, separated by
+    /// commas.
+    fn refusal_reasons(&self, cause: RefusalCause) -> Option<String> {
+        if cause != RefusalCause::Poison {
+            return None;
+        }
+        let now = self.context.clock.now();
+        let poison = &self.context.poison;
+        let reasons = poison.refusal_reasons(&self.fingerprints(), now);
+        let reasons: Vec<String> = reasons.iter().map(ToString::to_string).collect();
+        Some(reasons.join(","))
+    }
+
     /// Base of `Retry-After`; the value sent is between it and twice as much. Limited to a share of
     /// the caller's timeout, unless no earlier retry can be served.
     fn retry_delay(&self, cause: RefusalCause) -> Duration {
         let timeout = self.metadata.time_left.unwrap_or(DEFAULT_TIMEOUT);
         let base = match cause {
             RefusalCause::Poison => {
-                let now = self.context.clock.now();
-                return self.context.poison.time_left(self.fingerprint(), now);
+                return self.refusal_time().unwrap_or_default();
             }
             RefusalCause::Draining => DRAINING_RETRY_AFTER,
             _ => RETRY_AFTER,
--- a/src/relay/forwarding.rs
+++ b/src/relay/forwarding.rs
@@ -158,7 +158,7 @@
                 continue;
             }
             self.comment_bytes = 0;
-            self.suspicion.on_event(self.response.head.status());
+            self.suspicion.on_event();
             if let Some(elapsed) = self.detector.on_event(self.request.context.clock.now()) {
                 self.chain.head().stats.observe_first_event(elapsed);
             }
--- a/src/relay/suspicion.rs
+++ b/src/relay/suspicion.rs
@@ -1,14 +1,18 @@
 //! Suspicion that a request crashes the targets that run it.
 //!
-//! An attempt that ends without progress is remembered for some seconds. If one of its targets turns
-//! out to have ended under it, that is a crash under the request. Progress of such a request, at any
-//! target, clears it; a failure that a target responds with speaks neither for nor against it.
+//! An attempt that ends without a whole response is remembered for some seconds. If one of its targets
+//! turns out to have ended under it, that is a crash under the request. A whole response with success,
+//! at any target, clears the request; a failure that a target responds with speaks neither for nor
+//! against it, and so does the beginning of a response, since a target may end later on.
 
-use crate::poison::PoisonFingerprint;
+use crate::poison::{PoisonFingerprint, PoisonLimits};
 use crate::relay::attempt::{FailedAttempt, FailureKind, probe_target};
 use crate::relay::context::RelayContext;
-use crate::relay::crashes::{POISON_LIMITS, clear_crashes, record_crash};
+use crate::relay::crashes::{
+    CrashedRequest, SuspectPart, clear_crashes, clear_survivors, record_crashes,
+};
 use crate::relay::exchange::ActiveRequest;
+use crate::relay::refusals::log_refusals;
 use crate::targets::{TargetEntry, TargetView};
 use crate::units::MonoTime;
 use crate::wire::BodyEnd;
@@ -21,8 +25,6 @@
 const MAX_SEPARATION: Duration = Duration::from_secs(1);
 /// The same as a share of the time left.
 const SEPARATION_SHARE: f64 = 0.25;
-/// Events of an attempt that show that its targets run the request.
-const PROGRESS_EVENTS: u32 = 2;
 /// Time from the end of an attempt in which a refused connection shows that the target ended under
 /// it.
 const REFUSAL_WINDOW: Duration = Duration::from_secs(1);
@@ -37,16 +39,31 @@
 /// Most attempts that are remembered; the oldest are dropped first.
 const MAX_ATTEMPTS: usize = 4_096;
 
-/// An attempt that ended without progress.
+/// An attempt that ended without a whole response.
 #[derive(Debug)]
 struct SuspectAttempt {
+    /// Id of the request in logs.
+    log_id: Arc<str>,
     fingerprint: PoisonFingerprint,
+    /// Parts of the prompt that the request shares with others.
+    parts: Vec<SuspectPart>,
     /// Targets of the chain; the request was sent to the first one.
     targets: Vec<Arc<TargetEntry>>,
     started: MonoTime,
     ended: MonoTime,
     /// How it failed; `None` when the caller left first, or when a response ended with its connection.
     failure: Option<FailureKind>,
+    /// True when a response with success ended with its connection.
+    is_answered: bool,
+}
+
+/// What has become of attempts that were remembered.
+#[derive(Debug, Default)]
+struct SettledAttempts {
+    /// Those under which a target has ended.
+    crashed: Vec<CrashedRequest>,
+    /// Fingerprints of those that were answered and whose targets have gone on running.
+    survived: Vec<PoisonFingerprint>,
 }
 
 impl SuspectAttempt {
@@ -70,6 +87,20 @@
         })
     }
 
+    fn crashed_request(&self, target: &Arc<TargetEntry>) -> CrashedRequest {
+        CrashedRequest {
+            log_id: Arc::clone(&self.log_id),
+            fingerprint: self.fingerprint,
+            parts: self.parts.clone(),
+            target: Arc::clone(target),
+        }
+    }
+
+    fn fingerprints(&self) -> impl Iterator<Item = PoisonFingerprint> {
+        let parts = self.parts.iter().map(|part| part.fingerprint);
+        std::iter::once(self.fingerprint).chain(parts)
+    }
+
     /// True when the target's host has refused a connection during the attempt or soon after it.
     fn was_refused(&self, target: &TargetEntry) -> bool {
         let last_refusal = self.ended.after(REFUSAL_WINDOW);
@@ -78,7 +109,7 @@
     }
 }
 
-/// Attempts that ended without progress lately.
+/// Attempts that ended without a whole response lately.
 #[derive(Debug, Default)]
 pub struct SuspicionList {
     attempts: Mutex<Vec<SuspectAttempt>>,
@@ -102,23 +133,22 @@
             .retain(|attempt| attempt.fingerprint != fingerprint);
     }
 
-    /// Removes and returns the attempts under which a target has ended, with this target. Drops
-    /// those for which none has in time.
-    fn take_crashed(
-        &self,
-        view: &TargetView,
-        now: MonoTime,
-    ) -> Vec<(PoisonFingerprint, Arc<TargetEntry>)> {
-        let mut crashed = Vec::new();
-        self.lock()
-            .retain(|attempt| match attempt.crashed_target(view, now) {
-                Some(target) => {
-                    crashed.push((attempt.fingerprint, Arc::clone(target)));
-                    false
-                }
-                None => now.since(attempt.ended) <= DEPARTURE_WINDOW,
-            });
-        crashed
+    /// Removes and returns the attempts under which a target has ended, with this target, and those
+    /// for which none has in time.
+    fn take_settled(&self, view: &TargetView, now: MonoTime) -> SettledAttempts {
+        let mut settled = SettledAttempts::default();
+        self.lock().retain(|attempt| {
+            if let Some(target) = attempt.crashed_target(view, now) {
+                settled.crashed.push(attempt.crashed_request(target));
+                return false;
+            }
+            let is_over = now.since(attempt.ended) > DEPARTURE_WINDOW;
+            if is_over && attempt.is_answered {
+                settled.survived.extend(attempt.fingerprints());
+            }
+            !is_over
+        });
+        settled
     }
 
     fn lock(&self) -> MutexGuard<'_, Vec<SuspectAttempt>> {
@@ -126,16 +156,16 @@
     }
 }
 
-/// Suspicion against a request in one attempt. Unless the attempt makes progress or reaches no
+/// Suspicion against a request in one attempt. Unless the response is whole or the attempt reaches no
 /// target, it is remembered when this is dropped, also when the caller leaves.
 #[derive(Debug)]
 pub(super) struct AttemptSuspicion<'a> {
     request: &'a ActiveRequest<'a>,
     targets: Vec<Arc<TargetEntry>>,
     started: MonoTime,
-    events: u32,
     last_event: Option<MonoTime>,
     failure: Option<FailureKind>,
+    is_answered: bool,
     is_dismissed: bool,
 }
 
@@ -146,9 +176,9 @@
             request,
             targets,
             started: request.context.clock.now(),
-            events: 0,
             last_event: None,
             failure: None,
+            is_answered: false,
             is_dismissed: false,
         }
     }
@@ -172,27 +202,18 @@
         }
     }
 
-    /// An event of a response with this status has arrived; several of them are progress.
-    pub(super) fn on_event(&mut self, status: u16) {
-        self.events += 1;
+    /// An event has arrived.
+    pub(super) fn on_event(&mut self) {
         self.last_event = Some(self.request.context.clock.now());
-        if self.events == PROGRESS_EVENTS {
-            self.on_progress(status);
-        }
     }
 
     /// A response with this status has arrived. One that ended with its connection may be a part of
-    /// what a target sent that has crashed, so the attempt remains suspect.
+    /// what a target sent that has crashed, so the attempt remains suspect until that target has gone
+    /// on running for a while. Only a success shows that targets survive the request: one that fails
+    /// it may not have run the part that crashes others.
     pub(super) fn on_response(&mut self, status: u16, end: BodyEnd) {
-        if end == BodyEnd::Framed {
-            self.on_progress(status);
-        }
-    }
-
-    /// The targets have run the request, in part at least, and go on running. Only a success shows
-    /// that they survive it: one that fails it may not have run the part that crashes others.
-    fn on_progress(&mut self, status: u16) {
-        if self.is_dismissed {
+        if end == BodyEnd::Closed {
+            self.is_answered = is_success(status);
             return;
         }
         self.dismiss();
@@ -216,11 +237,14 @@
 
     fn suspect_attempt(&self) -> SuspectAttempt {
         SuspectAttempt {
+            log_id: Arc::from(self.request.log_id()),
             fingerprint: self.request.fingerprint(),
+            parts: self.request.suspect_parts(),
             targets: self.targets.clone(),
             started: self.started,
             ended: self.request.context.clock.now(),
             failure: self.failure,
+            is_answered: self.is_answered,
         }
     }
 }
@@ -243,9 +267,8 @@
 pub(super) async fn separate_suspects(request: &ActiveRequest<'_>) {
     let context = request.context;
     let now = context.clock.now();
-    let is_undecided = !context.poison.is_empty()
-        && !request.is_poison()
-        && context.poison.crashes(request.fingerprint(), now) >= POISON_LIMITS.crashes;
+    let is_undecided =
+        !context.poison.is_empty() && !request.is_poison() && may_crash_targets(request, now);
     if is_undecided {
         let line = request
             .log_line("suspect_delayed")
@@ -256,6 +279,16 @@
     }
 }
 
+/// True when crashes under the request or a part of its prompt are explained neither by it nor by
+/// another one.
+fn may_crash_targets(request: &ActiveRequest<'_>, now: MonoTime) -> bool {
+    let poison = &request.context.poison;
+    let verdict = poison.verdict(now);
+    let mut parts = request.suspect_parts().into_iter();
+    poison.crashes(request.fingerprint(), now) >= PoisonLimits::default().crashes
+        || parts.any(|part| verdict.is_undecided(part.fingerprint))
+}
+
 /// After a failed attempt, finds out whether `target` has crashed, so that the next attempt already
 /// takes account of it.
 pub(super) async fn check_for_crash(
@@ -277,21 +310,24 @@
     count_crashes(context);
 }
 
-/// Records the crashes under requests that have become known.
+/// Records the crashes under requests that have become known, here or from other daemons.
 pub(crate) fn count_crashes(context: &RelayContext) {
-    if context.suspicions.is_empty() {
-        return;
-    }
     let now = context.clock.now();
-    let view = context.targets.load();
-    for (fingerprint, target) in context.suspicions.take_crashed(&view, now) {
-        record_crash(context, fingerprint, &target, now);
+    if !context.suspicions.is_empty() {
+        let view = context.targets.load();
+        let settled = context.suspicions.take_settled(&view, now);
+        record_crashes(context, &settled.crashed, now);
+        clear_survivors(context, &settled.survived, now);
     }
+    log_refusals(context, now);
 }
 
-/// Forgets all that speaks against a request, as it made progress at `target`.
+/// Forgets all that speaks against a request and the parts of its prompt, as `target` responded to it with success.
 fn clear_suspicion(request: &ActiveRequest<'_>, target: &TargetEntry, status: u16) {
     let context = request.context;
+    let parts = request.suspect_parts().into_iter();
+    let parts: Vec<PoisonFingerprint> = parts.map(|part| part.fingerprint).collect();
+    context.harmless.record(&parts, context.clock.now());
     if !context.suspicions.is_empty() {
         context.suspicions.forget(request.fingerprint());
     }
