Take the usual pace of tokens from the shorter gaps

Cause: a chain counted as slow when three tokens in a row came after more than twice the mean gap. Engines that are stopped now and then lengthen many gaps, so the mean, and with it the limit, rose above the gaps of a stage that is ten times slower. The slow gaps then entered the mean.

Change: the usual pace is the lower quartile of the last 16 gaps, as the lowest round trips are the base of a delay-based congestion control: pauses only add to gaps. GapEstimate::mean has no user left.

Measured: slow_stage_is_left_among_engines_that_are_stopped_now_and_then failed for all stages and passes.

--- a/src/routing/gap_estimate.rs
+++ b/src/routing/gap_estimate.rs
@@ -34,11 +34,6 @@
         self.samples += 1;
     }
 
-    /// Moving mean of the gaps; `None` before the first sample.
-    pub fn mean(&self) -> Option<Duration> {
-        (self.samples > 0).then(|| Duration::from_micros(self.mean_micros as u64))
-    }
-
     /// Timeout for the next token, between `floor` and `ceiling`; `None` before the first sample.
     pub fn timeout(&self, floor: Duration, ceiling: Duration) -> Option<Duration> {
         if self.samples == 0 {
--- a/src/routing/machine/pace.rs
+++ b/src/routing/machine/pace.rs
@@ -1,19 +1,29 @@
 //! Pace of the tokens of a request: tells a chain that has turned slow from single late tokens.
 
-use crate::routing::GapEstimate;
 use std::time::Duration;
 
-/// Multiple of the mean gap above which a token counts as slow.
+/// Gaps from which the usual pace is taken.
+const WINDOW: usize = 16;
+/// Gaps of the window that are shorter than the usual pace, as a share: one in this many. Pauses of
+/// processes only add to gaps, so the pace of the chain itself shows in the shorter ones; the
+/// shortest are left out, as tokens that were held up arrive together.
+const SHORTER_SHARE: usize = 4;
+/// Multiple of the usual pace above which a token counts as slow.
 const SLOW_FACTOR: u32 = 2;
-/// Slow tokens in a row after which the chain counts as slow.
-const MIN_SLOW_TOKENS: u32 = 3;
+/// Slow tokens in a row after which the chain counts as slow. Several engines that are stopped in
+/// turn make a few tokens in a row slow.
+const MIN_SLOW_TOKENS: u32 = 5;
 /// Slow tokens in a row after which their pace has become the usual one.
 const MAX_SLOW_TOKENS: u32 = 12;
 
-/// Mean gap between tokens without the slow ones at the end, and the number of these.
+/// Latest gaps between tokens without the slow ones at the end, and the number of these.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub(super) struct TokenPace {
-    usual: GapEstimate,
+    gaps: [Duration; WINDOW],
+    /// Gaps observed, of which the window holds the last ones.
+    count: usize,
+    /// Lower quartile of the window.
+    usual: Option<Duration>,
     slow_tokens: u32,
 }
 
@@ -23,7 +33,7 @@
         let is_slow = self.slow_limit().is_some_and(|limit| gap > limit);
         self.slow_tokens = if is_slow { self.slow_tokens + 1 } else { 0 };
         if !is_slow || self.slow_tokens > MAX_SLOW_TOKENS {
-            self.usual.observe(gap);
+            self.add_gap(gap);
         }
     }
 
@@ -40,6 +50,16 @@
     }
 
     fn slow_limit(&self) -> Option<Duration> {
-        self.usual.mean().map(|mean| mean * SLOW_FACTOR)
+        self.usual.map(|usual| usual * SLOW_FACTOR)
+    }
+
+    fn add_gap(&mut self, gap: Duration) {
+        self.gaps[self.count % WINDOW] = gap;
+        self.count += 1;
+        let mut window = self.gaps;
+        let window = &mut window[..self.count.min(WINDOW)];
+        let rank = window.len() / SHORTER_SHARE;
+        let (_shorter, usual, _longer) = window.select_nth_unstable(rank);
+        self.usual = Some(*usual);
     }
 }
