Reproduce a claimed call that is sent after the dispatch timeout

The time for dispatch is checked before the connection to the target is opened, and the call is written when it is open. What passes meanwhile isn't seen: a slow connection, or a suspension of the process.

--- a/tests/support/calls.rs
+++ b/tests/support/calls.rs
@@ -3,8 +3,8 @@
 #![allow(dead_code, reason = "each test program uses a part of the fixtures")]
 
 use arbutusmount::{
-    ClaimRequest, ConnectionPool, FleetDeclaration, HttpCall, InstanceId, SendError, choose_home,
-    digest_token,
+    ClaimPage, ClaimRequest, ConnectionPool, FleetDeclaration, HttpCall, InstanceId, SendError,
+    StoreClient, choose_home, digest_token,
 };
 use async_std::future::timeout;
 use rig::{
@@ -143,16 +143,33 @@
     let members: Vec<InstanceId> = (0..daemons)
         .map(|index| format!("router-{index}").parse().unwrap())
         .collect();
-    let (team, service) = ("head-office".parse().unwrap(), "stock".parse().unwrap());
     loop {
         let key = dated_key(rng);
-        let claim = ClaimRequest::new(&team, &service, &key, 0);
-        if choose_home(claim.slot().shard(), &members) == Some(&members[home]) {
+        let shard = claim_on(&key).slot().shard();
+        if choose_home(shard, &members) == Some(&members[home]) {
             return key;
         }
     }
 }
 
+/// Claim on the key of a call to `stock`, without the digest of the call.
+fn claim_on(key: &str) -> ClaimRequest {
+    let (team, service) = ("head-office".parse().unwrap(), "stock".parse().unwrap());
+    ClaimRequest::new(&team, &service, key, 0)
+}
+
+/// True when the store holds a claim on this key.
+pub async fn is_claimed(fleet: &ProcessFleet, key: &str) -> bool {
+    let pool = ConnectionPool::new(WAIT_TIMEOUT, 0);
+    let store = StoreClient::new(pool, fleet.platform, WAIT_TIMEOUT);
+    let claim = claim_on(key);
+    let record = store.get(&claim.slot().to_string()).await;
+    let page = record
+        .expect("the store answers")
+        .and_then(|record| ClaimPage::decode(&record.value));
+    page.is_some_and(|page| page.find(&claim).is_some())
+}
+
 /// Creates the random generator of a test and prints its seed, which `ARBUTUSMOUNT_SEED` sets.
 pub fn seeded_rng() -> fastrand::Rng {
     let seed = std::env::var("ARBUTUSMOUNT_SEED").map_or_else(
