--- a/rig/src/site/crash.rs
+++ b/rig/src/site/crash.rs
@@ -154,6 +154,14 @@
         self.runs.lock().expect("ledger is never poisoned").clone()
     }
 
+    /// Ends the server at `address`: its connections close and further ones are refused. Its entry
+    /// stays, and it does not start again.
+    pub fn end(&self, address: SocketAddr) {
+        if let Some(server) = self.take(address) {
+            server.switch.close();
+        }
+    }
+
     /// Crashes the server at `address` under a request with this path; it starts again later.
     pub(super) fn crash(&self, address: SocketAddr, path: &str) {
         let Some(server) = self.take(address) else {
