Leave only servers that are known to have ended out of the count of attempts

Cause: tried heads that were no longer in the target list were subtracted from the servers that may have run a stream. Some servers never announce that they leave and serve on after their entry is removed; entries also lapse. Heads that were tried in vain, to which nothing was sent, were subtracted too, though they hadn't been added.

Change: subtracted are heads that closed the connection of an attempt and have refused a connection since that attempt began. When the limit would end the stream, heads that closed their connection and have not refused one yet are connected to once more, as a server that is about to exit may close connections before it stops listening. set_departed is set_ended; of at most two servers, as before.

Left out: a host that has gone dark refuses nothing, so it counts, though the rule would let it pass. A stream that has lost two hosts in this way now ends where it went on before, once their entries had lapsed.

Heads to which nothing was sent have no test of their own on the stand-ins.

--- a/src/relay/retry.rs
+++ b/src/relay/retry.rs
@@ -12,10 +12,10 @@
 /// the first attempt of a request spends retry budget.
 const MAX_NOT_EXECUTED: u32 = 4;
 
-/// Maximum number of departed targets, that is, tried targets that have since left the target list,
-/// that are subtracted from the number of possible executions before it is compared with
-/// `max_targets`. Up to this many targets more than the route allows may thus execute a request.
-const MAX_DEPARTED: u32 = 2;
+/// Maximum number of ended targets, that is, targets that have ended since they may have executed
+/// the request, that are subtracted from the number of possible executions before it is compared
+/// with `max_targets`. Up to this many targets more than the route allows may thus execute a request.
+const MAX_ENDED: u32 = 2;
 
 /// Whether the target of a failed attempt may have executed the request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -50,13 +50,12 @@
     tried: Vec<InstanceId>,
     not_executed: u32,
     may_have_executed: u32,
-    departed: u32,
+    ended: u32,
 }
 
 impl RetryState {
     /// State of a request whose response must be complete by `deadline`. At most `max_targets`
-    /// targets (at least one) may execute it, not counting departed ones, see
-    /// [`Self::set_departed`].
+    /// targets (at least one) may execute it, not counting ended ones, see [`Self::set_ended`].
     pub fn new(rule: RetryRule, max_targets: u32, deadline: MonoTime) -> Self {
         Self {
             rule,
@@ -65,7 +64,7 @@
             tried: Vec::new(),
             not_executed: 0,
             may_have_executed: 0,
-            departed: 0,
+            ended: 0,
         }
     }
 
@@ -89,10 +88,11 @@
         self.deadline.since(now)
     }
 
-    /// Sets how many of the tried targets have since left the target list. Up to two of them do not
-    /// count towards `max_targets`.
-    pub fn set_departed(&mut self, departed: usize) {
-        self.departed = departed as u32;
+    /// Sets how many of the targets that may have executed the request are known to have ended. Up
+    /// to two of them do not count towards `max_targets`. A target that has merely left the target
+    /// list counts, since it may go on serving.
+    pub fn set_ended(&mut self, ended: usize) {
+        self.ended = ended as u32;
     }
 
     /// Records a failed attempt at `target` and returns [`Self::next_step`]. A caller that first
@@ -116,7 +116,7 @@
         let may_execute_again = self.may_have_executed == 0 || self.rule.allows_reexecution();
         let executions = self
             .may_have_executed
-            .saturating_sub(self.departed.min(MAX_DEPARTED));
+            .saturating_sub(self.ended.min(MAX_ENDED));
         let within_limits =
             executions < self.max_targets.max(1) && self.not_executed < MAX_NOT_EXECUTED;
         if may_execute_again && within_limits && self.time_left(now) >= MIN_ATTEMPT_TIME {
--- a/src/relay/streaming.rs
+++ b/src/relay/streaming.rs
@@ -14,6 +14,7 @@
 use crate::relay::suspicion::{AttemptSuspicion, check_for_crash, separate_suspects};
 use crate::targets::{LayerChain, ReservationGuard, TargetEntry};
 use crate::telemetry::EventLine;
+use crate::units::MonoTime;
 use async_io::Timer;
 use async_std::task;
 use std::sync::Arc;
@@ -54,12 +55,17 @@
         last_id: request.metadata.resume_after,
     };
     let mut detail = String::from("no chain has room");
+    let mut closed_heads = Vec::new();
     loop {
         if request.is_poison() {
             return end_stream(request, &state, &delivered, state.final_step(), &detail).await;
         }
         separate_suspects(request).await;
-        state.set_departed(count_departed(request, &state));
+        state.set_ended(count_ended(&closed_heads));
+        if state.next_step(context.clock.now()) != RetryStep::TryNext {
+            probe_heads(request, &closed_heads).await;
+            state.set_ended(count_ended(&closed_heads));
+        }
         let allowed = state.next_step(context.clock.now());
         if allowed != RetryStep::TryNext {
             return end_stream(request, &state, &delivered, allowed, &detail).await;
@@ -76,6 +82,7 @@
             return end_stream(request, &state, &delivered, step, &detail).await;
         };
         let _reserved = reserve(chain, request.metadata.expected_tokens());
+        let started = context.clock.now();
         match attempt_stream(request, &state, chain, &mut delivered).await {
             StreamEnd::Complete(status) => {
                 chain
@@ -90,17 +97,41 @@
                 detail = format!("{} at {}", failed.cause, chain.head().id);
                 let target = record_failure(request, chain, &failed, &delivered);
                 check_for_crash(request, &target, &failed).await;
+                if failed.kind == FailureKind::Disconnected {
+                    let target = Arc::clone(chain.head());
+                    closed_heads.push(ClosedHead { target, started });
+                }
                 state.on_failure(&chain.head().id, failed.failure, context.clock.now());
             }
         }
     }
 }
 
-/// Number of tried targets that have since left the target list.
-fn count_departed(request: &ActiveRequest<'_>, state: &RetryState) -> usize {
-    let view = request.context.targets.load();
-    let departed = state.tried().iter().filter(|id| view.target(id).is_none());
-    departed.count()
+/// A target that closed the connection of an attempt.
+struct ClosedHead {
+    target: Arc<TargetEntry>,
+    /// Start of the attempt.
+    started: MonoTime,
+}
+
+impl ClosedHead {
+    /// True when the target is known to have ended. One that has merely left the list may go on
+    /// serving.
+    fn has_ended(&self) -> bool {
+        self.target.stats.was_refused_since(self.started)
+    }
+}
+
+fn count_ended(closed_heads: &[ClosedHead]) -> usize {
+    closed_heads.iter().filter(|head| head.has_ended()).count()
+}
+
+/// Finds out which targets have ended since they closed their connection: a target that is about to
+/// exit may close connections before it stops listening.
+async fn probe_heads(request: &ActiveRequest<'_>, closed_heads: &[ClosedHead]) {
+    for head in closed_heads.iter().filter(|head| !head.has_ended()) {
+        probe_target(request.context, &head.target).await;
+    }
 }
 
 /// True when the first target of a chain gets no request because of its rate limit.
--- a/src/targets/stats.rs
+++ b/src/targets/stats.rs
@@ -121,6 +121,11 @@
         }
     }
 
+    /// True when a connection was refused at `since` or later.
+    pub fn was_refused_since(&self, since: MonoTime) -> bool {
+        self.refused_at().is_some_and(|at| at >= since)
+    }
+
     /// Records that an attempt through the target failed and that nothing came through it after
     /// `since`. Of several such times within a few seconds the first one is kept.
     pub fn record_stall(&self, since: MonoTime) {
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -61,12 +61,12 @@
 }
 
 #[test]
-fn departed_target_does_not_count_towards_max_targets() {
+fn ended_target_does_not_count_towards_max_targets() {
     let mut state = RetryState::new(STREAM, 2, at(20_000));
     state.on_failure(&id("a"), RelayFailure::OutcomeUnknown, at(10));
     state.on_failure(&id("b"), RelayFailure::OutcomeUnknown, at(20));
 
-    state.set_departed(1);
+    state.set_ended(1);
 
     assert_eq!(state.next_step(at(30)), RetryStep::TryNext);
 }
