Check the dispatch timeout once the connection to the target is open

Cause: the timeout of a claimed call was checked before its connection was opened, and the call written after that. A pause in between, for a slow connection or a suspended process, was not seen. It is up to the connect timeout (300 ms unless set) and any suspension during it.

Change: the check is repeated between the open connection and the write; a call that is too late counts as not sent. What is left is the time from that check to the write, without a wait in between.

Not covered: a machine that is suspended as a whole, whose time the monotonic clock leaves out.

--- a/src/api/services.rs
+++ b/src/api/services.rs
@@ -172,14 +172,19 @@
         self.context.pool.send(&call).await
     }
 
-    /// Sends the call on a new connection: if it cannot be opened, the call was not executed.
-    async fn send_on_new_connection(&self, address: SocketAddr) -> Result<HttpResponse, SendError> {
+    /// Sends the call on a new connection: if it cannot be opened while the claim allows the
+    /// dispatch, the call was not executed.
+    async fn send_claimed(
+        &self,
+        address: SocketAddr,
+        guard: &ClaimGuard,
+    ) -> Result<HttpResponse, SendError> {
         let call = HttpCall {
             address,
             ..self.template.clone()
-        }
-        .on_new_connection();
-        self.context.pool.send(&call).await
+        };
+        let may_send = || guard.may_dispatch();
+        self.context.pool.send_if(&call, may_send).await
     }
 }
 
@@ -252,7 +257,7 @@
         if !guard.may_dispatch() {
             break;
         }
-        match call.send_on_new_connection(address).await {
+        match call.send_claimed(address, &guard).await {
             Err(SendError::NotSent(_)) => {}
             Err(cause) => return Err(unknown_outcome(&cause)),
             Ok(target_response) => return complete(call, target_response, guard).await,
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -179,6 +179,24 @@
         self.exchange(stream, call).await
     }
 
+    /// Sends a call on a new connection, unless `may_send` is false once that is open: opening it
+    /// takes time, and the process may be suspended meanwhile.
+    ///
+    /// # Errors
+    /// [`SendError`], by whether the server may have executed the call; [`SendError::NotSent`] when
+    /// `may_send` is false.
+    pub async fn send_if(
+        self: &Arc<Self>,
+        call: &HttpCall,
+        may_send: impl Fn() -> bool,
+    ) -> Result<HttpResponse> {
+        let stream = self.connect(call.address).await?;
+        if !may_send() {
+            return Err(SendError::NotSent("connection opened too late".to_owned()));
+        }
+        self.exchange(stream, call).await
+    }
+
     /// Sends a call and decodes its JSON response, whatever the status.
     ///
     /// # Errors
