Say in the test of a paused daemon whether it had its verdict before

The trace of both (a trial, not committed): when the daemon was stopped, its home had counted one more write, the key was in the page, and the call had not arrived at its target. So the daemon had begun the claim before the pause, and its dispatch timeout had ended when it went on; a dispatch after the pause is not explained by the check.

Change: the test waits until the key is in the page as well, and asserts that the daemon was granted no claim and had written none until it was stopped. It is as strict as before, and its next failure says which of the two it is.

--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -7,9 +7,10 @@
 use arbutusmount::ClaimSettings;
 use async_std::task;
 use calls::{
-    CallResponse, FleetPermit, WAIT_TIMEOUT, committed_writes, cut_off, dated_key, key_homed_at,
-    order, order_and_hang_up, order_until, order_with_retries, proxied_fleet, run_count,
-    seeded_rng, service_fleet, service_spec, start_proxy, wait_arrival, wait_committed,
+    CallResponse, FleetPermit, WAIT_TIMEOUT, committed_writes, cut_off, dated_key, granted_claims,
+    is_claimed, key_homed_at, order, order_and_hang_up, order_until, order_with_retries,
+    proxied_fleet, run_count, seeded_rng, service_fleet, service_spec, start_proxy, wait_arrival,
+    wait_committed,
 };
 use rig::{DirectionFault, FleetSpec, ProxyFaults, wait_until};
 use serde_json::json;
@@ -274,10 +275,18 @@
     });
 
     // Act
+    let granted = granted_claims(paused).await;
+    let written = committed_writes(paused).await;
     let before = committed_writes(home).await;
     let sent = key.clone();
     let call = task::spawn(async move { order(paused, &sent, "a bay").await.unwrap() });
     wait_committed(home, before).await;
+    wait_until("the call is claimed", WAIT_TIMEOUT, || {
+        is_claimed(&fleet, &key)
+    })
+    .await;
+    let still_granted = granted_claims(paused).await;
+    let still_written = committed_writes(paused).await;
     fleet.daemons[0].process.freeze();
     let frozen = Instant::now();
     proxies.peers.set_faults(ProxyFaults::default());
@@ -291,6 +300,11 @@
     let retry = order_with_retries(home, &key, "a bay").await;
 
     // Assert
+    let has_no_verdict = (still_granted, still_written) == (granted, written);
+    assert!(
+        has_no_verdict,
+        "the daemon got a verdict before its pause: {refused:?}"
+    );
     assert_eq!((refused.status, &*refused.outcome), (503, "not_run"));
     assert_eq!(runs_when_refused, 0);
     assert!(retry.is_completed(), "{retry:?}");
--- a/tests/support/calls.rs
+++ b/tests/support/calls.rs
@@ -317,6 +317,11 @@
     .await
 }
 
+/// Number of claims that a daemon has been granted, by the home or by its own write.
+pub async fn granted_claims(daemon: SocketAddr) -> f64 {
+    read_metric(daemon, "arbutusmount_claims_total{outcome=\"granted\"}").await
+}
+
 /// Waits until a call with this key has arrived at a service; it may not have run yet.
 pub async fn wait_arrival(service: SocketAddr, key: &str) {
     wait_until("the call arrives at the target", WAIT_TIMEOUT, || async {
