--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod caller_stream;
 mod choice;
+mod closed_heads;
 mod context;
 mod crashes;
 mod event_progress;
--- a/src/relay/stream_chain.rs
+++ b/src/relay/stream_chain.rs
@@ -2,6 +2,7 @@
 
 use crate::catalog::ModelShape;
 use crate::relay::choice::{ChainRequirement, pick_chain};
+use crate::relay::closed_heads::ClosedHeads;
 use crate::relay::event_progress::DeliveryProgress;
 use crate::relay::exchange::ActiveRequest;
 use crate::relay::limits::{AT_LIMIT, PermitOutcome, acquire_permit, any_held_back, return_permit};
@@ -25,6 +26,7 @@
     request: &ActiveRequest<'_>,
     model: &ModelShape,
     state: &mut RetryState,
+    closed_heads: &ClosedHeads,
     delivered: &DeliveryProgress,
     detail: &mut String,
 ) -> std::result::Result<Arc<LayerChain>, RetryStep> {
@@ -33,7 +35,11 @@
         return Err(state.final_step());
     }
     separate_suspects(request).await;
-    state.set_departed(count_departed(request, state));
+    state.set_ended(closed_heads.count_ended());
+    if state.next_step(context.clock.now()) != RetryStep::TryNext {
+        closed_heads.probe(context).await;
+        state.set_ended(closed_heads.count_ended());
+    }
     let allowed = state.next_step(context.clock.now());
     if allowed != RetryStep::TryNext {
         return Err(allowed);
@@ -77,13 +83,6 @@
     None
 }
 
-/// Number of tried targets that have since left the target list.
-pub(super) fn count_departed(request: &ActiveRequest<'_>, state: &RetryState) -> usize {
-    let view = request.context.targets.load();
-    let departed = state.tried().iter().filter(|id| view.target(id).is_none());
-    departed.count()
-}
-
 /// True when the first target of a chain gets no request because of its rate limit.
 fn is_held_back(request: &ActiveRequest<'_>) -> bool {
     let context = request.context;
--- a/src/relay/streaming.rs
+++ b/src/relay/streaming.rs
@@ -4,18 +4,20 @@
 //! for a while. Whichever attempt brings the next event serves the caller from then on.
 
 use crate::catalog::ModelShape;
-use crate::relay::attempt::FailedAttempt;
+use crate::ids::InstanceId;
+use crate::relay::attempt::{FailedAttempt, FailureKind};
+use crate::relay::closed_heads::ClosedHeads;
 use crate::relay::event_progress::DeliveryProgress;
 use crate::relay::exchange::{ActiveRequest, ExchangeEnd};
 use crate::relay::forwarding::{ForwardStep, ReadOutcome, StreamForwarder};
 use crate::relay::local_reply::RefusalCause;
 use crate::relay::retry::{RelayFailure, RetryState, RetryStep};
 use crate::relay::stall::{StallDetector, StallStep};
-use crate::relay::stream_chain::{claim_chain, count_departed, find_next_chain};
+use crate::relay::stream_chain::{claim_chain, find_next_chain};
 use crate::relay::stream_failure::{log_failure, record_failure, report_stalled_chain};
 use crate::relay::stream_opening::{OpenedStream, OpeningAttempt, OpeningResult, next_opened};
 use crate::relay::suspicion::check_for_crash;
-use crate::targets::LayerChain;
+use crate::targets::{LayerChain, TargetEntry};
 use crate::telemetry::EventLine;
 use crate::units::MonoTime;
 use crate::wire::{BodyEnd, pause_after_read};
@@ -58,6 +60,10 @@
     model: &'a ModelShape,
     state: RetryState,
     delivered: DeliveryProgress,
+    /// Targets that closed the connection of an attempt.
+    closed_heads: ClosedHeads,
+    /// First target and start of each attempt.
+    starts: Vec<(InstanceId, MonoTime)>,
     /// Detail of a local reply.
     detail: String,
     /// Attempt that serves the caller.
@@ -88,6 +94,8 @@
                 head_sent: false,
                 last_id: request.metadata.resume_after,
             },
+            closed_heads: ClosedHeads::default(),
+            starts: Vec::new(),
             detail: String::from("no chain has room"),
             current: None,
             openings: Vec::new(),
@@ -98,9 +106,14 @@
     async fn run(mut self) -> ExchangeEnd {
         loop {
             if self.current.is_none() && self.openings.is_empty() {
-                let Self { request, model, .. } = self;
-                let (state, detail) = (&mut self.state, &mut self.detail);
-                let found = find_next_chain(request, model, state, &self.delivered, detail);
+                let found = find_next_chain(
+                    self.request,
+                    self.model,
+                    &mut self.state,
+                    &self.closed_heads,
+                    &self.delivered,
+                    &mut self.detail,
+                );
                 match found.await {
                     Ok(chain) => self.start_attempt(&chain),
                     Err(step) => return self.end(step).await,
@@ -131,6 +144,8 @@
 
     fn start_attempt(&mut self, chain: &Arc<LayerChain>) {
         let opening = OpeningAttempt::start(self.request, &self.state, chain, &self.delivered);
+        let now = self.request.context.clock.now();
+        self.starts.push((chain.head().id.clone(), now));
         self.state.on_start(&chain.head().id);
         self.openings.push(opening);
         self.stall = None;
@@ -242,11 +257,21 @@
         self.detail = format!("{} at {head}", failed.cause);
         let target = record_failure(self.request, chain, failed, &self.delivered);
         check_for_crash(self.request, &target, failed).await;
+        if failed.kind == FailureKind::Disconnected {
+            self.note_closed_head(chain.head());
+        }
         let now = self.request.context.clock.now();
         self.state.on_failure(head, failed.failure, now);
         self.stall = None;
     }
 
+    fn note_closed_head(&mut self, head: &Arc<TargetEntry>) {
+        let mut starts = self.starts.iter().rev();
+        if let Some((_, started)) = starts.find(|(id, _)| *id == head.id) {
+            self.closed_heads.add(head, *started);
+        }
+    }
+
     /// Ends all attempts when the deadline has passed; else looks for another chain if the newest
     /// attempt has stalled.
     async fn on_timer(&mut self) {
@@ -262,8 +287,7 @@
             return;
         }
         self.note_stall(&chain, detector);
-        self.state
-            .set_departed(count_departed(self.request, &self.state));
+        self.state.set_ended(self.closed_heads.count_ended());
         let claimed = claim_chain(self.request, &self.state, &self.delivered).await;
         let is_overdue = claimed.is_some() || detector.is_long_stalled(now);
         if is_overdue && let Some(stall) = &mut self.stall {
