Let the stand-in store come back from an older copy

Waiting watches are cut or go on in the restored history. The lost writes of the operator and the servers are returned and can be made again in a seeded order. A watch from a revision above the store's is answered with 410 when it starts.

--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -45,10 +45,10 @@
 pub use report::{RunGroup, group_runs, read_summaries, render_recovery, render_runs, write_plots};
 pub use service::{RunRecord, ServiceKnobs, ServiceStandIn, read_ledger};
 pub use site::{
-    CrashManner, CrashRegistry, CrashRun, CutEnd, CutScope, EndlessPart, LimitLedger, ModelKnobs,
-    ModelServer, PLAIN_BODY, PlainFault, PlainServer, SiteDaemon, SiteFleet, SiteRequest,
-    SiteResponse, SiteSpec, SiteStore, StoreFault, StreamCut, StreamFraming, event_text,
-    leave_site_request, plain_server_entry, read_site_response, sample_config, send_endless,
-    send_site_request, serve_once,
+    CrashManner, CrashRegistry, CrashRun, CutEnd, CutScope, EndlessPart, LimitLedger, LostWrite,
+    ModelKnobs, ModelServer, PLAIN_BODY, PlainFault, PlainServer, SiteDaemon, SiteFleet,
+    SiteRequest, SiteResponse, SiteSpec, SiteStore, StoreFault, StoreRestore, StreamCut,
+    StreamFraming, event_text, leave_site_request, plain_server_entry, read_site_response,
+    sample_config, send_endless, send_site_request, serve_once,
 };
 pub use web::{admin_get, admin_send, admin_text, json_response};
--- a/rig/src/site/mod.rs
+++ b/rig/src/site/mod.rs
@@ -12,6 +12,7 @@
 mod model;
 mod model_stream;
 mod plain;
+mod restore;
 mod store;
 
 pub use caller::{
@@ -25,4 +26,5 @@
 pub use model::{ModelKnobs, ModelServer};
 pub use model_stream::{CutEnd, CutScope, StreamCut, StreamFraming, event_text};
 pub use plain::{PLAIN_BODY, PlainFault, PlainServer};
+pub use restore::{LostWrite, StoreRestore};
 pub use store::{SiteStore, StoreFault};
--- a/rig/src/site/store.rs
+++ b/rig/src/site/store.rs
@@ -2,12 +2,16 @@
 //! leases, history compaction, and faults for the clients of one of its two addresses or of both.
 
 use crate::site::http::{AfterReply, Handler, ReceivedRequest, reply, serve};
+use crate::site::restore::{LostWrite, StoreJournal, StoreRestore, WriteAuthor};
+use arbutusmount::StorePort;
+use arbutusmount_platform::platform_ports;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, HashMap};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
 use std::time::{Duration, Instant};
 
 /// Period at which a pending watch checks for expired leases and for being cut.
@@ -28,15 +32,21 @@
 }
 
 #[derive(Debug, Clone)]
-struct StoredItem {
-    value: String,
-    revision: u64,
-    created: u64,
-    lease: i64,
+pub(super) struct StoredItem {
+    pub(super) value: String,
+    pub(super) revision: u64,
+    pub(super) created: u64,
+    pub(super) lease: i64,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct StoreState {
+    /// Everything that was written since the start, to restore older copies from.
+    journal: StoreJournal,
+    /// Rises by one with each restore.
+    era: u64,
+    /// Text of the header that names the era; `None` for a store that sends none.
+    era_text: Option<String>,
     items: BTreeMap<String, StoredItem>,
     /// Changes in order: revision, key and the new item, or `None` for a removal.
     history: Vec<(u64, String, Option<StoredItem>)>,
@@ -53,6 +63,25 @@
     calls: u64,
 }
 
+impl Default for StoreState {
+    fn default() -> Self {
+        Self {
+            journal: StoreJournal::default(),
+            era: 1,
+            era_text: Some("1".to_owned()),
+            items: BTreeMap::new(),
+            history: Vec::new(),
+            compacted: 0,
+            revision: 0,
+            leases: HashMap::new(),
+            next_lease: 0,
+            watch_epoch: 0,
+            is_muted: false,
+            calls: 0,
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct StoreShared {
     state: Mutex<StoreState>,
@@ -91,6 +120,11 @@
         self.addresses[index]
     }
 
+    /// A new client's calls to an address.
+    pub fn port(&self, index: usize) -> StorePort {
+        platform_ports(self.address(index)).store
+    }
+
     /// Sets the fault of an address and cuts the pending watches of both addresses.
     pub fn set_fault(&self, index: usize, fault: StoreFault) {
         *self.faults[index].lock().expect("fault is never poisoned") = fault;
@@ -100,12 +134,12 @@
     /// Writes a key without a lease, as the operator and the servers do.
     pub fn put(&self, key: &str, value: &Value) {
         let value = STANDARD.encode(value.to_string());
-        self.with_state(|state| state.put(key, value, 0));
+        self.with_state(|state| state.put(WriteAuthor::Outside, key, value, 0));
     }
 
     /// Removes a key.
     pub fn remove(&self, key: &str) {
-        self.with_state(|state| state.remove(key));
+        self.with_state(|state| state.remove(WriteAuthor::Outside, key));
     }
 
     /// Decoded value of a key.
@@ -114,6 +148,11 @@
         STANDARD.decode(text).ok()
     }
 
+    /// Lease to which a key is attached, 0 for none; `None` while there is no such key.
+    pub fn lease(&self, key: &str) -> Option<i64> {
+        self.with_state(|state| state.items.get(key).map(|item| item.lease))
+    }
+
     /// Makes watches report no events until the next [`Self::compact`].
     pub fn mute_watches(&self) {
         self.with_state(|state| state.is_muted = true);
@@ -139,6 +178,32 @@
         });
     }
 
+    /// Goes back to an older copy and returns the lost writes of the operator and the servers, which
+    /// [`Self::write_again`] makes again.
+    pub fn restore(&self, restore: StoreRestore) -> Vec<LostWrite> {
+        self.with_state(|state| state.restore(restore))
+    }
+
+    /// Makes lost writes again in a random order that `seed` decides, evenly spread over `period`.
+    /// Returns after the last one.
+    pub fn write_again(&self, mut lost: Vec<LostWrite>, period: Duration, seed: u64) {
+        fastrand::Rng::with_seed(seed).shuffle(&mut lost);
+        let pause = period / u32::try_from(lost.len().max(1)).unwrap_or(u32::MAX);
+        for LostWrite { key, value } in lost {
+            thread::sleep(pause);
+            self.with_state(|state| match value {
+                Some(value) => state.put(WriteAuthor::Outside, &key, value, 0),
+                None => state.remove(WriteAuthor::Outside, &key),
+            });
+        }
+    }
+
+    /// Sets the text of the header that names the era; `None` sends no such header. A restore sets
+    /// it to the new era unless none is sent.
+    pub fn set_era_text(&self, text: Option<&str>) {
+        self.with_state(|state| state.era_text = text.map(str::to_owned));
+    }
+
     /// Number of calls run so far, without those refused by a fault.
     pub fn calls(&self) -> u64 {
         self.with_state(|state| state.calls)
@@ -153,7 +218,23 @@
 }
 
 impl StoreState {
-    fn put(&mut self, key: &str, value: String, lease: i64) {
+    fn restore(&mut self, restore: StoreRestore) -> Vec<LostWrite> {
+        let copy = self.journal.go_back(restore.age);
+        self.era += 1;
+        self.era_text = self.era_text.take().map(|_| self.era.to_string());
+        self.items = copy.items;
+        self.history = copy.history;
+        self.revision = copy.revision;
+        self.next_lease = copy.next_lease;
+        self.leases.clear();
+        self.watch_epoch += u64::from(restore.cuts_watches);
+        self.compacted = self.compacted.min(self.revision);
+        // Keys whose lease is gone are not in the copy. Their removal is no change of its own.
+        self.items.retain(|_, item| item.lease == 0);
+        copy.lost
+    }
+
+    fn put(&mut self, author: WriteAuthor, key: &str, value: String, lease: i64) {
         self.revision += 1;
         let revision = self.revision;
         let created = self.items.get(key).map_or(revision, |item| item.created);
@@ -163,14 +244,18 @@
             created,
             lease,
         };
+        self.journal
+            .record(author, revision, key, Some(&item), self.next_lease);
         self.history
             .push((revision, key.to_owned(), Some(item.clone())));
         self.items.insert(key.to_owned(), item);
     }
 
-    fn remove(&mut self, key: &str) {
+    fn remove(&mut self, author: WriteAuthor, key: &str) {
         if self.items.remove(key).is_some() {
             self.revision += 1;
+            self.journal
+                .record(author, self.revision, key, None, self.next_lease);
             self.history.push((self.revision, key.to_owned(), None));
         }
     }
@@ -180,7 +265,7 @@
         let owned = self.items.iter().filter(|(_, item)| item.lease == id);
         let keys: Vec<String> = owned.map(|(key, _)| key.clone()).collect();
         for key in &keys {
-            self.remove(key);
+            self.remove(WriteAuthor::System, key);
         }
     }
 
@@ -225,10 +310,10 @@
         }
         for put in &puts {
             let text = |name: &str| put[name].as_str().unwrap_or_default().to_owned();
-            self.put(&text("Key"), text("Value"), lease(put));
+            self.put(WriteAuthor::System, &text("Key"), text("Value"), lease(put));
         }
         for key in rows("Remove").iter().filter_map(Value::as_str) {
-            self.remove(key);
+            self.remove(WriteAuthor::System, key);
         }
         (200, json!({"Revision": self.revision}))
     }
@@ -246,8 +331,12 @@
     stream: &mut TcpStream,
 ) -> AfterReply {
     let fault = *fault.lock().expect("fault is never poisoned");
+    let era_text = || {
+        let state = shared.state.lock().expect("store is never poisoned");
+        state.era_text.clone()
+    };
     match fault {
-        StoreFault::Busy => return reply(stream, 503, &[], b"{}"),
+        StoreFault::Busy => return reply(stream, 503, &era_fields(era_text().as_deref()), b"{}"),
         StoreFault::Reset => return AfterReply::Reset,
         StoreFault::None | StoreFault::RepliesLost => {}
     }
@@ -255,12 +344,15 @@
     if fault == StoreFault::RepliesLost || status == 0 {
         return AfterReply::Reset;
     }
-    reply(
-        stream,
-        status,
-        &[("Content-Type", "application/json")],
-        body.to_string().as_bytes(),
-    )
+    let era_text = era_text();
+    let mut fields = era_fields(era_text.as_deref());
+    fields.push(("Content-Type", "application/json"));
+    reply(stream, status, &fields, body.to_string().as_bytes())
+}
+
+/// Header fields that name the era.
+fn era_fields(text: Option<&str>) -> Vec<(&'static str, &str)> {
+    text.map(|text| ("Store-Era", text)).into_iter().collect()
 }
 
 /// Runs a call and returns its status and body; status 0 stands for a watch that is cut.
@@ -333,12 +425,14 @@
     let epoch = state.watch_epoch;
     // A watch that starts while watches are muted stays muted until it is cut.
     let was_muted = state.is_muted;
+    // Only looked at when the watch starts: one that waits through a restore goes on.
+    let is_ahead = after > state.revision;
     loop {
         state.expire_leases();
         if state.watch_epoch != epoch {
             return (0, Value::Null);
         }
-        if after < state.compacted && !was_muted {
+        if (after < state.compacted || is_ahead) && !was_muted {
             return (
                 410,
                 json!({"Error": "the history after this revision is compacted"}),
