--- /dev/null
+++ b/tests/platform_restore.rs
@@ -0,0 +1,276 @@
+//! Daemons and a store that comes back from an older copy of itself: revisions and leases are given
+//! out again, and only the era in each answer shows it.
+
+#[path = "support/site.rs"]
+mod site;
+
+use arbutusmount::{InstanceId, TargetEntry};
+use async_std::task;
+use rig::{
+    SiteDaemon, SiteFleet, SiteSpec, SiteStore, StoreFault, StoreRestore, plain_server_entry,
+};
+use site::{plain_site, until};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Longer than the time for which daemons collect changes of the target list.
+const SETTLE_TIME: Duration = Duration::from_millis(700);
+/// Time for which the store is away before it comes back from a copy.
+const AWAY_TIME: Duration = Duration::from_millis(300);
+
+/// Raises the store's revision by this number.
+fn raise_revision(store: &SiteStore, count: usize) {
+    for number in 0..count {
+        store.put("other/key", &serde_json::json!(number));
+    }
+}
+
+/// The store is away for a moment and comes back as it was at `copied`; the lost writes of the
+/// operator and the servers are not made again.
+fn restore_after_outage(store: &SiteStore, copied: Instant) -> Vec<rig::LostWrite> {
+    for index in 0..2 {
+        store.set_fault(index, StoreFault::Reset);
+    }
+    thread::sleep(AWAY_TIME);
+    let lost = store.restore(StoreRestore {
+        age: copied.elapsed(),
+        cuts_watches: true,
+    });
+    for index in 0..2 {
+        store.set_fault(index, StoreFault::None);
+    }
+    lost
+}
+
+fn target(daemon: &SiteDaemon, id: &str) -> Option<Arc<TargetEntry>> {
+    let id: InstanceId = id.parse().expect("an identifier");
+    daemon.state.context.targets.load().target(&id).cloned()
+}
+
+fn is_draining(daemon: &SiteDaemon, id: &str) -> bool {
+    target(daemon, id).is_some_and(|target| !target.is_ready())
+}
+
+/// Guards against a view that holds back a later one: the revisions from before a restore are higher
+/// than those of the writes after it.
+#[test]
+fn change_after_a_restore_is_applied() {
+    let site = plain_site();
+    let server = &site.plain_servers[0];
+    let key = format!("servers/{}", server.id());
+    let copied = Instant::now();
+    for _ in 0..30 {
+        site.store.put(&key, &plain_server_entry(server, "ready"));
+    }
+    thread::sleep(SETTLE_TIME);
+
+    restore_after_outage(&site.store, copied);
+    site.store
+        .put(&key, &plain_server_entry(server, "draining"));
+
+    until("the change to be applied", || {
+        is_draining(&site.daemons[0], server.id())
+    });
+}
+
+/// Guards against missed writes: a watch that waits through a restore goes on from a revision that
+/// the store has given out again, so nothing fails and no history is missing.
+#[test]
+fn change_of_era_alone_leads_to_a_list() {
+    let site = plain_site();
+    let server = &site.plain_servers[0];
+    let copied = Instant::now();
+    raise_revision(&site.store, 30);
+    let other = &site.plain_servers[1];
+    let other_key = format!("servers/{}", other.id());
+    site.store
+        .put(&other_key, &plain_server_entry(other, "ready"));
+    thread::sleep(SETTLE_TIME);
+
+    site.store.restore(StoreRestore {
+        age: copied.elapsed(),
+        cuts_watches: false,
+    });
+    site.store.put(
+        &format!("servers/{}", server.id()),
+        &plain_server_entry(server, "draining"),
+    );
+    raise_revision(&site.store, 60);
+
+    until("the change to be applied", || {
+        is_draining(&site.daemons[0], server.id())
+    });
+}
+
+/// Guards against two daemons on one lease: its identifier is given out again, and the daemon that
+/// held it before the restore renews it.
+#[test]
+fn lease_given_out_again_is_not_taken_for_the_own_one() {
+    let mut site = SiteFleet::without_daemons(SiteSpec {
+        models_per_domain: 0,
+        ..SiteSpec::default()
+    });
+    let copied = Instant::now();
+    for index in 0..2 {
+        let daemon = site.start_daemon(&format!("router-{index}"), "d0", index);
+        let key = format!("arbutusmount/daemon/router-{index}");
+        until("the daemon's entry", || site.store.value(&key).is_some());
+        site.daemons.push(daemon);
+    }
+    site.store.set_fault(0, StoreFault::Reset);
+
+    site.store.restore(StoreRestore {
+        age: copied.elapsed(),
+        cuts_watches: true,
+    });
+    let lease = |index: usize| {
+        site.store
+            .lease(&format!("arbutusmount/daemon/router-{index}"))
+    };
+    until("the second daemon's entry", || lease(1).is_some());
+    site.store.set_fault(0, StoreFault::None);
+    until("the first daemon's entry", || lease(0).is_some());
+
+    assert_ne!(lease(0), lease(1));
+}
+
+/// Guards against orders refused by all servers: the fencing number of a leader elected after a
+/// restore was lower than the one that servers had seen before.
+#[test]
+fn servers_accept_orders_after_a_restore() {
+    let mut site = SiteFleet::without_daemons(SiteSpec {
+        plain_servers: 0,
+        models_per_domain: 3,
+        ..SiteSpec::default()
+    });
+    let copied = Instant::now();
+    raise_revision(&site.store, 60);
+    let daemon = site.start_daemon("router-0", "d0", 0);
+    site.daemons.push(daemon);
+    let layers = |index: usize| site.model_servers[index].layers();
+    until("all servers to hold layers", || {
+        (0..3).all(|index| layers(index).is_some())
+    });
+    thread::sleep(SETTLE_TIME);
+    let lost = restore_after_outage(&site.store, copied);
+    site.store.write_again(lost, Duration::from_millis(500), 23);
+
+    // The server that alone holds its layers leaves, so that another one gets them.
+    let is_alone =
+        |index: usize| (0..3).all(|other| other == index || layers(other) != layers(index));
+    let gone = (0..3).find(|index| is_alone(*index));
+    let gone = gone.expect("three servers hold two halves of the model");
+    let missing = layers(gone);
+    site.store
+        .remove(&format!("servers/{}", site.model_servers[gone].id()));
+
+    until("another server to hold the missing layers", || {
+        (0..3).any(|index| index != gone && layers(index) == missing)
+    });
+}
+
+/// Guards against a starting daemon that takes the older of two snapshots, since the revisions in it
+/// are higher.
+#[test]
+fn snapshot_from_after_a_restore_counts_as_the_newer_one() {
+    let mut site = plain_site();
+    let server_id = site.plain_servers[0].id().to_owned();
+    let other = &site.plain_servers[1];
+    let other_key = format!("servers/{}", other.id());
+    let copied = Instant::now();
+    for _ in 0..60 {
+        site.store
+            .put(&other_key, &plain_server_entry(other, "ready"));
+    }
+    let late_hearing = site.start_daemon("router-1", "d0", 1);
+    until("the second daemon to be ready", || {
+        late_hearing.state.is_serving()
+    });
+    site.daemons.push(late_hearing);
+    site.store.set_fault(1, StoreFault::Reset);
+    site.store.restore(StoreRestore {
+        age: copied.elapsed(),
+        cuts_watches: true,
+    });
+    site.store.put(
+        &format!("servers/{server_id}"),
+        &plain_server_entry(&site.plain_servers[0], "draining"),
+    );
+    until("the first daemon to know the change", || {
+        is_draining(&site.daemons[0], &server_id)
+    });
+
+    let starting = site.start_daemon("router-2", "d0", 1);
+
+    until("the starting daemon to be ready", || {
+        starting.state.is_serving()
+    });
+    assert!(is_draining(&starting, &server_id));
+    assert!(!is_draining(&site.daemons[1], &server_id));
+}
+
+/// Guards against late answers, as of a cut connection that heals: they show the state before the
+/// restore.
+#[test]
+fn answer_of_an_earlier_era_is_dropped() {
+    let store = SiteStore::start();
+    let port = store.port(0);
+    let list = || task::block_on((port.list)((Arc::from("servers/"), None)));
+    store.set_era_text(Some("5"));
+    list().expect("a first answer");
+
+    store.set_era_text(Some("4"));
+    let earlier = list();
+    store.set_era_text(Some("5"));
+    let current = list();
+
+    assert!(earlier.is_err(), "{earlier:?}");
+    assert!(current.is_ok(), "{current:?}");
+}
+
+/// Guards against new requests for a leaving server: the copy still shows it as ready, until the
+/// server writes its state again.
+#[test]
+fn leaving_server_stays_so_through_a_restore() {
+    let site = plain_site();
+    let (leaving, other) = (&site.plain_servers[0], &site.plain_servers[1]);
+    let entry_key = |server: &rig::PlainServer| format!("servers/{}", server.id());
+    thread::sleep(SETTLE_TIME);
+    let copied = Instant::now();
+    site.store.put(
+        &entry_key(leaving),
+        &plain_server_entry(leaving, "draining"),
+    );
+    until("the daemon to know of the leaving", || {
+        is_draining(&site.daemons[0], leaving.id())
+    });
+
+    restore_after_outage(&site.store, copied);
+    site.store
+        .put(&entry_key(other), &plain_server_entry(other, "draining"));
+    until("the daemon to follow the restored store", || {
+        is_draining(&site.daemons[0], other.id())
+    });
+
+    assert!(is_draining(&site.daemons[0], leaving.id()));
+}
+
+/// Guards against crashes under requests that are forgotten: a key that the copy does not have is
+/// not one that a daemon has removed.
+#[test]
+fn crash_lost_in_a_restore_is_written_again() {
+    let site = plain_site();
+    let key = format!("arbutusmount/crash/{:032x}/{:016x}", 0x17, 0x23);
+    thread::sleep(SETTLE_TIME);
+    let copied = Instant::now();
+    site.store.put(&key, &serde_json::json!("router-9"));
+    thread::sleep(SETTLE_TIME);
+
+    restore_after_outage(&site.store, copied);
+
+    assert!(site.store.value(&key).is_none());
+    until("the crash to be in the store", || {
+        site.store.value(&key).is_some()
+    });
+}
