Order the store's writes by era and revision, and rejoin it after a restore

After a restore from an older copy these are given out again, so later writes were held back, watches went on past missed writes, leases were shared, and servers refused the orders of a new leader.

When the era rises, waiting watches are dropped and all prefixes are listed again, keys that the copy lacks are held or written again, a lease is used only in its own era and replaced over a time that grows with the fleet, and a new leader sends nothing until one from before the restore has stopped. A daemon leads only by a key under its own lease. A run that was seen leaving stays so when the copy shows it ready.

--- a/rig/tests/store_ends.rs
+++ b/rig/tests/store_ends.rs
@@ -1,6 +1,6 @@
 //! Replies of the platform's store that end early, at any byte: none counts as complete.
 
-use arbutusmount::{PortResult, StorePort, StoreTransaction, WireClient};
+use arbutusmount::{PortResult, StoreEra, StorePort, StoreTransaction, StoreVersion, WireClient};
 use arbutusmount_platform::store_port;
 use async_std::task;
 use rig::serve_once;
@@ -39,7 +39,8 @@
 }
 
 async fn watch(port: StorePort) -> PortResult<()> {
-    let outcome = (port.watch)((Arc::from("a/"), 7, Duration::from_millis(50))).await;
+    let after = StoreVersion::new(StoreEra::default(), 7);
+    let outcome = (port.watch)((Arc::from("a/"), after, Duration::from_millis(50))).await;
     outcome.map(|_changes| ())
 }
 
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -16,6 +16,9 @@
 /// Time after which a daemon that does not lead removes expired crashes, in case the leader has
 /// not.
 const EXPIRY_GRACE: Duration = Duration::from_secs(60);
+/// Upper limit of the random delay before a crash that a restore lost is written again. All daemons
+/// know of it, and the first one to write it spares the others the call.
+const REWRITE_SPREAD: Duration = Duration::from_secs(2);
 
 /// Key of a crash.
 fn crash_key(row: &OutboxRow) -> Arc<str> {
@@ -34,11 +37,26 @@
     Some((fingerprint.parse().ok()?, run.parse().ok()?))
 }
 
+/// Writes a crash that a restore of the store lost again.
+fn rewrite_crash(context: &RelayContext, key: &str) {
+    let Some((fingerprint, run)) = parse_crash_key(key) else {
+        return;
+    };
+    let delay = REWRITE_SPREAD.mul_f64(fastrand::f64());
+    let row = OutboxRow {
+        fingerprint,
+        run,
+        state: CrashState::Counted,
+    };
+    context.outbox.add(row, context.clock.now().after(delay));
+}
+
 /// Applies a change of the store's keys if it is one of a crash.
 pub(super) fn apply_crash_change(context: &RelayContext, change: &MirrorChange) {
     let (key, state) = match change {
         MirrorChange::Written(item) => (&item.key, CrashState::Counted),
         MirrorChange::Removed(key) => (key, CrashState::Cleared),
+        MirrorChange::Lost(key) => return rewrite_crash(context, key),
         MirrorChange::Synced => return,
     };
     let Some((fingerprint, run)) = parse_crash_key(key) else {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -12,6 +12,7 @@
 use crate::snapshots::fetch_snapshot;
 use crate::targets::TargetView;
 use crate::telemetry::EventLine;
+use crate::units::MonoTime;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -86,6 +87,7 @@
         snapshot_source(&state),
         |notice| match notice {
             FollowNotice::Failed(cause) => contact.on_failure(&state, cause),
+            FollowNotice::Restored => {}
             FollowNotice::PeerSnapshot(changes) => {
                 contact.on_snapshot(&state, changes);
                 adopt(changes);
@@ -101,7 +103,7 @@
 
 fn adopt_config(state: &GatewayState, item: &StoreItem) {
     let context = &state.context;
-    let line = EventLine::new("configuration").with("revision", item.revision);
+    let line = EventLine::new("configuration").with("revision", u64::from(item.version.revision()));
     let catalog = match (state.ports.schema.read_catalog)(&item.value) {
         Ok(catalog) => catalog,
         Err(reason) => {
@@ -143,6 +145,8 @@
                 state.record_target_sync(false);
                 state.with_targets(super::targets::TargetRegistry::on_failure);
             }
+            // Nothing is ordered until the servers have had time to write again.
+            FollowNotice::Restored => state.record_target_sync(false),
             // The list does not count as in sync: the leader must not place orders by a snapshot, which
             // may be out of date.
             FollowNotice::PeerSnapshot(changes) => {
@@ -248,6 +252,7 @@
                 contact.on_failure(&state, cause);
                 hold.on_failure(now);
             }
+            FollowNotice::Restored => {}
             FollowNotice::PeerSnapshot(changes) => {
                 contact.on_snapshot(&state, changes);
                 let rows = apply_presence_changes(&state, changes, &mut hold);
@@ -261,10 +266,7 @@
                     rows.remove(&key);
                 }
                 let leader = mirror.items().find(|item| item.key == leader_key());
-                let holder = leader.map(|item| &*item.value);
-                state
-                    .session
-                    .observe_leader(holder, leader.map_or(0, |item| item.create_revision));
+                state.session.observe_leader(leader);
                 state.record_leader(leader.is_some());
                 if !rows.contains_key(&state.presence_key) {
                     state.session.mark_missing();
@@ -282,10 +284,11 @@
     changes: &[MirrorChange],
     hold: &mut ExpiryHold,
 ) -> BTreeMap<Arc<str>, PresenceRow> {
+    let now = state.context.clock.now();
     let mut rows = (*state.context.presence.rows()).clone();
     for change in changes {
         apply_crash_change(&state.context, change);
-        apply_presence_change(&mut rows, change, hold);
+        apply_presence_change(&mut rows, change, hold, now);
     }
     rows
 }
@@ -294,6 +297,7 @@
     rows: &mut BTreeMap<Arc<str>, PresenceRow>,
     change: &MirrorChange,
     hold: &mut ExpiryHold,
+    now: MonoTime,
 ) {
     match change {
         MirrorChange::Written(item) => {
@@ -307,6 +311,11 @@
                 rows.remove(key);
             }
         }
+        MirrorChange::Lost(key) => {
+            if rows.contains_key(key) {
+                hold.on_lost(key, now);
+            }
+        }
         MirrorChange::Synced => {}
     }
 }
--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -18,7 +18,7 @@
 /// leads.
 pub(super) async fn run_leader_duty(state: &Arc<GatewayState>) {
     let now = state.context.clock.now();
-    if state.session.fence(now).is_none() {
+    if !state.session.leads(now) {
         state.with_schedulers(std::collections::HashMap::clear);
         campaign(state).await;
         return;
@@ -48,15 +48,14 @@
         return;
     }
     match state.session.campaign().await {
-        Ok(true) => {
+        Ok(Some(fence)) => {
             state.record_leader(true);
-            let fence = state.session.fence(now).map_or(0, |fence| fence.0);
             state
                 .context
                 .events
-                .emit(EventLine::new("leads").with("fence", fence));
+                .emit(EventLine::new("leads").with("fence", fence.0));
         }
-        Ok(false) => {}
+        Ok(None) => {}
         Err(cause) => {
             state
                 .context
@@ -88,6 +87,11 @@
     let Some(synced_since) = state.synced_since() else {
         return;
     };
+    // Plans without orders while a leader from before a restore may still act.
+    let synced_since = match state.session.fence(now) {
+        Some(_) => synced_since,
+        None => now,
+    };
     let (pending, wait_change) = state.with_schedulers(|schedulers| {
         let scheduler: &mut OrderScheduler = schedulers.entry(service.name.clone()).or_default();
         let pending = scheduler.next_orders(model, &placements, synced_since, now);
@@ -149,7 +153,7 @@
 }
 
 fn step_down(state: &GatewayState, fence: FenceNumber) {
-    state.session.observe_leader(None, 0);
+    state.session.observe_leader(None);
     state
         .context
         .events
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -13,7 +13,7 @@
 use crate::loads::exchange_loads;
 use crate::mirror::MirrorSet;
 use crate::placement::OrderScheduler;
-use crate::presence::{LeaseSession, PresenceRow, presence_key};
+use crate::presence::{LeaseSession, LeaseStep, PresenceRow, presence_key};
 use crate::relay::{GatewaySettings, RelayContext, serve_callers};
 use crate::snapshots::serve_snapshots;
 use crate::telemetry::{EventLine, EventLog, MetricSet};
@@ -33,6 +33,9 @@
 
 /// Period of lease renewal.
 const RENEW_PERIOD: Duration = Duration::from_millis(700);
+/// Time for each known daemon over which leases of an earlier era of the store are replaced. With
+/// two write calls each, it keeps a fleet at 250 write calls a second.
+const REJOIN_SPREAD: Duration = Duration::from_millis(8);
 /// Period of the leader's duties and of dropping entries whose grace period is over.
 const DUTY_PERIOD: Duration = Duration::from_millis(200);
 /// Period of writing crashes under requests to the store.
@@ -276,7 +279,14 @@
     if state.context.lifecycle.phase() == DaemonPhase::Draining {
         return;
     }
-    if let Err(cause) = state.session.renew(now, state.is_serving()).await {
+    let mut renewed = state.session.renew(now, state.is_serving()).await;
+    if matches!(renewed, Ok(LeaseStep::Rejoin)) {
+        let daemons = state.context.presence.peak_count() as f64;
+        task::sleep(REJOIN_SPREAD.mul_f64(daemons * fastrand::f64())).await;
+        let now = state.context.clock.now();
+        renewed = state.session.rejoin(now, state.is_serving()).await;
+    }
+    if let Err(cause) = renewed {
         log::debug!("cannot renew lease: {cause}");
     }
 }
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -64,6 +64,7 @@
                     notices.extend(self.write(&item.key, &item.value));
                 }
                 MirrorChange::Removed(key) => notices.extend(self.remove(key)),
+                MirrorChange::Lost(key) => notices.extend(self.hold_lost(key, now)),
                 MirrorChange::Synced => {}
             }
         }
@@ -84,8 +85,16 @@
         match (self.read)(id, value) {
             Ok(mut entry) => {
                 let known = self.entries.get(key);
-                if known.is_some_and(|known| !known.is_same_run(&entry)) {
-                    self.stats.remove(&entry.id);
+                match known {
+                    Some(known) if !known.is_same_run(&entry) => {
+                        self.stats.remove(&entry.id);
+                    }
+                    // A run that leaves does not come back. Its entry may do so for a moment, after
+                    // a restore of the store.
+                    Some(known) if !known.is_ready() && entry.started_ms > 0 => {
+                        entry.phase = known.phase;
+                    }
+                    _ => {}
                 }
                 let stats = self.stats.entry(entry.id.clone()).or_default();
                 entry.stats = Arc::clone(stats);
@@ -104,6 +113,14 @@
         }
     }
 
+    fn hold_lost(&mut self, key: &Arc<str>, now: MonoTime) -> Option<TargetNotice> {
+        let is_known = self.entries.contains_key(key);
+        is_known.then(|| {
+            self.hold.on_lost(key, now);
+            TargetNotice::Held(Arc::clone(key))
+        })
+    }
+
     fn remove(&mut self, key: &Arc<str>) -> Option<TargetNotice> {
         if !self.entries.contains_key(key) {
             return None;
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -176,6 +176,11 @@
     /// the highest seen.
     FenceNumber, u64
 }
+number_id! {
+    /// Era of the platform's store: rises by one with each restore from an older copy. 0 stands for a
+    /// store that names none.
+    StoreEra, u64
+}
 number_id! {
     /// Identifier of a lease, assigned by the key-value store of the platform.
     LeaseId, i64
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -87,7 +87,7 @@
 };
 pub use ids::{
     AttemptNumber, ConfigRevision, DomainId, FenceNumber, IdError, InstanceId, LeaseId, ModelId,
-    PlanId, RequestId, ServiceId, TeamId, TokenPosition, VersionId,
+    PlanId, RequestId, ServiceId, StoreEra, TeamId, TokenPosition, VersionId,
 };
 pub use instances::{
     InstanceClient, InstanceList, InstanceListCell, InstanceRole, InstanceRow, InstanceState,
@@ -108,9 +108,10 @@
     ProtocolCounts, ProtocolTiming, RequestStep, TeamShare, share_by_weight,
 };
 pub use mirror::{
-    CommitOutcome, ExpiryHold, ItemGuard, ItemPage, ItemWrite, LeaseGrant, MirrorChange, MirrorSet,
-    MirrorStep, PortError, PortFuture, PortResult, PrefixMirror, RemovalStep, RenewOutcome,
-    StoreItem, StorePort, StoreTransaction, WatchChange, WatchOutcome, next_list_timeout,
+    CommitOutcome, EraCell, EraReading, ExpiryHold, ItemGuard, ItemPage, ItemWrite, LeaseGrant,
+    MirrorChange, MirrorSet, MirrorStep, PortError, PortFuture, PortResult, PrefixMirror,
+    RemovalStep, RenewOutcome, RevisionNumber, StoreItem, StorePort, StoreTransaction,
+    StoreVersion, WatchChange, WatchOutcome, next_list_timeout,
 };
 pub use operator::{
     AskRequest, OperatorClient, OperatorCommand, OperatorError, format_plan, format_status,
@@ -128,7 +129,7 @@
     CrashOutbox, CrashState, CrashedRun, OutboxRow, PoisonEntry, PoisonFingerprint, PoisonLimits,
     PoisonRow, PoisonTable,
 };
-pub use presence::{PresenceRow, PresenceTable};
+pub use presence::{LeaseSession, LeaseStep, PresenceRow, PresenceTable};
 pub use reconcile::{
     DrainTable, LeaderElection, LeaderLease, ObservedEngine, OrderPlan, PlannedOrder, plan_orders,
 };
--- a/src/mirror/expiry.rs
+++ b/src/mirror/expiry.rs
@@ -22,7 +22,7 @@
     HoldUntil(MonoTime),
 }
 
-/// Holds keys whose lease may have expired because of an outage.
+/// Holds keys that a restore lost, and keys whose lease may have expired because of an outage.
 #[derive(Debug, Default)]
 pub struct ExpiryHold {
     last_failure: Option<MonoTime>,
@@ -61,6 +61,11 @@
         RemovalStep::HoldUntil(until)
     }
 
+    /// Holds a key that a restore of the store lost.
+    pub fn on_lost(&mut self, key: &Arc<str>, now: MonoTime) {
+        self.held.insert(Arc::clone(key), now.after(REWRITE_GRACE));
+    }
+
     /// Records that a key was written; it is no longer held.
     pub fn on_written(&mut self, key: &Arc<str>) {
         self.held.remove(key);
--- a/src/mirror/follow.rs
+++ b/src/mirror/follow.rs
@@ -5,7 +5,7 @@
 use crate::mirror::set::SharedMirror;
 use async_std::future::timeout;
 use async_std::task;
-use futures_lite::future::Boxed;
+use futures_lite::future::{Boxed, or};
 use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,6 +18,10 @@
 /// Upper limit of the random delay before a list after a gap in the history, so that daemons do not
 /// all list at once.
 const LIST_JITTER: Duration = Duration::from_millis(50);
+/// Upper limit of the random delay before a list after a restore of the store, of which all daemons
+/// hear at once. It keeps 430 daemons with three prefixes each below the store's limit on read
+/// calls.
+const RESTORE_JITTER: Duration = Duration::from_millis(700);
 
 /// Timeout of the first list of a daemon that has no data yet, doubled with each retry. A store
 /// that is up answers within some ten milliseconds. After a timeout, peers are asked for a
@@ -54,6 +58,8 @@
 pub enum FollowNotice<'a> {
     /// The store answered: the mirror and its changes in order, possibly none.
     Changed(&'a PrefixMirror, &'a [MirrorChange]),
+    /// The store was restored from an older copy. The prefix is listed again.
+    Restored,
     /// A call to the store failed.
     Failed(&'a PortError),
     /// The store does not answer, and a peer's snapshot was loaded instead: the changes in order.
@@ -77,7 +83,16 @@
     let mirror = || mirror.lock().expect("mirror lock is never poisoned");
     let mut retry_delay = FIRST_RETRY_DELAY;
     let mut list_timeout = FIRST_LIST_TIMEOUT;
+    let mut era = port.era.known();
     loop {
+        let known = port.era.known();
+        let is_restored = era.is_some() && known != era;
+        era = known;
+        if is_restored {
+            mirror().on_restore();
+            report(FollowNotice::Restored);
+            task::sleep(RESTORE_JITTER.mul_f64(fastrand::f64())).await;
+        }
         let step = mirror().next_step();
         let outcome = match step {
             MirrorStep::List(after) => {
@@ -96,10 +111,18 @@
                 };
                 page.map(|page| mirror().on_page(page))
             }
-            MirrorStep::Watch(revision) => {
-                let watch =
-                    (port.watch)((Arc::clone(&spec.prefix), revision, spec.watch_timeout)).await;
-                watch.map(|reply| mirror().on_watch(reply))
+            MirrorStep::Watch(version) => {
+                let watch = (port.watch)((Arc::clone(&spec.prefix), version, spec.watch_timeout));
+                let watch = async { Some(watch.await) };
+                // A watch that waits through a restore may miss writes.
+                let changed = async {
+                    port.era.wait_change(era).await;
+                    None
+                };
+                match or(watch, changed).await {
+                    Some(reply) => reply.map(|reply| mirror().on_watch(reply)),
+                    None => continue,
+                }
             }
         };
         match outcome {
--- a/src/mirror/port.rs
+++ b/src/mirror/port.rs
@@ -1,6 +1,8 @@
 //! The store's calls as the library needs them; the platform's adapter implements them.
 
-use crate::ids::LeaseId;
+use crate::ids::{LeaseId, StoreEra};
+use crate::mirror::era::EraCell;
+use crate::mirror::version::StoreVersion;
 use crate::wire::CallError;
 use std::fmt;
 use std::pin::Pin;
@@ -42,17 +44,19 @@
     }
 }
 
-/// Key of the store with its value and revisions.
+/// Key of the store with its value and versions.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StoreItem {
     /// Key.
     pub key: Arc<str>,
     /// Value.
     pub value: Arc<[u8]>,
-    /// Revision of the last write.
-    pub revision: u64,
-    /// Revision at which the key was created.
-    pub create_revision: u64,
+    /// Version of the last write.
+    pub version: StoreVersion,
+    /// Version that created the key.
+    pub created: StoreVersion,
+    /// Lease with which the key ends; 0 for none.
+    pub lease: LeaseId,
 }
 
 /// Page of a list.
@@ -62,8 +66,8 @@
     pub items: Vec<StoreItem>,
     /// True when the list has further pages.
     pub has_more: bool,
-    /// Revision of the store at the time of the reply.
-    pub revision: u64,
+    /// Version of the store at the time of the reply.
+    pub version: StoreVersion,
 }
 
 /// Change that a watch reports.
@@ -71,16 +75,17 @@
 pub enum WatchChange {
     /// The key was written.
     Written(StoreItem),
-    /// The key was removed at this revision.
-    Removed(Arc<str>, u64),
+    /// The key was removed at this version.
+    Removed(Arc<str>, StoreVersion),
 }
 
 /// Reply to a watch.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum WatchOutcome {
-    /// Changes, possibly none, and the revision from which to watch next.
-    Changes(Vec<WatchChange>, u64),
-    /// The store no longer has the history after the given revision.
+    /// Changes, possibly none, and the version from which to watch next.
+    Changes(Vec<WatchChange>, StoreVersion),
+    /// The store does not have the history after the given version, or the version is of another
+    /// era.
     Compacted,
 }
 
@@ -89,8 +94,8 @@
 pub struct ItemGuard {
     /// Key.
     pub key: Arc<str>,
-    /// Expected revision of the last write; 0 when the key must not exist.
-    pub revision: u64,
+    /// Expected version of the last write; `None` when the key must not exist.
+    pub expected: Option<StoreVersion>,
 }
 
 /// Write of a key in a transaction.
@@ -118,8 +123,8 @@
 /// Reply to a transaction.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CommitOutcome {
-    /// Executed, at this revision.
-    Done(u64),
+    /// Executed, at this version.
+    Done(StoreVersion),
     /// A guard did not hold; the current items of the guards' keys.
     Conflict(Vec<StoreItem>),
     /// The lease of a write has expired.
@@ -129,8 +134,10 @@
 /// Lease that the store granted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LeaseGrant {
-    /// Identifier of the lease.
+    /// Identifier of the lease. After a restore it may be that of another lease.
     pub id: LeaseId,
+    /// Era in which the lease was granted.
+    pub era: StoreEra,
     /// Time to live, counted from the arrival of the call at the store.
     pub time_to_live: Duration,
 }
@@ -149,10 +156,13 @@
 /// Calls to the store.
 #[derive(Clone)]
 pub struct StorePort {
+    /// Era of the store according to the answers to these calls. Answers of an earlier era are
+    /// errors.
+    pub era: Arc<EraCell>,
     /// Lists a page of a prefix, from the key after the given one.
     pub list: PortCall<(Arc<str>, Option<Arc<str>>), ItemPage>,
-    /// Watches a prefix for changes after a revision, waiting up to the given time for the first.
-    pub watch: PortCall<(Arc<str>, u64, Duration), WatchOutcome>,
+    /// Watches a prefix for changes after a version, waiting up to the given time for the first.
+    pub watch: PortCall<(Arc<str>, StoreVersion, Duration), WatchOutcome>,
     /// Executes a transaction.
     pub commit: PortCall<StoreTransaction, CommitOutcome>,
     /// Grants a lease with the given time to live.
--- a/src/mirror/prefix.rs
+++ b/src/mirror/prefix.rs
@@ -1,10 +1,13 @@
 //! Mirror of all keys with one prefix. Decides which call to make next and applies the replies;
 //! does no I/O.
 //!
-//! A key never goes back to an older revision, whatever the order of the replies. After a gap in
-//! the history the prefix is listed again, and keys missing from the list are reported as removed.
+//! A key never goes back to an older version, whatever the order of the replies. After a gap in
+//! the history the prefix is listed again, and keys missing from the list are reported as removed,
+//! or as lost if the store was restored in between.
 
+use crate::ids::StoreEra;
 use crate::mirror::port::{ItemPage, StoreItem, WatchChange, WatchOutcome};
+use crate::mirror::version::StoreVersion;
 use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 
@@ -13,8 +16,8 @@
 pub enum MirrorStep {
     /// List the prefix from the key after this one.
     List(Option<Arc<str>>),
-    /// Watch the prefix for changes after this revision.
-    Watch(u64),
+    /// Watch the prefix for changes after this version.
+    Watch(StoreVersion),
 }
 
 /// Change of the mirror.
@@ -24,15 +27,18 @@
     Written(StoreItem),
     /// The key is gone.
     Removed(Arc<str>),
-    /// The mirror is complete, up to a revision no older than the request for the list.
+    /// The key was written before a restore of the store and is not in the restored state. Whoever
+    /// wrote it may write it again.
+    Lost(Arc<str>),
+    /// The mirror is complete, up to a version no older than the request for the list.
     Synced,
 }
 
 #[derive(Debug)]
 struct ListProgress {
     after: Option<Arc<str>>,
-    /// Revision of the first page. Later changes are watched for once the list is complete.
-    revision: Option<u64>,
+    /// Version of the first page. Later changes are watched for once the list is complete.
+    version: Option<StoreVersion>,
     seen: HashSet<Arc<str>>,
 }
 
@@ -40,7 +46,7 @@
     fn start() -> Self {
         Self {
             after: None,
-            revision: None,
+            version: None,
             seen: HashSet::new(),
         }
     }
@@ -51,7 +57,7 @@
 pub struct PrefixMirror {
     items: BTreeMap<Arc<str>, StoreItem>,
     listing: Option<ListProgress>,
-    revision: u64,
+    version: StoreVersion,
     complete: bool,
 }
 
@@ -60,7 +66,7 @@
         Self {
             items: BTreeMap::new(),
             listing: Some(ListProgress::start()),
-            revision: 0,
+            version: StoreVersion::default(),
             complete: false,
         }
     }
@@ -71,7 +77,7 @@
     pub fn next_step(&self) -> MirrorStep {
         match &self.listing {
             Some(listing) => MirrorStep::List(listing.after.clone()),
-            None => MirrorStep::Watch(self.revision),
+            None => MirrorStep::Watch(self.version),
         }
     }
 
@@ -98,12 +104,22 @@
         changes
     }
 
-    /// Applies a page of a list.
+    /// True when the last list was complete in this era of the store.
+    pub fn is_current(&self, era: StoreEra) -> bool {
+        self.listing.is_none() && self.version.era() == era
+    }
+
+    /// Applies a page of a list. One of an earlier era than known is ignored, and a list whose pages
+    /// are of several eras begins anew.
     pub fn on_page(&mut self, page: ItemPage) -> Vec<MirrorChange> {
         let Some(mut listing) = self.listing.take() else {
             return Vec::new();
         };
-        let first_revision = *listing.revision.get_or_insert(page.revision);
+        let first = *listing.version.get_or_insert(page.version);
+        if first.era() != page.version.era() || first.era() < self.version.era() {
+            self.listing = Some(ListProgress::start());
+            return Vec::new();
+        }
         listing.after = page.items.last().map(|item| Arc::clone(&item.key));
         let mut changes = Vec::new();
         for item in page.items {
@@ -114,9 +130,8 @@
             self.listing = Some(listing);
             return changes;
         }
-        let missing = |item: &&StoreItem| {
-            !listing.seen.contains(&item.key) && item.revision <= first_revision
-        };
+        let missing =
+            |item: &&StoreItem| !listing.seen.contains(&item.key) && item.version <= first;
         let gone: Vec<Arc<str>> = self
             .items
             .values()
@@ -124,10 +139,15 @@
             .map(|item| Arc::clone(&item.key))
             .collect();
         for key in gone {
-            self.items.remove(&key);
-            changes.push(MirrorChange::Removed(key));
+            let known = self.items.remove(&key);
+            let is_lost = known.is_some_and(|item| item.version.era() < first.era());
+            changes.push(if is_lost {
+                MirrorChange::Lost(key)
+            } else {
+                MirrorChange::Removed(key)
+            });
         }
-        self.revision = self.revision.max(first_revision);
+        self.version = self.version.max(first);
         self.complete = true;
         changes.push(MirrorChange::Synced);
         changes
@@ -135,13 +155,17 @@
 
     /// Applies the reply to a watch.
     pub fn on_watch(&mut self, outcome: WatchOutcome) -> Vec<MirrorChange> {
-        let (events, revision) = match outcome {
+        let (events, version) = match outcome {
             WatchOutcome::Compacted => {
                 self.listing = Some(ListProgress::start());
                 return Vec::new();
             }
-            WatchOutcome::Changes(events, revision) => (events, revision),
+            WatchOutcome::Changes(events, version) => (events, version),
         };
+        if version.era() != self.version.era() {
+            self.listing = Some(ListProgress::start());
+            return Vec::new();
+        }
         let mut changes = Vec::new();
         for event in events {
             match event {
@@ -149,7 +173,7 @@
                 WatchChange::Removed(key, at) => changes.extend(self.remove(&key, at)),
             }
         }
-        self.revision = self.revision.max(revision);
+        self.version = self.version.max(version);
         changes
     }
 
@@ -159,18 +183,23 @@
         self.listing = Some(ListProgress::start());
     }
 
+    /// Records that the store was restored from an older copy. The prefix is listed again.
+    pub fn on_restore(&mut self) {
+        self.listing = Some(ListProgress::start());
+    }
+
     fn write(&mut self, item: StoreItem) -> Option<MirrorChange> {
-        let known = self.items.get(&item.key).map_or(0, |known| known.revision);
-        if item.revision <= known {
+        let known = self.items.get(&item.key).map(|known| known.version);
+        if item.version <= known.unwrap_or_default() {
             return None;
         }
         self.items.insert(Arc::clone(&item.key), item.clone());
         Some(MirrorChange::Written(item))
     }
 
-    fn remove(&mut self, key: &Arc<str>, at: u64) -> Option<MirrorChange> {
+    fn remove(&mut self, key: &Arc<str>, at: StoreVersion) -> Option<MirrorChange> {
         let known = self.items.get(key)?;
-        if known.revision > at {
+        if known.version > at {
             return None;
         }
         self.items.remove(key);
--- a/src/mirror/set.rs
+++ b/src/mirror/set.rs
@@ -1,5 +1,6 @@
 //! Mirrors of all prefixes that a daemon follows.
 
+use crate::ids::StoreEra;
 use crate::mirror::port::StoreItem;
 use crate::mirror::prefix::PrefixMirror;
 use std::collections::HashMap;
@@ -24,6 +25,18 @@
         Arc::clone(mirrors.entry(Arc::clone(prefix)).or_default())
     }
 
+    /// True when all mirrors hold a complete list of this era of the store.
+    pub fn are_current(&self, era: StoreEra) -> bool {
+        let mirrors = self
+            .mirrors
+            .lock()
+            .expect("mirror set lock is never poisoned");
+        mirrors.values().all(|mirror| {
+            let mirror = mirror.lock().expect("mirror lock is never poisoned");
+            mirror.is_current(era)
+        })
+    }
+
     /// Returns the items of a prefix; `None` while the mirror is incomplete.
     pub fn items(&self, prefix: &str) -> Option<Vec<StoreItem>> {
         let mirrors = self
--- a/src/presence/mod.rs
+++ b/src/presence/mod.rs
@@ -4,5 +4,5 @@
 mod session;
 mod table;
 
-pub use session::{LeaseSession, PRESENCE_PREFIX, leader_key, presence_key};
+pub use session::{LeaseSession, LeaseStep, PRESENCE_PREFIX, leader_key, presence_key};
 pub use table::{PresenceRow, PresenceTable};
--- a/src/presence/session.rs
+++ b/src/presence/session.rs
@@ -1,13 +1,17 @@
 //! This daemon's lease and the keys attached to it: its presence, and the leader's key while it
 //! leads.
 //!
-//! The leader is the daemon whose name is the value of the leader's key. The key is attached to the
-//! daemon's lease, so that one renewal keeps both alive. The key's revision is the fencing number
-//! of the leader's orders.
+//! The leader is the daemon whose name is the value of the leader's key and whose lease the key is
+//! attached to, so that one renewal keeps both alive. The version that created the key gives the
+//! fencing number of the leader's orders.
+//!
+//! A restore of the store from an older copy ends all leases, and their identifiers are granted
+//! again. A lease is therefore used only in the era that granted it.
 
-use crate::ids::{FenceNumber, LeaseId};
+use crate::ids::{FenceNumber, LeaseId, StoreEra};
 use crate::mirror::{
-    CommitOutcome, ItemGuard, ItemWrite, RenewOutcome, StorePort, StoreTransaction,
+    CommitOutcome, ItemGuard, ItemWrite, LeaseGrant, RenewOutcome, StoreItem, StorePort,
+    StoreTransaction, StoreVersion,
 };
 use crate::presence::table::PresenceRow;
 use crate::units::MonoTime;
@@ -21,6 +25,9 @@
 const LEASE_TTL: Duration = Duration::from_millis(2_500);
 /// Safety margin before the lease expires, during which its holder no longer acts as leader.
 const LEASE_MARGIN: Duration = Duration::from_millis(700);
+/// Time after the last renewal for which a leader that the store no longer knows may still act.
+/// After a restore of the store, a new leader waits for as long.
+const LEASE_TRUST: Duration = LEASE_TTL.saturating_sub(LEASE_MARGIN);
 
 /// Key of a daemon's presence entry.
 pub fn presence_key(row: &PresenceRow) -> Arc<str> {
@@ -37,15 +44,50 @@
 pub struct LeaseState {
     /// Identifier of the lease in the store.
     pub id: LeaseId,
+    /// Era of the store in which the lease was granted.
+    pub era: StoreEra,
     /// Time from which another daemon may own the leader's key.
     pub valid_until: MonoTime,
 }
 
+/// What to do next about the lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LeaseStep {
+    /// Renew it in time.
+    Renew,
+    /// It is of an earlier era of the store: call [`LeaseSession::rejoin`].
+    Rejoin,
+}
+
 #[derive(Debug, Default)]
 struct SessionState {
     lease: Option<LeaseState>,
     presence_written: bool,
     fence_number: Option<FenceNumber>,
+    /// Era of the store and the time at which this daemon noticed it.
+    era_noticed: Option<(StoreEra, MonoTime)>,
+}
+
+impl SessionState {
+    fn forget_lease(&mut self) {
+        self.lease = None;
+        self.presence_written = false;
+        self.fence_number = None;
+    }
+
+    /// True when a leader of an earlier era may still act.
+    fn is_new_era(&mut self, known: Option<StoreEra>, now: MonoTime) -> bool {
+        let Some(known) = known else {
+            return false;
+        };
+        match self.era_noticed {
+            Some((era, since)) if era == known => now.since(since) < LEASE_TRUST,
+            _ => {
+                self.era_noticed = Some((known, now));
+                true
+            }
+        }
+    }
 }
 
 /// Keeps this daemon's lease alive, writes its presence and campaigns for leadership.
@@ -69,37 +111,100 @@
         }
     }
 
-    /// Fencing number of this daemon's orders; `None` unless it leads with a valid lease.
-    pub fn fence(&self, now: MonoTime) -> Option<FenceNumber> {
+    /// True when this daemon is the leader and its lease is valid. It may still have to wait before
+    /// it sends orders, see [`Self::fence`].
+    pub fn leads(&self, now: MonoTime) -> bool {
+        let era = self.port.era.current();
         self.with(|state| {
-            let is_valid = state.lease.is_some_and(|lease| now < lease.valid_until);
-            state.fence_number.filter(|_| is_valid)
+            let lease = state.lease.filter(|lease| lease.era == era);
+            let is_valid = lease.is_some_and(|lease| now < lease.valid_until);
+            is_valid && state.fence_number.is_some()
         })
     }
 
+    /// Fencing number of this daemon's orders; `None` unless it leads with a valid lease and no
+    /// leader from before a restore of the store can still act.
+    pub fn fence(&self, now: MonoTime) -> Option<FenceNumber> {
+        let known = self.port.era.known();
+        let must_wait = self.with(|state| state.is_new_era(known, now));
+        if must_wait || !self.leads(now) {
+            return None;
+        }
+        self.with(|state| state.fence_number)
+    }
+
     /// Renews the lease, or gets a new one, and writes the presence entry if it is missing and the
     /// daemon is `present`.
     ///
     /// # Errors
     /// [`PortError`](crate::mirror::PortError) when a call to the store failed.
-    pub async fn renew(&self, now: MonoTime, present: bool) -> crate::mirror::PortResult<()> {
+    pub async fn renew(
+        &self,
+        now: MonoTime,
+        present: bool,
+    ) -> crate::mirror::PortResult<LeaseStep> {
         let lease = self.with(|state| state.lease);
         if let Some(lease) = lease {
-            match (self.port.renew)(lease.id).await? {
+            if self.is_stale(lease) {
+                return Ok(LeaseStep::Rejoin);
+            }
+            let outcome = (self.port.renew)(lease.id).await?;
+            // The identifier may be that of another daemon's lease by now.
+            if self.is_stale(lease) {
+                return Ok(LeaseStep::Rejoin);
+            }
+            match outcome {
                 RenewOutcome::Renewed => {
-                    self.with(|state| state.lease = Some(lease_from(lease.id, now)));
+                    let renewed = LeaseState {
+                        valid_until: now.after(LEASE_TRUST),
+                        ..lease
+                    };
+                    self.with(|state| state.lease = Some(renewed));
                 }
-                RenewOutcome::Expired => self.with(|state| *state = SessionState::default()),
+                RenewOutcome::Expired => self.with(SessionState::forget_lease),
             }
         }
+        self.ensure_presence(now, present).await
+    }
+
+    /// Gives up a lease of an earlier era, gets a new one and writes the presence entry if the daemon
+    /// is `present`.
+    ///
+    /// # Errors
+    /// [`PortError`](crate::mirror::PortError) when a call to the store failed.
+    pub async fn rejoin(
+        &self,
+        now: MonoTime,
+        present: bool,
+    ) -> crate::mirror::PortResult<LeaseStep> {
+        self.with(SessionState::forget_lease);
+        self.ensure_presence(now, present).await
+    }
+
+    /// True when the lease and the presence entry are of this era of the store.
+    pub fn is_present_in(&self, era: StoreEra) -> bool {
+        self.with(|state| {
+            state.presence_written && state.lease.is_some_and(|lease| lease.era == era)
+        })
+    }
+
+    async fn ensure_presence(
+        &self,
+        now: MonoTime,
+        present: bool,
+    ) -> crate::mirror::PortResult<LeaseStep> {
         if self.with(|state| state.lease).is_none() {
             let grant = (self.port.grant)(LEASE_TTL.max(self.lease_floor)).await?;
-            self.with(|state| state.lease = Some(lease_from(grant.id, now)));
+            self.with(|state| state.lease = Some(lease_from(grant, now)));
         }
         if present && !self.with(|state| state.presence_written) {
             self.write_presence().await?;
         }
-        Ok(())
+        Ok(LeaseStep::Renew)
+    }
+
+    fn is_stale(&self, lease: LeaseState) -> bool {
+        lease.era != self.port.era.current()
     }
 
     /// Records that the presence entry is missing in the store, so that the next renewal writes it
@@ -113,20 +218,26 @@
     /// # Errors
     /// When the call to the store failed; the lease then expires after its time to live.
     pub async fn revoke(&self) -> crate::mirror::PortResult<()> {
-        let lease = self.with(|state| std::mem::take(state).lease);
+        let lease = self.with(|state| {
+            let lease = state.lease;
+            state.forget_lease();
+            lease
+        });
         match lease {
-            Some(lease) => (self.port.revoke)(lease.id).await,
-            None => Ok(()),
+            Some(lease) if !self.is_stale(lease) => (self.port.revoke)(lease.id).await,
+            _ => Ok(()),
         }
     }
 
-    /// Tries to become the leader by creating the leader's key; true on success.
+    /// Tries to become the leader by creating the leader's key. Returns the fencing number on
+    /// success.
     ///
     /// # Errors
     /// When the call to the store failed; it may have taken effect all the same.
-    pub async fn campaign(&self) -> crate::mirror::PortResult<bool> {
-        let Some(lease) = self.with(|state| state.lease) else {
-            return Ok(false);
+    pub async fn campaign(&self) -> crate::mirror::PortResult<Option<FenceNumber>> {
+        let lease = self.with(|state| state.lease);
+        let Some(lease) = lease.filter(|lease| !self.is_stale(*lease)) else {
+            return Ok(None);
         };
         let write = ItemWrite {
             key: leader_key(),
@@ -135,7 +246,7 @@
         };
         let guards = vec![ItemGuard {
             key: leader_key(),
-            revision: 0,
+            expected: None,
         }];
         let transaction = StoreTransaction {
             guards,
@@ -143,24 +254,52 @@
             removals: Vec::new(),
         };
         match (self.port.commit)(transaction).await? {
-            CommitOutcome::Done(revision) => {
-                self.with(|state| state.fence_number = Some(FenceNumber(revision)));
-                Ok(true)
+            CommitOutcome::Done(version) if version.era() == lease.era => {
+                let fence = fence_number(version);
+                self.with(|state| state.fence_number = Some(fence));
+                Ok(Some(fence))
+            }
+            CommitOutcome::Done(version) => {
+                self.withdraw_campaign(version).await?;
+                Ok(None)
             }
-            CommitOutcome::Conflict(_) => Ok(false),
+            CommitOutcome::Conflict(_) => Ok(None),
             CommitOutcome::LeaseExpired => {
-                self.with(|state| *state = SessionState::default());
-                Ok(false)
+                self.with(SessionState::forget_lease);
+                Ok(None)
             }
         }
     }
 
-    /// Records who leads according to the store. Also settles a campaign whose reply was lost.
-    pub fn observe_leader(&self, holder: Option<&[u8]>, revision: u64) {
-        let is_local = holder == Some(self.row.instance.as_str().as_bytes());
+    /// Removes the leader's key after a campaign that was sent before a restore of the store and
+    /// executed after it: the key is attached to what may be another daemon's lease.
+    async fn withdraw_campaign(&self, written: StoreVersion) -> crate::mirror::PortResult<()> {
+        let guard = ItemGuard {
+            key: leader_key(),
+            expected: Some(written),
+        };
+        let transaction = StoreTransaction {
+            guards: vec![guard],
+            writes: Vec::new(),
+            removals: vec![leader_key()],
+        };
+        (self.port.commit)(transaction).await.map(|_outcome| ())
+    }
+
+    /// Records the leader's key. Also settles a campaign whose reply was lost. A key with this
+    /// daemon's name under another lease is that of an earlier run, and ends without notice.
+    pub fn observe_leader(&self, leader: Option<&StoreItem>) {
+        let name = self.row.instance.as_str().as_bytes();
+        let own = leader.filter(|item| &*item.value == name);
         self.with(|state| {
-            let has_lease = state.lease.is_some();
-            state.fence_number = (is_local && has_lease).then_some(FenceNumber(revision));
+            let is_held = |item: &&StoreItem| {
+                let held = (item.lease, item.version.era());
+                state
+                    .lease
+                    .is_some_and(|lease| (lease.id, lease.era) == held)
+            };
+            let fence = own.filter(is_held).map(|item| fence_number(item.created));
+            state.fence_number = fence;
         });
     }
 
@@ -179,8 +318,10 @@
             ..StoreTransaction::default()
         };
         match (self.port.commit)(transaction).await? {
-            CommitOutcome::Done(_) => self.with(|state| state.presence_written = true),
-            _ => self.with(|state| *state = SessionState::default()),
+            CommitOutcome::Done(version) if version.era() == lease.era => {
+                self.with(|state| state.presence_written = true);
+            }
+            _ => self.with(SessionState::forget_lease),
         }
         Ok(())
     }
@@ -191,10 +332,17 @@
     }
 }
 
-/// State of a lease that was granted or renewed by a call sent at `sent`.
-fn lease_from(id: LeaseId, sent: MonoTime) -> LeaseState {
+/// State of a lease that was granted by a call sent at `sent`.
+fn lease_from(grant: LeaseGrant, sent: MonoTime) -> LeaseState {
     LeaseState {
-        id,
-        valid_until: sent.after(LEASE_TTL.saturating_sub(LEASE_MARGIN)),
+        id: grant.id,
+        era: grant.era,
+        valid_until: sent.after(LEASE_TRUST),
     }
 }
+
+/// Fencing number of a leader whose key was created at this version. It never goes back, also across
+/// restores of the store.
+fn fence_number(created: StoreVersion) -> FenceNumber {
+    FenceNumber(created.fence_value())
+}
--- a/src/snapshots/message.rs
+++ b/src/snapshots/message.rs
@@ -1,6 +1,7 @@
 //! Messages for fetching a snapshot from a peer.
 
-use crate::mirror::StoreItem;
+use crate::ids::{LeaseId, StoreEra};
+use crate::mirror::{StoreItem, StoreVersion};
 use prost::Message;
 use std::sync::Arc;
 
@@ -41,6 +42,12 @@
     /// Revision at which the key was created.
     #[prost(uint64, tag = "4")]
     pub create_revision: u64,
+    /// Era of the store in which the item was read.
+    #[prost(uint64, tag = "5")]
+    pub era: u64,
+    /// Lease with which the key ends; 0 for none.
+    #[prost(int64, tag = "6")]
+    pub lease: i64,
 }
 
 impl From<&StoreItem> for SnapshotItem {
@@ -48,19 +55,23 @@
         Self {
             key: item.key.to_string(),
             value: item.value.to_vec(),
-            revision: item.revision,
-            create_revision: item.create_revision,
+            revision: item.version.revision().into(),
+            create_revision: item.created.revision().into(),
+            era: item.version.era().0,
+            lease: item.lease.0,
         }
     }
 }
 
 impl From<SnapshotItem> for StoreItem {
     fn from(item: SnapshotItem) -> Self {
+        let era = StoreEra(item.era);
         Self {
             key: Arc::from(item.key),
             value: Arc::from(item.value),
-            revision: item.revision,
-            create_revision: item.create_revision,
+            version: StoreVersion::new(era, item.revision),
+            created: StoreVersion::new(era, item.create_revision),
+            lease: LeaseId(item.lease),
         }
     }
 }
--- a/src/snapshots/request.rs
+++ b/src/snapshots/request.rs
@@ -1,6 +1,6 @@
 //! Fetches snapshots from peers.
 
-use crate::mirror::StoreItem;
+use crate::mirror::{StoreItem, StoreVersion};
 use crate::peer::frame_stream;
 use crate::snapshots::message::{SnapshotReply, SnapshotRequest};
 use async_std::future::timeout;
@@ -39,7 +39,7 @@
                 let items: Vec<StoreItem> = reply.items.into_iter().map(Into::into).collect();
                 if newest
                     .as_ref()
-                    .is_none_or(|known| last_revision(known) < last_revision(&items))
+                    .is_none_or(|known| last_version(known) < last_version(&items))
                 {
                     newest = Some(items);
                 }
@@ -52,8 +52,9 @@
     newest
 }
 
-fn last_revision(items: &[StoreItem]) -> u64 {
-    items.iter().map(|item| item.revision).max().unwrap_or(0)
+fn last_version(items: &[StoreItem]) -> StoreVersion {
+    let versions = items.iter().map(|item| item.version);
+    versions.max().unwrap_or_default()
 }
 
 async fn request_snapshot(peer: SocketAddr, prefix: &str) -> io::Result<SnapshotReply> {
--- a/tests/target_publisher.rs
+++ b/tests/target_publisher.rs
@@ -1,8 +1,8 @@
 //! Publication of the target list by several tasks at the same time.
 
 use arbutusmount::{
-    InstanceId, MirrorChange, MonoTime, StoreItem, TargetEntry, TargetPhase, TargetPublisher,
-    TargetRegistry, TargetView, ViewCell,
+    InstanceId, LeaseId, MirrorChange, MonoTime, StoreEra, StoreItem, StoreVersion, TargetEntry,
+    TargetPhase, TargetPublisher, TargetRegistry, TargetView, ViewCell,
 };
 use std::sync::Arc;
 use std::sync::mpsc;
@@ -33,8 +33,9 @@
     MirrorChange::Written(StoreItem {
         key: Arc::from(key),
         value: Arc::from(started_ms.to_string().as_bytes()),
-        revision: 1,
-        create_revision: 1,
+        version: StoreVersion::new(StoreEra(0), 1),
+        created: StoreVersion::default(),
+        lease: LeaseId(0),
     })
 }
 
