Log and count restores of the store

Each daemon logs one line store_restored once its lease, its entry and its lists are those of the new era, or after 10 s, with the eras, the time that it took and what it wrote again, and counts it in arbutusmount_store_restores_total.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod leader;
 mod ports;
 mod publisher;
+mod restores;
 mod run;
 mod targets;
 
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -7,6 +7,7 @@
 use crate::gateway::leader::run_leader_duty;
 use crate::gateway::ports::GatewayPorts;
 use crate::gateway::publisher::TargetPublisher;
+use crate::gateway::restores::report_restores;
 use crate::gateway::targets::TargetRegistry;
 use crate::ids::ServiceId;
 use crate::kernel::{DaemonPhase, TimerService, TimerSpec};
@@ -229,6 +230,7 @@
     task::spawn(follow_targets(Arc::clone(&state)));
     task::spawn(follow_presence(Arc::clone(&state)));
     task::spawn(serve_callers(Arc::clone(&state.context), server));
+    task::spawn(report_restores(Arc::clone(&state)));
     task::spawn(share_loads(Arc::clone(&state)));
     task::spawn(share_snapshots(Arc::clone(&state)));
     start_timers(&state);
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -24,6 +24,8 @@
     pub latency: HistogramVec,
     /// Calls to the store by call and outcome.
     pub store_calls: IntCounterVec,
+    /// Restores of the store from an older copy, by whether this daemon's entries are back.
+    pub store_restores: IntCounterVec,
     /// Version of the configuration and numbers of targets, chains and daemons that this daemon
     /// knows.
     pub known_state: IntGaugeVec,
@@ -71,6 +73,11 @@
                 "Calls to the store by call and outcome",
                 &["call", "outcome"],
             )?,
+            store_restores: metrics.counter(
+                "store_restores_total",
+                "Restores of the store from an older copy, by outcome for this daemon",
+                &["outcome"],
+            )?,
             known_state: metrics.gauge(
                 "relay_beliefs",
                 "Configuration version and numbers of known targets, chains and daemons",
