--- a/tests/platform_restore.rs
+++ b/tests/platform_restore.rs
@@ -7,12 +7,15 @@
 use arbutusmount::{InstanceId, TargetEntry};
 use async_std::task;
 use rig::{
-    SiteDaemon, SiteFleet, SiteSpec, SiteStore, StoreFault, StoreRestore, plain_server_entry,
+    SiteDaemon, SiteFleet, SiteRequest, SiteSpec, SiteStore, StoreFault, StoreRestore,
+    plain_server_entry, send_site_request,
 };
 use site::{plain_site, until};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
+use test_case::test_case;
 
 /// Longer than the time for which daemons collect changes of the target list.
 const SETTLE_TIME: Duration = Duration::from_millis(700);
@@ -267,3 +270,171 @@
         site.store.value(&key).is_some()
     });
 }
+
+/// A header that cannot be used is never taken for a restore: nothing is listed again, and the store
+/// is followed as before. A store that sends no header works too.
+#[test_case(Some("soon"))]
+#[test_case(Some("-3"))]
+#[test_case(Some(""))]
+#[test_case(None)]
+fn unusable_era_is_no_restore(text: Option<&str>) {
+    let site = plain_site();
+    thread::sleep(SETTLE_TIME);
+    let state = &site.daemons[0].state;
+    let restores = || {
+        let counter = &state.context.metrics.store_restores;
+        counter.with_label_values(&["back"]).get()
+    };
+
+    site.store.set_era_text(text);
+    let server = &site.plain_servers[0];
+    site.store.put(
+        &format!("servers/{}", server.id()),
+        &plain_server_entry(server, "draining"),
+    );
+
+    until("the change to be applied", || {
+        is_draining(&site.daemons[0], server.id())
+    });
+    assert_eq!(restores(), 0);
+}
+
+#[test]
+fn daemon_works_with_a_store_that_never_names_an_era() {
+    let mut site = SiteFleet::without_daemons(SiteSpec::default());
+    site.store.set_era_text(None);
+
+    let daemon = site.start_daemon("router-0", "d0", 0);
+    site.daemons.push(daemon);
+
+    until("a chain", || {
+        site.daemons[0].state.context.targets.load().chain_count() > 0
+    });
+}
+
+/// Two restores in a row, the second one while daemons still return from the first.
+#[test]
+fn daemons_return_from_two_restores_in_a_row() {
+    let mut site = plain_site();
+    let second = site.start_daemon("router-1", "d0", 1);
+    site.daemons.push(second);
+    let rows = |daemon: &SiteDaemon| daemon.state.context.presence.rows().len();
+    until("both daemons to be known", || {
+        site.daemons.iter().all(|daemon| rows(daemon) == 2)
+    });
+    let copied = Instant::now();
+    raise_revision(&site.store, 20);
+
+    restore_after_outage(&site.store, copied);
+    restore_after_outage(&site.store, copied);
+
+    let has_entry = |index: usize| {
+        let key = format!("arbutusmount/daemon/router-{index}");
+        site.store.value(&key).is_some()
+    };
+    until("both entries to be in the store", || {
+        has_entry(0) && has_entry(1)
+    });
+    until("a leader", || {
+        site.store.value("arbutusmount/leader").is_some()
+    });
+    assert!(site.daemons.iter().all(|daemon| rows(daemon) == 2));
+}
+
+/// Longest time from the store's return to all entries of eight daemons being back.
+const BACK_TIME: Duration = Duration::from_secs(2);
+/// Longest time from the store's return to the first order of a leader.
+const ORDER_TIME: Duration = Duration::from_secs(4);
+
+/// Ends the requests when it is dropped, also after a failed wait.
+struct StopGuard<'a>(&'a AtomicBool);
+
+impl Drop for StopGuard<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
+/// Requests sent to all daemons in turn until `stop` is set. Returns their identities and those that
+/// were not answered with 200.
+fn send_requests(site: &SiteFleet, stop: &AtomicBool) -> (Vec<String>, Vec<(String, u16)>) {
+    let (mut sent, mut failed) = (Vec::new(), Vec::new());
+    for number in 0.. {
+        if stop.load(Ordering::Relaxed) {
+            break;
+        }
+        let attempt = format!("{number:016x}");
+        let daemon = &site.daemons[number % site.daemons.len()];
+        let (method, target) = [("GET", "/get/x"), ("POST", "/post/x")][number % 2];
+        let request = SiteRequest::new(method, target, &attempt);
+        let status = send_site_request(daemon.address, &request).status;
+        if status != 200 {
+            failed.push((attempt.clone(), status));
+        }
+        sent.push(attempt);
+    }
+    (sent, failed)
+}
+
+/// The purpose of all of this: a restore is a short pause in changes and nothing else.
+#[test]
+fn eight_daemons_are_back_in_time_and_lose_no_request() {
+    let site = SiteFleet::start(SiteSpec {
+        daemons: 8,
+        plain_servers: 3,
+        models_per_domain: 3,
+        domains: 1,
+    });
+    let entry = |index: usize| format!("arbutusmount/daemon/router-{index}");
+    let are_back = || (0..8).all(|index| site.store.value(&entry(index)).is_some());
+    until("all entries", are_back);
+    thread::sleep(SETTLE_TIME);
+    let copied = Instant::now();
+    raise_revision(&site.store, 60);
+    let calls_before = site.store.calls();
+    thread::sleep(Duration::from_secs(2));
+    let quiet_calls = (site.store.calls() - calls_before) / 2;
+    let layers = || {
+        let servers = site.model_servers.iter().skip(1);
+        servers.map(rig::ModelServer::layers).collect::<Vec<_>>()
+    };
+    let stop = AtomicBool::new(false);
+
+    let (back, ordered, calls, (sent, failed)) = thread::scope(|scope| {
+        let caller = scope.spawn(|| send_requests(&site, &stop));
+        let stop_guard = StopGuard(&stop);
+        let lost = restore_after_outage(&site.store, copied);
+        let returned = Instant::now();
+        let calls_before = site.store.calls();
+        site.store
+            .remove(&format!("servers/{}", site.model_servers[0].id()));
+        scope.spawn(|| {
+            site.store
+                .write_again(lost, Duration::from_millis(1_500), 8);
+        });
+        let held = layers();
+        until("all entries", are_back);
+        let back = returned.elapsed();
+        until("an order", || layers() != held);
+        let ordered = returned.elapsed();
+        let calls = site.store.calls() - calls_before;
+        drop(stop_guard);
+        (
+            back,
+            ordered,
+            calls,
+            caller.join().expect("the caller ends"),
+        )
+    });
+
+    println!(
+        "back after {back:?}, first order after {ordered:?}; store calls: {calls} until then, \
+         {quiet_calls} in a quiet second; requests: {} sent, {failed:?} failed",
+        sent.len()
+    );
+    assert!(back <= BACK_TIME, "{back:?}");
+    assert!(ordered <= ORDER_TIME, "{ordered:?}");
+    assert_eq!(failed, Vec::new());
+    let runs = site.plain_servers.iter().map(|server| server.runs().len());
+    assert_eq!(runs.sum::<usize>(), sent.len());
+}
