Take the leader's key by name where a store does not tell its lease

An item without a lease counted as one of an earlier run, so a daemon would never have led by the answers of a store that leaves the field out. The leader's key always has a lease, so 0 can only mean that it is not told.

--- a/src/presence/session.rs
+++ b/src/presence/session.rs
@@ -293,10 +293,11 @@
         let own = leader.filter(|item| &*item.value == name);
         self.with(|state| {
             let is_held = |item: &&StoreItem| {
-                let held = (item.lease, item.version.era());
-                state
-                    .lease
-                    .is_some_and(|lease| (lease.id, lease.era) == held)
+                state.lease.is_some_and(|lease| {
+                    // 0 in the item of a store that does not tell the lease.
+                    let is_same_lease = item.lease == lease.id || item.lease == LeaseId(0);
+                    is_same_lease && item.version.era() == lease.era
+                })
             };
             let fence = own.filter(is_held).map(|item| fence_number(item.created));
             state.fence_number = fence;
--- a/tests/restore_schedules.rs
+++ b/tests/restore_schedules.rs
@@ -333,6 +333,31 @@
     );
 }
 
+/// A key with this daemon's name counts under its own lease, or if the store does not tell the lease;
+/// not under that of an earlier run, nor from an earlier era.
+#[test_case(1, 1, true)]
+#[test_case(0, 1, true)]
+#[test_case(2, 1, false)]
+#[test_case(1, 0, false)]
+fn leader_key_counts_under_the_own_lease(lease: i64, era: u64, leads: bool) {
+    let store: SharedStore = Arc::default();
+    lock(&store).era = 1;
+    let daemon = ModelDaemon::start(&store, 0);
+    daemon.renew(MonoTime(0));
+    let version = StoreVersion::new(StoreEra(era), 5);
+    let item = StoreItem {
+        key: Arc::from(LEADER_KEY),
+        value: Arc::from(b"router-0".as_slice()),
+        version,
+        created: version,
+        lease: LeaseId(lease),
+    };
+
+    daemon.session.observe_leader(Some(&item));
+
+    assert_eq!(daemon.session.leads(MonoTime(0)), leads);
+}
+
 /// Guards against a mirror that goes back, or that stays behind the store once it answers.
 #[test_case(11)]
 #[test_case(12)]
