--- a/tests/platform_restore.rs
+++ b/tests/platform_restore.rs
@@ -10,7 +10,7 @@
     SiteDaemon, SiteFleet, SiteRequest, SiteSpec, SiteStore, StoreFault, StoreRestore,
     plain_server_entry, send_site_request,
 };
-use site::{plain_site, until};
+use site::{call, model_site, plain_site, stream_call, until};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
@@ -438,3 +438,69 @@
     let runs = site.plain_servers.iter().map(|server| server.runs().len());
     assert_eq!(runs.sum::<usize>(), sent.len());
 }
+
+/// Streams need chains, which the leader and the list of targets keep up.
+#[test]
+fn streams_go_on_through_a_restore() {
+    let site = model_site();
+    thread::sleep(SETTLE_TIME);
+    let copied = Instant::now();
+    raise_revision(&site.store, 60);
+    let stop = AtomicBool::new(false);
+
+    let answers = thread::scope(|scope| {
+        let caller = scope.spawn(|| {
+            let mut answers = Vec::new();
+            while !stop.load(Ordering::Relaxed) {
+                let attempt = format!("{:016x}", answers.len());
+                let answer = call(&site, &stream_call(&attempt));
+                answers.push((answer.status, answer.complete));
+            }
+            answers
+        });
+        let stop_guard = StopGuard(&stop);
+        thread::sleep(SETTLE_TIME);
+        restore_after_outage(&site.store, copied);
+        until("the daemon's entry", || {
+            site.store.value("arbutusmount/daemon/router-0").is_some()
+        });
+        thread::sleep(ORDER_TIME);
+        drop(stop_guard);
+        caller.join().expect("the caller ends")
+    });
+
+    assert!(answers.len() > 20, "{} streams", answers.len());
+    let failed = answers.iter().filter(|answer| **answer != (200, true));
+    assert_eq!(failed.count(), 0, "of {} streams", answers.len());
+}
+
+/// A daemon that starts while the store is away has a peer's snapshot of the earlier era.
+#[test]
+fn daemon_that_starts_during_a_restore_follows_the_restored_store() {
+    let site = plain_site();
+    let server = &site.plain_servers[0];
+    let key = format!("servers/{}", server.id());
+    let copied = Instant::now();
+    for _ in 0..30 {
+        site.store.put(&key, &plain_server_entry(server, "ready"));
+    }
+    thread::sleep(SETTLE_TIME);
+    for index in 0..2 {
+        site.store.set_fault(index, StoreFault::Reset);
+    }
+
+    let starting = site.start_daemon("router-1", "d0", 1);
+    until("the daemon to serve by a snapshot", || {
+        starting.state.is_serving()
+    });
+    restore_after_outage(&site.store, copied);
+    site.store
+        .put(&key, &plain_server_entry(server, "draining"));
+
+    until("the change to be applied", || {
+        is_draining(&starting, server.id())
+    });
+    until("its entry to be in the store", || {
+        site.store.value("arbutusmount/daemon/router-1").is_some()
+    });
+}
