Let the fault proxy pass on resets and half-closed connections, and tell what passes

The proxy closed both sides at any end of one, so that a reset looked like the end of a response without a length, and a caller could not shut down its sending side alone. A proxy of the new kind passes both on and calls an observer with the bytes; proxies made with FaultProxy::start behave as before.

The store of a site can replace entries as servers write them, so that daemons reach servers through proxies, and a model server takes the address under which it is listed for its own. Plain servers can name the request in their answers.

--- a/rig/src/fleet/process.rs
+++ b/rig/src/fleet/process.rs
@@ -31,6 +31,16 @@
         Ok(Self { child })
     }
 
+    /// Starts a program as `command` describes.
+    ///
+    /// # Errors
+    /// When the program cannot be started.
+    pub fn spawn(command: &mut Command) -> io::Result<Self> {
+        Ok(Self {
+            child: command.spawn()?,
+        })
+    }
+
     /// Process identifier.
     pub fn id(&self) -> u32 {
         self.child.id()
@@ -48,6 +58,11 @@
         self.signal(Signal::TERM);
     }
 
+    /// Sends SIGHUP, upon which daemons read their settings file again.
+    pub fn reload(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// Stops the process with SIGSTOP until [`Self::thaw`]. On return all of its threads have
     /// stopped, or it has ended; on a busy machine the signal alone would take effect later.
     ///
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -41,7 +41,7 @@
 };
 pub use oracle::{OracleState, reference_answer, reference_text};
 pub use platform::{PlatformKnobs, PlatformStandIn};
-pub use proxy::{DirectionFault, FaultProxy, ProxyFaults};
+pub use proxy::{DirectionFault, FaultProxy, ProxyEvent, ProxyFaults, ProxyObserver};
 pub use report::{RunGroup, group_runs, read_summaries, render_recovery, render_runs, write_plots};
 pub use service::{RunRecord, ServiceKnobs, ServiceStandIn, read_ledger};
 pub use site::{
--- a/rig/src/proxy.rs
+++ b/rig/src/proxy.rs
@@ -4,6 +4,7 @@
 use async_std::task;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, StreamExt};
 use serde::{Deserialize, Serialize};
+use socket2::SockRef;
 use std::io;
 use std::net::{Shutdown, SocketAddr};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -48,9 +49,61 @@
     pub refuse: bool,
 }
 
+/// What an observer of a proxy sees of a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProxyEvent<'a> {
+    /// Bytes that the target has been sent.
+    ToTarget(&'a [u8]),
+    /// Bytes that the target has sent, before any fault of this direction.
+    FromTarget(&'a [u8]),
+    /// The caller closed or reset the connection.
+    CallerEnded,
+    /// The target closed the connection, or reset it.
+    TargetEnded {
+        /// True for a reset.
+        reset: bool,
+    },
+}
+
+/// Receives the number of the connection and what happens on it.
+type EventObserver = dyn Fn(u64, ProxyEvent<'_>) + Send + Sync;
+
+/// Function that is told what passes through a proxy; cheap to clone.
+#[derive(Clone)]
+pub struct ProxyObserver(Arc<EventObserver>);
+
+impl ProxyObserver {
+    /// Wraps a function. It receives the number of the connection and what happens on it.
+    pub fn new(observe: impl Fn(u64, ProxyEvent<'_>) + Send + Sync + 'static) -> Self {
+        Self(Arc::new(observe))
+    }
+}
+
+impl std::fmt::Debug for ProxyObserver {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("ProxyObserver").finish_non_exhaustive()
+    }
+}
+
+/// Direction of a copy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CopyDirection {
+    ToTarget,
+    ToCaller,
+}
+
+/// One end of a connection was reset.
+#[derive(Debug)]
+struct ResetError;
+
 #[derive(Debug, Default)]
 struct ProxyInner {
     faults: Mutex<ProxyFaults>,
+    observer: Option<ProxyObserver>,
+    /// True when resets and half-closed connections are passed on as such. Otherwise any end closes
+    /// both sides.
+    passes_ends: bool,
+    next_connection: AtomicU64,
     /// Both ends of each open connection.
     connections: Mutex<Vec<(TcpStream, TcpStream)>>,
     bytes: AtomicU64,
@@ -69,10 +122,36 @@
     /// # Errors
     /// When the address cannot be bound.
     pub async fn start(listen: SocketAddr, target: SocketAddr) -> io::Result<Self> {
+        Self::start_inner(listen, target, ProxyInner::default()).await
+    }
+
+    /// Starts a proxy that passes resets and half-closed connections on as such, perhaps with an
+    /// observer of what passes.
+    ///
+    /// # Errors
+    /// When the address cannot be bound.
+    pub async fn start_faithful(
+        listen: SocketAddr,
+        target: SocketAddr,
+        observer: Option<ProxyObserver>,
+    ) -> io::Result<Self> {
+        let inner = ProxyInner {
+            observer,
+            passes_ends: true,
+            ..ProxyInner::default()
+        };
+        Self::start_inner(listen, target, inner).await
+    }
+
+    async fn start_inner(
+        listen: SocketAddr,
+        target: SocketAddr,
+        inner: ProxyInner,
+    ) -> io::Result<Self> {
         let listener = TcpListener::bind(listen).await?;
         let address = listener.local_addr()?;
         let proxy = Self {
-            inner: Arc::default(),
+            inner: Arc::new(inner),
             address,
         };
         task::spawn(proxy.clone().run(listener, target));
@@ -135,7 +214,21 @@
         }
     }
 
-    /// Connects a caller to the target and copies both directions until both have ended.
+    /// Resets all open connections.
+    pub fn reset_connections(&self) {
+        let connections = self.inner.connections.lock();
+        let mut connections = connections.expect("connection lock is never poisoned");
+        for (caller, target) in connections.drain(..) {
+            for stream in [caller, target] {
+                // Disconnecting resets the connection; it may have ended before.
+                let _ = reset_on_close(&stream);
+                let _ = stream.shutdown(Shutdown::Both);
+            }
+        }
+    }
+
+    /// Connects a caller to the target and copies both directions until both have ended or one end
+    /// was reset.
     async fn forward(self, caller: TcpStream, address: SocketAddr) {
         let Ok(target) = TcpStream::connect(address).await else {
             return;
@@ -151,35 +244,61 @@
                 .expect("connection lock is never poisoned");
             connections.push((caller.clone(), target.clone()));
         };
-        let to_target = self.copy(caller.clone(), target.clone(), |faults| faults.to_target);
-        let to_caller = self.copy(target.clone(), caller.clone(), |faults| faults.to_caller);
-        futures_lite::future::zip(to_target, to_caller).await;
+        let peer = caller.peer_addr().ok();
+        let number = self.inner.next_connection.fetch_add(1, Ordering::Relaxed);
+        let to_target = self.copy(number, &caller, &target, CopyDirection::ToTarget);
+        let to_caller = self.copy(number, &target, &caller, CopyDirection::ToCaller);
+        let copied = futures_lite::future::try_zip(to_target, to_caller).await;
         let mut connections = self
             .inner
             .connections
             .lock()
             .expect("connection lock is never poisoned");
-        let address = caller.peer_addr().ok();
-        connections.retain(|(other, _)| other.peer_addr().ok() != address);
+        connections.retain(|(other, _)| other.peer_addr().ok() != peer);
+        drop(connections);
+        if copied.is_err() {
+            // Either end may be gone already.
+            let _ = reset_on_close(&caller);
+            let _ = reset_on_close(&target);
+        }
+    }
+
+    fn fault(&self, direction: CopyDirection) -> DirectionFault {
+        match direction {
+            CopyDirection::ToTarget => self.faults().to_target,
+            CopyDirection::ToCaller => self.faults().to_caller,
+        }
     }
 
-    /// Copies one direction under the fault that `pick` selects, then closes both streams.
+    fn observe(&self, number: u64, event: ProxyEvent<'_>) {
+        if let Some(observer) = &self.inner.observer {
+            (observer.0)(number, event);
+        }
+    }
+
+    /// Copies one direction under its fault until its input ends.
     async fn copy(
         &self,
-        mut from: TcpStream,
-        mut to: TcpStream,
-        pick: impl Fn(ProxyFaults) -> DirectionFault,
-    ) {
+        number: u64,
+        from: &TcpStream,
+        to: &TcpStream,
+        direction: CopyDirection,
+    ) -> Result<(), ResetError> {
+        let (mut from, mut to) = (from.clone(), to.clone());
         let mut buffer = vec![0; COPY_BYTES];
         loop {
-            let count = match from.read(&mut buffer).await {
-                Ok(0) | Err(_) => break,
+            let read = from.read(&mut buffer).await;
+            self.observe_read(number, direction, &read, &buffer);
+            let count = match read {
+                Ok(0) => break,
                 Ok(count) => count,
+                Err(_) if self.inner.passes_ends => return Err(ResetError),
+                Err(_) => break,
             };
-            while pick(self.faults()) == DirectionFault::Hold {
+            while self.fault(direction) == DirectionFault::Hold {
                 task::sleep(HOLD_POLL).await;
             }
-            match pick(self.faults()) {
+            match self.fault(direction) {
                 DirectionFault::Pass | DirectionFault::Hold => {}
                 DirectionFault::Delay(millis) => task::sleep(Duration::from_millis(millis)).await,
                 DirectionFault::Throttle(rate) => {
@@ -187,17 +306,56 @@
                     task::sleep(Duration::from_secs_f64(seconds)).await;
                 }
                 DirectionFault::Drop => continue,
-                DirectionFault::Close => break,
+                DirectionFault::Close => {
+                    close_both(&from, &to);
+                    return Ok(());
+                }
+            }
+            if direction == CopyDirection::ToTarget {
+                self.observe(number, ProxyEvent::ToTarget(&buffer[..count]));
             }
             if to.write_all(&buffer[..count]).await.is_err() {
-                break;
+                close_both(&from, &to);
+                return Ok(());
             }
             self.inner.bytes.fetch_add(count as u64, Ordering::Relaxed);
         }
-        for stream in [from, to] {
-            if stream.shutdown(Shutdown::Both).is_err() {
-                // The stream was closed before.
-            }
+        if !self.inner.passes_ends {
+            close_both(&from, &to);
+        } else if to.shutdown(Shutdown::Write).is_err() {
+            // The stream was closed before.
+        }
+        Ok(())
+    }
+
+    /// Tells the observer what was read from one end.
+    fn observe_read(
+        &self,
+        number: u64,
+        direction: CopyDirection,
+        read: &io::Result<usize>,
+        buffer: &[u8],
+    ) {
+        let event = match (direction, read) {
+            (CopyDirection::ToTarget, Ok(0) | Err(_)) => ProxyEvent::CallerEnded,
+            (CopyDirection::ToTarget, Ok(_)) => return,
+            (CopyDirection::ToCaller, Ok(0)) => ProxyEvent::TargetEnded { reset: false },
+            (CopyDirection::ToCaller, Err(_)) => ProxyEvent::TargetEnded { reset: true },
+            (CopyDirection::ToCaller, Ok(count)) => ProxyEvent::FromTarget(&buffer[..*count]),
+        };
+        self.observe(number, event);
+    }
+}
+
+/// Makes the system reset a connection when it is closed.
+fn reset_on_close(stream: &TcpStream) -> io::Result<()> {
+    SockRef::from(stream).set_linger(Some(Duration::ZERO))
+}
+
+fn close_both(from: &TcpStream, to: &TcpStream) {
+    for stream in [from, to] {
+        if stream.shutdown(Shutdown::Both).is_err() {
+            // The stream was closed before.
         }
     }
 }
--- a/rig/src/site/fleet.rs
+++ b/rig/src/site/fleet.rs
@@ -102,7 +102,20 @@
 
     /// Starts the store and the servers, and writes the first configuration.
     pub fn without_daemons(spec: SiteSpec) -> Self {
+        Self::with_store(spec, SiteStore::start())
+    }
+
+    /// Does the same as [`Self::without_daemons`], with a filter for the entries that servers write.
+    pub fn without_daemons_filtered(
+        spec: SiteSpec,
+        filter: impl Fn(&str, Value) -> Value + Send + Sync + 'static,
+    ) -> Self {
         let store = SiteStore::start();
+        store.set_entry_filter(filter);
+        Self::with_store(spec, store)
+    }
+
+    fn with_store(spec: SiteSpec, store: SiteStore) -> Self {
         store.put("op/config", &sample_config(1));
         let crashes = CrashRegistry::new(store.clone());
         let plain_servers: Vec<PlainServer> = (0..spec.plain_servers)
--- a/rig/src/site/model.rs
+++ b/rig/src/site/model.rs
@@ -68,6 +68,8 @@
 struct ModelState {
     knobs: ModelKnobs,
     layers: Option<(u64, u64)>,
+    /// Address under which the store lists the server.
+    listed_address: Option<String>,
     sequence: u64,
     fence: u64,
     runs: Vec<StreamRun>,
@@ -101,6 +103,7 @@
         let state = Arc::new(Mutex::new(ModelState {
             knobs: ModelKnobs::default(),
             layers: None,
+            listed_address: None,
             sequence: 0,
             fence: 0,
             runs: Vec::new(),
@@ -188,7 +191,9 @@
             "Version": "v1", "Slots": 64, "State": "ready", "ColdRemainingMs": 0,
             "RouteType": &*self.card, "Layers": layers, "Sequence": 1, "born": self.born_ms,
         });
-        store.put(&format!("servers/{}", self.id), &entry);
+        let listed = store.put(&format!("servers/{}", self.id), &entry);
+        let address = listed["Address"].as_str().map(str::to_owned);
+        self.with_state(|state| state.listed_address = address);
     }
 
     fn handle_request(
@@ -300,7 +305,8 @@
         let Some((from, to)) = self.layers() else {
             return false;
         };
-        let own_hop = format!("{}={from}-{to}", self.address);
+        let listed = self.with_state(|state| state.listed_address.clone());
+        let own_hop = format!("{}={from}-{to}", listed.unwrap_or_default());
         hops.split(',').next() == Some(own_hop.as_str())
     }
 }
--- a/rig/src/site/plain.rs
+++ b/rig/src/site/plain.rs
@@ -8,6 +8,7 @@
 use crate::site::store::SiteStore;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -72,6 +73,8 @@
     work_time: Mutex<Duration>,
     runs: Mutex<Vec<PlainRun>>,
     limits: LimitLedger,
+    /// True to name the request in the body of each complete response.
+    names_requests: AtomicBool,
     /// Bytes that peers have taken of responses without end, before they closed the connection.
     endless_bytes: Mutex<Vec<usize>>,
 }
@@ -153,6 +156,11 @@
         *self.state.work_time.lock().expect("time is never poisoned") = time;
     }
 
+    /// From now on, the body of a complete response names the request, so that no two are alike.
+    pub fn name_requests(&self) {
+        self.state.names_requests.store(true, Ordering::Relaxed);
+    }
+
     /// Limit that it names in its responses, and the requests that reach it, also in later runs.
     pub fn limits(&self) -> &LimitLedger {
         &self.state.limits
@@ -289,8 +297,13 @@
         Err(_) => AfterReply::Close,
     };
     let stamp_lines = stamp_lines(request);
+    let body = if state.names_requests.load(Ordering::Relaxed) {
+        [PLAIN_BODY, b" for ", attempt_id.as_bytes()].concat()
+    } else {
+        PLAIN_BODY.to_vec()
+    };
     match fault {
-        PlainFault::None | PlainFault::Full => reply(stream, 200, &stamp_fields, PLAIN_BODY),
+        PlainFault::None | PlainFault::Full => reply(stream, 200, &stamp_fields, &body),
         PlainFault::ResetAfterRun => AfterReply::Reset,
         PlainFault::ShortBody => {
             let text = format!("HTTP/1.1 200 OK\r\n{stamp_lines}Content-Length: 9\r\n\r\na bo");
--- a/rig/src/site/store.rs
+++ b/rig/src/site/store.rs
@@ -6,6 +6,7 @@
 use base64::engine::general_purpose::STANDARD;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, HashMap};
+use std::fmt;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
@@ -59,12 +60,24 @@
     changed: Condvar,
 }
 
+/// Replaces the entry that a server writes under the key given.
+type EntryFilter = Arc<dyn Fn(&str, Value) -> Value + Send + Sync>;
+
 /// A stand-in metadata store; cheap to clone.
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 pub struct SiteStore {
     shared: Arc<StoreShared>,
     faults: [Arc<Mutex<StoreFault>>; 2],
     addresses: [SocketAddr; 2],
+    entry_filter: Arc<Mutex<Option<EntryFilter>>>,
+}
+
+impl fmt::Debug for SiteStore {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("SiteStore")
+            .field("addresses", &self.addresses)
+            .finish_non_exhaustive()
+    }
 }
 
 impl SiteStore {
@@ -83,6 +96,23 @@
             shared,
             faults,
             addresses,
+            entry_filter: Arc::default(),
+        }
+    }
+
+    /// Replaces the entries that servers write from now on, so that daemons reach servers through
+    /// proxies. The filter gets the key and the entry.
+    pub fn set_entry_filter(&self, filter: impl Fn(&str, Value) -> Value + Send + Sync + 'static) {
+        let mut current = self.entry_filter.lock().expect("filter is never poisoned");
+        *current = Some(Arc::new(filter));
+    }
+
+    /// The entry as the store keeps it.
+    fn filter_entry(&self, key: &str, value: &Value) -> Value {
+        let filter = self.entry_filter.lock().expect("filter is never poisoned");
+        match filter.clone() {
+            Some(filter) if key.starts_with("servers/") => filter(key, value.clone()),
+            _ => value.clone(),
         }
     }
 
@@ -97,10 +127,13 @@
         self.with_state(|state| state.watch_epoch += 1);
     }
 
-    /// Writes a key without a lease, as the operator and the servers do.
-    pub fn put(&self, key: &str, value: &Value) {
-        let value = STANDARD.encode(value.to_string());
-        self.with_state(|state| state.put(key, value, 0));
+    /// Writes a key without a lease, as the operator and the servers do, and returns the value that
+    /// the store keeps.
+    pub fn put(&self, key: &str, value: &Value) -> Value {
+        let value = self.filter_entry(key, value);
+        let text = STANDARD.encode(value.to_string());
+        self.with_state(|state| state.put(key, text, 0));
+        value
     }
 
     /// Removes a key.
