--- a/rig/src/args.rs
+++ b/rig/src/args.rs
@@ -15,6 +15,7 @@
 use crate::proxy::FaultProxy;
 use crate::report::{group_runs, read_summaries, render_recovery, render_runs, write_plots};
 use crate::service::{ServiceKnobs, ServiceStandIn};
+use crate::soak::{SoakSpec, find_daemon_program, run_soak};
 use arbutusmount::{CheckError, InstanceId};
 use async_std::net::TcpListener;
 use async_std::task;
@@ -42,6 +43,8 @@
   rig proxy --listen ADDR --target ADDR
   rig claims-bench [--rates N,N] [--daemons N] [--seconds N] [--writes N]
                    [--delay MS] [--spacing MS] [--seed N]
+  rig soak [--seed N | --seeds A..B] [--seconds S] [--daemons N] [--out DIR]
+                                                    play faults and check the rules
   rig load --run FILE [--daemon ADDR]... --out FILE [--requests FILE]
                                                     run one load and append its summary
   rig experiment FILE --out FILE                    run variants and append their summaries
@@ -69,6 +72,7 @@
         Some("engine") => run_engine(arguments),
         Some("service") => run_service(arguments),
         Some("platform") => run_platform(arguments),
+        Some("soak") => run_soak_seeds(arguments),
         Some("proxy") => run_proxy(arguments),
         Some("load") => run_load_file(arguments),
         Some("experiment") => run_experiment_file(arguments),
@@ -190,6 +194,51 @@
     })
 }
 
+/// Reads the seeds to play: `--seed N`, or `--seeds A..B` without B.
+fn read_seeds(arguments: &mut Arguments) -> Result<std::ops::Range<u64>> {
+    let range: Option<String> = arguments
+        .opt_value_from_str("--seeds")
+        .map_err(|e| e.to_string())?;
+    let Some(range) = range else {
+        let seed: u64 = read_or_default(arguments, "--seed", 1)?;
+        return Ok(seed..seed + 1);
+    };
+    let ends = range.split_once("..").and_then(|(from, to)| {
+        let from: u64 = from.parse().ok()?;
+        Some(from..to.parse().ok()?)
+    });
+    ends.filter(|ends| !ends.is_empty())
+        .ok_or_else(|| format!("--seeds: {range} is no range such as 1..50"))
+}
+
+fn run_soak_seeds(arguments: &mut Arguments) -> Result<()> {
+    let seeds = read_seeds(arguments)?;
+    let program = find_daemon_program().ok_or(
+        "arbutusmount-platform is missing in the folder of this program; build the workspace first",
+    )?;
+    let mut spec = SoakSpec {
+        seed: 0,
+        span: Duration::from_secs(read_or_default(arguments, "--seconds", 20)?),
+        daemons: read_or_default(arguments, "--daemons", 3)?,
+        out: read_or_default(arguments, "--out", std::env::temp_dir().join("rig-soak"))?,
+        program,
+    };
+    let mut failed = Vec::new();
+    for seed in seeds {
+        spec.seed = seed;
+        let report = run_soak(&spec)?;
+        print!("{report}");
+        if !report.failures().is_empty() {
+            failed.push(seed);
+        }
+    }
+    if failed.is_empty() {
+        Ok(())
+    } else {
+        Err(format!("failed seeds: {failed:?}"))
+    }
+}
+
 fn run_proxy(arguments: &mut Arguments) -> Result<()> {
     let listen: SocketAddr = read_value(arguments, "--listen")?;
     let target: SocketAddr = read_value(arguments, "--target")?;
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -16,6 +16,7 @@
 mod report;
 mod service;
 mod site;
+mod soak;
 mod web;
 
 pub use args::run_program;
@@ -51,4 +52,10 @@
     leave_site_request, plain_server_entry, read_site_response, sample_config, send_endless,
     send_site_request, serve_once,
 };
+pub use soak::{
+    ConfigState, ExchangeEnd, FAULT_TABLE, FaultScope, FaultSpan, FaultSubject, HttpMessage,
+    NamedLimit, OwnEnd, RequestRule, RuleBounds, RuleName, RuleViolation, ServerDeparture,
+    ServerRun, SoakEvidence, SoakExchange, SoakFault, SoakReport, SoakSpec, UnframedBody,
+    check_rules, find_daemon_program, pairs_of_seed, run_soak,
+};
 pub use web::{admin_get, admin_send, admin_text, json_response};
--- a/rig/src/site/crash.rs
+++ b/rig/src/site/crash.rs
@@ -126,6 +126,11 @@
         self.keeps_ids.store(true, Ordering::Relaxed);
     }
 
+    /// From now on, servers start again under new identifiers.
+    pub(crate) fn renew_ids(&self) {
+        self.keeps_ids.store(false, Ordering::Relaxed);
+    }
+
     /// Sets what callers of plain servers see of a crash from now on.
     pub fn set_manner(&self, manner: CrashManner) {
         *self.manner.lock().expect("manner is never poisoned") = manner;
@@ -155,7 +160,7 @@
     }
 
     /// Crashes the server at `address` under a request with this path; it starts again later.
-    pub(super) fn crash(&self, address: SocketAddr, path: &str) {
+    pub(crate) fn crash(&self, address: SocketAddr, path: &str) {
         let Some(server) = self.take(address) else {
             return;
         };
@@ -184,6 +189,12 @@
         });
     }
 
+    /// True when a server runs at `address`.
+    pub(crate) fn is_live(&self, address: SocketAddr) -> bool {
+        let live = self.lock_live();
+        live.iter().any(|server| server.switch.address() == address)
+    }
+
     fn take(&self, address: SocketAddr) -> Option<LiveServer> {
         let mut live = self.lock_live();
         let index = live
