--- a/rig/src/site/fleet.rs
+++ b/rig/src/site/fleet.rs
@@ -21,7 +21,7 @@
 /// Host of all routes.
 const ROUTE_HOST: &str = "desk.example";
 /// Number of layers of the model.
-const MODEL_LAYERS: u64 = 8;
+pub const MODEL_LAYERS: u64 = 8;
 
 /// Size of a site.
 #[derive(Debug, Clone, Copy)]
--- a/rig/src/site/mod.rs
+++ b/rig/src/site/mod.rs
@@ -19,7 +19,7 @@
 };
 pub use crash::{CrashManner, CrashRegistry, CrashRun};
 pub use endless::{EndlessPart, send_endless};
-pub use fleet::{SiteDaemon, SiteFleet, SiteSpec, plain_server_entry, sample_config};
+pub use fleet::{MODEL_LAYERS, SiteDaemon, SiteFleet, SiteSpec, plain_server_entry, sample_config};
 pub use http::serve_once;
 pub use limit::LimitLedger;
 pub use model::{ModelKnobs, ModelServer};
--- a/rig/src/soak/fault.rs
+++ b/rig/src/soak/fault.rs
@@ -77,12 +77,14 @@
 /// How the streams of a model server change.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ModelAction {
-    /// They pause for this many milliseconds before the event of this number.
-    Pause(u64, u64),
-    /// They fall silent for good at this event.
-    Hang(u64),
-    /// They are reset in the middle of this event.
-    Reset(u64),
+    /// They pause for this many milliseconds before the first event.
+    PauseFirst(u64),
+    /// They pause for this many milliseconds before one of the other events.
+    Pause(u64),
+    /// They fall silent for good at one of the events.
+    Hang,
+    /// They are reset in the middle of one of the events.
+    Reset,
     /// Each event takes this many milliseconds.
     Gap(u64),
 }
@@ -142,6 +144,8 @@
     Server(ServerAction),
     /// To a model server.
     Model(ModelAction),
+    /// To all model servers.
+    AllModels(ModelAction),
     /// To the configuration.
     Config(ConfigAction),
     /// To callers.
@@ -201,8 +205,8 @@
 }
 
 use FaultAction::{
-    AllStoreLinks, Callers, Config, Link, Model, Plain, Process, ResetLink, Server, Store,
-    StoreData,
+    AllModels, AllStoreLinks, Callers, Config, Link, Model, Plain, Process, ResetLink, Server,
+    Store, StoreData,
 };
 
 fault_table! {
@@ -243,13 +247,15 @@
     ServerSlow Server 2_500 Server(ServerAction::Work(400));
     ServerPauses Server 1_500 Server(ServerAction::Work(1_100));
     ServerLimit Server 8_000 Server(ServerAction::NameLimit);
-    ServerLeaves Server 4_500 Server(ServerAction::Leave);
+    ServerLeaves Server 5_500 Server(ServerAction::Leave);
     AddressReused Server 3_000 Server(ServerAction::ReuseAddress);
-    ModelPausesFirst Server 2_000 Model(ModelAction::Pause(0, 1_000));
-    ModelPauses Server 2_000 Model(ModelAction::Pause(7, 1_100));
-    ModelSilent Server 1_500 Model(ModelAction::Hang(7));
-    ModelReset Server 2_000 Model(ModelAction::Reset(7));
+    ModelPausesFirst Server 2_000 Model(ModelAction::PauseFirst(1_000));
+    ModelPauses Server 2_000 Model(ModelAction::Pause(1_100));
+    ModelSilent Server 1_500 Model(ModelAction::Hang);
+    ModelReset Server 2_000 Model(ModelAction::Reset);
     ModelSlow Server 2_500 Model(ModelAction::Gap(60));
+    ModelsPauseFirst Server 1_500 AllModels(ModelAction::PauseFirst(900));
+    ModelsPause Server 1_500 AllModels(ModelAction::Pause(1_200));
     RouteAdded Config 4_500 Config(ConfigAction::AddRoute);
     RouteMoved Config 4_500 Config(ConfigAction::MoveRoute);
     WeightsChanged Config 3_000 Config(ConfigAction::ShareRoute);
@@ -273,7 +279,8 @@
             | (Self::Store(_), Self::Store(_))
             | (Self::AllStoreLinks(_), Self::AllStoreLinks(_))
             | (Self::Plain(_), Self::Plain(_))
-            | (Self::Model(_), Self::Model(_)) => true,
+            | (Self::Model(_), Self::Model(_))
+            | (Self::AllModels(_), Self::AllModels(_)) => true,
             (Self::Link(one, _), Self::Link(two, _)) => one == two,
             (Self::Server(one), Self::Server(two)) => {
                 let is_crash =
@@ -287,6 +294,24 @@
     }
 }
 
+impl SoakFault {
+    /// True for faults under which servers fall silent or answer slowly, but give up no answer. Such a
+    /// server is sound.
+    pub fn is_silence(self) -> bool {
+        const SILENCES: [SoakFault; 8] = [
+            SoakFault::ServerSlow,
+            SoakFault::ServerPauses,
+            SoakFault::ServerLeaves,
+            SoakFault::ModelPauses,
+            SoakFault::ModelPausesFirst,
+            SoakFault::ModelsPause,
+            SoakFault::ModelsPauseFirst,
+            SoakFault::ModelSlow,
+        ];
+        SILENCES.contains(&self)
+    }
+}
+
 impl FaultRow {
     /// Time for which the fault lasts.
     pub fn span(&self) -> Duration {
--- a/rig/src/soak/play.rs
+++ b/rig/src/soak/play.rs
@@ -17,7 +17,10 @@
 use std::time::Duration;
 
 /// Time from the listing of a server as leaving to the end of its entry.
-const LISTED_AS_LEAVING: Duration = Duration::from_millis(2_500);
+const LISTED_AS_LEAVING: Duration = Duration::from_millis(3_500);
+
+/// Name of all model servers together, as the subject of a fault.
+const ALL_MODELS: &str = "models";
 
 /// A fault that lasts.
 #[derive(Debug)]
@@ -147,6 +150,9 @@
             (FaultScope::Store, _) => vec![FaultSubject::Store],
             (FaultScope::Config, _) => vec![FaultSubject::Config],
             (FaultScope::Callers, _) => vec![FaultSubject::Callers],
+            (FaultScope::Server, FaultAction::AllModels(_)) => {
+                vec![FaultSubject::Server(Arc::from(ALL_MODELS))]
+            }
             (FaultScope::Server, FaultAction::Model(_)) => {
                 let live = self.site.model_servers.iter();
                 let live = live.filter(|s| self.site.crashes.is_live(s.address()));
@@ -190,7 +196,12 @@
             }
             (FaultAction::Server(act), FaultSubject::Server(id)) => self.strike(act, id),
             (FaultAction::Model(act), FaultSubject::Server(id)) => {
-                self.set_knobs(id, struck_knobs(act));
+                let knobs = struck_knobs(act, &mut self.rng);
+                self.set_knobs(id, knobs);
+            }
+            (FaultAction::AllModels(act), _) => {
+                let knobs = struck_knobs(act, &mut self.rng);
+                self.set_all_knobs(&knobs);
             }
             (FaultAction::Config(act), _) => {
                 self.operator.begin(act, &self.site.store, &self.shared);
@@ -222,6 +233,7 @@
             (FaultAction::Model(_), FaultSubject::Server(id)) => {
                 self.set_knobs(id, sound_knobs());
             }
+            (FaultAction::AllModels(_), _) => self.set_all_knobs(&sound_knobs()),
             (FaultAction::Config(act), _) => {
                 self.operator.end(act, &self.site.store, &self.shared);
             }
--- a/rig/src/soak/rules/closing.rs
+++ b/rig/src/soak/rules/closing.rs
@@ -101,36 +101,12 @@
         && !exchange.half_closed
         && waited < RuleBounds::ROUTE_TIMEOUT
         && !runs.is_empty()
-        && runs
-            .iter()
-            .all(|run| !run.broke_off && !is_cut_off(facts, run))
+        && runs.iter().all(|run| is_sound_run(facts, run))
         && !facts
             .evidence
             .has_fault(exchange.sent, exchange.ended, is_unplanned)
 }
 
-/// True when the server of a run has a fault other than silence or slowness.
-fn is_cut_off(facts: &RuleFacts<'_>, run: &ServerRun) -> bool {
-    const SILENCES: [SoakFault; 6] = [
-        SoakFault::ServerSlow,
-        SoakFault::ServerPauses,
-        SoakFault::ServerLeaves,
-        SoakFault::ModelPauses,
-        SoakFault::ModelPausesFirst,
-        SoakFault::ModelSlow,
-    ];
-    let end = run.ended.unwrap_or(facts.evidence.now);
-    let name = run.server.split('.').next();
-    facts
-        .evidence
-        .has_fault(run.at, end, |span| match &span.subject {
-            FaultSubject::Server(id) => {
-                id.split('.').next() == name && !SILENCES.contains(&span.kind)
-            }
-            _ => span.kind == SoakFault::PoisonRequest,
-        })
-}
-
 fn used_share(exchange: &SoakExchange) -> f64 {
     let waited = exchange.ended.saturating_sub(exchange.sent);
     waited.as_secs_f64() / RuleBounds::ROUTE_TIMEOUT.as_secs_f64()
--- a/rig/src/soak/rules/facts.rs
+++ b/rig/src/soak/rules/facts.rs
@@ -48,14 +48,14 @@
         exchanges.filter_map(|exchange| Some((exchange, arrived(exchange)?)))
     }
 
-    /// True when a server or its link has had no fault of its own from the contact time before
-    /// `from` to `to`. Requests that crash servers count for all servers.
+    /// True when a server or its link has had no fault of its own, other than silence, from the
+    /// contact time before `from` to `to`. Requests that crash servers count for all servers.
     pub fn is_sound(&self, server: &str, from: Duration, to: Duration) -> bool {
         let name = base_name(server);
         !self
             .evidence
             .has_fault(from, to, |span| match &span.subject {
-                FaultSubject::Server(id) => base_name(id) == name,
+                FaultSubject::Server(id) => base_name(id) == name && !span.kind.is_silence(),
                 _ => span.kind == SoakFault::PoisonRequest,
             })
     }
--- a/rig/src/soak/rules/mod.rs
+++ b/rig/src/soak/rules/mod.rs
@@ -65,6 +65,7 @@
     ("LOST planned work", closing::planned_work),
     ("DRAIN", leaving::left_server),
     ("ORDER", streams::broken_order),
+    ("LAYERS", streams::broken_chain),
     ("LIMIT", timing::over_limit),
     ("RECOVER", timing::not_recovered),
     ("FAULT", timing::own_end),
--- a/rig/src/soak/rules/streams.rs
+++ b/rig/src/soak/rules/streams.rs
@@ -1,7 +1,8 @@
-//! ORDER: the events of a stream come whole, once and in order.
+//! ORDER and LAYERS: the events of a stream come whole, once and in order, from a path through all
+//! layers.
 
-use crate::site::event_text;
-use crate::soak::evidence::{ExchangeEnd, RequestRule, SoakExchange};
+use crate::site::{MODEL_LAYERS, event_text};
+use crate::soak::evidence::{ExchangeEnd, RequestRule, ServerRun, SoakExchange};
 use crate::soak::rules::facts::{Findings, RuleFacts};
 use crate::soak::strike::STREAM_EVENTS;
 
@@ -29,3 +30,36 @@
     let is_short = is_complete && body.len() < whole.len();
     is_short.then(|| format!("complete after {} bytes of {}", body.len(), whole.len()))
 }
+
+/// LAYERS: a stream runs on a path that doesn't run every layer once and in order. Narrower: which layers
+/// servers hold is not looked at, as they refuse other paths themselves.
+pub fn broken_chain(facts: &RuleFacts<'_>) -> Findings {
+    let runs = facts.evidence.runs.iter().filter(|run| run.has_run());
+    let streams = runs.filter(|run| {
+        let exchange = facts.exchange(&run.attempt);
+        exchange.is_some_and(|exchange| exchange.kind == RequestRule::Stream)
+    });
+    let broken = streams.filter(|run| !runs_all_layers(run));
+    broken
+        .map(|run| {
+            let hops = run.request.field("x-hops").unwrap_or("none");
+            (run.attempt.clone(), run.at, format!("path {hops}"))
+        })
+        .collect()
+}
+
+fn runs_all_layers(run: &ServerRun) -> bool {
+    let hops = run.request.field("x-hops").unwrap_or_default();
+    let mut next = 0;
+    for hop in hops.split(',') {
+        let range = hop
+            .split_once('=')
+            .and_then(|(_, range)| range.split_once('-'));
+        let ends = range.map(|(from, to)| (from.parse::<u64>(), to.parse::<u64>()));
+        match ends {
+            Some((Ok(from), Ok(to))) if from == next && to > from => next = to,
+            _ => return false,
+        }
+    }
+    next == MODEL_LAYERS
+}
--- a/rig/src/soak/run.rs
+++ b/rig/src/soak/run.rs
@@ -40,8 +40,11 @@
 const END_TIMEOUT: Duration = Duration::from_secs(25);
 /// Time of traffic before the first fault, so that daemons are in touch.
 const QUIET_TIME: Duration = Duration::from_millis(3_200);
-/// Time from one pair of faults to the next. Most faults last longer than the rest of it.
-const PAIR_PERIOD: Duration = Duration::from_secs(3);
+/// Mean time from one pair of faults to the next.
+const PAIR_PERIOD: Duration = Duration::from_secs(4);
+/// Shortest and longest such time: some pairs overlap with the next one, and before some others daemons
+/// come in touch again.
+const PAIR_GAP_MS: std::ops::Range<u64> = 1_500..6_500;
 /// Longest time from the first fault of a pair to the second.
 const PAIR_OFFSET_MS: u64 = 900;
 /// Calm time at the end of a run; long enough to check RECOVER in runs of [`LONG_SPAN`] or more.
@@ -155,8 +158,8 @@
     let count = (spec.span.as_millis() / PAIR_PERIOD.as_millis()).max(1) as usize;
     let pairs = pairs_of_seed(spec.seed, count);
     let mut begins = Vec::new();
-    for (number, [first, second]) in pairs.iter().enumerate() {
-        let at = start + PAIR_PERIOD * number as u32;
+    let mut at = start;
+    for [first, second] in &pairs {
         let offset = Duration::from_millis(rng.u64(0..PAIR_OFFSET_MS));
         let (earlier, later) = if rng.bool() {
             (first, second)
@@ -165,6 +168,7 @@
         };
         begins.push((at, *earlier));
         begins.push((at + offset, *later));
+        at += Duration::from_millis(rng.u64(PAIR_GAP_MS));
     }
     (begins, pairs)
 }
--- a/rig/src/soak/strike.rs
+++ b/rig/src/soak/strike.rs
@@ -73,6 +73,12 @@
             .set_knobs(knobs);
     }
 
+    pub(super) fn set_all_knobs(&self, knobs: &ModelKnobs) {
+        for server in &self.site.model_servers {
+            server.set_knobs(knobs.clone());
+        }
+    }
+
     pub(super) fn strike(&mut self, action: ServerAction, id: &Arc<str>) {
         let server = self.plain(id).clone();
         let front = self.fronts.proxy(server.address());
@@ -164,18 +170,23 @@
     }
 }
 
-pub(super) fn struck_knobs(action: ModelAction) -> ModelKnobs {
+pub(super) fn struck_knobs(action: ModelAction, rng: &mut fastrand::Rng) -> ModelKnobs {
     let knobs = sound_knobs();
+    let event = rng.u64(1..STREAM_EVENTS);
     match action {
-        ModelAction::Pause(event, millis) => ModelKnobs {
+        ModelAction::PauseFirst(millis) => ModelKnobs {
+            pause_at_event: Some((0, Duration::from_millis(millis))),
+            ..knobs
+        },
+        ModelAction::Pause(millis) => ModelKnobs {
             pause_at_event: Some((event, Duration::from_millis(millis))),
             ..knobs
         },
-        ModelAction::Hang(event) => ModelKnobs {
+        ModelAction::Hang => ModelKnobs {
             hang_at_event: Some(event),
             ..knobs
         },
-        ModelAction::Reset(event) => ModelKnobs {
+        ModelAction::Reset => ModelKnobs {
             cuts: vec![StreamCut::reset_at(event)],
             ..knobs
         },
--- a/rig/tests/soak.rs
+++ b/rig/tests/soak.rs
@@ -80,6 +80,7 @@
         ("X-Model", "model-1"),
         ("X-Tenant", "franchise"),
         ("X-Deadline-Ms", "2900"),
+        ("X-Hops", "127.0.0.1:1=0-5,127.0.0.1:2=5-8"),
     ];
     let line = format!("{} {} HTTP/1.1", exchange.method, exchange.target);
     let sent = match &exchange.end {
@@ -394,6 +395,21 @@
     first_answer(evidence, RequestRule::Stream).body = events.into_bytes();
 }
 
+/// Changes the path of the streams.
+fn plant_hops(evidence: &mut SoakEvidence, hops: &str) {
+    for run in &mut evidence.runs {
+        run.request.fields[3].1 = hops.into();
+    }
+}
+
+fn plant_gap(evidence: &mut SoakEvidence) {
+    plant_hops(evidence, "127.0.0.1:1=0-4,127.0.0.1:2=5-8");
+}
+
+fn plant_short_path(evidence: &mut SoakEvidence) {
+    plant_hops(evidence, "127.0.0.1:1=0-5");
+}
+
 fn plant_excess(evidence: &mut SoakEvidence) {
     evidence.limits.push(NamedLimit {
         server: "p-0".into(),
@@ -454,6 +470,8 @@
 #[test_case(plant_left_server, "DRAIN")]
 #[test_case(plant_missing_event, "ORDER"; "missing event")]
 #[test_case(plant_short_stream, "ORDER"; "complete too soon")]
+#[test_case(plant_gap, "LAYERS"; "layers between two servers")]
+#[test_case(plant_short_path, "LAYERS"; "last layers")]
 #[test_case(plant_excess, "LIMIT")]
 #[test_case(plant_no_recovery, "RECOVER")]
 #[test_case(plant_own_end, "FAULT")]
