--- a/rig/tests/soak.rs
+++ b/rig/tests/soak.rs
@@ -570,6 +570,8 @@
 #[test_case(2, "ServerNoLength+CallersSlowBody"; "seed 2, response without a length")]
 // A stream is cut off 1.7 s after it moved to another silent chain, which goes on soon after (LOST planned work).
 #[test_case(1, "ModelsPauseLong+IdleLimitChanged"; "seed 1, silent servers beside a configuration")]
+// The same, found by a walk through the seeds.
+#[test_case(7, "CallersLinkSilent+ServerCrash,DaemonReload+ModelPausesFirst,ModelsPauseLong+RouteAdded"; "seed 7, silent servers beside a new route")]
 fn seed_that_failed_breaks_no_rule(seed: u64, pairs: &str) {
     let mut spec = spec(seed, SHORT_SPAN, "soak");
     spec.pairs = pairs.split(',').map(|pair| pair.parse().unwrap()).collect();
