Keep a stalled attempt until the one in its place has brought several events

A stalled stream was cut off when the chain that had taken it over broke off after an event or two, although its first chain went on: the first event of the new attempt ended the old one. Found by review. The old attempt now stays as a fallback, not read, until the new one has brought three events. It goes on from what the caller has by then: events that came from the other chain are skipped by their ids, as after any resumption.

--- a/src/relay/streaming.rs
+++ b/src/relay/streaming.rs
@@ -44,6 +44,10 @@
     StreamRelay::new(request, model).run().await
 }
 
+/// Events of an attempt that has taken a stalled one's place after which the stalled one is dropped: a
+/// target that breaks off soon after it has begun leaves the stream without either.
+const FALLBACK_EVENTS: u64 = 3;
+
 /// What the relay of a stream waits for.
 enum RelayEvent<'a> {
     /// An attempt has something for the caller, or has failed before.
@@ -68,6 +72,9 @@
     detail: String,
     /// Attempt that serves the caller.
     current: Option<StreamForwarder<'a>>,
+    /// Stalled attempt that serves the caller again if the current one fails soon. It is not read
+    /// meanwhile.
+    fallback: Option<StreamForwarder<'a>>,
     /// Attempts that have not brought anything yet, the newest one last.
     openings: Vec<OpeningAttempt<'a>>,
     /// The silence of the newest attempt, once it has stalled.
@@ -98,6 +105,7 @@
             starts: Vec::new(),
             detail: String::from("no chain has room"),
             current: None,
+            fallback: None,
             openings: Vec::new(),
             stall: None,
         }
@@ -202,7 +210,9 @@
 
     /// An attempt has brought an event or the end of its response: it serves the caller from now on.
     async fn on_opened(&mut self, opened: OpenedStream<'a>) -> Option<ExchangeEnd> {
+        let stalled = self.current.take();
         self.drop_stalled();
+        self.fallback = stalled;
         self.current = Some(opened.forwarder);
         self.delivered = opened.delivered;
         self.on_step(opened.step, opened.output).await
@@ -214,7 +224,11 @@
         let idle_time = current.detector.idle_time(self.request.context.clock.now());
         let events = current.events;
         let step = current.on_read(outcome, &mut self.delivered, &mut output);
-        if current.events > events {
+        let brings_events = current.events > events;
+        if current.events >= FALLBACK_EVENTS {
+            self.drop_fallback();
+        }
+        if brings_events {
             self.end_stall(idle_time);
         }
         self.on_step(step, output).await
@@ -234,6 +248,7 @@
         {
             current.suspicion.on_failure(&failed);
             self.on_failure(&current.chain, &failed).await;
+            self.current = self.fallback.take();
         }
         None
     }
@@ -343,15 +358,27 @@
         self.stall = None;
         let failed = no_event_in_time();
         for chain in self.take_attempts(&failed) {
-            self.state.on_failure(
-                &chain.head().id,
-                failed.failure,
-                self.request.context.clock.now(),
-            );
-            log_failure(self.request, &chain, chain.head(), &failed, &self.delivered);
+            self.log_dropped(&chain, &failed);
         }
     }
 
+    /// The attempt that has taken a stalled one's place goes well: the stalled one is dropped.
+    fn drop_fallback(&mut self) {
+        let Some(mut fallback) = self.fallback.take() else {
+            return;
+        };
+        let failed = no_event_in_time();
+        fallback.suspicion.on_failure(&failed);
+        self.log_dropped(&fallback.chain, &failed);
+    }
+
+    /// Records a stalled attempt that was dropped for another one.
+    fn log_dropped(&mut self, chain: &LayerChain, failed: &FailedAttempt) {
+        let now = self.request.context.clock.now();
+        self.state.on_failure(&chain.head().id, failed.failure, now);
+        log_failure(self.request, chain, chain.head(), failed, &self.delivered);
+    }
+
     /// The deadline has passed.
     async fn expire(&mut self) {
         let failed = no_event_in_time();
@@ -364,9 +391,10 @@
     fn take_attempts(&mut self, failed: &FailedAttempt) -> Vec<Arc<LayerChain>> {
         let openings = std::mem::take(&mut self.openings);
         let mut chains: Vec<_> = openings.into_iter().map(|opening| opening.chain).collect();
-        if let Some(mut current) = self.current.take() {
-            current.suspicion.on_failure(failed);
-            chains.push(Arc::clone(&current.chain));
+        let begun = [self.current.take(), self.fallback.take()];
+        for mut forwarder in begun.into_iter().flatten() {
+            forwarder.suspicion.on_failure(failed);
+            chains.push(Arc::clone(&forwarder.chain));
         }
         chains
     }
--- a/tests/platform_silence.rs
+++ b/tests/platform_silence.rs
@@ -158,18 +158,23 @@
     }
 }
 
-/// A stalled stream goes on at its chain when the one that was to resume it breaks off without an event.
-/// The stalled attempt was dropped before the next one had sent anything.
-#[test]
-fn stalled_stream_outlives_a_failed_resumption() {
+/// A stalled stream goes on at its chain when the one that was to resume it breaks off, without an event
+/// or soon after. The stalled attempt was dropped before the next one had sent anything, or at its first
+/// event.
+#[test_case(0; "without an event")]
+#[test_case(1; "after one event")]
+#[test_case(2; "after two events")]
+fn stalled_stream_outlives_a_failed_resumption(events: u64) {
     let site = model_site();
     let (used, other) = used_and_other_head(&site);
     used.set_knobs(silent_at(SILENT_EVENT, SHORT_SILENCE));
-    other.set_knobs(cut_when_resumed(SILENT_EVENT));
+    other.set_knobs(cut_when_resumed(SILENT_EVENT + events));
 
     let answer = call(&site, &stream_call("a1"));
 
     assert_whole(&answer);
+    let resumed = other.runs().iter().any(|run| run.first_event > 0);
+    assert!(resumed, "the other chain was tried");
 }
 
 /// A request whose chain is silent before the first event is waited for when the other chain fails it. It
