Use a chain that goes on after a silence again at once

A chain that had been silent and went on was passed over for 0.4 s and more, like one that had failed, so that after a pause of all chains new requests were refused although all of them were at work. Found by review. The end of a stall now ends the ejection. A stream that may not be resumed no longer makes its chain count as failing: nothing can take it over, and that had come with.

--- a/src/relay/streaming.rs
+++ b/src/relay/streaming.rs
@@ -302,6 +302,9 @@
             return;
         }
         self.note_stall(&chain, detector);
+        if !self.request.route.retry_rule.allows_reexecution() {
+            return;
+        }
         self.state.set_ended(self.closed_heads.count_ended());
         let claimed = claim_chain(self.request, &self.state, &self.delivered).await;
         let is_overdue = claimed.is_some() || detector.is_long_stalled(now);
@@ -341,6 +344,7 @@
         if let Some(current) = &self.current {
             let line = self.request.log_line("stall_over");
             self.log_attempt(line, &current.chain, idle_time);
+            current.chain.head().stats.clear_ejection();
         }
         let now = self.request.context.clock.now();
         for opening in std::mem::take(&mut self.openings) {
--- a/tests/platform_silence.rs
+++ b/tests/platform_silence.rs
@@ -18,6 +18,8 @@
 const SILENT_EVENT: u64 = 7;
 /// Silence after which a stream is resumed elsewhere if that is possible.
 const SHORT_SILENCE: Duration = Duration::from_millis(1_100);
+/// Silence that is over while a chain that was given up is still passed over.
+const BRIEF_SILENCE: Duration = Duration::from_millis(300);
 /// Silence at the end of which callers leave.
 const LONG_SILENCE: Duration = Duration::from_secs(2);
 /// Streams that stall at the same time.
@@ -177,6 +179,26 @@
     assert!(resumed, "the other chain was tried");
 }
 
+/// A chain that goes on after a silence serves the next requests at once. It was passed over like one that
+/// had failed.
+#[test]
+fn chain_that_goes_on_is_usable_again() {
+    let site = model_site();
+    let (used, other) = used_and_other_head(&site);
+    used.set_knobs(silent_at(SILENT_EVENT, BRIEF_SILENCE));
+    other.set_knobs(cut_when_resumed(SILENT_EVENT));
+
+    assert_whole(&call(&site, &stream_call("a1")));
+
+    let context = &site.daemons[0].state.context;
+    let view = context.targets.load();
+    let mut targets = view
+        .targets()
+        .filter(|target| target.id.as_str() == used.id());
+    let target = targets.next().expect("the head is listed");
+    assert!(!target.stats.is_ejected(context.clock.now()));
+}
+
 /// A request whose chain is silent before the first event is waited for when the other chain fails it. It
 /// got 502 although its chain went on.
 #[test]
