Ask for a permit of a stalled stream's next chain only while a retry is left

Each look of a stalled stream, every 50 ms, took a permit of the next chain's head and gave it back when the retry budget was spent, which renewed the validity of all permits that the daemon held. Found by review. The budget is looked at first now; what is spent is still decided after the permit.

--- a/src/relay/stream_chain.rs
+++ b/src/relay/stream_chain.rs
@@ -69,7 +69,12 @@
 ) -> Option<Arc<LayerChain>> {
     let context = request.context;
     let model = request.service.model.as_ref()?;
-    if state.next_step(context.clock.now()) != RetryStep::TryNext {
+    let now = context.clock.now();
+    let daemons = context.presence.peak_count();
+    let may_retry = context
+        .budget
+        .may_spend(&request.service.name, daemons, now);
+    if !may_retry || state.next_step(now) != RetryStep::TryNext {
         return None;
     }
     let chain = choose_chain(request, model, state, delivered)?;
