Check the late requests of both tests of prompt parts in one function

The test of all cases held a copy of assert_few_late, which stands above it for the other one. Both call it now; bound and message are the same.

--- a/tests/platform_poison_parts.rs
+++ b/tests/platform_poison_parts.rs
@@ -220,19 +220,7 @@
     let sound = send_requests(&site, &case);
 
     // Assert
-    let arrivals = site.crashes.bad_arrivals();
-    for part in case.bad_parts {
-        let decided = deciding_crash(&arrivals, part).expect("the part has crashed servers");
-        let of_part = arrivals.iter().filter(|arrival| &*arrival.part == *part);
-        let late = of_part
-            .filter(|arrival| arrival.at > decided + CONTACT_TIME)
-            .count();
-        let all = arrivals.len();
-        assert!(
-            late <= MAX_LATE_ARRIVALS,
-            "{part}: {late} late, {all} in all"
-        );
-    }
+    assert_few_late(&site, &case);
     let recovered = last_deciding_crash(&site, &case).expect("parts have crashed servers");
     let counted: Vec<SoundCall> = sound
         .into_iter()
