--- a/rig/src/proxy.rs
+++ b/rig/src/proxy.rs
@@ -1,14 +1,14 @@
 //! Fault-injecting TCP proxy; the faults of each direction can be changed while it runs.
 
 use async_std::net::{TcpListener, TcpStream};
-use async_std::task;
+use async_std::task::{self, JoinHandle};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, StreamExt};
 use serde::{Deserialize, Serialize};
-use socket2::SockRef;
+use socket2::{Domain, SockRef, Socket, Type};
 use std::io;
 use std::net::{Shutdown, SocketAddr};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 /// Size of a copy buffer, in bytes.
@@ -49,6 +49,25 @@
     pub refuse: bool,
 }
 
+/// What becomes of new connections to a proxy.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum ConnectFault {
+    /// They are accepted.
+    #[default]
+    None,
+    /// They hang: opening packets are dropped.
+    Hang,
+    /// They are refused with a reset.
+    Refuse,
+}
+
+/// Error of the system for a connection that is being established.
+const EINPROGRESS: i32 = rustix::io::Errno::INPROGRESS.raw_os_error();
+/// Connections that the system queues for a proxy that accepts them.
+const LISTEN_BACKLOG: i32 = 128;
+/// Connections that fill the queue of a listener with the smallest backlog.
+const QUEUE_FILLERS: usize = 3;
+
 /// What an observer of a proxy sees of a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ProxyEvent<'a> {
@@ -107,6 +126,18 @@
     /// Both ends of each open connection.
     connections: Mutex<Vec<(TcpStream, TcpStream)>>,
     bytes: AtomicU64,
+    listening: Mutex<ProxyListening>,
+}
+
+/// The listener of a proxy.
+#[derive(Debug, Default)]
+struct ProxyListening {
+    /// `None` while new connections are refused.
+    listener: Option<Arc<TcpListener>>,
+    /// Accepts connections; `None` while new ones hang or are refused.
+    accepting: Option<JoinHandle<()>>,
+    /// Connections that fill the queue while new ones hang.
+    fillers: Vec<Socket>,
 }
 
 /// A proxy in front of one target; cheap to clone.
@@ -114,6 +145,7 @@
 pub struct FaultProxy {
     inner: Arc<ProxyInner>,
     address: SocketAddr,
+    target: SocketAddr,
 }
 
 impl FaultProxy {
@@ -153,11 +185,63 @@
         let proxy = Self {
             inner: Arc::new(inner),
             address,
+            target,
         };
-        task::spawn(proxy.clone().run(listener, target));
+        proxy.accept_on(Arc::new(listener));
         Ok(proxy)
     }
 
+    fn listening(&self) -> MutexGuard<'_, ProxyListening> {
+        let listening = self.inner.listening.lock();
+        listening.expect("listener lock is never poisoned")
+    }
+
+    fn accept_on(&self, listener: Arc<TcpListener>) {
+        let accepting = task::spawn(self.clone().run(Arc::clone(&listener)));
+        let mut listening = self.listening();
+        listening.fillers.clear();
+        listening.listener = Some(listener);
+        listening.accepting = Some(accepting);
+    }
+
+    /// Sets what becomes of new connections.
+    ///
+    /// # Errors
+    /// When the address cannot be bound again.
+    pub async fn set_connect_fault(&self, fault: ConnectFault) -> io::Result<()> {
+        let (accepting, listener) = {
+            let mut listening = self.listening();
+            (listening.accepting.take(), listening.listener.take())
+        };
+        if let Some(accepting) = accepting {
+            accepting.cancel().await;
+        }
+        if fault == ConnectFault::Refuse {
+            self.listening().fillers.clear();
+            return Ok(());
+        }
+        let listener = match listener {
+            Some(listener) => listener,
+            None => Arc::new(TcpListener::bind(self.address).await?),
+        };
+        let backlog = if fault == ConnectFault::Hang {
+            0
+        } else {
+            LISTEN_BACKLOG
+        };
+        SockRef::from(&*listener).listen(backlog)?;
+        if fault == ConnectFault::None {
+            self.accept_on(listener);
+            return Ok(());
+        }
+        let fillers = (0..QUEUE_FILLERS).map(|_| start_connect(self.address));
+        let fillers = fillers.collect::<io::Result<Vec<Socket>>>()?;
+        let mut listening = self.listening();
+        listening.listener = Some(listener);
+        listening.fillers = fillers;
+        Ok(())
+    }
+
     /// Address on which the proxy listens.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -202,7 +286,7 @@
         }
     }
 
-    async fn run(self, listener: TcpListener, target: SocketAddr) {
+    async fn run(self, listener: Arc<TcpListener>) {
         let mut incoming = listener.incoming();
         while let Some(accepted) = incoming.next().await {
             let Ok(caller) = accepted else { continue };
@@ -210,7 +294,7 @@
                 drop(caller);
                 continue;
             }
-            task::spawn(self.clone().forward(caller, target));
+            task::spawn(self.clone().forward(caller, self.target));
         }
     }
 
@@ -347,6 +431,16 @@
     }
 }
 
+/// Begins to connect and does not wait.
+fn start_connect(address: SocketAddr) -> io::Result<Socket> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_nonblocking(true)?;
+    match socket.connect(&address.into()) {
+        Err(cause) if cause.raw_os_error() != Some(EINPROGRESS) => Err(cause),
+        _ => Ok(socket),
+    }
+}
+
 /// Makes the system reset a connection when it is closed.
 fn reset_on_close(stream: &TcpStream) -> io::Result<()> {
     SockRef::from(stream).set_linger(Some(Duration::ZERO))
--- a/rig/src/site/fleet.rs
+++ b/rig/src/site/fleet.rs
@@ -2,6 +2,7 @@
 
 use crate::fleet::{free_address, wait_until};
 use crate::site::crash::CrashRegistry;
+use crate::site::links::ServerLinks;
 use crate::site::model::ModelServer;
 use crate::site::plain::PlainServer;
 use crate::site::store::SiteStore;
@@ -34,6 +35,8 @@
     pub models_per_domain: usize,
     /// Number of failure domains.
     pub domains: usize,
+    /// True when daemons reach the servers through links that can fail.
+    pub is_linked: bool,
 }
 
 impl Default for SiteSpec {
@@ -43,6 +46,7 @@
             plain_servers: 2,
             models_per_domain: 2,
             domains: 1,
+            is_linked: false,
         }
     }
 }
@@ -69,6 +73,8 @@
     pub address: SocketAddr,
     /// State shared by the tasks of the daemon.
     pub state: Arc<GatewayState>,
+    /// Its links to the servers.
+    pub links: ServerLinks,
     handle: GatewayHandle,
 }
 
@@ -93,7 +99,12 @@
         let mut site = Self::without_daemons(spec);
         for number in 0..spec.daemons {
             let domain = format!("d{}", number % spec.domains);
-            let daemon = site.start_daemon(&format!("router-{number}"), &domain, 0);
+            let name = format!("router-{number}");
+            let daemon = if spec.is_linked {
+                site.start_linked_daemon(&name, &domain)
+            } else {
+                site.start_daemon(&name, &domain, 0)
+            };
             site.daemons.push(daemon);
         }
         site.wait_ready(spec);
@@ -144,6 +155,40 @@
     /// # Panics
     /// When the daemon does not start.
     pub fn start_daemon(&self, name: &str, domain: &str, store_address: usize) -> SiteDaemon {
+        let store = self.store.address(store_address);
+        self.start_daemon_at(name, domain, store, ServerLinks::default())
+    }
+
+    /// Starts a daemon that reaches the servers through links.
+    ///
+    /// # Panics
+    /// When the daemon does not start.
+    pub fn start_linked_daemon(&self, name: &str, domain: &str) -> SiteDaemon {
+        let links = ServerLinks::default();
+        let store = self.add_linked_view(&links);
+        self.start_daemon_at(name, domain, store, links)
+    }
+
+    /// Address of the store that names the links as addresses of the servers.
+    pub fn add_linked_view(&self, links: &ServerLinks) -> SocketAddr {
+        let (links, models) = (links.clone(), self.model_servers.clone());
+        self.store.add_view(move |address| {
+            let front = links.front(address);
+            let model = models.iter().find(|model| model.address() == address);
+            if let Some(model) = model {
+                model.add_front(front);
+            }
+            front
+        })
+    }
+
+    fn start_daemon_at(
+        &self,
+        name: &str,
+        domain: &str,
+        store: SocketAddr,
+        links: ServerLinks,
+    ) -> SiteDaemon {
         let settings = GatewaySettings {
             instance: name.parse().expect("names and domains of a site are valid"),
             failure_domain: domain
@@ -157,7 +202,7 @@
                 metrics: None,
             },
             store: GatewayStore {
-                address: self.store.address(store_address),
+                address: store,
                 lease_floor_ms: 1_000,
             },
             first_peers: self.daemons.iter().map(SiteDaemon::peer_address).collect(),
@@ -171,6 +216,7 @@
         SiteDaemon {
             address,
             state: Arc::clone(handle.state()),
+            links,
             handle,
         }
     }
--- a/rig/src/site/model.rs
+++ b/rig/src/site/model.rs
@@ -70,6 +70,8 @@
     layers: Option<(u64, u64)>,
     /// Address under which the store lists the server.
     listed_address: Option<String>,
+    /// Other addresses under which daemons reach the server.
+    fronts: Vec<SocketAddr>,
     sequence: u64,
     fence: u64,
     runs: Vec<StreamRun>,
@@ -104,6 +106,7 @@
             knobs: ModelKnobs::default(),
             layers: None,
             listed_address: None,
+            fronts: Vec::new(),
             sequence: 0,
             fence: 0,
             runs: Vec::new(),
@@ -319,14 +322,25 @@
         limit.map_or_else(String::new, |limit| format!("{LIMIT_FIELD}: {limit}\r\n"))
     }
 
+    /// Takes `address` for one of its own: a daemon reaches the server through a proxy there.
+    pub fn add_front(&self, address: SocketAddr) {
+        self.with_state(|state| state.fronts.push(address));
+    }
+
     /// True when the first hop names this server and the layers that it holds.
     fn is_first_hop(&self, hops: &str) -> bool {
         let Some((from, to)) = self.layers() else {
             return false;
         };
-        let listed = self.with_state(|state| state.listed_address.clone());
-        let own_hop = format!("{}={from}-{to}", listed.unwrap_or_default());
-        hops.split(',').next() == Some(own_hop.as_str())
+        let first_hop = hops.split(',').next().and_then(|hop| hop.split_once('='));
+        let Some((address, layers)) = first_hop else {
+            return false;
+        };
+        let is_own = self.with_state(|state| {
+            let is_front = |front: &SocketAddr| front.to_string() == address;
+            state.listed_address.as_deref() == Some(address) || state.fronts.iter().any(is_front)
+        });
+        is_own && layers == format!("{from}-{to}")
     }
 }
 
--- a/rig/src/site/store.rs
+++ b/rig/src/site/store.rs
@@ -92,6 +92,16 @@
 /// Replaces the entry that a server writes under the key given.
 type EntryFilter = Arc<dyn Fn(&str, Value) -> Value + Send + Sync>;
 
+/// Address under which the clients of one address of the store reach a server.
+type AddressView = Arc<dyn Fn(SocketAddr) -> SocketAddr + Send + Sync>;
+
+/// What the clients of one address of the store see.
+#[derive(Clone, Default)]
+struct StoreFace {
+    fault: Arc<Mutex<StoreFault>>,
+    view: Option<AddressView>,
+}
+
 /// A stand-in metadata store; cheap to clone.
 #[derive(Clone)]
 pub struct SiteStore {
@@ -115,10 +125,11 @@
         let shared = Arc::new(StoreShared::default());
         let faults = [Arc::default(), Arc::default()];
         let listen = |fault: &Arc<Mutex<StoreFault>>| {
-            let (shared, fault) = (Arc::clone(&shared), Arc::clone(fault));
-            let handler: Handler =
-                Arc::new(move |request, stream| handle_request(&shared, &fault, request, stream));
-            serve(handler)
+            let face = StoreFace {
+                fault: Arc::clone(fault),
+                view: None,
+            };
+            serve_face(&shared, face)
         };
         let addresses = [listen(&faults[0]), listen(&faults[1])];
         Self {
@@ -145,6 +156,19 @@
         }
     }
 
+    /// Adds an address whose clients see other addresses of the servers than those that these have
+    /// written. It has the faults of address 0.
+    pub fn add_view(
+        &self,
+        view: impl Fn(SocketAddr) -> SocketAddr + Send + Sync + 'static,
+    ) -> SocketAddr {
+        let face = StoreFace {
+            fault: Arc::clone(&self.faults[0]),
+            view: Some(Arc::new(view)),
+        };
+        serve_face(&self.shared, face)
+    }
+
     /// Address with this index, 0 or 1.
     pub fn address(&self, index: usize) -> SocketAddr {
         self.addresses[index]
@@ -357,13 +381,47 @@
         "Lease": item.lease})
 }
 
+/// Serves calls on a new address.
+fn serve_face(shared: &Arc<StoreShared>, face: StoreFace) -> SocketAddr {
+    let shared = Arc::clone(shared);
+    let handler: Handler =
+        Arc::new(move |request, stream| handle_request(&shared, &face, request, stream));
+    serve(handler)
+}
+
+/// Replaces the addresses in the entries of servers that a reply holds.
+fn apply_view(view: &AddressView, body: &mut Value) {
+    for list in ["Items", "events"] {
+        let items = body[list].as_array_mut();
+        for item in items.into_iter().flatten() {
+            let is_server = item["Key"]
+                .as_str()
+                .is_some_and(|key| key.starts_with("servers/"));
+            let viewed = item["Value"]
+                .as_str()
+                .and_then(|text| viewed_entry(view, text));
+            if let (true, Some(viewed)) = (is_server, viewed) {
+                item["Value"] = viewed.into();
+            }
+        }
+    }
+}
+
+/// The entry of a server with the address under which the client reaches it.
+fn viewed_entry(view: &AddressView, text: &str) -> Option<String> {
+    let mut entry: Value = serde_json::from_slice(&STANDARD.decode(text).ok()?).ok()?;
+    let address = entry["Address"].as_str()?.parse().ok()?;
+    entry["Address"] = view(address).to_string().into();
+    Some(STANDARD.encode(entry.to_string()))
+}
+
 fn handle_request(
     shared: &StoreShared,
-    fault: &Mutex<StoreFault>,
+    face: &StoreFace,
     request: &ReceivedRequest,
     stream: &mut TcpStream,
 ) -> AfterReply {
-    let fault = *fault.lock().expect("fault is never poisoned");
+    let fault = *face.fault.lock().expect("fault is never poisoned");
     let era_text = || {
         let state = shared.state.lock().expect("store is never poisoned");
         state.era_text.clone()
@@ -373,7 +431,10 @@
         StoreFault::Reset => return AfterReply::Reset,
         StoreFault::None | StoreFault::RepliesLost => {}
     }
-    let (status, body) = run_call(shared, request);
+    let (status, mut body) = run_call(shared, request);
+    if let Some(view) = &face.view {
+        apply_view(view, &mut body);
+    }
     if fault == StoreFault::RepliesLost || status == 0 {
         return AfterReply::Reset;
     }
--- a/rig/src/soak/run.rs
+++ b/rig/src/soak/run.rs
@@ -30,6 +30,7 @@
     plain_servers: 6,
     models_per_domain: 3,
     domains: 2,
+    is_linked: false,
 };
 /// Callers for each daemon, up to [`MAX_CALLERS`].
 const CALLERS_PER_DAEMON: usize = 6;
--- a/tests/platform_limits.rs
+++ b/tests/platform_limits.rs
@@ -47,6 +47,7 @@
         plain_servers: 3,
         models_per_domain: 0,
         domains: 1,
+        is_linked: false,
     })
 }
 
@@ -57,6 +58,7 @@
         plain_servers: 0,
         models_per_domain: 2,
         domains: 3,
+        is_linked: false,
     })
 }
 
--- a/tests/platform_poison.rs
+++ b/tests/platform_poison.rs
@@ -39,6 +39,7 @@
         plain_servers,
         models_per_domain: 4,
         domains: 3,
+        is_linked: false,
     })
 }
 
--- a/tests/platform_poison_blame.rs
+++ b/tests/platform_poison_blame.rs
@@ -92,6 +92,7 @@
         plain_servers: 0,
         models_per_domain: 4,
         domains: 3,
+        is_linked: false,
     });
     for server in &site.model_servers {
         server.set_knobs(ModelKnobs {
--- a/tests/platform_poison_parts.rs
+++ b/tests/platform_poison_parts.rs
@@ -88,6 +88,7 @@
         plain_servers: 0,
         models_per_domain,
         domains: 3,
+        is_linked: false,
     });
     site.crashes.spare_every(case.spare_every);
     let parts = case.bad_parts.iter().map(|id| BadPart {
--- a/tests/platform_restore.rs
+++ b/tests/platform_restore.rs
@@ -388,6 +388,7 @@
         plain_servers: 3,
         models_per_domain: 3,
         domains: 1,
+        is_linked: false,
     });
     let entry = |index: usize| format!("arbutusmount/daemon/router-{index}");
     let are_back = || (0..8).all(|index| site.store.value(&entry(index)).is_some());
