Tell the loss of the path to all targets apart from the end of targets

Callers of a daemon without a path to targets were refused, and the daemon held each failed connect against its target: with two such daemons all targets counted as lost at the daemons that reached them.

Daemons tell each other with the load digests, at once when it changes. What fails for want of a path is not held against targets: no ejection, no loss, no refusal, no crash under a request.

--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -15,7 +15,7 @@
 use crate::mirror::MirrorSet;
 use crate::placement::OrderScheduler;
 use crate::presence::{LeaseSession, LeaseStep, PresenceRow, presence_key};
-use crate::relay::{GatewaySettings, RelayContext, serve_callers};
+use crate::relay::{GatewaySettings, PATH_WATCH_PERIOD, RelayContext, serve_callers, watch_path};
 use crate::snapshots::serve_snapshots;
 use crate::telemetry::{EventLine, EventLog, MetricSet};
 use crate::units::MonoTime;
@@ -269,6 +269,12 @@
         }) as futures_lite::future::Boxed<()>
     };
     timers.schedule(TimerSpec::new("duty", DUTY_PERIOD), Arc::new(duty));
+    let watching = Arc::clone(&state.context);
+    let watch = move |_now| {
+        let context = Arc::clone(&watching);
+        Box::pin(async move { watch_path(&context).await }) as futures_lite::future::Boxed<()>
+    };
+    timers.schedule(TimerSpec::new("path", PATH_WATCH_PERIOD), Arc::new(watch));
     let syncing = Arc::clone(state);
     let sync = move |_now| {
         let state = Arc::clone(&syncing);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 mod placement;
 mod poison;
 mod presence;
+mod reach;
 mod reconcile;
 mod relay;
 mod routing;
@@ -130,6 +131,10 @@
     PoisonFingerprint, PoisonLimits, PoisonRow, PoisonTable, PoisonVerdict,
 };
 pub use presence::{LeaseSession, LeaseStep, PresenceRow, PresenceTable};
+pub use reach::{
+    PathLoss, PeerReach, ReachCandidate, ReachCell, ReachChange, ReachStatement, ReachStep,
+    ReachTracker,
+};
 pub use reconcile::{
     DrainTable, LeaderElection, LeaderLease, ObservedEngine, OrderPlan, PlannedOrder, plan_orders,
 };
--- a/src/loads/digest.rs
+++ b/src/loads/digest.rs
@@ -5,6 +5,7 @@
 use crate::ids::InstanceId;
 use crate::limits::{LimitRow, PermitAsk, PermitReply};
 use crate::poison::PoisonRow;
+use crate::reach::ReachStatement;
 use prost::Message;
 
 /// Everything that one daemon's requests have reserved. A datagram with sequence 0 announces nothing
@@ -34,6 +35,16 @@
     /// Reply to such a question of the receiver.
     #[prost(message, optional, tag = "7")]
     pub reply: Option<PermitReply>,
+    /// Whether the sender has a path to the targets.
+    #[prost(message, optional, tag = "8")]
+    pub reach: Option<ReachStatement>,
+}
+
+impl ReservationDigest {
+    /// True when the sender reaches no target, so that what it cannot reach says nothing about targets.
+    pub fn is_cut_off(&self) -> bool {
+        self.reach.is_some_and(|reach| reach.is_lost)
+    }
 }
 
 /// Reservations at one target.
--- a/src/loads/exchange.rs
+++ b/src/loads/exchange.rs
@@ -21,6 +21,8 @@
 /// Maximum number of daemons that one digest is sent to. In larger fleets, consecutive digests go
 /// to consecutive groups of this size.
 const FAN_OUT: usize = 16;
+/// While this daemon reaches no target, all others are told in one of this many periods.
+const LOSS_REMINDER_INTERVAL: u64 = 5;
 /// Size of the receive buffer; longer datagrams are cut off.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 
@@ -58,6 +60,10 @@
         match received {
             Ok(Some(Ok((digest, from)))) => {
                 context.recent_peers.record(from);
+                if let Some(reach) = digest.reach {
+                    let now = clock.now();
+                    context.peer_reach.record(from, digest.sender, reach, now);
+                }
                 handle_permits(&context, &socket, &digest, from).await;
                 if digest.sequence > 0 {
                     merge_limits(&context, &digest.limits);
@@ -73,7 +79,13 @@
                 count_crashes(&context);
                 digest.crashes = unstored_crashes(&context);
                 digest.limits = known_limits(&context, digest.sequence);
+                let statement = context.reach.statement();
+                let is_news = digest.reach.replace(statement) != Some(statement);
                 send_digest(&context, &socket, &digest).await;
+                let is_due = digest.sequence.is_multiple_of(LOSS_REMINDER_INTERVAL);
+                if is_news || (statement.is_lost && is_due) {
+                    announce_reach(&context, &socket, &digest).await;
+                }
                 next_send = clock.now().after(SEND_PERIOD);
             }
             Err(cause) => {
@@ -140,18 +152,41 @@
     digest: &ReservationDigest,
 ) {
     let bytes = digest.encode_to_vec();
-    let rows = context.presence.rows();
-    let local_instance = &context.settings.instance;
-    let others: Vec<SocketAddr> = rows
-        .values()
-        .filter(|row| &row.instance != local_instance)
-        .map(|row| row.peers)
-        .collect();
+    let others = other_daemons(context);
     let offset = digest.sequence as usize * FAN_OUT;
     for index in 0..others.len().min(FAN_OUT) {
-        let address = others[(offset + index) % others.len()];
-        if let Err(cause) = socket.send_to(&bytes, address).await {
-            log::debug!("cannot send a load digest to {address}: {cause}");
-        }
+        send_bytes(socket, &bytes, others[(offset + index) % others.len()]).await;
+    }
+}
+
+/// Tells all daemons whether this one has a path to the targets; in larger fleets, a digest goes to some
+/// of them only.
+async fn announce_reach(
+    context: &RelayContext,
+    socket: &Async<UdpSocket>,
+    digest: &ReservationDigest,
+) {
+    let announcement = ReservationDigest {
+        sender: digest.sender,
+        reach: digest.reach,
+        ..ReservationDigest::default()
+    };
+    let bytes = announcement.encode_to_vec();
+    for address in other_daemons(context) {
+        send_bytes(socket, &bytes, address).await;
+    }
+}
+
+/// Addresses of all listed daemons but this one.
+fn other_daemons(context: &RelayContext) -> Vec<SocketAddr> {
+    let rows = context.presence.rows();
+    let local_instance = &context.settings.instance;
+    let others = rows.values().filter(|row| &row.instance != local_instance);
+    others.map(|row| row.peers).collect()
+}
+
+async fn send_bytes(socket: &Async<UdpSocket>, bytes: &[u8], address: SocketAddr) {
+    if let Err(cause) = socket.send_to(bytes, address).await {
+        log::debug!("cannot send a load digest to {address}: {cause}");
     }
 }
--- a/src/loads/table.rs
+++ b/src/loads/table.rs
@@ -46,11 +46,15 @@
             .values()
             .filter(|(_, at)| now.since(*at) <= MAX_DIGEST_AGE);
         let mut totals: HashMap<u64, PeerLoad> = HashMap::new();
-        for row in fresh.flat_map(|(digest, _)| &digest.rows) {
+        let rows = fresh.flat_map(|(digest, _)| {
+            let is_cut_off = digest.is_cut_off();
+            digest.rows.iter().map(move |row| (row, is_cut_off))
+        });
+        for (row, is_cut_off) in rows {
             let total = totals.entry(row.target).or_default();
             total.tokens += u64::from(row.tokens);
             total.requests += row.requests;
-            total.unreachable_from += u32::from(row.unreachable);
+            total.unreachable_from += u32::from(row.unreachable && !is_cut_off);
         }
         totals
     }
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -4,23 +4,20 @@
 use crate::relay::context::RelayContext;
 use crate::relay::limits::observe_limit;
 use crate::relay::metadata::{DispatchMetadata, ReplyMetadata, RequestMetadata};
+use crate::relay::path::connect_target;
 use crate::relay::retry::RelayFailure;
 use crate::targets::TargetEntry;
 use crate::wire::{
-    BodyDecoder, BodyFraming, HeadLimits, ReadError, StreamError, WireHead, WireStream,
-    read_final_head, write_all,
+    BodyDecoder, BodyFraming, HeadLimits, ReadError, WireHead, WireStream, read_final_head,
+    write_all,
 };
 use async_std::future::timeout;
 use futures_lite::future::or;
-use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
 
 /// Timeout for connecting to a target.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Timeout for the connection that shows whether a target has ended. A host that runs answers
-/// within a round trip, whether it accepts or refuses.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 /// Size limit of a response head.
 const RESPONSE_HEAD_LIMITS: HeadLimits = HeadLimits {
     max_bytes: 64 * 1024,
@@ -167,6 +164,7 @@
         let head = read_final_head(socket, input, RESPONSE_HEAD_LIMITS)
             .await
             .map_err(head_error)?;
+        context.reach.on_heard(context.clock.now());
         let metadata = (context.codec.read_reply)(&head);
         if is_mismatched(&metadata, request.metadata) {
             return Err(FailedAttempt::new(
@@ -206,30 +204,12 @@
     })
 }
 
-/// Notes when a target's host refuses a connection: nothing listens there any more.
-fn record_refusal(context: &RelayContext, target: &TargetEntry, cause: &StreamError) {
-    if *cause == StreamError::NotConnected(ErrorKind::ConnectionRefused) {
-        target.stats.record_refusal(context.clock.now());
-    }
-}
-
-/// Finds out whether a target has ended by connecting to it, which records a refusal.
-pub(super) async fn probe_target(context: &RelayContext, target: &TargetEntry) {
-    if let Err(cause) = WireStream::connect(target.address, PROBE_TIMEOUT).await {
-        record_refusal(context, target, &cause);
-    }
-}
-
 async fn connect(
     context: &RelayContext,
     target: &TargetEntry,
     limit: Duration,
 ) -> Result<WireStream, FailedAttempt> {
-    let connected = WireStream::connect(target.address, CONNECT_TIMEOUT.min(limit)).await;
-    target.stats.record_connect(connected.is_ok());
-    if let Err(cause) = &connected {
-        record_refusal(context, target, cause);
-    }
+    let connected = connect_target(context, target, CONNECT_TIMEOUT.min(limit)).await;
     connected.map_err(|cause| FailedAttempt::new(RelayFailure::NotSent, cause))
 }
 
--- a/src/relay/closed_heads.rs
+++ b/src/relay/closed_heads.rs
@@ -1,7 +1,7 @@
 //! First targets of chains that closed the connection of an attempt, and which of them have ended.
 
-use crate::relay::attempt::probe_target;
 use crate::relay::context::RelayContext;
+use crate::relay::path::probe_target;
 use crate::targets::TargetEntry;
 use crate::units::MonoTime;
 use std::sync::Arc;
--- a/src/relay/context.rs
+++ b/src/relay/context.rs
@@ -6,7 +6,8 @@
 use crate::kernel::{LifecycleCell, MonoClock};
 use crate::limits::{KeeperTable, PermitClient};
 use crate::poison::{CrashOutbox, HarmlessParts, PoisonTable};
-use crate::presence::PresenceTable;
+use crate::presence::{PresenceRow, PresenceTable};
+use crate::reach::{PeerReach, ReachCell};
 use crate::relay::budget::RetryBudget;
 use crate::relay::metadata::RelayCodec;
 use crate::relay::metrics::RelayMetrics;
@@ -41,6 +42,10 @@
     pub presence: PresenceTable,
     /// Daemons that sent their load recently.
     pub recent_peers: RecentPeers,
+    /// This daemon's path to the targets.
+    pub reach: ReachCell,
+    /// Paths of the other daemons, as they state them.
+    pub peer_reach: PeerReach,
     /// Idle connections to targets.
     pub pool: StreamPool<InstanceId>,
     /// Crashes under requests, as all daemons saw them.
@@ -152,6 +157,22 @@
             .is_none_or(|elapsed| elapsed < STREAM_CUTOFF)
     }
 
+    /// Other daemons that are listed, were heard in the last few seconds and have a path to the targets.
+    pub fn sound_peers(&self) -> Vec<PresenceRow> {
+        let now = self.clock.now();
+        let rows = self.presence.rows();
+        let is_sound = |row: &&PresenceRow| {
+            row.instance != self.settings.instance && self.peer_reach.is_sound(row.peers, now)
+        };
+        rows.values().filter(is_sound).cloned().collect()
+    }
+
+    /// True while this daemon reaches no target and another one does, so that failures of its own
+    /// attempts say nothing about targets.
+    pub fn is_cut_off(&self) -> bool {
+        self.reach.is_lost() && !self.sound_peers().is_empty()
+    }
+
     /// Time since draining began; `None` before.
     fn drain_elapsed(&self) -> Option<Duration> {
         match self.drain_start.load(Ordering::Acquire) {
@@ -180,6 +201,8 @@
             targets: ViewCell::default(),
             presence: PresenceTable::default(),
             recent_peers: RecentPeers::default(),
+            reach: ReachCell::default(),
+            peer_reach: PeerReach::default(),
             pool: StreamPool::new(MAX_IDLE_CONNECTIONS),
             poison: PoisonTable::default(),
             outbox: CrashOutbox::default(),
--- a/src/relay/forwarding.rs
+++ b/src/relay/forwarding.rs
@@ -73,7 +73,11 @@
     /// Waits for bytes from the target. Nothing is lost when the future is dropped.
     pub(super) async fn read(&mut self) -> ReadOutcome {
         match self.response.stream.fill().await {
-            Ok(count) => ReadOutcome::Bytes(count),
+            Ok(count) => {
+                let context = self.request.context;
+                context.reach.on_heard(context.clock.now());
+                ReadOutcome::Bytes(count)
+            }
             Err(StreamError::Closed) if self.response.decoder.complete_at_close() => {
                 ReadOutcome::End
             }
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -19,6 +19,8 @@
     /// Rate limits of targets, by event: `learned`, `changed` and `ended`, `held_back` for a request
     /// that found no permit, `keeper_silent` for a question without a reply.
     pub limits: IntCounterVec,
+    /// Changes of this daemon's path to all targets: `lost` and `regained`.
+    pub paths: IntCounterVec,
     /// Seconds from the arrival of the request head, by kind. The only kind is `first_event`, until
     /// the first bytes of a stream are ready to be forwarded.
     pub latency: HistogramVec,
@@ -63,6 +65,11 @@
                 "Rate limits of targets and requests that were held back, by event",
                 &["event"],
             )?,
+            paths: metrics.counter(
+                "relay_paths_total",
+                "Changes of the path to all targets, by event",
+                &["event"],
+            )?,
             latency: metrics.latency_histogram(
                 "relay_answer_seconds",
                 "Seconds from the arrival of a request to its first event",
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -146,7 +146,9 @@
         };
         let overdue = self.newest.clone();
         if let (Ok(()), Some(overdue)) = (self.start_if_allowed(Some(target)), overdue) {
-            overdue.stats.record_failure(now);
+            if !request.context.is_cut_off() {
+                overdue.stats.record_failure(now);
+            }
             let line = request
                 .log_line("attempt_stalled")
                 .with_display("target", &overdue.id);
@@ -329,6 +331,7 @@
     let context = request.context;
     let now = context.clock.now();
     match failed.failure {
+        _ if context.is_cut_off() => {}
         RelayFailure::NotExecuted if failed.kind == FailureKind::Misdirected => {
             target.stats.mark_replaced();
         }
--- a/src/relay/stream_failure.rs
+++ b/src/relay/stream_failure.rs
@@ -1,10 +1,11 @@
 //! Records failed and stalled attempts of a stream, and finds out which target is at fault.
 
-use crate::relay::attempt::{FailedAttempt, FailureKind, probe_target};
+use crate::relay::attempt::{FailedAttempt, FailureKind};
 use crate::relay::context::RelayContext;
 use crate::relay::event_progress::DeliveryProgress;
 use crate::relay::exchange::ActiveRequest;
 use crate::relay::limits::{PermitOutcome, acquire_permit};
+use crate::relay::path::probe_target;
 use crate::relay::retry::RelayFailure;
 use crate::targets::{LayerChain, TargetEntry};
 use crate::telemetry::EventLine;
@@ -28,6 +29,7 @@
         .find(|part| Some(part.target.address) == faulty_address);
     let target = faulty_part.map_or(chain.head(), |part| &part.target);
     match failed.failure {
+        _ if context.is_cut_off() => {}
         RelayFailure::NotExecuted
             if failed.kind == FailureKind::Misdirected && faulty_part.is_none() =>
         {
@@ -39,7 +41,7 @@
         }
         _ => target.stats.record_bad_reply(now),
     }
-    if failed.kind == FailureKind::TimedOut {
+    if failed.kind == FailureKind::TimedOut && !context.is_cut_off() {
         query_stalled_parts(context, chain);
     }
     context.pool.remove(&chain.head().id);
@@ -65,6 +67,9 @@
 
 /// Makes a chain that has been silent for long count as failing, and finds out which part is at fault.
 pub(super) fn report_stalled_chain(context: &Arc<RelayContext>, chain: &LayerChain) {
+    if context.is_cut_off() {
+        return;
+    }
     chain.head().stats.record_failure(context.clock.now());
     query_stalled_parts(context, chain);
 }
--- a/src/relay/suspicion.rs
+++ b/src/relay/suspicion.rs
@@ -6,12 +6,13 @@
 //! against it, and so does the beginning of a response, since a target may end later on.
 
 use crate::poison::{PoisonFingerprint, PoisonLimits};
-use crate::relay::attempt::{FailedAttempt, FailureKind, probe_target};
+use crate::relay::attempt::{FailedAttempt, FailureKind};
 use crate::relay::context::RelayContext;
 use crate::relay::crashes::{
     CrashedRequest, SuspectPart, clear_crashes, clear_survivors, record_crashes,
 };
 use crate::relay::exchange::ActiveRequest;
+use crate::relay::path::probe_target;
 use crate::relay::refusals::log_refusals;
 use crate::targets::{TargetEntry, TargetView};
 use crate::units::MonoTime;
@@ -128,6 +129,11 @@
         attempts.push(attempt);
     }
 
+    /// Forgets all attempts: they ended for want of a path to the targets.
+    pub fn clear(&self) {
+        self.lock().clear();
+    }
+
     fn forget(&self, fingerprint: PoisonFingerprint) {
         self.lock()
             .retain(|attempt| attempt.fingerprint != fingerprint);
@@ -251,7 +257,7 @@
 
 impl Drop for AttemptSuspicion<'_> {
     fn drop(&mut self) {
-        if !self.is_dismissed {
+        if !self.is_dismissed && !self.request.context.is_cut_off() {
             let attempt = self.suspect_attempt();
             self.request.context.suspicions.add(attempt);
         }
--- a/src/targets/mod.rs
+++ b/src/targets/mod.rs
@@ -7,5 +7,6 @@
 
 pub use chain::{ChainPart, LayerChain, find_chains};
 pub use entry::{TargetEntry, TargetPhase};
+pub(crate) use stats::try_begin;
 pub use stats::{ReservationGuard, TargetStats};
 pub use view::{TargetView, ViewCell};
--- a/src/targets/stats.rs
+++ b/src/targets/stats.rs
@@ -164,6 +164,15 @@
         self.failures.store(0, Ordering::Relaxed);
     }
 
+    /// Forgets failures that say nothing about the target, as this daemon had lost its path to all.
+    pub fn forgive_failures(&self) {
+        self.clear_ejection();
+        self.failed_connects.store(0, Ordering::Relaxed);
+        self.refused_at.store(0, Ordering::Relaxed);
+        self.stalled_since.store(0, Ordering::Relaxed);
+        self.degraded_until.store(0, Ordering::Relaxed);
+    }
+
     /// True when the target's report may be queried now, which starts a new interval: one query at
     /// a time is enough for all requests.
     pub fn try_begin_report(&self, now: MonoTime) -> bool {
@@ -248,7 +257,7 @@
 }
 
 /// Sets the time of the last run to `now`. False when that is less than `interval` ago.
-fn try_begin(last_run: &AtomicU64, interval: Duration, now: MonoTime) -> bool {
+pub(crate) fn try_begin(last_run: &AtomicU64, interval: Duration, now: MonoTime) -> bool {
     let last = last_run.load(Ordering::Relaxed);
     let due = last == 0 || now.since(MonoTime(last)) >= interval;
     due && last_run
