Leave daemons without a path to targets out of address responses

Responses named whoever has an entry in the store, so callers kept coming to daemons that reached no target; with a whole failure domain cut off, its callers were sent to none but such daemons.

A response leaves out each daemon that says, or of which the responding daemon itself knows, that it reaches no target. If that leaves none, all are named. A daemon whose path is back is named at once, in a share of the responses that rises to all within 2 s, so that not all callers return in the same second.

--- a/src/gateway/addresses.rs
+++ b/src/gateway/addresses.rs
@@ -1,6 +1,7 @@
 //! Response to a caller that asks which daemons to use.
 
 use crate::kernel::DaemonPhase;
+use crate::presence::PresenceRow;
 use crate::relay::RelayContext;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -24,7 +25,10 @@
 impl AddressReply {
     /// Builds the response for a caller in `domain`. `None` when no daemon is known to serve.
     pub fn for_caller(context: &RelayContext, domain: Option<&str>) -> Option<Self> {
-        let mut addresses = context.presence.addresses_for(domain, MAX_ADDRESSES);
+        let usable = |row: &PresenceRow| is_usable(context, row);
+        let mut addresses = context
+            .presence
+            .addresses_for(domain, MAX_ADDRESSES, usable);
         let local = context.settings.listen.callers;
         match context.lifecycle.phase() {
             DaemonPhase::Ready if addresses.is_empty() => addresses.push(local),
@@ -38,3 +42,15 @@
         })
     }
 }
+
+/// Decides whether to name a daemon in this response: not while it reaches no target, and in a rising
+/// share of the responses once it does again.
+fn is_usable(context: &RelayContext, row: &PresenceRow) -> bool {
+    let now = context.clock.now();
+    let share = if row.instance == context.settings.instance {
+        context.reach.named_share(now)
+    } else {
+        context.peer_reach.named_share(row.peers, now)
+    };
+    fastrand::f64() < share
+}
--- a/src/presence/table.rs
+++ b/src/presence/table.rs
@@ -51,20 +51,29 @@
         self.peak_count.load(Ordering::Relaxed)
     }
 
-    /// Up to `limit` addresses for a caller in `domain`. Names only daemons of the caller's own
-    /// failure domain if there are enough of them, since traffic between domains is expensive; else
-    /// all daemons.
-    pub fn addresses_for(&self, domain: Option<&str>, limit: usize) -> Vec<SocketAddr> {
-        let rows = self.rows.load();
-        let is_in_domain = |row: &&PresenceRow| domain == Some(row.domain.as_str());
+    /// Up to `limit` addresses for a caller in `domain`, of the daemons that are `usable`, or of all
+    /// if none is. Names only daemons of the caller's own failure domain if there are enough of them,
+    /// since traffic between domains is expensive; else all daemons.
+    pub fn addresses_for(
+        &self,
+        domain: Option<&str>,
+        limit: usize,
+        usable: impl Fn(&PresenceRow) -> bool,
+    ) -> Vec<SocketAddr> {
+        let known = self.rows.load();
+        let mut rows: Vec<&PresenceRow> = known.values().filter(|row| usable(row)).collect();
+        if rows.is_empty() {
+            rows = known.values().collect();
+        }
+        let is_in_domain = |row: &&&PresenceRow| domain == Some(row.domain.as_str());
         let in_domain: Vec<SocketAddr> = rows
-            .values()
+            .iter()
             .filter(is_in_domain)
             .map(|row| row.callers)
             .collect();
         if in_domain.len() >= MIN_DOMAIN_DAEMONS {
             return in_domain.into_iter().take(limit).collect();
         }
-        rows.values().map(|row| row.callers).take(limit).collect()
+        rows.iter().map(|row| row.callers).take(limit).collect()
     }
 }
