Let a leader without a path to targets give up the lead

Its orders reached no server, and it kept the lead as long as it reached the store, so lost layers were not placed again.

--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -18,6 +18,10 @@
 /// leads.
 pub(super) async fn run_leader_duty(state: &Arc<GatewayState>) {
     let now = state.context.clock.now();
+    // Orders of a daemon without a path to targets reach no server.
+    if state.context.is_cut_off() {
+        return resign(state).await;
+    }
     if !state.session.leads(now) {
         state.with_schedulers(std::collections::HashMap::clear);
         campaign(state).await;
@@ -33,6 +37,16 @@
     }
 }
 
+async fn resign(state: &Arc<GatewayState>) {
+    state.with_schedulers(std::collections::HashMap::clear);
+    let line = match state.session.resign().await {
+        Ok(false) => return,
+        Ok(true) => EventLine::new("resigned"),
+        Err(cause) => EventLine::new("resign_failed").with_display("cause", cause),
+    };
+    state.context.events.emit(line);
+}
+
 async fn campaign(state: &Arc<GatewayState>) {
     let now = state.context.clock.now();
     let Some(leaderless_since) = state.leaderless_since() else {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -167,6 +167,11 @@
         }
     }
 
+    /// True while this daemon leads with a valid lease.
+    pub fn leads(&self, now: MonoTime) -> bool {
+        self.session.leads(now)
+    }
+
     /// True while this daemon is ready and not shutting down.
     pub fn is_serving(&self) -> bool {
         self.context.lifecycle.phase() == DaemonPhase::Ready
--- a/src/presence/session.rs
+++ b/src/presence/session.rs
@@ -64,6 +64,8 @@
     lease: Option<LeaseState>,
     presence_written: bool,
     fence_number: Option<FenceNumber>,
+    /// Version of the leader's key that this daemon has written.
+    leader_version: Option<StoreVersion>,
     /// Era of the store and the time at which this daemon noticed it.
     era_noticed: Option<(StoreEra, MonoTime)>,
 }
@@ -72,7 +74,12 @@
     fn forget_lease(&mut self) {
         self.lease = None;
         self.presence_written = false;
+        self.forget_lead();
+    }
+
+    fn forget_lead(&mut self) {
         self.fence_number = None;
+        self.leader_version = None;
     }
 
     /// True when a leader of an earlier era may still act.
@@ -256,7 +263,10 @@
         match (self.port.commit)(transaction).await? {
             CommitOutcome::Done(version) if version.era() == lease.era => {
                 let fence = fence_number(version);
-                self.with(|state| state.fence_number = Some(fence));
+                self.with(|state| {
+                    state.fence_number = Some(fence);
+                    state.leader_version = Some(version);
+                });
                 Ok(Some(fence))
             }
             CommitOutcome::Done(version) => {
@@ -271,9 +281,28 @@
         }
     }
 
+    /// Gives up the lead, so that another daemon can campaign at once. False when this daemon has none.
+    ///
+    /// # Errors
+    /// [`PortError`](crate::mirror::PortError) when the call to the store failed; it may have taken
+    /// effect all the same.
+    pub async fn resign(&self) -> crate::mirror::PortResult<bool> {
+        let written = self.with(|state| state.leader_version);
+        let Some(written) = written else {
+            return Ok(false);
+        };
+        self.remove_leader_key(written).await?;
+        self.with(SessionState::forget_lead);
+        Ok(true)
+    }
+
     /// Removes the leader's key after a campaign that was sent before a restore of the store and
     /// executed after it: the key is attached to what may be another daemon's lease.
     async fn withdraw_campaign(&self, written: StoreVersion) -> crate::mirror::PortResult<()> {
+        self.remove_leader_key(written).await
+    }
+
+    async fn remove_leader_key(&self, written: StoreVersion) -> crate::mirror::PortResult<()> {
         let guard = ItemGuard {
             key: leader_key(),
             expected: Some(written),
@@ -299,8 +328,9 @@
                     is_same_lease && item.version.era() == lease.era
                 })
             };
-            let fence = own.filter(is_held).map(|item| fence_number(item.created));
-            state.fence_number = fence;
+            let held = own.filter(is_held);
+            state.fence_number = held.map(|item| fence_number(item.created));
+            state.leader_version = held.map(|item| item.version);
         });
     }
 
--- a/tests/platform_unreachable_addresses.rs
+++ b/tests/platform_unreachable_addresses.rs
@@ -116,3 +116,25 @@
         own
     });
 }
+
+/// Number of the daemon that leads.
+fn leader(site: &SiteFleet) -> Option<usize> {
+    site.daemons.iter().position(|daemon| {
+        let now = daemon.state.context.clock.now();
+        daemon.state.leads(now)
+    })
+}
+
+/// A leader without a path to targets kept the lead, although its orders reached no server.
+#[test]
+fn leader_without_a_path_to_targets_gives_the_lead_to_a_daemon_with_one() {
+    let site = plain_site();
+    until("a leader", || leader(&site).is_some());
+    let first = leader(&site).expect("a daemon leads");
+
+    cut_under_traffic(&site, &[first], LinkState::Silent);
+
+    until("another leader", || {
+        leader(&site).is_some_and(|number| number != first)
+    });
+}
