Separate the forwarding of events from the chain that sends them

EventForwarder handles a response of events whoever sends it, and exchange_heads sends a request on any connection, so that both can serve for responses of other daemons as well. No behaviour changes; the tests of streams, silences, stream ends, plain requests and attempts pass.

--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -8,8 +8,8 @@
 use crate::relay::retry::RelayFailure;
 use crate::targets::TargetEntry;
 use crate::wire::{
-    BodyDecoder, BodyFraming, HeadLimits, ReadError, WireHead, WireStream, read_final_head,
-    write_all,
+    BodyDecoder, BodyFraming, HeadLimits, ReadError, StreamPool, WireHead, WireStream,
+    read_final_head, write_all,
 };
 use async_std::future::timeout;
 use futures_lite::future::or;
@@ -145,26 +145,53 @@
     } else {
         None
     };
-    let mut stream = match pooled {
+    let stream = match pooled {
         Some(stream) => stream,
         None => connect(context, target, limit).await?,
     };
     let mut bytes = (context.codec.write_request)(request.head, dispatch).finish();
     bytes.extend_from_slice(request.body);
     let sent_at = context.clock.now();
+    let response = exchange_heads(context, stream, &bytes, request, limit).await?;
+    context.reach.on_heard(context.clock.now());
+    let (status, metadata) = (response.head.status(), &response.metadata);
+    observe_limit(context, target, sent_at, status, metadata);
+    if metadata.not_executed || status == 421 {
+        let cause = format!("status {status}, request not executed");
+        let kind = match status {
+            421 => FailureKind::Misdirected,
+            _ => FailureKind::Other,
+        };
+        return Err(FailedAttempt {
+            kind,
+            failure: RelayFailure::NotExecuted,
+            metadata: response.metadata,
+            cause,
+        });
+    }
+    Ok(response)
+}
+
+/// Sends the bytes of a request and reads the head of the response within `limit`.
+pub(super) async fn exchange_heads(
+    context: &RelayContext,
+    mut stream: WireStream,
+    bytes: &[u8],
+    request: &OutgoingRequest<'_>,
+    limit: Duration,
+) -> Result<PendingResponse, FailedAttempt> {
     let mut written = false;
     let (socket, input) = stream.socket_and_input();
     let write = async {
         // When writing fails, the target may already have sent a response that refuses the request.
         // So this future never completes, and only the read or the timeout ends the attempt.
-        written = write_all(socket, &bytes).await.is_ok();
+        written = write_all(socket, bytes).await.is_ok();
         std::future::pending().await
     };
     let read = async {
         let head = read_final_head(socket, input, RESPONSE_HEAD_LIMITS)
             .await
             .map_err(head_error)?;
-        context.reach.on_heard(context.clock.now());
         let metadata = (context.codec.read_reply)(&head);
         if is_mismatched(&metadata, request.metadata) {
             return Err(FailedAttempt::new(
@@ -180,20 +207,6 @@
             "timeout while waiting for the response head",
         ))
     })?;
-    observe_limit(context, target, sent_at, head.status(), &metadata);
-    if metadata.not_executed || head.status() == 421 {
-        let cause = format!("status {}, request not executed", head.status());
-        let kind = match head.status() {
-            421 => FailureKind::Misdirected,
-            _ => FailureKind::Other,
-        };
-        return Err(FailedAttempt {
-            kind,
-            failure: RelayFailure::NotExecuted,
-            metadata,
-            cause,
-        });
-    }
     let frame = BodyFraming::for_response(&head, request.head.method());
     Ok(PendingResponse {
         stream,
@@ -233,16 +246,14 @@
 /// Returns the connection of a complete response to the pool, unless the request was not written
 /// completely, the target closes the connection or unexpected bytes have arrived.
 pub(super) fn keep_connection(
-    context: &RelayContext,
-    target: &InstanceId,
+    pool: &StreamPool<InstanceId>,
+    peer: &InstanceId,
     response: PendingResponse,
 ) {
     let reusable =
         response.written && !response.head.closes_connection() && response.stream.input.is_empty();
     if reusable && response.stream.is_idle() {
-        context
-            .pool
-            .put(target, response.stream, idle_time(&response.head));
+        pool.put(peer, response.stream, idle_time(&response.head));
     }
 }
 
--- a/src/relay/forwarding.rs
+++ b/src/relay/forwarding.rs
@@ -4,6 +4,7 @@
 //! resumed after the last forwarded event. Events are identified by their ids, see
 //! [`classify_event`].
 
+use crate::ids::InstanceId;
 use crate::relay::attempt::{FailedAttempt, PendingResponse, keep_connection};
 use crate::relay::event_progress::{DeliveryProgress, EventVerdict, classify_event, is_cut_off};
 use crate::relay::exchange::{ActiveRequest, forward_head};
@@ -17,10 +18,23 @@
 /// Longest event, and longest part of a body that holds none.
 const MAX_EVENT_BYTES: usize = 512 * 1024;
 
-/// An attempt whose response has begun.
+/// A response of events, whoever sends it.
+pub(super) struct EventForwarder<'a> {
+    request: &'a ActiveRequest<'a>,
+    /// Target or daemon that sends the response, for the log.
+    source: InstanceId,
+    response: PendingResponse,
+    splitter: EventSplitter,
+    /// Number of events that were new to the caller.
+    events: u64,
+    /// Number of events that have arrived.
+    arrived: u64,
+    /// Bytes of comments since the last event.
+    comment_bytes: usize,
+}
+
+/// An attempt at a chain whose response has begun.
 pub(super) struct StreamForwarder<'a> {
-    /// Request that is served.
-    pub request: &'a ActiveRequest<'a>,
     /// Chain that serves the attempt.
     pub chain: Arc<LayerChain>,
     /// Reservations at the targets of the chain.
@@ -29,14 +43,16 @@
     pub detector: StallDetector,
     /// Suspicion that the request crashes a target in this attempt.
     pub suspicion: AttemptSuspicion<'a>,
-    /// The response as far as it has been read.
+    /// The response.
+    pub forwarder: EventForwarder<'a>,
+}
+
+/// A response of events that is complete.
+pub(super) struct FinishedResponse {
+    /// Connection and head.
     pub response: PendingResponse,
-    /// Events of the response.
-    pub splitter: EventSplitter,
-    /// Number of events that were new to the caller.
-    pub events: u64,
-    /// Bytes of comments since the last event.
-    pub comment_bytes: usize,
+    /// False when the caller has left.
+    pub is_sent: bool,
 }
 
 /// What to do after the bytes that have arrived were decoded.
@@ -69,15 +85,33 @@
     }
 }
 
-impl StreamForwarder<'_> {
+impl<'a> EventForwarder<'a> {
+    /// Begins with a response of which the head was read.
+    pub(super) fn new(
+        request: &'a ActiveRequest<'a>,
+        source: InstanceId,
+        response: PendingResponse,
+    ) -> Self {
+        Self {
+            request,
+            source,
+            response,
+            splitter: EventSplitter::default(),
+            events: 0,
+            arrived: 0,
+            comment_bytes: 0,
+        }
+    }
+
+    /// Number of events that were new to the caller.
+    pub(super) fn events(&self) -> u64 {
+        self.events
+    }
+
     /// Waits for bytes from the target. Nothing is lost when the future is dropped.
     pub(super) async fn read(&mut self) -> ReadOutcome {
         match self.response.stream.fill().await {
-            Ok(count) => {
-                let context = self.request.context;
-                context.reach.on_heard(context.clock.now());
-                ReadOutcome::Bytes(count)
-            }
+            Ok(count) => ReadOutcome::Bytes(count),
             Err(StreamError::Closed) if self.response.decoder.complete_at_close() => {
                 ReadOutcome::End
             }
@@ -142,9 +176,8 @@
         }
     }
 
-    /// Moves complete events to the output, drops those that the caller already has, and passes the
-    /// time of each to the stall detector. Comments are forwarded, but are no progress. Returns false
-    /// when an event is missing.
+    /// Moves complete events to the output and drops those that the caller already has. Comments are
+    /// forwarded, but are no progress. Returns false when an event is missing.
     fn take_events(&mut self, delivered: &mut DeliveryProgress, output: &mut Vec<u8>) -> bool {
         while let Some(event) = self.splitter.next_event() {
             match classify_event(&event, delivered) {
@@ -162,10 +195,7 @@
                 continue;
             }
             self.comment_bytes = 0;
-            self.suspicion.on_event();
-            if let Some(elapsed) = self.detector.on_event(self.request.context.clock.now()) {
-                self.chain.head().stats.observe_first_event(elapsed);
-            }
+            self.arrived += 1;
         }
         true
     }
@@ -189,33 +219,102 @@
             let line = self
                 .request
                 .log_line("ended_by_close")
-                .with_display("target", &self.chain.head().id)
+                .with_display("target", &self.source)
                 .with("last_event", delivered.last_id)
                 .with("unfinished_bytes", unfinished_bytes);
             context.events.emit(line);
         }
     }
 
-    /// Sends what is left of a complete response to the caller; returns its status, or `None` when the
-    /// caller has left.
+    /// Sends what is left of a complete response to the caller.
     pub(super) async fn finish(
-        mut self,
-        end: BodyEnd,
+        self,
         delivered: &mut DeliveryProgress,
         mut output: Vec<u8>,
-    ) -> Option<u16> {
+    ) -> FinishedResponse {
         append_head(self.request, &self.response, delivered, &mut output);
         let framing = self.request.framing();
         framing.encode(self.splitter.remainder(), &mut output);
         framing.encode_end(&mut output);
-        let status = self.response.head.status();
+        let is_sent = self.request.send(&output).await;
+        if is_sent {
+            framing.complete(self.request.caller);
+        }
+        FinishedResponse {
+            response: self.response,
+            is_sent,
+        }
+    }
+}
+
+impl StreamForwarder<'_> {
+    /// See [`EventForwarder::read`].
+    pub(super) async fn read(&mut self) -> ReadOutcome {
+        let outcome = self.forwarder.read().await;
+        if outcome.count() > 0 {
+            let context = self.forwarder.request.context;
+            context.reach.on_heard(context.clock.now());
+        }
+        outcome
+    }
+
+    /// See [`EventForwarder::on_read`].
+    pub(super) fn on_read(
+        &mut self,
+        outcome: ReadOutcome,
+        delivered: &mut DeliveryProgress,
+        output: &mut Vec<u8>,
+    ) -> ForwardStep {
+        let arrived = self.forwarder.arrived;
+        let step = self.forwarder.on_read(outcome, delivered, output);
+        self.note_events(arrived);
+        step
+    }
+
+    /// See [`EventForwarder::take_input`].
+    pub(super) fn take_input(
+        &mut self,
+        delivered: &mut DeliveryProgress,
+        output: &mut Vec<u8>,
+    ) -> ForwardStep {
+        let arrived = self.forwarder.arrived;
+        let step = self.forwarder.take_input(delivered, output);
+        self.note_events(arrived);
+        step
+    }
+
+    /// Passes the time of each event that has arrived since there were `before` to the stall detector.
+    fn note_events(&mut self, before: u64) {
+        let now = self.forwarder.request.context.clock.now();
+        for _event in before..self.forwarder.arrived {
+            self.suspicion.on_event();
+            if let Some(elapsed) = self.detector.on_event(now) {
+                self.chain.head().stats.observe_first_event(elapsed);
+            }
+        }
+    }
+
+    /// Number of events that were new to the caller.
+    pub(super) fn events(&self) -> u64 {
+        self.forwarder.events()
+    }
+
+    /// Sends what is left of a complete response to the caller; returns its status, or `None` when the
+    /// caller has left.
+    pub(super) async fn finish(
+        mut self,
+        end: BodyEnd,
+        delivered: &mut DeliveryProgress,
+        output: Vec<u8>,
+    ) -> Option<u16> {
+        let context = self.forwarder.request.context;
+        let status = self.forwarder.response.head.status();
         self.suspicion.on_response(status, end);
-        let context = self.request.context;
-        keep_connection(context, &self.chain.head().id, self.response);
-        if !self.request.send(&output).await {
+        let finished = self.forwarder.finish(delivered, output).await;
+        keep_connection(&context.pool, &self.chain.head().id, finished.response);
+        if !finished.is_sent {
             return None;
         }
-        framing.complete(self.request.caller);
         let targets = self.chain.parts.iter().map(|part| &part.target);
         targets.for_each(|target| target.stats.record_success());
         Some(status)
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -406,7 +406,7 @@
     let (body, end) = read.map_err(|cause| FailedAttempt::unreadable(&cause))?;
     let head = response.head.clone();
     if end == BodyEnd::Framed {
-        keep_connection(request.context, &target.id, response);
+        keep_connection(&request.context.pool, &target.id, response);
     }
     Ok(BufferedResponse { head, body, end })
 }
--- a/src/relay/stream_opening.rs
+++ b/src/relay/stream_opening.rs
@@ -3,13 +3,13 @@
 use crate::relay::attempt::{FailedAttempt, PendingResponse, open_response};
 use crate::relay::event_progress::DeliveryProgress;
 use crate::relay::exchange::ActiveRequest;
-use crate::relay::forwarding::{ForwardStep, StreamForwarder};
+use crate::relay::forwarding::{EventForwarder, ForwardStep, StreamForwarder};
 use crate::relay::retry::{RelayFailure, RetryState};
 use crate::relay::stall::StallDetector;
 use crate::relay::stream_chain::reserve;
 use crate::relay::suspicion::AttemptSuspicion;
 use crate::targets::LayerChain;
-use crate::wire::{EventSplitter, pause_after_read};
+use crate::wire::pause_after_read;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
@@ -134,27 +134,24 @@
         suspicion.dismiss();
         return Err(failed);
     }
+    let source = chain.head().id.clone();
     let mut forwarder = StreamForwarder {
-        request,
         chain,
         _reserved: reserved,
         detector,
         suspicion,
-        response,
-        splitter: EventSplitter::default(),
-        events: 0,
-        comment_bytes: 0,
+        forwarder: EventForwarder::new(request, source, response),
     };
     let mut output = Vec::new();
     let mut step = forwarder.take_input(&mut delivered, &mut output);
-    while matches!(step, ForwardStep::ReadMore) && forwarder.events == 0 {
+    while matches!(step, ForwardStep::ReadMore) && forwarder.events() == 0 {
         let outcome = forwarder.read().await;
         let count = outcome.count();
         step = forwarder.on_read(outcome, &mut delivered, &mut output);
         pause_after_read(count).await;
     }
     match step {
-        ForwardStep::Fail(failed) if forwarder.events == 0 => {
+        ForwardStep::Fail(failed) if forwarder.events() == 0 => {
             forwarder.suspicion.on_failure(&failed);
             Err(failed)
         }
--- a/src/relay/streaming.rs
+++ b/src/relay/streaming.rs
@@ -222,10 +222,10 @@
         let mut output = Vec::new();
         let current = self.current.as_mut()?;
         let idle_time = current.detector.idle_time(self.request.context.clock.now());
-        let events = current.events;
+        let events = current.events();
         let step = current.on_read(outcome, &mut self.delivered, &mut output);
-        let brings_events = current.events > events;
-        if current.events >= FALLBACK_EVENTS {
+        let brings_events = current.events() > events;
+        if current.events() >= FALLBACK_EVENTS {
             self.drop_fallback();
         }
         if brings_events {
