Serve requests over another daemon while this one has no path to targets

Callers keep addresses for up to three times their lifetime and open connections for longer, so requests still arrive at a daemon that is no longer named. It refused them all.

Such a daemon now passes a request on, as it came from the caller, to a daemon that has a path: own failure domain first, at random, up to three in turn. It goes over HTTP/1.1 on an address for listed daemons only; each request carries the sender's name and the token of its presence entry. The other daemon serves it as its own callers' and never passes it on again. Time left, event to resume after and possible executions go along, so that deadline, MaxAttempts, retry budget and the once-only rule hold as if one daemon had sent it. A stream that stalls when links fall silent is resumed the same way. What no daemon can serve is refused at once while connects hang.

--- a/rig/src/site/fleet.rs
+++ b/rig/src/site/fleet.rs
@@ -200,6 +200,7 @@
                 addresses: free_address(),
                 peers: free_address(),
                 metrics: None,
+                relay: Some(free_address()),
             },
             store: GatewayStore {
                 address: store,
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -14,8 +14,11 @@
 use crate::loads::exchange_loads;
 use crate::mirror::MirrorSet;
 use crate::placement::OrderScheduler;
-use crate::presence::{LeaseSession, LeaseStep, PresenceRow, presence_key};
-use crate::relay::{GatewaySettings, PATH_WATCH_PERIOD, RelayContext, serve_callers, watch_path};
+use crate::presence::{LeaseSession, LeaseStep, PresenceRow, RelayAccess, presence_key};
+use crate::relay::{
+    GatewaySettings, PATH_WATCH_PERIOD, RelayContext, serve_callers, serve_peer_requests,
+    watch_path,
+};
 use crate::snapshots::serve_snapshots;
 use crate::telemetry::{EventLine, EventLog, MetricSet};
 use crate::units::MonoTime;
@@ -54,7 +57,7 @@
 /// Reason why the daemon could not start.
 #[derive(Debug)]
 pub enum GatewayError {
-    /// The address for callers cannot be bound.
+    /// The address for callers, or the one for requests of other daemons, cannot be bound.
     Listen(io::Error),
     /// A metric cannot be registered because its name is taken.
     Metric(prometheus::Error),
@@ -63,7 +66,7 @@
 impl fmt::Display for GatewayError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Listen(cause) => write!(f, "cannot listen for callers: {cause}"),
+            Self::Listen(cause) => write!(f, "cannot listen for requests: {cause}"),
             Self::Metric(cause) => write!(f, "cannot register metric: {cause}"),
         }
     }
@@ -187,7 +190,7 @@
 /// Starts the daemon and its background tasks.
 ///
 /// # Errors
-/// [`GatewayError::Listen`] when the address for callers cannot be bound, [`GatewayError::Metric`]
+/// [`GatewayError::Listen`] when an address for requests cannot be bound, [`GatewayError::Metric`]
 /// when a metric's name is taken.
 pub fn start_gateway(
     settings: GatewaySettings,
@@ -196,12 +199,8 @@
     events: EventLog,
 ) -> Result<GatewayHandle> {
     let server = WireServer::bind(settings.listen.callers).map_err(GatewayError::Listen)?;
-    let row = PresenceRow {
-        instance: settings.instance.clone(),
-        domain: settings.failure_domain.clone(),
-        callers: settings.listen.callers,
-        peers: settings.listen.peers,
-    };
+    let relay_server = settings.listen.relay.map(WireServer::bind).transpose();
+    let relay_server = relay_server.map_err(GatewayError::Listen)?;
     let lease_floor = Duration::from_millis(settings.store.lease_floor_ms);
     let context = RelayContext::new(
         settings,
@@ -211,6 +210,7 @@
         ports.targets.clone(),
     );
     let context = context.map_err(GatewayError::Metric)?;
+    let row = presence_row(&context);
     context
         .events
         .emit(EventLine::new("start").with_display("listen", context.settings.listen.callers));
@@ -235,6 +235,9 @@
     task::spawn(follow_targets(Arc::clone(&state)));
     task::spawn(follow_presence(Arc::clone(&state)));
     task::spawn(serve_callers(Arc::clone(&state.context), server));
+    if let Some(server) = relay_server {
+        task::spawn(serve_peer_requests(Arc::clone(&state.context), server));
+    }
     task::spawn(report_restores(Arc::clone(&state)));
     task::spawn(share_loads(Arc::clone(&state)));
     task::spawn(share_snapshots(Arc::clone(&state)));
@@ -242,6 +245,22 @@
     Ok(GatewayHandle { state })
 }
 
+/// Entry of this daemon in the store.
+fn presence_row(context: &RelayContext) -> PresenceRow {
+    let settings = &context.settings;
+    let access = |address| RelayAccess {
+        address,
+        token: Arc::clone(&context.relay_token),
+    };
+    PresenceRow {
+        instance: settings.instance.clone(),
+        domain: settings.failure_domain.clone(),
+        callers: settings.listen.callers,
+        peers: settings.listen.peers,
+        relay: settings.listen.relay.map(access),
+    }
+}
+
 async fn share_loads(state: Arc<GatewayState>) {
     let context = Arc::clone(&state.context);
     let listen = context.settings.listen.peers;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -130,7 +130,7 @@
     CrashOutbox, CrashState, CrashedRun, HarmlessParts, OutboxRow, PartId, PoisonEntry,
     PoisonFingerprint, PoisonLimits, PoisonRow, PoisonTable, PoisonVerdict,
 };
-pub use presence::{LeaseSession, LeaseStep, PresenceRow, PresenceTable};
+pub use presence::{LeaseSession, LeaseStep, PresenceRow, PresenceTable, RelayAccess};
 pub use reach::{
     PathLoss, PeerReach, ReachCandidate, ReachCell, ReachChange, ReachStatement, ReachStep,
     ReachTracker,
@@ -140,9 +140,9 @@
 };
 pub use relay::{
     BudgetLimits, ChainRequirement, DispatchMetadata, GatewayBounds, GatewayListen,
-    GatewaySettings, GatewayStore, LocalReply, RefusalCause, RelayCodec, RelayContext,
-    RelayFailure, RelayMetrics, ReplyMetadata, RequestMetadata, RetryBudget, RetryState, RetryStep,
-    StallDetector, StallStep, pick_chain, pick_target,
+    GatewaySettings, GatewayStore, LocalReply, PeerDispatch, RefusalCause, RelayCodec,
+    RelayContext, RelayFailure, RelayMetrics, ReplyMetadata, RequestMetadata, RetryBudget,
+    RetryState, RetryStep, StallDetector, StallStep, pick_chain, pick_target,
 };
 pub use routing::{
     AnswerEvent, AnswerStream, AttemptEvent, AttemptFailure, AttemptLimits, AttemptMachine,
--- a/src/presence/mod.rs
+++ b/src/presence/mod.rs
@@ -5,4 +5,4 @@
 mod table;
 
 pub use session::{LeaseSession, LeaseStep, PRESENCE_PREFIX, leader_key, presence_key};
-pub use table::{PresenceRow, PresenceTable};
+pub use table::{PresenceRow, PresenceTable, RelayAccess};
--- a/src/presence/table.rs
+++ b/src/presence/table.rs
@@ -23,6 +23,19 @@
     pub callers: SocketAddr,
     /// Address on which the daemon receives messages from other daemons.
     pub peers: SocketAddr,
+    /// Where it takes requests that other daemons pass on, if it does.
+    #[serde(default)]
+    pub relay: Option<RelayAccess>,
+}
+
+/// Where a daemon takes requests of other daemons, and how it proves who it is when it sends some.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct RelayAccess {
+    /// Listening address.
+    pub address: SocketAddr,
+    /// Secret of this run of the daemon. Only daemons can read it, as callers do not reach the store.
+    pub token: Arc<str>,
 }
 
 /// Snapshot of the daemons that are known to be alive.
--- a/src/relay/context.rs
+++ b/src/relay/context.rs
@@ -46,6 +46,10 @@
     pub reach: ReachCell,
     /// Paths of the other daemons, as they state them.
     pub peer_reach: PeerReach,
+    /// Secret by which other daemons know this one when it passes a request on.
+    pub relay_token: Arc<str>,
+    /// Idle connections to other daemons for requests that are passed on.
+    pub peer_pool: StreamPool<InstanceId>,
     /// Idle connections to targets.
     pub pool: StreamPool<InstanceId>,
     /// Crashes under requests, as all daemons saw them.
@@ -78,7 +82,7 @@
     is_stopping: AtomicBool,
 }
 
-/// Maximum number of idle connections kept for each target.
+/// Maximum number of idle connections kept for each target and each daemon.
 const MAX_IDLE_CONNECTIONS: usize = 32;
 /// Time from the start of draining after which no stream is accepted, as it might not end within
 /// the grace period. It does not depend on the configured grace period; with the default of 8 s,
@@ -203,6 +207,8 @@
             recent_peers: RecentPeers::default(),
             reach: ReachCell::default(),
             peer_reach: PeerReach::default(),
+            relay_token: draw_token(),
+            peer_pool: StreamPool::new(MAX_IDLE_CONNECTIONS),
             pool: StreamPool::new(MAX_IDLE_CONNECTIONS),
             poison: PoisonTable::default(),
             outbox: CrashOutbox::default(),
@@ -223,3 +229,10 @@
         }))
     }
 }
+
+/// Draws a secret of 128 bits.
+fn draw_token() -> Arc<str> {
+    let mut bytes = [0_u8; 16];
+    getrandom::fill(&mut bytes).expect("the system has random bytes");
+    Arc::from(format!("{:032x}", u128::from_be_bytes(bytes)))
+}
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -3,6 +3,7 @@
 use crate::catalog::{AccessOutcome, RouteEntry, RoutingCatalog, ServiceEntry, TeamEntry};
 use crate::hash::stable_hash;
 use crate::poison::PoisonFingerprint;
+use crate::reach::PathLoss;
 use crate::relay::attempt::{FailedAttempt, OutgoingRequest};
 use crate::relay::caller_stream::CallerFraming;
 use crate::relay::context::RelayContext;
@@ -10,6 +11,7 @@
 use crate::relay::local_reply::{LocalReply, RefusalCause};
 use crate::relay::metadata::{DispatchMetadata, RequestMetadata};
 use crate::relay::retry::{RetryState, RetryStep};
+use crate::relay::via_peer::{LOCAL_REPLY_FIELD, PeerDispatch};
 use crate::relay::{plain, streaming};
 use crate::targets::{LayerChain, TargetEntry};
 use crate::telemetry::EventLine;
@@ -68,6 +70,8 @@
     pub arrived: MonoTime,
     /// Time by which the response must be complete.
     pub deadline: MonoTime,
+    /// Set if another daemon has passed the request on.
+    pub origin: Option<PeerDispatch>,
     /// True when the connection is closed after the response.
     pub close: bool,
     /// See [`Self::fingerprint`]; most requests need none.
@@ -75,6 +79,25 @@
 }
 
 impl ActiveRequest<'_> {
+    /// State of its attempts at the beginning.
+    pub(super) fn new_retry_state(&self) -> RetryState {
+        let route = &self.route;
+        let executions = self.origin.as_ref().map_or(0, |origin| origin.executions);
+        RetryState::new(route.retry_rule, route.max_targets, self.deadline)
+            .with_executions(executions)
+    }
+
+    /// True when another daemon is better placed to serve the request: this one reaches no target. A
+    /// request is passed on once only.
+    pub(super) fn is_for_peer(&self) -> bool {
+        self.origin.is_none() && self.context.is_cut_off()
+    }
+
+    /// True when new connections to targets hang, so that an attempt would only take time.
+    pub(super) fn has_silent_path(&self) -> bool {
+        self.context.reach.loss() == Some(PathLoss::Silent)
+    }
+
     /// Priority, 0 is the highest. A team's priority overrides the route's.
     pub(super) fn priority(&self) -> u8 {
         let team = self.team.as_ref().and_then(|team| team.priority);
@@ -173,6 +196,10 @@
             .with("request", self.log_id())
             .with("route", self.route.name.as_ref())
             .with_display("service", &self.service.name)
+            .with(
+                "from",
+                self.origin.as_ref().map(|origin| origin.sender.as_str()),
+            )
             .with("age_ms", now.since(self.arrived).as_millis() as u64)
     }
 
@@ -190,6 +217,7 @@
     /// see [`Self::retry_delay`].
     pub(super) async fn reply_locally(&self, cause: RefusalCause, detail: &str) -> ExchangeEnd {
         let mut reply = LocalReply::new(cause);
+        reply.is_for_peer = self.origin.is_some();
         if cause.status() == 503 {
             reply = reply.with_retry_after(self.retry_delay(cause), &mut fastrand::Rng::new());
         }
@@ -265,7 +293,7 @@
     }
 
     /// Length of the body sent to a target; `None` when the caller declared no body.
-    fn body_length(&self) -> Option<usize> {
+    pub(super) fn body_length(&self) -> Option<usize> {
         let head = self.head;
         let declared =
             head.field("content-length").is_some() || head.field("transfer-encoding").is_some();
@@ -365,9 +393,12 @@
 /// Relays a request to a target and forwards the response.
 pub(super) async fn relay_request(request: &ActiveRequest<'_>) -> ExchangeEnd {
     let context = request.context;
-    context
-        .budget
-        .count_request(&request.service.name, context.clock.now());
+    // The daemon that took a request from its caller counts it.
+    if request.origin.is_none() {
+        context
+            .budget
+            .count_request(&request.service.name, context.clock.now());
+    }
     if request.route.retry_rule.is_stream() || request.service.model.is_some() {
         streaming::relay_stream(request).await
     } else {
@@ -375,8 +406,8 @@
     }
 }
 
-/// Hop-by-hop fields, which are not forwarded.
-const HOP_BY_HOP_FIELDS: [&str; 7] = [
+/// Hop-by-hop fields and those between daemons, which are not forwarded.
+const HOP_BY_HOP_FIELDS: [&str; 8] = [
     "connection",
     "keep-alive",
     "proxy-connection",
@@ -384,6 +415,7 @@
     "trailer",
     "transfer-encoding",
     "upgrade",
+    LOCAL_REPLY_FIELD,
 ];
 
 /// Head of a target's response as sent to the caller, without its framing fields.
--- a/src/relay/listener.rs
+++ b/src/relay/listener.rs
@@ -1,10 +1,12 @@
 //! Accepts callers' connections and serves the requests on them.
 
+use crate::presence::PresenceRow;
 use crate::relay::context::RelayContext;
 use crate::relay::exchange::{
     ActiveRequest, ExchangeEnd, RoutingDecision, compute_deadline, relay_request, route_request,
 };
 use crate::relay::local_reply::{LocalReply, RefusalCause};
+use crate::relay::via_peer::{PEER_FIELD, PeerDispatch};
 use crate::telemetry::EventLine;
 use crate::units::MonoTime;
 use crate::wire::{
@@ -17,6 +19,7 @@
 use futures_lite::future::or;
 use std::net::TcpStream;
 use std::sync::{Arc, OnceLock};
+use subtle::ConstantTimeEq;
 
 /// Maximum number of bytes buffered while a response is pending. Further bytes stay in the socket
 /// buffer, and reading no longer detects that the caller closes the connection.
@@ -29,15 +32,37 @@
     Close,
 }
 
+/// Who sends the requests of a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RequestSource {
+    /// Callers.
+    Callers,
+    /// Other daemons, which pass requests of their callers on.
+    Peers,
+}
+
 /// Accepts callers' connections; never returns.
 pub async fn serve_callers(context: Arc<RelayContext>, server: WireServer) {
+    accept_all(context, server, RequestSource::Callers).await;
+}
+
+/// Accepts the connections of other daemons that pass requests on; never returns.
+pub async fn serve_peer_requests(context: Arc<RelayContext>, server: WireServer) {
+    accept_all(context, server, RequestSource::Peers).await;
+}
+
+async fn accept_all(context: Arc<RelayContext>, server: WireServer, source: RequestSource) {
     loop {
         let stream = server.accept().await;
-        task::spawn(serve_connection(Arc::clone(&context), stream));
+        task::spawn(serve_connection(Arc::clone(&context), stream, source));
     }
 }
 
-async fn serve_connection(context: Arc<RelayContext>, mut stream: WireStream) {
+async fn serve_connection(
+    context: Arc<RelayContext>,
+    mut stream: WireStream,
+    source: RequestSource,
+) {
     loop {
         let limits = context
             .catalog
@@ -56,15 +81,19 @@
         .await;
         let arrived = context.clock.now();
         let step = match outcome {
-            HeadOutcome::Request(head) => serve_request(&context, &mut stream, head, arrived).await,
+            HeadOutcome::Request(head) => {
+                serve_request(&context, &mut stream, head, arrived, source).await
+            }
             HeadOutcome::Invalid(cause) => {
                 let cause = match cause {
                     HeadError::TooLong => RefusalCause::HeadTooLong,
                     _ => RefusalCause::Malformed,
                 };
-                refuse(&context, &stream, cause).await
+                refuse(&context, &stream, cause, source).await
+            }
+            HeadOutcome::TimedOut => {
+                refuse(&context, &stream, RefusalCause::HeadTimeout, source).await
             }
-            HeadOutcome::TimedOut => refuse(&context, &stream, RefusalCause::HeadTimeout).await,
             HeadOutcome::Idle | HeadOutcome::ConnectionLost => return,
         };
         if step == ConnectionStep::Close {
@@ -79,8 +108,10 @@
     context: &RelayContext,
     stream: &WireStream,
     cause: RefusalCause,
+    source: RequestSource,
 ) -> ConnectionStep {
     let mut reply = LocalReply::new(cause);
+    reply.is_for_peer = source == RequestSource::Peers;
     if cause == RefusalCause::NoConfiguration {
         reply = reply.with_retry_after(
             std::time::Duration::from_millis(500),
@@ -109,6 +140,7 @@
     stream: &mut WireStream,
     head: WireHead,
     arrived: MonoTime,
+    source: RequestSource,
 ) -> ConnectionStep {
     let _in_flight = context.lifecycle.start_request();
     if head.has_token("expect", "100-continue") {
@@ -122,17 +154,32 @@
     let body = match read_request_body(stream, &head, limits.max_body_bytes).await {
         Ok(body) => body,
         Err(ReadError::BodyTooLong) => {
-            return refuse(context, stream, RefusalCause::BodyTooLong).await;
+            return refuse(context, stream, RefusalCause::BodyTooLong, source).await;
+        }
+        Err(ReadError::Body(_)) => {
+            return refuse(context, stream, RefusalCause::Malformed, source).await;
         }
-        Err(ReadError::Body(_)) => return refuse(context, stream, RefusalCause::Malformed).await,
         Err(_) => return ConnectionStep::Close,
     };
     // The configuration may have arrived or changed while the body was read.
     let catalog = context.catalog.load();
-    let metadata = (context.codec.read_request)(&head);
+    let origin = match read_origin(context, &head, source) {
+        Ok(origin) => origin,
+        Err(cause) => return refuse(context, stream, cause, source).await,
+    };
+    let head = if origin.is_some() {
+        head.without(PEER_FIELD)
+    } else {
+        head
+    };
+    let mut metadata = (context.codec.read_request)(&head);
+    if let Some(origin) = &origin {
+        metadata.time_left = Some(origin.time_left);
+        metadata.resume_after = origin.resume_after.or(metadata.resume_after);
+    }
     let matched = match route_request(catalog.as_deref(), &head, metadata) {
         RoutingDecision::Relay(matched) => *matched,
-        RoutingDecision::Refuse(cause) => return refuse(context, stream, cause).await,
+        RoutingDecision::Refuse(cause) => return refuse(context, stream, cause, source).await,
     };
     let draining = context.lifecycle.phase() == crate::kernel::DaemonPhase::Draining;
     let (socket, input) = stream.socket_and_input();
@@ -147,6 +194,7 @@
         service: matched.service,
         team: matched.team,
         arrived,
+        origin,
         // The end of a stream to a caller of HTTP/1.0 is the end of its connection.
         close: !head.is_http_1_1() || head.closes_connection() || draining,
         fingerprint_cell: OnceLock::new(),
@@ -166,6 +214,36 @@
     }
 }
 
+/// What the daemon that passes a request on says about it; `None` for a request of a caller. One of an
+/// unknown daemon is refused.
+fn read_origin(
+    context: &RelayContext,
+    head: &WireHead,
+    source: RequestSource,
+) -> Result<Option<PeerDispatch>, RefusalCause> {
+    if source == RequestSource::Callers {
+        return Ok(None);
+    }
+    let dispatch = head.field(PEER_FIELD).and_then(|text| text.parse().ok());
+    let dispatch: PeerDispatch = dispatch.ok_or(RefusalCause::UnknownPeer)?;
+    let rows = context.presence.rows();
+    if !rows.values().any(|row| is_sender(row, &dispatch)) {
+        return Err(RefusalCause::UnknownPeer);
+    }
+    let taken = context.metrics.peer_requests.with_label_values(&["taken"]);
+    taken.inc();
+    Ok(Some(dispatch))
+}
+
+/// True when the entry is that of the daemon that sent the dispatch.
+fn is_sender(row: &PresenceRow, dispatch: &PeerDispatch) -> bool {
+    let Some(access) = &row.relay else {
+        return false;
+    };
+    let is_token_equal = access.token.as_bytes().ct_eq(dispatch.token.as_bytes());
+    row.instance == dispatch.sender && bool::from(is_token_equal)
+}
+
 fn record_outcome(request: &ActiveRequest<'_>, end: Option<ExchangeEnd>) {
     let outcome = match end {
         Some(ExchangeEnd::Relayed(status)) if status < 400 => "relayed",
@@ -174,12 +252,11 @@
         Some(ExchangeEnd::Truncated) => "broken_off",
         None => "caller_left",
     };
-    request
-        .context
-        .metrics
-        .requests
-        .with_label_values(&[outcome])
-        .inc();
+    // The daemon that took a request from its caller counts its outcome.
+    if request.origin.is_none() {
+        let requests = &request.context.metrics.requests;
+        requests.with_label_values(&[outcome]).inc();
+    }
     if end.is_none() {
         request.context.events.emit(request.log_line("caller_left"));
     }
--- a/src/relay/local_reply.rs
+++ b/src/relay/local_reply.rs
@@ -1,6 +1,7 @@
 //! Local replies: responses that the daemon generates itself.
 
 use crate::relay::retry::RetryStep;
+use crate::relay::via_peer::LOCAL_REPLY_FIELD;
 use crate::wire::HeadBuilder;
 use std::fmt;
 use std::time::Duration;
@@ -28,6 +29,8 @@
     NoTarget,
     /// At least one attempt was made, but no target executed the request.
     NotExecuted,
+    /// The request claims to come from another daemon, but that one is not known.
+    UnknownPeer,
     /// A target may have executed the request, but there is no response to forward.
     Failed,
     /// The deadline passed, and no target executed the request, whether or not one was tried.
@@ -52,6 +55,7 @@
             | Self::NotExecuted
             | Self::Expired
             | Self::Draining
+            | Self::UnknownPeer
             | Self::Poison => 503,
             Self::NoRoute => 404,
             Self::UnknownKey => 401,
@@ -93,6 +97,7 @@
             Self::Expired => "expired",
             Self::Draining => "draining",
             Self::Poison => "poison",
+            Self::UnknownPeer => "unknown_peer",
             Self::TimedOut => "timed_out",
         }
     }
@@ -122,6 +127,8 @@
     pub cause: RefusalCause,
     /// Value of the `Retry-After` field.
     pub retry_after: Option<Duration>,
+    /// True when another daemon gets it, which must not take it for a target's response.
+    pub is_for_peer: bool,
 }
 
 impl LocalReply {
@@ -130,6 +137,7 @@
         Self {
             cause,
             retry_after: None,
+            is_for_peer: false,
         }
     }
 
@@ -150,6 +158,9 @@
         if let Some(delay) = self.retry_after {
             head = head.field("Retry-After", format_args!("{:.2}", delay.as_secs_f64()));
         }
+        if self.is_for_peer {
+            head = head.field(LOCAL_REPLY_FIELD, self.cause);
+        }
         if close || self.cause.closes_connection() {
             head = head.field("Connection", "close");
         }
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -19,6 +19,9 @@
     /// Rate limits of targets, by event: `learned`, `changed` and `ended`, `held_back` for a request
     /// that found no permit, `keeper_silent` for a question without a reply.
     pub limits: IntCounterVec,
+    /// Requests between daemons: `passed_on` to another one, `failed` there, and `taken` from another
+    /// one.
+    pub peer_requests: IntCounterVec,
     /// Changes of this daemon's path to all targets: `lost` and `regained`.
     pub paths: IntCounterVec,
     /// Seconds from the arrival of the request head, by kind. The only kind is `first_event`, until
@@ -65,6 +68,11 @@
                 "Rate limits of targets and requests that were held back, by event",
                 &["event"],
             )?,
+            peer_requests: metrics.counter(
+                "relay_peer_requests_total",
+                "Requests that daemons pass on to each other, by event",
+                &["event"],
+            )?,
             paths: metrics.counter(
                 "relay_paths_total",
                 "Changes of the path to all targets, by event",
--- a/src/relay/path.rs
+++ b/src/relay/path.rs
@@ -21,6 +21,8 @@
 const MIN_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Targets tried in each check of a path that is lost.
 const LOST_SAMPLE: usize = 3;
+/// Detail of a local reply to a request for which no target could be reached.
+pub(super) const NO_PATH: &str = "no path to any target";
 /// Period of calling [`watch_path`].
 pub(crate) const PATH_WATCH_PERIOD: Duration = Duration::from_millis(200);
 
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -8,8 +8,10 @@
 use crate::relay::exchange::{ActiveRequest, ExchangeEnd, forward_head};
 use crate::relay::limits::{AT_LIMIT, PermitOutcome, acquire_permit, any_held_back, return_permit};
 use crate::relay::local_reply::RefusalCause;
+use crate::relay::path::NO_PATH;
 use crate::relay::retry::{RelayFailure, RetryState, RetryStep};
 use crate::relay::suspicion::{AttemptSuspicion, check_for_crash, separate_suspects};
+use crate::relay::via_peer::relay_plain_via_peer;
 use crate::targets::TargetEntry;
 use crate::units::MonoTime;
 use crate::wire::{BodyEnd, WireHead, read_body};
@@ -29,14 +31,19 @@
 const ATTEMPT_TIME_SHARE: f64 = 0.5;
 /// Interval at which another target is looked for then.
 const TARGET_POLL: Duration = Duration::from_millis(50);
+/// Interval at which running attempts are looked at, in case this daemon has lost its path.
+const PATH_POLL: Duration = Duration::from_millis(250);
 /// Longest time for which targets with a rate limit are asked for one after the other.
 const PERMIT_WAIT: Duration = Duration::from_millis(250);
 
 /// A complete response of a target.
-struct BufferedResponse {
-    head: WireHead,
-    body: Vec<u8>,
-    end: BodyEnd,
+pub(super) struct BufferedResponse {
+    /// Head.
+    pub head: WireHead,
+    /// Body without its framing.
+    pub body: Vec<u8>,
+    /// How the body ended.
+    pub end: BodyEnd,
 }
 
 /// Relays a request to a plain service, with retries where they are allowed.
@@ -83,10 +90,9 @@
 
 impl<'a> PlainRelay<'a> {
     fn new(request: &'a ActiveRequest<'a>) -> Self {
-        let route = &request.route;
         Self {
             request,
-            state: RetryState::new(route.retry_rule, route.max_targets, request.deadline),
+            state: request.new_retry_state(),
             rng: fastrand::Rng::new(),
             error_response: None,
             detail: String::from("no target is ready"),
@@ -98,10 +104,15 @@
 
     async fn run(mut self) -> ExchangeEnd {
         loop {
-            if self.running.is_empty()
-                && let Err(step) = self.start_next().await
-            {
-                return self.finish(step).await;
+            if self.running.is_empty() {
+                if self.request.is_for_peer()
+                    && let Some(end) = relay_plain_via_peer(self.request, &mut self.state).await
+                {
+                    return end;
+                }
+                if let Err(step) = self.start_next().await {
+                    return self.finish(step).await;
+                }
             }
             let ended = match self.next_event().await {
                 RelayEvent::Ended(target, result) => self.on_end(&target, result).await,
@@ -119,6 +130,10 @@
     /// Starts the next attempt, or returns the step that ends the request without one.
     async fn start_next(&mut self) -> std::result::Result<(), RetryStep> {
         let request = self.request;
+        if request.has_silent_path() {
+            self.detail = String::from(NO_PATH);
+            return Err(self.state.final_step());
+        }
         separate_suspects(request).await;
         let allowed = self.state.next_step(request.context.clock.now());
         let target = if allowed == RetryStep::TryNext && !request.is_poison() {
@@ -137,6 +152,12 @@
     async fn start_beside(&mut self) {
         let request = self.request;
         let now = request.context.clock.now();
+        if request.is_for_peer() && request.has_silent_path() {
+            return self.give_up_attempts();
+        }
+        if now < self.overdue_at {
+            return;
+        }
         self.overdue_at = now.after(TARGET_POLL);
         if self.state.next_step(now) != RetryStep::TryNext {
             return;
@@ -156,6 +177,15 @@
         }
     }
 
+    /// Ends the running attempts, whose connections are silent, if the request may be executed again.
+    fn give_up_attempts(&mut self) {
+        if !self.request.route.retry_rule.allows_reexecution() {
+            return;
+        }
+        self.running.clear();
+        self.state.end_running();
+    }
+
     /// Starts an attempt at the target if the limits allow it, else gives its permit back.
     fn start_if_allowed(
         &mut self,
@@ -194,7 +224,7 @@
 
     async fn next_event(&mut self) -> RelayEvent {
         let now = self.request.context.clock.now();
-        let pause = self.overdue_at.since(now);
+        let pause = self.overdue_at.since(now).min(PATH_POLL);
         let ended = async {
             match self.running.next().await {
                 Some((target, result)) => RelayEvent::Ended(target, result),
@@ -395,6 +425,19 @@
     mut response: PendingResponse,
     limit: Duration,
 ) -> AttemptResult {
+    let (body, end) = read_whole(&mut response, limit).await?;
+    let head = response.head.clone();
+    if end == BodyEnd::Framed {
+        keep_connection(&request.context.pool, &target.id, response);
+    }
+    Ok(BufferedResponse { head, body, end })
+}
+
+/// Reads the whole body of a response within `limit`.
+pub(super) async fn read_whole(
+    response: &mut PendingResponse,
+    limit: Duration,
+) -> std::result::Result<(Vec<u8>, BodyEnd), FailedAttempt> {
     let read = read_body(
         &mut response.stream,
         &mut response.decoder,
@@ -403,15 +446,11 @@
     let read = timeout(limit, read).await;
     let read = read
         .map_err(|_elapsed| FailedAttempt::timed_out("timeout while reading the response body"))?;
-    let (body, end) = read.map_err(|cause| FailedAttempt::unreadable(&cause))?;
-    let head = response.head.clone();
-    if end == BodyEnd::Framed {
-        keep_connection(&request.context.pool, &target.id, response);
-    }
-    Ok(BufferedResponse { head, body, end })
+    read.map_err(|cause| FailedAttempt::unreadable(&cause))
 }
 
-async fn forward_response(
+/// Sends a response to the caller.
+pub(super) async fn forward_response(
     request: &ActiveRequest<'_>,
     response: &BufferedResponse,
     retries: usize,
--- a/src/relay/retry.rs
+++ b/src/relay/retry.rs
@@ -91,8 +91,15 @@
         self.not_executed + self.executions() > 0
     }
 
+    /// Adds attempts of the daemon that passed the request on whose targets may have executed it.
+    #[must_use]
+    pub fn with_executions(mut self, count: u32) -> Self {
+        self.may_have_executed += count;
+        self
+    }
+
     /// Attempts whose target may have executed the request or may be executing it.
-    fn executions(&self) -> u32 {
+    pub fn executions(&self) -> u32 {
         self.may_have_executed + self.running.len() as u32
     }
 
@@ -115,6 +122,12 @@
         self.running.push(target.clone());
     }
 
+    /// Records that the running attempts were given up; their targets may have executed the request.
+    pub fn end_running(&mut self) {
+        self.may_have_executed += self.running.len() as u32;
+        self.running.clear();
+    }
+
     /// Records a failed attempt at `target` and returns [`Self::next_step`]. A caller that first
     /// looks for another target ignores the result and calls that method afterwards.
     pub fn on_failure(
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -45,6 +45,9 @@
     /// Metrics, if they are served.
     #[serde(default)]
     pub metrics: Option<SocketAddr>,
+    /// Requests that other daemons pass on, if they are served.
+    #[serde(default)]
+    pub relay: Option<SocketAddr>,
 }
 
 /// The platform's store.
@@ -117,6 +120,7 @@
     FieldRule::required("addresses", FieldKind::Address),
     FieldRule::required("peers", FieldKind::Address),
     FieldRule::optional("metrics", FieldKind::Address),
+    FieldRule::optional("relay", FieldKind::Address),
 ];
 
 const STORE_TABLE: &[FieldRule] = &[
--- a/src/relay/streaming.rs
+++ b/src/relay/streaming.rs
@@ -11,12 +11,14 @@
 use crate::relay::exchange::{ActiveRequest, ExchangeEnd};
 use crate::relay::forwarding::{ForwardStep, ReadOutcome, StreamForwarder};
 use crate::relay::local_reply::RefusalCause;
+use crate::relay::path::NO_PATH;
 use crate::relay::retry::{RelayFailure, RetryState, RetryStep};
 use crate::relay::stall::{StallDetector, StallStep};
 use crate::relay::stream_chain::{claim_chain, find_next_chain};
 use crate::relay::stream_failure::{log_failure, record_failure, report_stalled_chain};
 use crate::relay::stream_opening::{OpenedStream, OpeningAttempt, OpeningResult, next_opened};
 use crate::relay::suspicion::check_for_crash;
+use crate::relay::via_peer::relay_stream_via_peer;
 use crate::targets::{LayerChain, TargetEntry};
 use crate::telemetry::EventLine;
 use crate::units::MonoTime;
@@ -92,11 +94,10 @@
 
 impl<'a> StreamRelay<'a> {
     fn new(request: &'a ActiveRequest<'a>, model: &'a ModelShape) -> Self {
-        let route = &request.route;
         Self {
             request,
             model,
-            state: RetryState::new(route.retry_rule, route.max_targets, request.deadline),
+            state: request.new_retry_state(),
             delivered: DeliveryProgress {
                 head_sent: false,
                 last_id: request.metadata.resume_after,
@@ -114,6 +115,14 @@
     async fn run(mut self) -> ExchangeEnd {
         loop {
             if self.current.is_none() && self.openings.is_empty() {
+                if let Some(end) = self.pass_on().await {
+                    return end;
+                }
+                if self.request.has_silent_path() && !self.delivered.head_sent {
+                    self.detail = String::from(NO_PATH);
+                    let step = self.state.final_step();
+                    return self.end(step).await;
+                }
                 let found = find_next_chain(
                     self.request,
                     self.model,
@@ -150,6 +159,14 @@
         }
     }
 
+    /// Has the rest of the stream served by another daemon, if this one has lost its path to the targets.
+    async fn pass_on(&mut self) -> Option<ExchangeEnd> {
+        if !self.request.is_for_peer() {
+            return None;
+        }
+        relay_stream_via_peer(self.request, &mut self.state, &mut self.delivered).await
+    }
+
     fn start_attempt(&mut self, chain: &Arc<LayerChain>) {
         let opening = OpeningAttempt::start(self.request, &self.state, chain, &self.delivered);
         let now = self.request.context.clock.now();
@@ -305,6 +322,9 @@
         if !self.request.route.retry_rule.allows_reexecution() {
             return;
         }
+        if self.request.is_for_peer() && self.request.has_silent_path() {
+            return self.give_up_attempts();
+        }
         self.state.set_ended(self.closed_heads.count_ended());
         let claimed = claim_chain(self.request, &self.state, &self.delivered).await;
         let is_overdue = claimed.is_some() || detector.is_long_stalled(now);
@@ -319,6 +339,14 @@
         }
     }
 
+    /// Ends all attempts, as their connections are silent for want of a path to the targets.
+    fn give_up_attempts(&mut self) {
+        let failed = no_event_in_time();
+        for chain in self.take_attempts(&failed) {
+            self.log_dropped(&chain, &failed);
+        }
+    }
+
     /// Notes that the newest attempt has stalled and that another chain is looked for.
     fn note_stall(&mut self, chain: &LayerChain, detector: StallDetector) {
         let now = self.request.context.clock.now();
--- a/src/wire/head.rs
+++ b/src/wire/head.rs
@@ -106,6 +106,15 @@
         fields.map(|(name, value)| (self.text(name), &self.raw[value.clone()]))
     }
 
+    /// The head without the header fields of this name.
+    #[must_use]
+    pub fn without(mut self, name: &str) -> Self {
+        let mut fields = std::mem::take(&mut self.fields);
+        fields.retain(|(found, _)| !self.text(found).eq_ignore_ascii_case(name));
+        self.fields = fields;
+        self
+    }
+
     /// Trimmed value of the first header field with this name, if it is valid UTF-8.
     pub fn field(&self, name: &str) -> Option<&str> {
         let mut fields = self.fields();
--- a/tests/platform_unreachable.rs
+++ b/tests/platform_unreachable.rs
@@ -26,24 +26,27 @@
 
 /// Two failure domains with two daemons each, and plain servers.
 fn plain_site() -> SiteFleet {
-    SiteFleet::start(SiteSpec {
-        daemons: 4,
-        plain_servers: 4,
-        models_per_domain: 0,
-        domains: 2,
-        is_linked: true,
-    })
+    start_site(4, 0)
 }
 
 /// Two failure domains with two daemons and a chain each.
 fn model_site() -> SiteFleet {
-    SiteFleet::start(SiteSpec {
+    start_site(2, 2)
+}
+
+fn start_site(plain_servers: usize, models_per_domain: usize) -> SiteFleet {
+    let site = SiteFleet::start(SiteSpec {
         daemons: 4,
-        plain_servers: 2,
-        models_per_domain: 2,
+        plain_servers,
+        models_per_domain,
         domains: 2,
         is_linked: true,
-    })
+    });
+    until("the daemons to know each other", || {
+        let mut daemons = site.daemons.iter();
+        daemons.all(|daemon| daemon.state.context.sound_peers().len() == 3)
+    });
+    site
 }
 
 fn cut(site: &SiteFleet, daemons: &[usize], state: LinkState) {
--- a/tests/restore_schedules.rs
+++ b/tests/restore_schedules.rs
@@ -223,6 +223,7 @@
             domain: "d0".parse().expect("an identifier"),
             callers: "127.0.0.1:9".parse().expect("an address"),
             peers: "127.0.0.1:9".parse().expect("an address"),
+            relay: None,
         };
         Self {
             session: LeaseSession::new(port.clone(), row, Duration::from_secs(1)),
--- a/tests/target_limits.rs
+++ b/tests/target_limits.rs
@@ -26,6 +26,7 @@
         domain: "d0".parse().expect("an identifier"),
         callers: "127.0.0.1:9".parse().expect("an address"),
         peers: "127.0.0.1:9".parse().expect("an address"),
+        relay: None,
     };
     (0..count).map(row).collect()
 }
