--- a/rig/src/site/mod.rs
+++ b/rig/src/site/mod.rs
@@ -27,6 +27,6 @@
 pub use links::{LinkState, ServerLinks};
 pub use model::{ModelKnobs, ModelServer};
 pub use model_stream::{CutEnd, CutScope, StreamCut, StreamFraming, event_text};
-pub use plain::{PLAIN_BODY, PlainFault, PlainServer};
+pub use plain::{PLAIN_BODY, PlainFault, PlainRun, PlainServer};
 pub use restore::{LostWrite, StoreRestore};
 pub use store::{SiteStore, StoreFault};
