--- a/tests/platform_notices.rs
+++ b/tests/platform_notices.rs
@@ -167,7 +167,7 @@
         server.notices().set_rest(None);
     }
     thread::sleep(Duration::from_secs(1));
-    let before: usize = arrivals(&site);
+    let before = arrivals(&site);
     let address = site.daemons[0].address;
 
     // Act
