Send nothing to a target during the rest that it has asked for

A server that turned a request away with 503 and Retry-After was asked again by each request: nothing read the field. An idle server that turns all away is the least loaded one, so it was chosen first, and each request spent up to four attempts on such servers.

The rest is kept for each run of a target, from the moment at which the head of any answer is read: plain requests, heads of chains, reports and orders. If the head of a chain names another part, both rest. It is part of the gate that rate limits use, so that all ways to a target pass it; a request that waited for a connection looks again. While all targets rest, requests are refused at once, with the time until the first of them has rested and up to a second more.

--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -3,8 +3,9 @@
 use crate::catalog::{ModelShape, ServiceEntry};
 use crate::gateway::ports::{LayerOrder, OrderOutcome};
 use crate::gateway::run::GatewayState;
-use crate::ids::FenceNumber;
+use crate::ids::{FenceNumber, InstanceId, ServiceId};
 use crate::placement::{OrderScheduler, PendingOrder, ServerPlacement};
+use crate::relay::{is_resting, observe_notices};
 use crate::telemetry::EventLine;
 use async_std::task;
 use std::sync::Arc;
@@ -122,11 +123,7 @@
     }
 }
 
-async fn send_order(
-    state: Arc<GatewayState>,
-    service: crate::ids::ServiceId,
-    pending: PendingOrder,
-) {
+async fn send_order(state: Arc<GatewayState>, service: ServiceId, pending: PendingOrder) {
     let context = &state.context;
     // This daemon may have lost the leadership since the order was planned.
     let fence = state.session.fence(context.clock.now());
@@ -140,8 +137,14 @@
         layers: pending.layers,
         fence,
     };
-    let outcome = (state.ports.targets.order_layers)(order).await;
-    let now = context.clock.now();
+    if is_resting(context, &target) {
+        return postpone(&state, &service, &pending.id);
+    }
+    let call = (state.ports.targets.order_layers)(order).await;
+    if let Some((status, notices)) = call.notices {
+        observe_notices(context, &target, status, notices);
+    }
+    let outcome = call.outcome;
     let text = match &outcome {
         Ok(OrderOutcome::Accepted) => "accepted".to_owned(),
         Ok(OrderOutcome::Refused(status)) => format!("refused with status {status}"),
@@ -150,11 +153,7 @@
         Err(cause) => cause.to_string(),
     };
     match outcome {
-        Ok(OrderOutcome::Refused(_)) => state.with_schedulers(|schedulers| {
-            if let Some(scheduler) = schedulers.get_mut(&service) {
-                scheduler.on_refused(&pending.id, now);
-            }
-        }),
+        Ok(OrderOutcome::Refused(_)) => postpone(&state, &service, &pending.id),
         Ok(OrderOutcome::Superseded) => step_down(&state, fence),
         _ => {}
     }
@@ -166,6 +165,16 @@
         .emit(line.with("fence", fence.0).with("outcome", text));
 }
 
+/// Has an order sent again some time later.
+fn postpone(state: &GatewayState, service: &ServiceId, target: &InstanceId) {
+    let now = state.context.clock.now();
+    state.with_schedulers(|schedulers| {
+        if let Some(scheduler) = schedulers.get_mut(service) {
+            scheduler.on_refused(target, now);
+        }
+    });
+}
+
 fn step_down(state: &GatewayState, fence: FenceNumber) {
     state.session.observe_leader(None);
     state
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,7 +12,9 @@
 mod targets;
 
 pub use addresses::AddressReply;
-pub use ports::{GatewayPorts, LayerOrder, OrderOutcome, StoreSchema, TargetPort, TargetReport};
+pub use ports::{
+    GatewayPorts, LayerOrder, OrderOutcome, StoreSchema, TargetCall, TargetPort, TargetReport,
+};
 pub use publisher::TargetPublisher;
 pub use run::{GatewayError, GatewayHandle, GatewayState, start_gateway};
 pub use targets::TargetRegistry;
--- a/src/gateway/ports.rs
+++ b/src/gateway/ports.rs
@@ -2,12 +2,13 @@
 
 use crate::catalog::RoutingCatalog;
 use crate::ids::{FenceNumber, InstanceId};
-use crate::mirror::{PortFuture, StorePort};
-use crate::relay::RelayCodec;
+use crate::mirror::{PortResult, StorePort};
+use crate::relay::{RelayCodec, TargetNotices};
 use crate::targets::TargetEntry;
 use crate::units::LayerRange;
 use std::fmt;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 
 /// Where the platform keeps its own keys in the store, and how to decode their values.
@@ -49,6 +50,18 @@
     WrongTarget,
 }
 
+/// Outcome of a call to a target, and what the response said about the target beside it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TargetCall<T> {
+    /// Outcome.
+    pub outcome: PortResult<T>,
+    /// Status of the response and what it said; `None` without a response.
+    pub notices: Option<(u16, TargetNotices)>,
+}
+
+/// Future of a call to a target.
+type TargetFuture<T> = Pin<Box<dyn Future<Output = TargetCall<T>> + Send>>;
+
 /// Report of a model server about itself, a few hundred milliseconds old.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct TargetReport {
@@ -60,9 +73,9 @@
 #[derive(Clone)]
 pub struct TargetPort {
     /// Fetches a server's report.
-    pub report: Arc<dyn Fn(SocketAddr) -> PortFuture<TargetReport> + Send + Sync>,
+    pub report: Arc<dyn Fn(SocketAddr) -> TargetFuture<TargetReport> + Send + Sync>,
     /// Sends an order to a server.
-    pub order_layers: Arc<dyn Fn(LayerOrder) -> PortFuture<OrderOutcome> + Send + Sync>,
+    pub order_layers: Arc<dyn Fn(LayerOrder) -> TargetFuture<OrderOutcome> + Send + Sync>,
 }
 
 impl fmt::Debug for TargetPort {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -78,8 +78,8 @@
 };
 pub use gateway::{
     AddressReply, GatewayError, GatewayHandle, GatewayPorts, GatewayState, LayerOrder,
-    OrderOutcome, StoreSchema, TargetPort, TargetPublisher, TargetRegistry, TargetReport,
-    start_gateway,
+    OrderOutcome, StoreSchema, TargetCall, TargetPort, TargetPublisher, TargetRegistry,
+    TargetReport, start_gateway,
 };
 pub use http::{
     CallerWatch, ConnectionCount, ConnectionPool, ConnectionReuse, ExecutionOutcome, HttpCall,
@@ -142,7 +142,7 @@
     BudgetLimits, ChainRequirement, DispatchMetadata, GatewayBounds, GatewayListen,
     GatewaySettings, GatewayStore, LocalReply, PeerDispatch, RefusalCause, RelayCodec,
     RelayContext, RelayFailure, RelayMetrics, ReplyMetadata, RequestMetadata, RetryBudget,
-    RetryState, RetryStep, StallDetector, StallStep, pick_chain, pick_target,
+    RetryState, RetryStep, StallDetector, StallStep, TargetNotices, pick_chain, pick_target,
 };
 pub use routing::{
     AnswerEvent, AnswerStream, AttemptEvent, AttemptFailure, AttemptLimits, AttemptMachine,
--- a/src/limits/known.rs
+++ b/src/limits/known.rs
@@ -1,5 +1,6 @@
 //! What one daemon knows of a target's rate limit, and the permits that it holds.
 
+use crate::limits::rest::RestCell;
 use crate::units::{MonoTime, RequestRate};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard};
@@ -41,7 +42,7 @@
     Taken,
     /// The keeper has to be asked, as the target has this limit.
     Ask(RequestRate),
-    /// The keeper had none and need not be asked before this time.
+    /// The target rests, or the keeper had none and need not be asked, before this time.
     HeldBack(MonoTime),
 }
 
@@ -61,12 +62,13 @@
     held_back_until: MonoTime,
 }
 
-/// Rate limit of one run of a target.
+/// Rate limit of one run of a target, and the rest that it has asked this daemon for.
 #[derive(Debug, Default)]
 pub struct LimitCell {
     /// True while there is a limit; requests to other targets take no lock.
     is_limited: AtomicBool,
     state: Mutex<LimitState>,
+    rest: RestCell,
 }
 
 impl LimitCell {
@@ -140,16 +142,36 @@
         state.observation.map(|known| (known.rate, known.at))
     }
 
+    /// Begins a rest, in which the target gets nothing. Returns false when it rests as long anyway.
+    pub fn begin_rest(&self, rest: Duration, now: MonoTime) -> bool {
+        self.rest.begin(rest, now)
+    }
+
+    /// Records a response that did not ask for rest.
+    pub fn on_response(&self, now: MonoTime) {
+        self.rest.on_response(now);
+    }
+
+    /// Time until which the target rests; `None` when it does not.
+    pub fn resting_until(&self, now: MonoTime) -> Option<MonoTime> {
+        self.rest.resting_until(now)
+    }
+
     /// True while no permit can be had.
     pub fn is_held_back(&self, now: MonoTime) -> bool {
-        self.is_limited() && {
-            let state = self.lock();
-            !has_permit(&state, now) && now < state.held_back_until
-        }
+        let is_at_rest = self.rest.held_back_until(now).is_some();
+        is_at_rest
+            || self.is_limited() && {
+                let state = self.lock();
+                !has_permit(&state, now) && now < state.held_back_until
+            }
     }
 
     /// Takes a permit for one request.
     pub fn take(&self, now: MonoTime) -> TakeOutcome {
+        if let Some(until) = self.rest.take(now) {
+            return TakeOutcome::HeldBack(until);
+        }
         if !self.is_limited() {
             return TakeOutcome::Taken;
         }
@@ -167,7 +189,15 @@
         }
     }
 
-    /// Adds permits that the keeper has handed out, or one that was not used.
+    /// Gives back a permit that was not used.
+    pub fn give_back(&self, now: MonoTime) {
+        self.rest.give_back(now);
+        if self.is_limited() {
+            self.add_permits(1, now);
+        }
+    }
+
+    /// Adds permits that the keeper has handed out.
     pub fn add_permits(&self, count: u32, now: MonoTime) {
         let mut state = self.lock();
         if !has_permit(&state, now) {
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -7,6 +7,7 @@
 mod known;
 mod message;
 mod permits;
+mod rest;
 
 pub use keeper::{KeeperTable, PermitGrant, choose_keeper};
 pub use known::{LimitCell, LimitChange, LimitStatement, TakeOutcome};
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -2,8 +2,9 @@
 
 use crate::ids::InstanceId;
 use crate::relay::context::RelayContext;
-use crate::relay::limits::observe_limit;
+use crate::relay::limits::{is_resting, observe_limit};
 use crate::relay::metadata::{DispatchMetadata, ReplyMetadata, RequestMetadata};
+use crate::relay::notices::{AT_REST, observe_notices, observe_part};
 use crate::relay::path::connect_target;
 use crate::relay::retry::RelayFailure;
 use crate::targets::TargetEntry;
@@ -66,6 +67,8 @@
     /// The target closed the connection before its response was complete, or the connection was
     /// lost.
     Disconnected,
+    /// The request was not sent, as the target has asked for rest since it was chosen.
+    HeldBack,
     /// In another way, such as an incorrect response.
     Other,
 }
@@ -149,6 +152,12 @@
         Some(stream) => stream,
         None => connect(context, target, limit).await?,
     };
+    if is_resting(context, target) {
+        return Err(FailedAttempt {
+            kind: FailureKind::HeldBack,
+            ..FailedAttempt::new(RelayFailure::NotSent, AT_REST)
+        });
+    }
     let mut bytes = (context.codec.write_request)(request.head, dispatch).finish();
     bytes.extend_from_slice(request.body);
     let sent_at = context.clock.now();
@@ -156,6 +165,9 @@
     context.reach.on_heard(context.clock.now());
     let (status, metadata) = (response.head.status(), &response.metadata);
     observe_limit(context, target, sent_at, status, metadata);
+    observe_notices(context, target, status, metadata.notices);
+    let faulty_address = metadata.faulty_address;
+    observe_part(context, dispatch.chain, faulty_address, metadata.notices);
     if metadata.not_executed || status == 421 {
         let cause = format!("status {status}, request not executed");
         let kind = match status {
--- a/src/relay/choice.rs
+++ b/src/relay/choice.rs
@@ -104,6 +104,7 @@
     let usable = |chain: &&Arc<LayerChain>| {
         !chain.is_ejected(now)
             && !chain.head().stats.limit().is_held_back(now)
+            && !chain.rests(now)
             && !tried.contains(&chain.head().id)
     };
     let (degraded, healthy): (Vec<_>, Vec<_>) = chains
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -10,6 +10,7 @@
 use crate::relay::crashes::SuspectPart;
 use crate::relay::local_reply::{LocalReply, RefusalCause};
 use crate::relay::metadata::{DispatchMetadata, RequestMetadata};
+use crate::relay::notices::rest_left;
 use crate::relay::retry::{RetryState, RetryStep};
 use crate::relay::via_peer::{LOCAL_REPLY_FIELD, PeerDispatch};
 use crate::relay::{plain, streaming};
@@ -32,6 +33,8 @@
 /// Upper limit of the base, as a share of the caller's timeout. The value sent is between the base
 /// and twice the base.
 const RETRY_AFTER_SHARE: f64 = 0.15;
+/// Time after the end of a rest over which refused callers return.
+const REST_SPREAD: Duration = Duration::from_secs(1);
 /// One in this many successful requests is logged, selected by attempt id so that all daemons log
 /// the same requests.
 const SUCCESS_LOG_INTERVAL: u64 = 64;
@@ -219,7 +222,7 @@
         let mut reply = LocalReply::new(cause);
         reply.is_for_peer = self.origin.is_some();
         if cause.status() == 503 {
-            reply = reply.with_retry_after(self.retry_delay(cause), &mut fastrand::Rng::new());
+            reply = self.with_retry_after(reply);
         }
         let retry_ms = reply.retry_after.map(|delay| delay.as_millis() as u64);
         let line = self
@@ -237,6 +240,24 @@
         }
     }
 
+    /// Adds the time after which the caller should return. While all targets rest, none is served before
+    /// the first of them has rested.
+    fn with_retry_after(&self, mut reply: LocalReply) -> LocalReply {
+        let mut rng = fastrand::Rng::new();
+        let depends_on_targets = [RefusalCause::NoTarget, RefusalCause::NotExecuted];
+        let rest = depends_on_targets
+            .contains(&reply.cause)
+            .then(|| rest_left(self))
+            .flatten();
+        match rest {
+            Some(rest) => {
+                reply.retry_after = Some(rest + REST_SPREAD.mul_f64(rng.f64()));
+                reply
+            }
+            None => reply.with_retry_after(self.retry_delay(reply.cause), &mut rng),
+        }
+    }
+
     /// For the log: the fingerprints for which a request is refused with this cause, separated by
     /// commas.
     fn refusal_reasons(&self, cause: RefusalCause) -> Option<String> {
--- a/src/relay/limits.rs
+++ b/src/relay/limits.rs
@@ -52,7 +52,11 @@
     let outcome = match limit.take(context.clock.now()) {
         TakeOutcome::Taken => return PermitOutcome::Granted,
         TakeOutcome::HeldBack(_) => PermitOutcome::HeldBack,
-        TakeOutcome::Ask(rate) => ask_keeper(context, target, rate).await,
+        TakeOutcome::Ask(rate) => match ask_keeper(context, target, rate).await {
+            // The target may have asked for rest meanwhile.
+            PermitOutcome::Granted if is_resting(context, target) => PermitOutcome::HeldBack,
+            outcome => outcome,
+        },
     };
     if outcome == PermitOutcome::HeldBack {
         count_event(context, "held_back");
@@ -62,10 +66,13 @@
 
 /// Gives back a permit that was not used.
 pub(super) fn return_permit(context: &RelayContext, target: &TargetEntry) {
-    let limit = target.stats.limit();
-    if limit.is_limited() {
-        limit.add_permits(1, context.clock.now());
-    }
+    target.stats.limit().give_back(context.clock.now());
+}
+
+/// True while the target rests.
+pub(crate) fn is_resting(context: &RelayContext, target: &TargetEntry) -> bool {
+    let now = context.clock.now();
+    target.stats.limit().resting_until(now).is_some()
 }
 
 /// True when one of the targets gets no request because of its limit.
--- a/src/relay/metadata.rs
+++ b/src/relay/metadata.rs
@@ -76,6 +76,15 @@
     pub faulty_address: Option<SocketAddr>,
     /// Rate limit of the target.
     pub limit: LimitStatement,
+    /// What else the target says about itself.
+    pub notices: TargetNotices,
+}
+
+/// What a target says about itself in any response.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct TargetNotices {
+    /// Time for which it wants nothing more from this daemon, after it has turned a request away.
+    pub rest: Option<Duration>,
 }
 
 /// Codec between heads of the platform's protocol and metadata.
--- /dev/null
+++ b/src/relay/notices.rs
@@ -0,0 +1,93 @@
+//! What targets say about themselves in their responses, beside the response itself.
+
+use crate::relay::context::RelayContext;
+use crate::relay::exchange::ActiveRequest;
+use crate::relay::limits::AT_LIMIT;
+use crate::relay::metadata::TargetNotices;
+use crate::targets::{LayerChain, TargetEntry};
+use crate::telemetry::EventLine;
+use crate::units::MonoTime;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Detail of a local reply to a request for which all targets rest.
+pub(super) const AT_REST: &str = "targets have asked for rest";
+
+/// Takes what a response says about its target. One with status 421 comes from another target.
+pub(crate) fn observe_notices(
+    context: &RelayContext,
+    target: &TargetEntry,
+    status: u16,
+    notices: TargetNotices,
+) {
+    if status == 421 {
+        return;
+    }
+    let now = context.clock.now();
+    match notices.rest {
+        Some(rest) => begin_rest(context, target, rest, now),
+        None => target.stats.limit().on_response(now),
+    }
+}
+
+/// Takes what the first target of a chain says of the part at `faulty`, which could not take a request.
+pub(super) fn observe_part(
+    context: &RelayContext,
+    chain: Option<&LayerChain>,
+    faulty: Option<SocketAddr>,
+    notices: TargetNotices,
+) {
+    let parts = chain.iter().flat_map(|chain| &chain.parts);
+    let faulty_part = parts
+        .skip(1)
+        .find(|part| Some(part.target.address) == faulty);
+    if let (Some(part), Some(rest)) = (faulty_part, notices.rest) {
+        begin_rest(context, &part.target, rest, context.clock.now());
+    }
+}
+
+fn begin_rest(context: &RelayContext, target: &TargetEntry, rest: Duration, now: MonoTime) {
+    if !target.stats.limit().begin_rest(rest, now) {
+        return;
+    }
+    let events = &context.metrics.limits;
+    events.with_label_values(&["rest"]).inc();
+    let line = EventLine::new("target_rests")
+        .with_display("target", &target.id)
+        .with("rest_ms", rest.as_millis() as u64);
+    context.events.emit(line);
+}
+
+/// Detail of a local reply to a request that targets did not get because of their limits or their rest.
+pub(super) fn held_back_detail(request: &ActiveRequest<'_>) -> &'static str {
+    if rest_left(request).is_some() {
+        AT_REST
+    } else {
+        AT_LIMIT
+    }
+}
+
+/// Shortest time until one of the targets that could serve the request has rested; `None` if one of them
+/// does not rest, or none is there.
+pub(super) fn rest_left(request: &ActiveRequest<'_>) -> Option<Duration> {
+    let context = request.context;
+    let now = context.clock.now();
+    let view = context.targets.load();
+    let service = &request.service.name;
+    let until = |target: &Arc<TargetEntry>| target.stats.limit().resting_until(now);
+    let ends: Vec<Option<MonoTime>> = if request.service.model.is_some() {
+        let chains = view.chains(service).iter();
+        let ends = chains.map(|chain| chain.parts.iter().filter_map(|part| until(&part.target)));
+        ends.map(Iterator::max).collect()
+    } else {
+        let targets = view.service_targets(service).iter();
+        targets
+            .filter(|target| target.is_ready())
+            .map(until)
+            .collect()
+    };
+    let ends: Option<Vec<MonoTime>> = ends.into_iter().collect();
+    let first = ends?.into_iter().min()?;
+    Some(first.since(now))
+}
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -6,8 +6,9 @@
 };
 use crate::relay::choice::pick_target;
 use crate::relay::exchange::{ActiveRequest, ExchangeEnd, forward_head};
-use crate::relay::limits::{AT_LIMIT, PermitOutcome, acquire_permit, any_held_back, return_permit};
+use crate::relay::limits::{PermitOutcome, acquire_permit, any_held_back, return_permit};
 use crate::relay::local_reply::RefusalCause;
+use crate::relay::notices::held_back_detail;
 use crate::relay::path::NO_PATH;
 use crate::relay::retry::{RelayFailure, RetryState, RetryStep};
 use crate::relay::suspicion::{AttemptSuspicion, check_for_crash, separate_suspects};
@@ -142,7 +143,7 @@
             None
         };
         if target.is_none() && is_held_back(request) {
-            self.detail = String::from(AT_LIMIT);
+            self.detail = String::from(held_back_detail(request));
         }
         self.start_if_allowed(target)
     }
@@ -361,7 +362,7 @@
     let context = request.context;
     let now = context.clock.now();
     match failed.failure {
-        _ if context.is_cut_off() => {}
+        _ if failed.kind == FailureKind::HeldBack || context.is_cut_off() => {}
         RelayFailure::NotExecuted if failed.kind == FailureKind::Misdirected => {
             target.stats.mark_replaced();
         }
--- a/src/relay/stream_chain.rs
+++ b/src/relay/stream_chain.rs
@@ -5,7 +5,8 @@
 use crate::relay::closed_heads::ClosedHeads;
 use crate::relay::event_progress::DeliveryProgress;
 use crate::relay::exchange::ActiveRequest;
-use crate::relay::limits::{AT_LIMIT, PermitOutcome, acquire_permit, any_held_back, return_permit};
+use crate::relay::limits::{PermitOutcome, acquire_permit, any_held_back, return_permit};
+use crate::relay::notices::{held_back_detail, rest_left};
 use crate::relay::retry::{RetryState, RetryStep};
 use crate::relay::suspicion::separate_suspects;
 use crate::targets::{LayerChain, ReservationGuard};
@@ -46,7 +47,7 @@
     }
     let chain = find_chain(request, model, state, delivered).await;
     if chain.is_none() && is_held_back(request) {
-        *detail = String::from(AT_LIMIT);
+        *detail = String::from(held_back_detail(request));
     }
     let step = request.next_step(state, chain.is_some());
     match (chain, step) {
@@ -139,6 +140,9 @@
             }
             continue;
         }
+        if rest_left(request).is_some() {
+            return None;
+        }
         let now = context.clock.now();
         let waited = now.since(started);
         let limit = if delivered.head_sent {
--- a/src/relay/stream_failure.rs
+++ b/src/relay/stream_failure.rs
@@ -5,6 +5,7 @@
 use crate::relay::event_progress::DeliveryProgress;
 use crate::relay::exchange::ActiveRequest;
 use crate::relay::limits::{PermitOutcome, acquire_permit};
+use crate::relay::notices::observe_notices;
 use crate::relay::path::probe_target;
 use crate::relay::retry::RelayFailure;
 use crate::targets::{LayerChain, TargetEntry};
@@ -29,7 +30,7 @@
         .find(|part| Some(part.target.address) == faulty_address);
     let target = faulty_part.map_or(chain.head(), |part| &part.target);
     match failed.failure {
-        _ if context.is_cut_off() => {}
+        _ if failed.kind == FailureKind::HeldBack || context.is_cut_off() => {}
         RelayFailure::NotExecuted
             if failed.kind == FailureKind::Misdirected && faulty_part.is_none() =>
         {
@@ -89,7 +90,11 @@
         if acquire_permit(&context, first_target).await == PermitOutcome::HeldBack {
             return;
         }
-        let report = match (context.target_port.report)(first_target.address).await {
+        let call = (context.target_port.report)(first_target.address).await;
+        if let Some((status, notices)) = call.notices {
+            observe_notices(&context, first_target, status, notices);
+        }
+        let report = match call.outcome {
             Ok(report) => report,
             Err(cause) => {
                 let line = EventLine::new("report_failed").with_display("target", &first_target.id);
--- a/src/targets/chain.rs
+++ b/src/targets/chain.rs
@@ -51,6 +51,12 @@
             .any(|part| part.target.stats.is_ejected(now))
     }
 
+    /// True while the target of a part rests.
+    pub fn rests(&self, now: MonoTime) -> bool {
+        let mut parts = self.parts.iter();
+        parts.any(|part| part.target.stats.limit().resting_until(now).is_some())
+    }
+
     /// True when the target of a part is degraded.
     pub fn is_degraded(&self, now: MonoTime) -> bool {
         self.parts
