Send no more requests to a target that says in a response that it leaves

A server that leaves says so in all its answers, often before its entry does; nothing read that, so requests reached it all the while. It now counts from the first such answer as an entry that leaves, for this run only: at once for the choice of targets and chains, and within 200 ms for the chains and placements. Answers of all kinds count: failures, heads of streams, orders and reports; not a 421, which another target sends. Other daemons hear of it with the load digests. If all targets leave, requests are refused.

--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -288,7 +288,7 @@
     let duty = move |now| {
         let state = Arc::clone(&leading);
         Box::pin(async move {
-            drop_expired(&state, now);
+            refresh_targets(&state, now);
             run_leader_duty(&state).await;
         }) as futures_lite::future::Boxed<()>
     };
@@ -323,9 +323,12 @@
     }
 }
 
-fn drop_expired(state: &Arc<GatewayState>, now: MonoTime) {
+/// Publishes the targets without those whose grace period is over, and after a response has changed
+/// which accept requests.
+fn refresh_targets(state: &Arc<GatewayState>, now: MonoTime) {
     let notices = state.with_targets(|targets, _| targets.take_expired(now));
-    if !notices.is_empty() {
+    let is_changed = state.context.targets_changed.swap(false, Ordering::AcqRel);
+    if is_changed || !notices.is_empty() {
         log_target_notices(state, notices);
         publish_targets(state);
     }
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -2,7 +2,7 @@
 
 use crate::ids::InstanceId;
 use crate::mirror::{ExpiryHold, MirrorChange, RemovalStep};
-use crate::targets::{TargetEntry, TargetStats};
+use crate::targets::{TargetEntry, TargetPhase, TargetStats};
 use crate::units::MonoTime;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -91,7 +91,7 @@
                     }
                     // A run that leaves does not come back. Its entry may do so for a moment, after
                     // a restore of the store.
-                    Some(known) if !known.is_ready() && entry.started_ms > 0 => {
+                    Some(known) if known.phase == TargetPhase::Leaving && entry.started_ms > 0 => {
                         entry.phase = known.phase;
                     }
                     _ => {}
@@ -99,7 +99,7 @@
                 let stats = self.stats.entry(entry.id.clone()).or_default();
                 entry.stats = Arc::clone(stats);
                 if !entry.is_ready() {
-                    entry.stats.mark_leaving();
+                    let _known = entry.stats.mark_leaving();
                 }
                 self.entries.insert(Arc::clone(key), Arc::new(entry));
                 None
--- a/src/loads/digest.rs
+++ b/src/loads/digest.rs
@@ -38,6 +38,9 @@
     /// Whether the sender has a path to the targets.
     #[prost(message, optional, tag = "8")]
     pub reach: Option<ReachStatement>,
+    /// Runs of targets that leave, by their hashes.
+    #[prost(fixed64, repeated, tag = "9")]
+    pub leaving: Vec<u64>,
 }
 
 impl ReservationDigest {
--- a/src/loads/exchange.rs
+++ b/src/loads/exchange.rs
@@ -5,8 +5,8 @@
 use crate::loads::digest::{ReservationDigest, ReservationRow, target_hash};
 use crate::loads::table::LoadTable;
 use crate::relay::{
-    RelayContext, answer_ask, count_crashes, known_limits, merge_limits, merge_peer_crashes,
-    unstored_crashes,
+    RelayContext, answer_ask, count_crashes, known_limits, leaving_runs, merge_leaving_runs,
+    merge_limits, merge_peer_crashes, unstored_crashes,
 };
 use async_io::{Async, Timer};
 use futures_lite::future::or;
@@ -67,6 +67,7 @@
                 handle_permits(&context, &socket, &digest, from).await;
                 if digest.sequence > 0 {
                     merge_limits(&context, &digest.limits);
+                    merge_leaving_runs(&context, &digest.leaving);
                     merge_peer_crashes(&context, &digest.crashes);
                     table.record(digest, clock.now());
                 }
@@ -79,6 +80,7 @@
                 count_crashes(&context);
                 digest.crashes = unstored_crashes(&context);
                 digest.limits = known_limits(&context, digest.sequence);
+                digest.leaving = leaving_runs(&context);
                 let statement = context.reach.statement();
                 let is_news = digest.reach.replace(statement) != Some(statement);
                 send_digest(&context, &socket, &digest).await;
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -81,7 +81,7 @@
     /// Whether the target may have executed the request.
     pub failure: RelayFailure,
     /// Metadata of the response, if its head arrived.
-    pub metadata: ReplyMetadata,
+    pub metadata: Box<ReplyMetadata>,
     /// Failure text for the log.
     pub cause: String,
 }
@@ -126,7 +126,7 @@
         Self {
             kind: FailureKind::Other,
             failure,
-            metadata: ReplyMetadata::default(),
+            metadata: Box::default(),
             cause: cause.to_string(),
         }
     }
@@ -177,7 +177,7 @@
         return Err(FailedAttempt {
             kind,
             failure: RelayFailure::NotExecuted,
-            metadata: response.metadata,
+            metadata: Box::new(response.metadata),
             cause,
         });
     }
--- a/src/relay/choice.rs
+++ b/src/relay/choice.rs
@@ -105,6 +105,7 @@
         !chain.is_ejected(now)
             && !chain.head().stats.limit().is_held_back(now)
             && !chain.rests(now)
+            && !chain.leaves()
             && !tried.contains(&chain.head().id)
     };
     let (degraded, healthy): (Vec<_>, Vec<_>) = chains
--- a/src/relay/context.rs
+++ b/src/relay/context.rs
@@ -38,6 +38,9 @@
     pub catalog: CatalogCell,
     /// Latest snapshot of the targets.
     pub targets: ViewCell,
+    /// True when a target's response has changed which targets accept requests, so that the snapshot is
+    /// out of date.
+    pub targets_changed: AtomicBool,
     /// Daemons listed in the store.
     pub presence: PresenceTable,
     /// Daemons that sent their load recently.
@@ -203,6 +206,7 @@
             lifecycle: Arc::default(),
             catalog: CatalogCell::default(),
             targets: ViewCell::default(),
+            targets_changed: AtomicBool::new(false),
             presence: PresenceTable::default(),
             recent_peers: RecentPeers::default(),
             reach: ReachCell::default(),
--- a/src/relay/metadata.rs
+++ b/src/relay/metadata.rs
@@ -85,6 +85,8 @@
 pub struct TargetNotices {
     /// Time for which it wants nothing more from this daemon, after it has turned a request away.
     pub rest: Option<Duration>,
+    /// True when it leaves: it finishes its requests and then exits.
+    pub is_leaving: bool,
 }
 
 /// Codec between heads of the platform's protocol and metadata.
--- a/src/relay/notices.rs
+++ b/src/relay/notices.rs
@@ -9,11 +9,15 @@
 use crate::units::MonoTime;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// Detail of a local reply to a request for which all targets rest.
 pub(super) const AT_REST: &str = "targets have asked for rest";
 
+/// Most runs of targets that leave in one message.
+const MAX_LEAVING_RUNS: usize = 64;
+
 /// Takes what a response says about its target. One with status 421 comes from another target.
 pub(crate) fn observe_notices(
     context: &RelayContext,
@@ -25,6 +29,9 @@
         return;
     }
     let now = context.clock.now();
+    if notices.is_leaving {
+        mark_leaving(context, target, "response");
+    }
     match notices.rest {
         Some(rest) => begin_rest(context, target, rest, now),
         None => target.stats.limit().on_response(now),
@@ -47,6 +54,39 @@
     }
 }
 
+/// Records that a target leaves; no more requests are sent to it.
+fn mark_leaving(context: &RelayContext, target: &TargetEntry, source: &'static str) {
+    if !target.stats.mark_leaving() {
+        return;
+    }
+    context.targets_changed.store(true, Ordering::Release);
+    let line = EventLine::new("target_leaves")
+        .with_display("target", &target.id)
+        .with("source", source);
+    context.events.emit(line);
+}
+
+/// Runs of targets that leave, to tell other daemons.
+pub(crate) fn leaving_runs(context: &RelayContext) -> Vec<u64> {
+    let view = context.targets.load();
+    let leaving = view.targets().filter(|target| target.stats.is_leaving());
+    leaving
+        .map(|target| target.run_hash())
+        .take(MAX_LEAVING_RUNS)
+        .collect()
+}
+
+/// Takes the runs of targets of which another daemon says that they leave.
+pub(crate) fn merge_leaving_runs(context: &RelayContext, runs: &[u64]) {
+    if runs.is_empty() {
+        return;
+    }
+    let view = context.targets.load();
+    for target in runs.iter().filter_map(|run| view.run(*run)) {
+        mark_leaving(context, target, "peer");
+    }
+}
+
 fn begin_rest(context: &RelayContext, target: &TargetEntry, rest: Duration, now: MonoTime) {
     if !target.stats.limit().begin_rest(rest, now) {
         return;
--- a/src/relay/stream_opening.rs
+++ b/src/relay/stream_opening.rs
@@ -174,7 +174,7 @@
     let may_reexecute = request.route.retry_rule.allows_reexecution();
     if status >= 500 && may_reexecute && !delivered.head_sent {
         return Some(FailedAttempt {
-            metadata: response.metadata.clone(),
+            metadata: Box::new(response.metadata.clone()),
             ..FailedAttempt::new(RelayFailure::Failed, format_args!("status {status}"))
         });
     }
--- a/src/targets/chain.rs
+++ b/src/targets/chain.rs
@@ -51,6 +51,12 @@
             .any(|part| part.target.stats.is_ejected(now))
     }
 
+    /// True when the target of a part has announced that it leaves.
+    pub fn leaves(&self) -> bool {
+        let mut parts = self.parts.iter();
+        parts.any(|part| part.target.stats.is_leaving())
+    }
+
     /// True while the target of a part rests.
     pub fn rests(&self, now: MonoTime) -> bool {
         let mut parts = self.parts.iter();
--- a/src/targets/entry.rs
+++ b/src/targets/entry.rs
@@ -31,7 +31,7 @@
     pub address: SocketAddr,
     /// Failure domain.
     pub domain: DomainId,
-    /// Whether it accepts new requests.
+    /// Whether it accepts new requests according to its entry.
     pub phase: TargetPhase,
     /// Requests that it runs concurrently.
     pub slots: u32,
@@ -44,9 +44,9 @@
 }
 
 impl TargetEntry {
-    /// True when it accepts new requests.
+    /// True when it accepts new requests: neither its entry nor a response of it has said that it leaves.
     pub fn is_ready(&self) -> bool {
-        self.phase == TargetPhase::Ready
+        self.phase == TargetPhase::Ready && !self.stats.is_leaving()
     }
 
     /// True when both are entries of one run of a target.
--- a/src/targets/stats.rs
+++ b/src/targets/stats.rs
@@ -235,9 +235,9 @@
         }
     }
 
-    /// Records that the target has announced that it leaves.
-    pub fn mark_leaving(&self) {
-        self.leaving.store(true, Ordering::Relaxed);
+    /// Records that the target has announced that it leaves. True if that was not known.
+    pub fn mark_leaving(&self) -> bool {
+        !self.leaving.swap(true, Ordering::Relaxed)
     }
 
     /// True when the target has announced that it leaves, so that its end is no crash.
--- a/tests/boundary.rs
+++ b/tests/boundary.rs
@@ -26,6 +26,7 @@
     "X-Length-Hint",
     "At-Server",
     "Server-Limit",
+    "Server-Leaving",
     "Store-Era",
     "/resolve",
     "/kv-",
--- a/tests/platform_notices.rs
+++ b/tests/platform_notices.rs
@@ -295,3 +295,24 @@
         server.runs().len() > runs
     });
 }
+
+/// A daemon hears from another one that a server leaves, without a response of its own.
+#[test]
+fn other_daemons_hear_that_a_server_leaves() {
+    let site = SiteFleet::start(SiteSpec {
+        daemons: 2,
+        plain_servers: 3,
+        models_per_domain: 0,
+        ..SiteSpec::default()
+    });
+    let server = &site.plain_servers[0];
+    server.notices().set_leaving(true);
+
+    send_load(&site, "get", Duration::from_millis(300));
+
+    let id = server.id().parse().expect("an identifier");
+    until("the other daemon to hear of it", || {
+        let view = site.daemons[1].state.context.targets.load();
+        view.target(&id).is_some_and(|target| !target.is_ready())
+    });
+}
