Let the soak cut daemons off from all servers, and play servers that rest or say that they leave

Each daemon reaches the servers through links of its own, which fall silent, are reset, or refuse new connections while open ones live on. Servers ask for rest, or say in their answers that they leave and then end. A daemon that is cut off from servers counts as in touch.

--- a/rig/src/site/fleet.rs
+++ b/rig/src/site/fleet.rs
@@ -174,7 +174,7 @@
         let (links, models) = (links.clone(), self.model_servers.clone());
         self.store.add_view(move |address| {
             let front = links.front(address);
-            let model = models.iter().find(|model| model.address() == address);
+            let model = models.iter().find(|model| model.is_at(address));
             if let Some(model) = model {
                 model.add_front(front);
             }
--- a/rig/src/site/model.rs
+++ b/rig/src/site/model.rs
@@ -351,6 +351,12 @@
         field.map_or_else(String::new, |(name, value)| format!("{name}: {value}\r\n"))
     }
 
+    /// True when the server is listed at `address` or serves there.
+    pub fn is_at(&self, address: SocketAddr) -> bool {
+        let listed = self.with_state(|state| state.listed_address.clone());
+        self.address == address || listed.is_some_and(|listed| listed == address.to_string())
+    }
+
     /// Takes `address` for one of its own: a daemon reaches the server through a proxy there.
     pub fn add_front(&self, address: SocketAddr) {
         self.with_state(|state| state.fronts.push(address));
--- a/rig/src/soak/daemon.rs
+++ b/rig/src/soak/daemon.rs
@@ -2,6 +2,7 @@
 
 use crate::fleet::{ProcessHandle, free_address};
 use crate::proxy::FaultProxy;
+use crate::site::{ServerLinks, SiteFleet};
 use crate::soak::fault::DaemonLink;
 use crate::soak::message::{HttpMessage, UnframedBody};
 use crate::soak::spec::{RuleBounds, SoakSpec};
@@ -29,6 +30,7 @@
 const READY_PORT: u16 = 8_220;
 const ADDRESSES_PORT: u16 = 8_224;
 const PEERS_PORT: u16 = 8_229;
+const RELAY_PORT: u16 = 8_230;
 /// Timeout of a question whether a daemon is ready.
 const READY_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -43,6 +45,8 @@
     program: PathBuf,
     callers: FaultProxy,
     store: FaultProxy,
+    /// Links to the servers.
+    server_links: ServerLinks,
     /// None while it is down.
     process: Option<ProcessHandle>,
     /// Repeats that the settings allow in any window; a reload changes it by one.
@@ -69,8 +73,10 @@
         spec: &SoakSpec,
         number: usize,
         domains: usize,
-        store: SocketAddr,
+        site: &SiteFleet,
     ) -> Result<Self> {
+        let server_links = ServerLinks::default();
+        let store = site.add_linked_view(&server_links);
         let ip = daemon_ip(number);
         let callers = SocketAddr::new(ip, CALLERS_PORT);
         let link = |target| FaultProxy::start_faithful(free_address(), target, None);
@@ -86,6 +92,7 @@
             program: spec.program.clone(),
             callers: link(callers).await.map_err(|e| e.to_string())?,
             store: link(store).await.map_err(|e| e.to_string())?,
+            server_links,
             process: None,
             retry_extra: RuleBounds::RETRY_EXTRA,
         };
@@ -106,6 +113,11 @@
         }
     }
 
+    /// Its links to the servers.
+    pub fn server_links(&self) -> &ServerLinks {
+        &self.server_links
+    }
+
     /// Process; none while it is down.
     pub fn process(&mut self) -> Option<&mut ProcessHandle> {
         self.process.as_mut()
@@ -129,6 +141,7 @@
             "listen": {
                 "callers": at(CALLERS_PORT), "ready": at(READY_PORT),
                 "addresses": at(ADDRESSES_PORT), "peers": at(PEERS_PORT),
+                "relay": at(RELAY_PORT),
             },
             "store": {"address": self.store.address().to_string(), "lease_floor_ms": 1_000},
             "first_peers": self.first_peers,
--- a/rig/src/soak/play.rs
+++ b/rig/src/soak/play.rs
@@ -2,7 +2,7 @@
 
 use crate::fleet::ProcessHandle;
 use crate::proxy::ProxyFaults;
-use crate::site::{PlainFault, SiteFleet, StoreFault};
+use crate::site::{LinkState, PlainFault, SiteFleet, StoreFault};
 use crate::soak::configuration::ConfigWriter;
 use crate::soak::daemon::SoakDaemon;
 use crate::soak::evidence::{FaultSpan, FaultSubject, OwnEnd};
@@ -186,6 +186,9 @@
             (FaultAction::Link(link, faults), FaultSubject::Daemon(number)) => {
                 self.daemons[*number].link(link).set_faults(faults);
             }
+            (FaultAction::ServerLinks(state), FaultSubject::Daemon(number)) => {
+                self.daemons[*number].server_links().set_state(state);
+            }
             (FaultAction::ResetLink(link), FaultSubject::Daemon(number)) => {
                 self.daemons[*number].link(link).reset_connections();
             }
@@ -224,6 +227,11 @@
                 let link = self.daemons[*number].link(link);
                 link.set_faults(ProxyFaults::default());
             }
+            (FaultAction::ServerLinks(_), FaultSubject::Daemon(number)) => {
+                self.daemons[*number]
+                    .server_links()
+                    .set_state(LinkState::Open);
+            }
             (FaultAction::Store(_), _) => self.site.store.set_fault(0, StoreFault::None),
             (FaultAction::AllStoreLinks(_), _) => self.set_store_links(ProxyFaults::default()),
             (FaultAction::StoreData(StoreAction::LapseEntries), _) => self.list_servers(),
--- a/rig/src/soak/rules/mod.rs
+++ b/rig/src/soak/rules/mod.rs
@@ -9,6 +9,8 @@
 mod configuration;
 mod facts;
 mod leaving;
+mod notices;
+mod reach;
 mod runs;
 mod streams;
 mod timing;
@@ -67,6 +69,9 @@
     ("ORDER", streams::broken_order),
     ("LAYERS", streams::broken_chain),
     ("LIMIT", timing::over_limit),
+    ("BUDGET rest", notices::asked_in_a_rest),
+    ("DRAIN answers", notices::asked_after_leaving),
+    ("RECOVER cut off", reach::worse_served),
     ("RECOVER", timing::not_recovered),
     ("FAULT", timing::own_end),
 ];
--- a/rig/src/soak/strike.rs
+++ b/rig/src/soak/strike.rs
@@ -104,6 +104,8 @@
                 };
                 self.shared.evidence().departures.push(departure);
             }
+            (ServerAction::SayLeaving, _) => server.notices().set_leaving(true),
+            (ServerAction::Rest(text), _) => server.notices().set_rest(Some(text)),
             (ServerAction::ReuseAddress, _) => {
                 let mut entry = plain_server_entry(&server, "ready");
                 let is_second = SECOND_SERVERS.contains(&&**id);
@@ -152,6 +154,11 @@
                 }
                 self.list(&server, "ready");
             }
+            ServerAction::SayLeaving => {
+                server.notices().set_leaving(false);
+                self.site.crashes.crash(server.address(), "");
+            }
+            ServerAction::Rest(_) => server.notices().set_rest(None),
             ServerAction::ReuseAddress => {
                 self.site.store.remove(&format!("servers/gone-{id}"));
             }
--- a/tests/platform_unreachable.rs
+++ b/tests/platform_unreachable.rs
@@ -236,3 +236,45 @@
         view.targets().find(is_passed_over).is_none()
     });
 }
+
+/// Sound servers that fall silent together for a second are no loss of the path: they still accept
+/// connections.
+#[test]
+fn silence_of_all_servers_is_no_loss_of_the_path() {
+    // Arrange
+    let site = model_site();
+    let silence = Duration::from_millis(1_100);
+    for server in &site.model_servers {
+        server.set_knobs(ModelKnobs {
+            pause_at_event: Some((5, silence)),
+            ..ModelKnobs::default()
+        });
+    }
+    for server in &site.plain_servers {
+        server.set_work_time(silence);
+    }
+    let address = site.daemons[0].address;
+
+    // Act
+    let callers: Vec<_> = (0..6)
+        .map(|number| {
+            let request = match number % 2 {
+                0 => stream_call(&format!("s{number}")),
+                _ => SiteRequest::new("POST", "/post/x", &format!("p{number}")),
+            };
+            thread::spawn(move || send_site_request(address, &request))
+        })
+        .collect();
+    let reach = &site.daemons[0].state.context.reach;
+    while callers.iter().any(|caller| !caller.is_finished()) {
+        assert!(!reach.is_lost());
+        thread::sleep(PAUSE);
+    }
+
+    // Assert
+    for caller in callers {
+        let answer = caller.join().expect("the caller ends");
+        assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+    }
+    assert_eq!(reach.statement().version, 0);
+}
