Share what the two ways to pass requests on have in common, and move refusals into a file

PeerTries chooses the next daemon and record_failure takes account of one that did not serve, for plain requests and streams alike; one list names the header fields of a connection. The reply to a refused request and its Retry-After leave relay/exchange.rs for relay/request_refusal.rs. A stranger on the address for daemons is refused before its body is read.

--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -8,11 +8,10 @@
 use crate::relay::caller_stream::CallerFraming;
 use crate::relay::context::RelayContext;
 use crate::relay::crashes::SuspectPart;
-use crate::relay::local_reply::{LocalReply, RefusalCause};
+use crate::relay::local_reply::RefusalCause;
 use crate::relay::metadata::{DispatchMetadata, RequestMetadata};
-use crate::relay::notices::rest_left;
 use crate::relay::retry::{RetryState, RetryStep};
-use crate::relay::via_peer::{LOCAL_REPLY_FIELD, PeerDispatch};
+use crate::relay::via_peer::{LOCAL_REPLY_FIELD, PEER_FIELD, PeerDispatch};
 use crate::relay::{plain, streaming};
 use crate::targets::{LayerChain, TargetEntry};
 use crate::telemetry::EventLine;
@@ -24,17 +23,7 @@
 use std::time::Duration;
 
 /// Timeout of a request whose caller names none.
-const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
-/// Base of `Retry-After`, see [`ActiveRequest::reply_locally`]. In most cases, the layers of a lost
-/// target have been loaded on another one within this time.
-const RETRY_AFTER: Duration = Duration::from_millis(1_800);
-/// The same during draining, when another daemon can serve the request at once.
-const DRAINING_RETRY_AFTER: Duration = Duration::from_millis(20);
-/// Upper limit of the base, as a share of the caller's timeout. The value sent is between the base
-/// and twice the base.
-const RETRY_AFTER_SHARE: f64 = 0.15;
-/// Time after the end of a rest over which refused callers return.
-const REST_SPREAD: Duration = Duration::from_secs(1);
+pub(super) const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 /// One in this many successful requests is logged, selected by attempt id so that all daemons log
 /// the same requests.
 const SUCCESS_LOG_INTERVAL: u64 = 64;
@@ -148,7 +137,7 @@
     }
 
     /// Time for which such a request is still kept from targets, if it is.
-    fn refusal_time(&self) -> Option<Duration> {
+    pub(super) fn refusal_time(&self) -> Option<Duration> {
         let poison = &self.context.poison;
         if poison.is_empty() {
             return None;
@@ -216,75 +205,6 @@
         write_all(self.caller, bytes).await.is_ok()
     }
 
-    /// Sends a local reply and logs it with `detail`. One with status 503 carries a `Retry-After`,
-    /// see [`Self::retry_delay`].
-    pub(super) async fn reply_locally(&self, cause: RefusalCause, detail: &str) -> ExchangeEnd {
-        let mut reply = LocalReply::new(cause);
-        reply.is_for_peer = self.origin.is_some();
-        if cause.status() == 503 {
-            reply = self.with_retry_after(reply);
-        }
-        let retry_ms = reply.retry_after.map(|delay| delay.as_millis() as u64);
-        let line = self
-            .log_line("answered")
-            .with("cause", cause.name())
-            .with("detail", detail)
-            .with("refused_for", self.refusal_reasons(cause));
-        self.context
-            .events
-            .emit(line.with("retry_after_ms", retry_ms));
-        if self.send(&reply.encode(self.close)).await {
-            ExchangeEnd::LocalReply(cause)
-        } else {
-            ExchangeEnd::Truncated
-        }
-    }
-
-    /// Adds the time after which the caller should return. While all targets rest, none is served before
-    /// the first of them has rested.
-    fn with_retry_after(&self, mut reply: LocalReply) -> LocalReply {
-        let mut rng = fastrand::Rng::new();
-        let depends_on_targets = [RefusalCause::NoTarget, RefusalCause::NotExecuted];
-        let rest = depends_on_targets
-            .contains(&reply.cause)
-            .then(|| rest_left(self))
-            .flatten();
-        match rest {
-            Some(rest) => {
-                reply.retry_after = Some(rest + REST_SPREAD.mul_f64(rng.f64()));
-                reply
-            }
-            None => reply.with_retry_after(self.retry_delay(reply.cause), &mut rng),
-        }
-    }
-
-    /// For the log: the fingerprints for which a request is refused with this cause, separated by
-    /// commas.
-    fn refusal_reasons(&self, cause: RefusalCause) -> Option<String> {
-        if cause != RefusalCause::Poison {
-            return None;
-        }
-        let now = self.context.clock.now();
-        let poison = &self.context.poison;
-        let reasons = poison.refusal_reasons(&self.fingerprints(), now);
-        let reasons: Vec<String> = reasons.iter().map(ToString::to_string).collect();
-        Some(reasons.join(","))
-    }
-
-    /// Base of `Retry-After`; the value sent is between it and twice as much. Limited to a share of
-    /// the caller's timeout, unless no earlier retry can be served.
-    fn retry_delay(&self, cause: RefusalCause) -> Duration {
-        let timeout = self.metadata.time_left.unwrap_or(DEFAULT_TIMEOUT);
-        let base = match cause {
-            RefusalCause::Poison => {
-                return self.refusal_time().unwrap_or_default();
-            }
-            RefusalCause::Draining => DRAINING_RETRY_AFTER,
-            _ => RETRY_AFTER,
-        };
-        base.min(timeout.mul_f64(RETRY_AFTER_SHARE))
-    }
-
     /// Metadata sent to a target in addition to the caller's head.
     pub(super) fn dispatch<'a>(
         &'a self,
@@ -428,7 +348,7 @@
 }
 
 /// Hop-by-hop fields and those between daemons, which are not forwarded.
-const HOP_BY_HOP_FIELDS: [&str; 8] = [
+const HOP_BY_HOP_FIELDS: [&str; 9] = [
     "connection",
     "keep-alive",
     "proxy-connection",
@@ -437,17 +357,22 @@
     "transfer-encoding",
     "upgrade",
     LOCAL_REPLY_FIELD,
+    PEER_FIELD,
 ];
 
+/// True for a header field that concerns one connection only, or the length of the body, which is framed
+/// anew.
+pub(super) fn is_of_connection(name: &str) -> bool {
+    let mut fields = HOP_BY_HOP_FIELDS.iter();
+    name.eq_ignore_ascii_case("content-length")
+        || fields.any(|field| name.eq_ignore_ascii_case(field))
+}
+
 /// Head of a target's response as sent to the caller, without its framing fields.
 pub(super) fn forward_head(head: &WireHead, close: bool) -> HeadBuilder {
     let mut builder = HeadBuilder::response(head.status());
     for (name, value) in head.fields() {
-        let framing = name.eq_ignore_ascii_case("content-length");
-        let hop = HOP_BY_HOP_FIELDS
-            .iter()
-            .any(|field| name.eq_ignore_ascii_case(field));
-        if !framing && !hop {
+        if !is_of_connection(name) {
             builder.push(name, value);
         }
     }
--- a/src/relay/listener.rs
+++ b/src/relay/listener.rs
@@ -143,6 +143,14 @@
     source: RequestSource,
 ) -> ConnectionStep {
     let _in_flight = context.lifecycle.start_request();
+    let origin = match read_origin(context, &head, source) {
+        Ok(origin) => origin,
+        Err(cause) => {
+            // The body was not read.
+            refuse(context, stream, cause, source).await;
+            return ConnectionStep::Close;
+        }
+    };
     if head.has_token("expect", "100-continue") {
         let sent = stream.send(b"HTTP/1.1 100 Continue\r\n\r\n").await;
         if sent.is_err() {
@@ -163,10 +171,6 @@
     };
     // The configuration may have arrived or changed while the body was read.
     let catalog = context.catalog.load();
-    let origin = match read_origin(context, &head, source) {
-        Ok(origin) => origin,
-        Err(cause) => return refuse(context, stream, cause, source).await,
-    };
     let head = if origin.is_some() {
         head.without(PEER_FIELD)
     } else {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -19,6 +19,7 @@
 mod path;
 mod plain;
 mod refusals;
+mod request_refusal;
 mod retry;
 mod settings;
 mod stall;
--- a/src/relay/via_peer/exchange.rs
+++ b/src/relay/via_peer/exchange.rs
@@ -3,7 +3,7 @@
 use crate::ids::InstanceId;
 use crate::presence::{PresenceRow, RelayAccess};
 use crate::relay::attempt::{FailedAttempt, PendingResponse, exchange_heads};
-use crate::relay::exchange::ActiveRequest;
+use crate::relay::exchange::{ActiveRequest, is_of_connection};
 use crate::relay::local_reply::RefusalCause;
 use crate::relay::retry::{RelayFailure, RetryState, RetryStep};
 use crate::relay::via_peer::dispatch::{LOCAL_REPLY_FIELD, PEER_FIELD, PeerDispatch};
@@ -15,20 +15,7 @@
 /// Timeout for connecting to another daemon.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Most daemons that one request is passed on to before it is served or refused here.
-pub(super) const MAX_PEERS: usize = 3;
-
-/// Header fields that concern one connection only, or the framing that is written anew.
-const CONNECTION_FIELDS: [&str; 9] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "content-length",
-    "expect",
-];
+const MAX_PEERS: usize = 3;
 
 /// A daemon that a request can be passed on to.
 #[derive(Debug, Clone)]
@@ -39,27 +26,58 @@
     pub access: RelayAccess,
 }
 
-/// Chooses a daemon that has a path to the targets and is not in `tried`, one of the own failure domain if
-/// there is one. The choice is random, so that the load of this daemon is spread.
-pub(super) fn choose_peer(request: &ActiveRequest<'_>, tried: &[InstanceId]) -> Option<RelayPeer> {
-    let context = request.context;
-    let mut rows = context.sound_peers();
-    rows.retain(|row| row.relay.is_some() && !tried.contains(&row.instance));
-    let is_near = |row: &PresenceRow| row.domain == context.settings.failure_domain;
-    if rows.iter().any(is_near) {
-        rows.retain(is_near);
+/// The daemons that one request was passed on to.
+#[derive(Debug, Default)]
+pub(super) struct PeerTries {
+    tried: Vec<InstanceId>,
+}
+
+impl PeerTries {
+    /// The daemon to try next: one that has a path to the targets and was not tried, of the own failure
+    /// domain if there is one. The choice is random, so that the load of this daemon is spread. `None` when no
+    /// further daemon may be tried.
+    pub(super) fn next(
+        &mut self,
+        request: &ActiveRequest<'_>,
+        state: &RetryState,
+    ) -> Option<RelayPeer> {
+        let context = request.context;
+        let is_allowed = state.next_step(context.clock.now()) == RetryStep::TryNext;
+        if self.tried.len() >= MAX_PEERS || !is_allowed {
+            return None;
+        }
+        let mut rows = context.sound_peers();
+        rows.retain(|row| row.relay.is_some() && !self.tried.contains(&row.instance));
+        let is_near = |row: &PresenceRow| row.domain == context.settings.failure_domain;
+        if rows.iter().any(is_near) {
+            rows.retain(is_near);
+        }
+        let row = fastrand::choice(rows)?;
+        self.tried.push(row.instance.clone());
+        let peer = RelayPeer {
+            access: row.relay?,
+            instance: row.instance,
+        };
+        log_passed_on(request, &peer);
+        Some(peer)
     }
-    let row = fastrand::choice(rows)?;
-    Some(RelayPeer {
-        access: row.relay?,
-        instance: row.instance,
-    })
 }
 
-/// True if the request may be sent to another daemon now.
-pub(super) fn may_try(request: &ActiveRequest<'_>, state: &RetryState, tried: usize) -> bool {
-    let now = request.context.clock.now();
-    tried < MAX_PEERS && state.next_step(now) == RetryStep::TryNext
+/// Records that a daemon did not serve the request. Only an attempt of which a target may have executed the
+/// request counts.
+pub(super) fn record_failure(
+    request: &ActiveRequest<'_>,
+    state: &mut RetryState,
+    peer: &RelayPeer,
+    failed: &FailedAttempt,
+) {
+    log_failure(request, peer, failed);
+    request.context.peer_pool.remove(&peer.instance);
+    let may_have_run = [RelayFailure::OutcomeUnknown, RelayFailure::Failed];
+    if may_have_run.contains(&failed.failure) {
+        let now = request.context.clock.now();
+        state.on_failure(&peer.instance, failed.failure, now);
+    }
 }
 
 /// Sends the request to a daemon and reads the head of the response. A local reply of that daemon is
@@ -110,10 +128,8 @@
     let head = request.head;
     let mut builder = HeadBuilder::request(head.method(), head.request_target());
     for (name, value) in head.fields() {
-        let is_of_connection = CONNECTION_FIELDS
-            .iter()
-            .any(|field| name.eq_ignore_ascii_case(field));
-        if !is_of_connection && !name.eq_ignore_ascii_case(PEER_FIELD) {
+        // The body has arrived, so nothing is left to be expected.
+        if !is_of_connection(name) && !name.eq_ignore_ascii_case("expect") {
             builder.push(name, value);
         }
     }
@@ -136,7 +152,7 @@
 }
 
 /// Logs and counts a request that is passed on.
-pub(super) fn log_passed_on(request: &ActiveRequest<'_>, peer: &RelayPeer) {
+fn log_passed_on(request: &ActiveRequest<'_>, peer: &RelayPeer) {
     let context = request.context;
     let line = request
         .log_line("passed_on")
@@ -150,11 +166,7 @@
 }
 
 /// Logs and counts a request that another daemon did not serve.
-pub(super) fn log_peer_failure(
-    request: &ActiveRequest<'_>,
-    peer: &RelayPeer,
-    failed: &FailedAttempt,
-) {
+fn log_failure(request: &ActiveRequest<'_>, peer: &RelayPeer, failed: &FailedAttempt) {
     let context = request.context;
     let line: EventLine = request
         .log_line("peer_failed")
--- a/src/relay/via_peer/stream.rs
+++ b/src/relay/via_peer/stream.rs
@@ -1,15 +1,11 @@
 //! Streams that other daemons serve, from their beginning or from the event after which they resume.
 
-use crate::ids::InstanceId;
 use crate::relay::attempt::{FailedAttempt, keep_connection};
 use crate::relay::event_progress::DeliveryProgress;
 use crate::relay::exchange::{ActiveRequest, ExchangeEnd};
 use crate::relay::forwarding::{EventForwarder, ForwardStep};
 use crate::relay::retry::{RelayFailure, RetryState};
-use crate::relay::via_peer::exchange::{
-    RelayPeer, choose_peer, log_passed_on, log_peer_failure, may_try, open_peer_response,
-};
-use crate::relay::via_peer::plain::note_failure;
+use crate::relay::via_peer::exchange::{PeerTries, RelayPeer, open_peer_response, record_failure};
 use crate::wire::pause_after_read;
 use async_std::future::timeout;
 
@@ -28,17 +24,11 @@
     state: &mut RetryState,
     delivered: &mut DeliveryProgress,
 ) -> Option<ExchangeEnd> {
-    let mut tried: Vec<InstanceId> = Vec::new();
-    while may_try(request, state, tried.len()) {
-        let peer = choose_peer(request, &tried)?;
-        tried.push(peer.instance.clone());
-        log_passed_on(request, &peer);
+    let mut tries = PeerTries::default();
+    while let Some(peer) = tries.next(request, state) {
         match attempt_stream(request, &peer, state, delivered).await {
             PeerStreamEnd::Over(end) => return Some(end),
-            PeerStreamEnd::Failed(failed) => {
-                log_peer_failure(request, &peer, &failed);
-                note_failure(request, state, &peer, &failed);
-            }
+            PeerStreamEnd::Failed(failed) => record_failure(request, state, &peer, &failed),
         }
     }
     None
