Order the targets of a path check once, and bound its samples

The targets of a check were sorted by a key that changes with each call, which the sort may punish with a panic; a round without evidence, as for lack of descriptors, would have tried targets without end. The tests of lost paths, requests that are passed on, silences and crashes pass.

--- a/src/relay/path.rs
+++ b/src/relay/path.rs
@@ -8,6 +8,7 @@
 use crate::units::MonoTime;
 use crate::wire::{StreamError, WireStream};
 use futures_util::future::join_all;
+use std::collections::BTreeSet;
 use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,6 +22,9 @@
 const MIN_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Targets tried in each check of a path that is lost.
 const LOST_SAMPLE: usize = 3;
+/// Most samples of targets in one round. A failure of this host, such as a lack of descriptors, is no
+/// evidence, so a round may end without a verdict.
+const MAX_SAMPLES: usize = 4;
 /// Detail of a local reply to a request for which no target could be reached.
 pub(super) const NO_PATH: &str = "no path to any target";
 /// Period of calling [`watch_path`].
@@ -33,20 +37,9 @@
     target: &TargetEntry,
     limit: Duration,
 ) -> Result<WireStream, StreamError> {
-    let started = context.clock.now();
-    let connected = WireStream::connect(target.address, limit).await;
-    match &connected {
-        Ok(_) => {
-            target.stats.record_connect(true);
-            note_connected(context);
-        }
-        Err(cause) => {
-            note_failed(context, target, started, cause);
-            settle_path(context).await;
-            if !context.is_cut_off() {
-                record_failed_connect(context, target, cause);
-            }
-        }
+    let connected = connect_settled(context, target, limit).await;
+    if connected.is_ok() || !context.is_cut_off() {
+        target.stats.record_connect(connected.is_ok());
     }
     connected
 }
@@ -54,14 +47,29 @@
 /// Finds out whether a target has ended by connecting to it, which records a refusal.
 pub(super) async fn probe_target(context: &RelayContext, target: &TargetEntry) {
     // Only the evidence counts.
-    let _connected = connect_target(context, target, PROBE_TIMEOUT).await;
+    let _connected = connect_settled(context, target, PROBE_TIMEOUT).await;
 }
 
-fn record_failed_connect(context: &RelayContext, target: &TargetEntry, cause: &StreamError) {
-    target.stats.record_connect(false);
-    if *cause == StreamError::NotConnected(ErrorKind::ConnectionRefused) {
+/// Connects to a target. After a failure, finds out whether the path is lost, and records a refusal if it is
+/// not.
+async fn connect_settled(
+    context: &RelayContext,
+    target: &TargetEntry,
+    limit: Duration,
+) -> Result<WireStream, StreamError> {
+    let started = context.clock.now();
+    let connected = WireStream::connect(target.address, limit).await;
+    let Err(cause) = &connected else {
+        note_connected(context);
+        return connected;
+    };
+    note_failed(context, target, started, cause);
+    settle_path(context).await;
+    let is_refused = *cause == StreamError::NotConnected(ErrorKind::ConnectionRefused);
+    if is_refused && !context.is_cut_off() {
         target.stats.record_refusal(context.clock.now());
     }
+    connected
 }
 
 /// How the path may have been lost; `None` for a failure of this host, such as a lack of descriptors.
@@ -81,7 +89,7 @@
 /// Tries other targets until the evidence shows whether there is a path to any.
 pub(super) async fn settle_path(context: &RelayContext) {
     let _round = context.reach.begin_round().await;
-    loop {
+    for _sample in 0..MAX_SAMPLES {
         let targets = probe_candidates(context);
         let rows: Vec<ReachCandidate> = targets.iter().map(|target| candidate(target)).collect();
         match context.reach.next_step(&rows, context.clock.now()) {
@@ -142,27 +150,28 @@
 
 /// Logs a change of the path and forgets what failures for want of it have left behind.
 fn apply_change(context: &RelayContext, change: ReachChange) {
-    let line = match change {
+    let is_cut_off = context.is_cut_off();
+    let (label, line) = match change {
         ReachChange::None => return,
-        ReachChange::Lost(loss, targets) => EventLine::new("targets_unreachable")
-            .with_display("loss", loss)
-            .with("targets", targets)
-            .with("cut_off", context.is_cut_off()),
+        ReachChange::Lost(loss, targets) => {
+            let line = EventLine::new("targets_unreachable")
+                .with_display("loss", loss)
+                .with("targets", targets)
+                .with("cut_off", is_cut_off);
+            ("lost", line)
+        }
         ReachChange::Regained(after) => {
-            EventLine::new("targets_reachable").with("after_ms", after.as_millis() as u64)
+            let line = EventLine::new("targets_reachable");
+            ("regained", line.with("after_ms", after.as_millis() as u64))
         }
     };
     context.events.emit(line);
-    let label = match change {
-        ReachChange::Lost(..) => "lost",
-        _ => "regained",
-    };
     context.metrics.paths.with_label_values(&[label]).inc();
     if let ReachChange::Lost(PathLoss::Silent, _) = change {
         // Idle connections are as silent as new ones.
         context.pool.sweep(|_| false);
     }
-    if label == "regained" || context.is_cut_off() {
+    if is_cut_off || matches!(change, ReachChange::Regained(_)) {
         let view = context.targets.load();
         view.targets()
             .for_each(|target| target.stats.forgive_failures());
@@ -193,8 +202,8 @@
 async fn probe_sample(context: &RelayContext, count: usize) {
     let mut targets = probe_candidates(context);
     fastrand::shuffle(&mut targets);
-    let mut services = std::collections::BTreeSet::new();
-    targets.sort_by_key(|target| !services.insert(target.service.clone()));
+    let mut services = BTreeSet::new();
+    targets.sort_by_cached_key(|target| !services.insert(target.service.clone()));
     let probes = targets
         .iter()
         .take(count)
