--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -67,7 +67,7 @@
     /// The target closed the connection before its response was complete, or the connection was
     /// lost.
     Disconnected,
-    /// The request was not sent, as the target has asked for rest since it was chosen.
+    /// The request was not sent, as the target has asked for rest since its selection.
     HeldBack,
     /// In another way, such as an incorrect response.
     Other,
