Let few daemons read the store, and hand its changes on to the others

Change: three daemons of each failure domain, by rendezvous hashing, read the store; the others list it once and follow a feed of one of them over a connection. A presence entry is written again only if the list that lacks it is newer. Calls are counted by kind and logged every 10 s.

--- a/rig/src/site/store.rs
+++ b/rig/src/site/store.rs
@@ -62,6 +62,7 @@
     /// True while watches report no events.
     is_muted: bool,
     calls: u64,
+    watches: u64,
 }
 
 impl Default for StoreState {
@@ -79,6 +80,7 @@
             watch_epoch: 0,
             is_muted: false,
             calls: 0,
+            watches: 0,
         }
     }
 }
@@ -266,6 +268,11 @@
         self.with_state(|state| state.calls)
     }
 
+    /// Number of watches started so far, without those refused by a fault.
+    pub fn watches(&self) -> u64 {
+        self.with_state(|state| state.watches)
+    }
+
     fn with_state<T>(&self, act: impl FnOnce(&mut StoreState) -> T) -> T {
         let mut state = self.shared.state.lock().expect("store is never poisoned");
         let result = act(&mut state);
@@ -516,6 +523,7 @@
     let deadline = Instant::now() + wait;
     let mut state = shared.state.lock().expect("store is never poisoned");
     state.calls += 1;
+    state.watches += 1;
     let epoch = state.watch_epoch;
     // A watch that starts while watches are muted stays muted until it is cut.
     let was_muted = state.is_muted;
--- /dev/null
+++ b/src/feed/follow.rs
@@ -0,0 +1,271 @@
+//! Keeps a [`PrefixMirror`] in sync with the store, by the feed of another daemon if there is one, else
+//! through list and watch calls of a [`StorePort`].
+
+use crate::feed::inbox::{FeedInbox, FeedStep};
+use crate::ids::StoreEra;
+use crate::kernel::MonoClock;
+use crate::mirror::{
+    MirrorChange, MirrorStep, PortError, PortResult, PrefixMirror, SharedMirror, StoreItem,
+    StorePort, StoreVersion, WatchOutcome,
+};
+use async_std::future::timeout;
+use async_std::task;
+use futures_lite::future::{Boxed, or};
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Delay before the retry of the first failed call; doubles with each further failure.
+const FIRST_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Longest delay between failed calls. With up to half of it taken off as jitter, it keeps 430
+/// daemons with three prefixes each below the store's limit on read calls.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
+/// Upper limit of the random delay before a list after a gap in the history, so that daemons do not
+/// all list at once.
+const LIST_JITTER: Duration = Duration::from_millis(50);
+/// Upper limit of the random delay before a list after a restore of the store, of which all daemons
+/// hear at once. It keeps 430 daemons with three prefixes each below the store's limit on read
+/// calls.
+const RESTORE_JITTER: Duration = Duration::from_millis(700);
+
+/// Timeout of the first list of a daemon that has no data yet, doubled with each retry. A store
+/// that is up answers within some ten milliseconds. After a timeout, peers are asked for a
+/// snapshot.
+const FIRST_LIST_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest timeout of a first list; the port's own call timeout is shorter.
+const MAX_LIST_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Fetches a peer's snapshot of the prefix; `None` when no peer has one.
+pub type SnapshotSource = Arc<dyn Fn(Arc<str>) -> Boxed<Option<Vec<StoreItem>>> + Send + Sync>;
+
+/// What to follow and how often to call the store.
+#[derive(Clone)]
+pub struct FollowSpec {
+    /// Prefix of the keys to follow.
+    pub prefix: Arc<str>,
+    /// Time for which a watch waits for the first change.
+    pub watch_timeout: Duration,
+    /// Delay after changes, so that several changes are applied together.
+    pub batch_delay: Arc<dyn Fn() -> Duration + Send + Sync>,
+    /// Changes that another daemon hands on, if any.
+    pub inbox: Arc<FeedInbox>,
+    /// Clock of this process.
+    pub clock: MonoClock,
+}
+
+impl fmt::Debug for FollowSpec {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("FollowSpec")
+            .field("prefix", &self.prefix)
+            .field("wait", &self.watch_timeout)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Who told of changes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ChangeSource {
+    /// The store itself.
+    Store,
+    /// The feed of another daemon.
+    Feed,
+}
+
+/// Event that is reported while a prefix is followed.
+#[derive(Debug)]
+pub enum FollowNotice<'a> {
+    /// Changes were applied: the mirror and its changes in order, possibly none, and who told them.
+    Changed(&'a PrefixMirror, &'a [MirrorChange], ChangeSource),
+    /// The store was restored from an older copy. The prefix is listed again.
+    Restored,
+    /// A call to the store failed.
+    Failed(&'a PortError),
+    /// The store has not answered the daemon whose feed is followed.
+    FeedFailed,
+    /// The store does not answer, and a peer's snapshot was loaded instead: the changes in order.
+    PeerSnapshot(&'a [MirrorChange]),
+}
+
+/// Timeout of the next attempt after one that timed out after `current`.
+pub fn next_list_timeout(current: Duration) -> Duration {
+    current.saturating_mul(2).min(MAX_LIST_TIMEOUT)
+}
+
+/// What came of one step.
+enum StepOutcome {
+    Store(PortResult<Vec<MirrorChange>>),
+    Feed(Vec<MirrorChange>),
+    FeedFailed,
+    /// The store was restored meanwhile, or a feed has to be asked in place of the store.
+    Again,
+}
+
+/// What a watch returned.
+enum WatchReply {
+    Store(PortResult<WatchOutcome>),
+    Feed(FeedStep),
+    Restored,
+}
+
+/// Keeps `mirror` in sync with a prefix of the store and passes what happens to `report`. Never
+/// returns.
+pub async fn follow_prefix(
+    port: StorePort,
+    spec: FollowSpec,
+    mirror: SharedMirror,
+    snapshots: SnapshotSource,
+    mut report: impl FnMut(FollowNotice<'_>),
+) {
+    let lock = || mirror.lock().expect("mirror lock is never poisoned");
+    let mut retry_delay = FIRST_RETRY_DELAY;
+    let mut list_timeout = FIRST_LIST_TIMEOUT;
+    let mut era = port.era.known();
+    loop {
+        let known = port.era.known();
+        let is_restored = era.is_some() && known != era;
+        era = known;
+        if is_restored {
+            lock().on_restore();
+            report(FollowNotice::Restored);
+            task::sleep(RESTORE_JITTER.mul_f64(fastrand::f64())).await;
+        }
+        resume_by_feed(&spec, &mirror);
+        let step = lock().next_step();
+        let outcome = match step {
+            MirrorStep::List(after) => list_page(&port, &spec, &mirror, after, list_timeout).await,
+            MirrorStep::Watch(version) => watch_changes(&port, &spec, &mirror, version, era).await,
+        };
+        let (changes, source) = match outcome {
+            StepOutcome::Again => continue,
+            StepOutcome::FeedFailed => {
+                report(FollowNotice::FeedFailed);
+                continue;
+            }
+            StepOutcome::Store(Ok(changes)) => (changes, ChangeSource::Store),
+            StepOutcome::Feed(changes) => (changes, ChangeSource::Feed),
+            StepOutcome::Store(Err(cause)) => {
+                lock().on_failure();
+                report(FollowNotice::Failed(&cause));
+                list_timeout = next_list_timeout(list_timeout);
+                let is_complete = lock().is_complete();
+                if !is_complete && let Some(items) = snapshots(Arc::clone(&spec.prefix)).await {
+                    let changes = lock().load_snapshot(items);
+                    report(FollowNotice::PeerSnapshot(&changes));
+                }
+                wait_retry(&spec, &mirror, retry_delay).await;
+                retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
+                continue;
+            }
+        };
+        retry_delay = FIRST_RETRY_DELAY;
+        report(FollowNotice::Changed(&lock(), &changes, source));
+        let listing = matches!(lock().next_step(), MirrorStep::List(None));
+        match listing {
+            true => task::sleep(LIST_JITTER.mul_f64(fastrand::f64())).await,
+            false if !changes.is_empty() => task::sleep((spec.batch_delay)()).await,
+            false => {}
+        }
+    }
+}
+
+/// Spares a list after a failed call if a feed continues from the version that is known.
+fn resume_by_feed(spec: &FollowSpec, mirror: &SharedMirror) {
+    let mut mirror = mirror.lock().expect("mirror lock is never poisoned");
+    let now = spec.clock.now();
+    let is_covered = |version| spec.inbox.covers(&spec.prefix, version, now);
+    if mirror.resume_version().is_some_and(is_covered) {
+        mirror.resume();
+    }
+}
+
+/// Waits before a failed call is repeated, or until a feed continues from the version that is known.
+async fn wait_retry(spec: &FollowSpec, mirror: &SharedMirror, delay: Duration) {
+    let version = mirror
+        .lock()
+        .expect("mirror lock is never poisoned")
+        .resume_version();
+    let sleep = task::sleep(delay.mul_f64(0.5 + fastrand::f64() / 2.0));
+    match version {
+        Some(version) => {
+            let covered = spec.inbox.wait_covered(&spec.prefix, version, spec.clock);
+            or(sleep, covered).await;
+        }
+        None => sleep.await,
+    }
+}
+
+async fn list_page(
+    port: &StorePort,
+    spec: &FollowSpec,
+    mirror: &SharedMirror,
+    after: Option<Arc<str>>,
+    list_timeout: Duration,
+) -> StepOutcome {
+    let lock = || mirror.lock().expect("mirror lock is never poisoned");
+    let list = (port.list)((Arc::clone(&spec.prefix), after));
+    let page = if lock().is_complete() {
+        list.await
+    } else {
+        let timed_out = |_elapsed| {
+            let cause = "store did not answer the list before the timeout";
+            Err(PortError::NotExecuted(cause.to_owned()))
+        };
+        timeout(list_timeout, list).await.unwrap_or_else(timed_out)
+    };
+    StepOutcome::Store(page.map(|page| lock().on_page(page)))
+}
+
+async fn watch_changes(
+    port: &StorePort,
+    spec: &FollowSpec,
+    mirror: &SharedMirror,
+    version: StoreVersion,
+    era: Option<StoreEra>,
+) -> StepOutcome {
+    let lock = || mirror.lock().expect("mirror lock is never poisoned");
+    match wait_reply(port, spec, version, era).await {
+        WatchReply::Store(reply) => StepOutcome::Store(reply.map(|reply| lock().on_watch(reply))),
+        WatchReply::Feed(FeedStep::Apply(deltas)) => {
+            let mut mirror = lock();
+            let changes = deltas.into_iter().flat_map(|delta| mirror.on_delta(delta));
+            StepOutcome::Feed(changes.collect())
+        }
+        WatchReply::Feed(FeedStep::StoreFailed) => StepOutcome::FeedFailed,
+        WatchReply::Feed(FeedStep::Wait(_) | FeedStep::AskStore) | WatchReply::Restored => {
+            StepOutcome::Again
+        }
+    }
+}
+
+/// Waits for changes from the feed while it can be relied on, else from the store.
+async fn wait_reply(
+    port: &StorePort,
+    spec: &FollowSpec,
+    version: StoreVersion,
+    era: Option<StoreEra>,
+) -> WatchReply {
+    let FollowSpec {
+        prefix,
+        watch_timeout,
+        inbox,
+        clock,
+        ..
+    } = spec;
+    // A watch that waits through a restore may miss writes.
+    let restored = async {
+        port.era.wait_change(era).await;
+        WatchReply::Restored
+    };
+    if inbox.covers(prefix, version, clock.now()) {
+        let next = inbox.next(prefix, version, *watch_timeout, *clock);
+        let fed = async { WatchReply::Feed(next.await) };
+        return or(fed, restored).await;
+    }
+    let watch = (port.watch)((Arc::clone(prefix), version, *watch_timeout));
+    let watch = async { WatchReply::Store(watch.await) };
+    let covered = async {
+        inbox.wait_covered(prefix, version, *clock).await;
+        WatchReply::Feed(FeedStep::AskStore)
+    };
+    or(or(watch, covered), restored).await
+}
--- /dev/null
+++ b/src/feed/readers.rs
@@ -0,0 +1,43 @@
+//! Chooses the daemons that read the store for their failure domain.
+
+use crate::hash::stable_hash;
+use crate::ids::{DomainId, InstanceId};
+use crate::presence::PresenceRow;
+
+/// Daemons of each failure domain that read the store: two of them may fail at the same time.
+pub const READERS_PER_DOMAIN: usize = 3;
+
+/// How a daemon learns of changes of the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ReadingRole {
+    /// It reads the store itself.
+    Reader,
+    /// It follows one of these daemons, the preferred one first.
+    Follower(Vec<PresenceRow>),
+}
+
+/// Decides how a daemon learns of changes of the store, by rendezvous hashing over the listed daemons of
+/// its failure domain. One that is not listed reads the store itself.
+pub fn reading_role<'a>(
+    rows: impl Iterator<Item = &'a PresenceRow>,
+    instance: &InstanceId,
+    domain: &DomainId,
+) -> ReadingRole {
+    let mut ranked: Vec<&PresenceRow> = rows.filter(|row| row.domain == *domain).collect();
+    if !ranked.iter().any(|row| row.instance == *instance) {
+        return ReadingRole::Reader;
+    }
+    let order =
+        |row: &&PresenceRow| stable_hash(&[b"store reader", row.instance.as_str().as_bytes()]);
+    ranked.sort_by_key(order);
+    ranked.truncate(READERS_PER_DOMAIN);
+    if ranked.iter().any(|row| row.instance == *instance) {
+        return ReadingRole::Reader;
+    }
+    // Spreads the followers over the readers.
+    ranked.sort_by_key(|row| {
+        let names = [row.instance.as_str(), instance.as_str()];
+        stable_hash(&names.map(str::as_bytes))
+    });
+    ReadingRole::Follower(ranked.into_iter().cloned().collect())
+}
--- /dev/null
+++ b/src/feed/serve.rs
@@ -0,0 +1,135 @@
+//! Serves a feed to a daemon of the same failure domain.
+
+use crate::feed::contact::StoreContactCell;
+use crate::feed::message::{FeedFrame, FeedPart};
+use crate::kernel::MonoClock;
+use crate::mirror::{MirrorSet, StoreVersion};
+use crate::peer::FrameStream;
+use crate::snapshots::FeedRequest;
+use async_io::Timer;
+use async_std::future::timeout;
+use futures_lite::future::or;
+use futures_util::SinkExt;
+use prost::Message;
+use prost::bytes::Bytes;
+use std::fmt;
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+/// Longest time between two frames.
+const BEAT_PERIOD: Duration = Duration::from_millis(400);
+/// Time for which changes are collected into one frame.
+const COLLECT_DELAY: Duration = Duration::from_millis(20);
+/// Time limit for sending a frame.
+const SEND_TIMEOUT: Duration = Duration::from_secs(1);
+/// Most feeds that a daemon serves at the same time.
+const MAX_FEEDS: usize = 128;
+/// Most prefixes of one feed.
+const MAX_PREFIXES: usize = 8;
+
+/// Where the frames of the feeds that this daemon serves come from.
+#[derive(Clone)]
+pub(crate) struct FeedSource {
+    /// Mirrors of the store's prefixes.
+    pub(crate) mirrors: MirrorSet,
+    /// This daemon's contact with the store.
+    pub(crate) contact: Arc<StoreContactCell>,
+    /// Clock of this process.
+    pub(crate) clock: MonoClock,
+    /// True while this daemon watches the store itself.
+    pub(crate) is_reader: Arc<dyn Fn() -> bool + Send + Sync>,
+    /// True for the request of a listed daemon.
+    pub(crate) is_listed: Arc<dyn Fn(&FeedRequest) -> bool + Send + Sync>,
+    /// Number of feeds that are served.
+    pub(crate) served: Arc<AtomicUsize>,
+}
+
+impl fmt::Debug for FeedSource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("FeedSource").finish_non_exhaustive()
+    }
+}
+
+impl FeedSource {
+    /// The next frame of a feed that has told everything up to `positions`, which are moved on. `None`
+    /// when this daemon cannot serve the feed.
+    fn next_frame(&self, positions: &mut [(Arc<str>, StoreVersion)]) -> Option<FeedFrame> {
+        if !(self.is_reader)() {
+            return None;
+        }
+        let age = self.contact.age(self.clock.now())?;
+        let failures = self.contact.failures();
+        let mut parts = Vec::new();
+        for (prefix, version) in positions {
+            let delta = self.mirrors.delta_since(prefix, *version)?;
+            if delta.version > *version {
+                *version = delta.version;
+                parts.push(FeedPart::new(prefix, &delta));
+            }
+        }
+        Some(FeedFrame {
+            accepted: true,
+            age_ms: age.as_millis() as u64,
+            failures,
+            parts,
+        })
+    }
+}
+
+/// Counts a feed while it is served.
+struct ServedFeed(Arc<AtomicUsize>);
+
+impl ServedFeed {
+    /// `None` when too many are served already.
+    fn begin(served: &Arc<AtomicUsize>) -> Option<Self> {
+        let feed = Self(Arc::clone(served));
+        (served.fetch_add(1, Ordering::AcqRel) < MAX_FEEDS).then_some(feed)
+    }
+}
+
+impl Drop for ServedFeed {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Serves a feed until the other daemon closes its connection, does not take a frame in time, or this
+/// daemon no longer reads the store.
+///
+/// # Errors
+/// When a frame cannot be sent.
+pub(crate) async fn serve_feed(
+    frames: &mut FrameStream,
+    request: FeedRequest,
+    source: &FeedSource,
+) -> io::Result<()> {
+    let served = ServedFeed::begin(&source.served);
+    let is_welcome = (source.is_listed)(&request) && request.positions.len() <= MAX_PREFIXES;
+    if served.is_none() || !is_welcome {
+        return send_frame(frames, &FeedFrame::default()).await;
+    }
+    let positions = request.positions.iter();
+    let mut positions: Vec<(Arc<str>, StoreVersion)> = positions
+        .map(|position| (Arc::from(position.prefix.as_str()), position.version()))
+        .collect();
+    loop {
+        let changed = source.mirrors.listen();
+        let Some(frame) = source.next_frame(&mut positions) else {
+            return send_frame(frames, &FeedFrame::default()).await;
+        };
+        send_frame(frames, &frame).await?;
+        let beat = async {
+            Timer::after(BEAT_PERIOD).await;
+        };
+        or(changed, beat).await;
+        Timer::after(COLLECT_DELAY).await;
+    }
+}
+
+async fn send_frame(frames: &mut FrameStream, frame: &FeedFrame) -> io::Result<()> {
+    let sent = frames.send(Bytes::from(frame.encode_to_vec()));
+    let timed_out = |_elapsed| Err(io::Error::from(io::ErrorKind::TimedOut));
+    timeout(SEND_TIMEOUT, sent).await.unwrap_or_else(timed_out)
+}
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -1,13 +1,11 @@
 //! Keeps the mirrors of the store's prefixes in sync and publishes their contents to the request
 //! path.
 
+use crate::feed::{ChangeSource, FollowNotice, FollowSpec, SnapshotSource, follow_prefix};
 use crate::gateway::crashes::apply_crash_change;
 use crate::gateway::run::GatewayState;
 use crate::gateway::targets::TargetNotice;
-use crate::mirror::{
-    ExpiryHold, FollowNotice, FollowSpec, MirrorChange, RemovalStep, SnapshotSource, StoreItem,
-    follow_prefix,
-};
+use crate::mirror::{ExpiryHold, MirrorChange, RemovalStep, StoreItem};
 use crate::presence::{PRESENCE_PREFIX, PresenceRow, leader_key};
 use crate::snapshots::fetch_snapshot;
 use crate::targets::TargetView;
@@ -40,6 +38,8 @@
         prefix: Arc::from(prefix),
         watch_timeout: WATCH_TIMEOUT,
         batch_delay: Arc::new(move || batch_delay(delay, context.presence.rows().len())),
+        inbox: Arc::clone(&state.inbox),
+        clock: state.context.clock,
     }
 }
 
@@ -87,13 +87,13 @@
         snapshot_source(&state),
         |notice| match notice {
             FollowNotice::Failed(cause) => contact.on_failure(&state, cause),
-            FollowNotice::Restored => {}
+            FollowNotice::Restored | FollowNotice::FeedFailed => {}
             FollowNotice::PeerSnapshot(changes) => {
                 contact.on_snapshot(&state, changes);
                 adopt(changes);
             }
-            FollowNotice::Changed(_, changes) => {
-                contact.on_reply(&state);
+            FollowNotice::Changed(_, changes, source) => {
+                contact.on_changes(&state, source);
                 adopt(changes);
             }
         },
@@ -145,6 +145,10 @@
                 state.record_target_sync(false);
                 state.with_targets(super::targets::TargetRegistry::on_failure);
             }
+            FollowNotice::FeedFailed => {
+                state.record_target_sync(false);
+                state.with_targets(super::targets::TargetRegistry::on_failure);
+            }
             // Nothing is ordered until the servers have had time to write again.
             FollowNotice::Restored => state.record_target_sync(false),
             // The list does not count as in sync: the leader must not place orders by a snapshot, which
@@ -153,8 +157,8 @@
                 contact.on_snapshot(&state, changes);
                 apply_target_changes(&state, changes);
             }
-            FollowNotice::Changed(_, changes) => {
-                contact.on_reply(&state);
+            FollowNotice::Changed(_, changes, source) => {
+                contact.on_changes(&state, source);
                 apply_target_changes(&state, changes);
                 state.record_target_sync(true);
             }
@@ -252,14 +256,15 @@
                 contact.on_failure(&state, cause);
                 hold.on_failure(now);
             }
+            FollowNotice::FeedFailed => hold.on_failure(now),
             FollowNotice::Restored => {}
             FollowNotice::PeerSnapshot(changes) => {
                 contact.on_snapshot(&state, changes);
                 let rows = apply_presence_changes(&state, changes, &mut hold);
                 state.context.presence.publish(rows);
             }
-            FollowNotice::Changed(mirror, changes) => {
-                contact.on_reply(&state);
+            FollowNotice::Changed(mirror, changes, source) => {
+                contact.on_changes(&state, source);
                 hold.on_reply(now);
                 let mut rows = apply_presence_changes(&state, changes, &mut hold);
                 for key in hold.take_expired(now) {
@@ -269,7 +274,7 @@
                 state.session.observe_leader(leader);
                 state.record_leader(leader.is_some());
                 if !rows.contains_key(&state.presence_key) {
-                    state.session.mark_missing();
+                    state.session.mark_missing(mirror.version());
                 }
                 state.context.presence.publish(rows);
             }
@@ -341,6 +346,7 @@
             .store_calls
             .with_label_values(&[self.prefix, "failed"])
             .inc();
+        state.contact.on_failure();
         if !std::mem::replace(&mut self.lost, true) {
             let line = EventLine::new("store_lost").with("follows", self.prefix);
             state.context.events.emit(line.with_display("cause", cause));
@@ -355,16 +361,21 @@
             .emit(line.with("changes", changes.len()));
     }
 
-    fn on_reply(&mut self, state: &GatewayState) {
-        state
-            .context
-            .metrics
-            .store_calls
-            .with_label_values(&[self.prefix, "answered"])
-            .inc();
+    fn on_changes(&mut self, state: &GatewayState, source: ChangeSource) {
+        state.mirrors.notify_change();
+        let outcome = match source {
+            ChangeSource::Store => "answered",
+            ChangeSource::Feed => "fed",
+        };
+        let calls = &state.context.metrics.store_calls;
+        calls.with_label_values(&[self.prefix, outcome]).inc();
+        if source == ChangeSource::Store {
+            state.contact.on_reply(state.context.clock.now());
+        }
         if std::mem::replace(&mut self.lost, false) {
             let line = EventLine::new("store_regained").with("follows", self.prefix);
-            state.context.events.emit(line);
+            let is_fed = source == ChangeSource::Feed;
+            state.context.events.emit(line.with("by_feed", is_fed));
         }
     }
 }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -1,5 +1,9 @@
 //! Start and graceful shutdown of the relaying daemon.
 
+use crate::feed::{
+    FeedInbox, FeedSource, ReadingRole, StoreContactCell, SubscriberPorts, reading_role,
+    serve_copies, subscribe_feeds,
+};
 use crate::gateway::crashes::sync_crashes;
 use crate::gateway::follow::{
     follow_config, follow_presence, follow_targets, log_target_notices, publish_targets,
@@ -12,14 +16,15 @@
 use crate::ids::ServiceId;
 use crate::kernel::{DaemonPhase, TimerService, TimerSpec};
 use crate::loads::exchange_loads;
-use crate::mirror::MirrorSet;
+use crate::mirror::{CALL_KINDS, MirrorSet, count_calls};
 use crate::placement::OrderScheduler;
-use crate::presence::{LeaseSession, LeaseStep, PresenceRow, RelayAccess, presence_key};
+use crate::presence::{
+    LeaseSession, LeaseStep, PRESENCE_PREFIX, PresenceRow, RelayAccess, presence_key,
+};
 use crate::relay::{
     GatewaySettings, PATH_WATCH_PERIOD, RelayContext, serve_callers, serve_peer_requests,
     watch_path,
 };
-use crate::snapshots::serve_snapshots;
 use crate::telemetry::{EventLine, EventLog, MetricSet};
 use crate::units::MonoTime;
 use crate::wire::WireServer;
@@ -47,6 +52,8 @@
 /// Time for which callers with a cached address response may still connect after this daemon has
 /// been removed from new responses.
 const CACHED_ADDRESS_TIME: Duration = Duration::from_millis(3_600);
+/// Period of logging the calls to the store and how this daemon learns of its changes.
+const STORE_LINE_PERIOD: Duration = Duration::from_secs(10);
 /// Time limit for revoking the lease at shutdown.
 const REVOKE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for which the last lines of the log are awaited before the process exits.
@@ -83,6 +90,10 @@
     pub(super) session: LeaseSession,
     pub(super) presence_key: Arc<str>,
     pub(super) mirrors: MirrorSet,
+    /// Changes of the store that another daemon hands on.
+    pub(super) inbox: Arc<FeedInbox>,
+    /// This daemon's contact with the store.
+    pub(super) contact: Arc<StoreContactCell>,
     pub(super) targets: TargetPublisher,
     schedulers: Mutex<HashMap<ServiceId, OrderScheduler>>,
     leaderless_since: Mutex<Option<MonoTime>>,
@@ -175,6 +186,26 @@
         self.session.leads(now)
     }
 
+    /// How this daemon learns of changes of the store. A leader reads the store itself, as its orders
+    /// depend on it.
+    pub fn reading_role(&self) -> ReadingRole {
+        if self.leads(self.context.clock.now()) {
+            return ReadingRole::Reader;
+        }
+        let settings = &self.context.settings;
+        let rows = self.context.presence.rows();
+        reading_role(rows.values(), &settings.instance, &settings.failure_domain)
+    }
+
+    /// True while the feed of another daemon continues all mirrors.
+    pub fn is_fed(&self) -> bool {
+        let now = self.context.clock.now();
+        let is_covered =
+            |(prefix, version): (Arc<str>, _)| self.inbox.covers(&prefix, version, now);
+        let versions = self.mirrors.resume_versions();
+        versions.is_some_and(|versions| versions.into_iter().all(is_covered))
+    }
+
     /// True while this daemon is ready and not shutting down.
     pub fn is_serving(&self) -> bool {
         self.context.lifecycle.phase() == DaemonPhase::Ready
@@ -210,6 +241,8 @@
         ports.targets.clone(),
     );
     let context = context.map_err(GatewayError::Metric)?;
+    let store = count_calls(ports.store, &context.metrics.store_requests);
+    let ports = GatewayPorts { store, ..ports };
     let row = presence_row(&context);
     context
         .events
@@ -223,6 +256,8 @@
             schema.read_target,
         )),
         mirrors: MirrorSet::default(),
+        inbox: Arc::default(),
+        contact: Arc::default(),
         schedulers: Mutex::default(),
         leaderless_since: Mutex::default(),
         targets_listed: AtomicBool::new(false),
@@ -231,6 +266,10 @@
         context,
         ports,
     });
+    // Feeds continue all mirrors, also those whose task has not begun yet.
+    for prefix in [schema.config_prefix, schema.target_prefix, PRESENCE_PREFIX] {
+        state.mirrors.mirror(&Arc::from(prefix));
+    }
     task::spawn(follow_config(Arc::clone(&state)));
     task::spawn(follow_targets(Arc::clone(&state)));
     task::spawn(follow_presence(Arc::clone(&state)));
@@ -240,7 +279,8 @@
     }
     task::spawn(report_restores(Arc::clone(&state)));
     task::spawn(share_loads(Arc::clone(&state)));
-    task::spawn(share_snapshots(Arc::clone(&state)));
+    task::spawn(share_copies(Arc::clone(&state)));
+    task::spawn(follow_feeds(Arc::clone(&state)));
     start_timers(&state);
     Ok(GatewayHandle { state })
 }
@@ -269,13 +309,42 @@
     }
 }
 
-async fn share_snapshots(state: Arc<GatewayState>) {
+async fn share_copies(state: Arc<GatewayState>) {
     let listen = state.context.settings.listen.peers;
-    if let Err(cause) = serve_snapshots(listen, state.mirrors.clone()).await {
+    let (reading, listed) = (Arc::clone(&state), Arc::clone(&state));
+    let source = FeedSource {
+        mirrors: state.mirrors.clone(),
+        contact: Arc::clone(&state.contact),
+        clock: state.context.clock,
+        is_reader: Arc::new(move || reading.reading_role() == ReadingRole::Reader),
+        is_listed: Arc::new(move |request| {
+            let presence = &listed.context.presence;
+            presence.knows_run(&request.sender, &request.token)
+        }),
+        served: Arc::default(),
+    };
+    if let Err(cause) = serve_copies(listen, source).await {
         log::error!("cannot serve snapshots on {listen}: {cause}");
     }
 }
 
+async fn follow_feeds(state: Arc<GatewayState>) {
+    let deciding = Arc::clone(&state);
+    let ports = SubscriberPorts {
+        clock: state.context.clock,
+        mirrors: state.mirrors.clone(),
+        inbox: Arc::clone(&state.inbox),
+        identity: (
+            state.context.settings.instance.clone(),
+            Arc::clone(&state.context.relay_token),
+        ),
+        role: Arc::new(move || deciding.reading_role()),
+        events: state.context.events.clone(),
+        counts: state.context.metrics.feeds.clone(),
+    };
+    subscribe_feeds(ports).await;
+}
+
 fn start_timers(state: &Arc<GatewayState>) {
     let timers = TimerService::new(state.context.clock);
     let renewing = Arc::clone(state);
@@ -293,6 +362,13 @@
         }) as futures_lite::future::Boxed<()>
     };
     timers.schedule(TimerSpec::new("duty", DUTY_PERIOD), Arc::new(duty));
+    let logging = Arc::clone(state);
+    let line = move |_now| {
+        let state = Arc::clone(&logging);
+        Box::pin(async move { log_store_calls(&state) }) as futures_lite::future::Boxed<()>
+    };
+    let line_timer = TimerSpec::new("store calls", STORE_LINE_PERIOD);
+    timers.schedule(line_timer, Arc::new(line));
     let watching = Arc::clone(&state.context);
     let watch = move |_now| {
         let context = Arc::clone(&watching);
@@ -307,6 +383,16 @@
     timers.schedule(TimerSpec::new("crashes", CRASH_SYNC_PERIOD), Arc::new(sync));
 }
 
+/// Logs the calls to the store since the start, by their kind.
+fn log_store_calls(state: &GatewayState) {
+    let requests = &state.context.metrics.store_requests;
+    let line = EventLine::new("store_calls").with("is_fed", state.is_fed());
+    let line = CALL_KINDS.iter().fold(line, |line, kind| {
+        line.with(kind, requests.with_label_values(&[kind]).get())
+    });
+    state.context.events.emit(line);
+}
+
 async fn renew_lease(state: &Arc<GatewayState>, now: MonoTime) {
     if state.context.lifecycle.phase() == DaemonPhase::Draining {
         return;
@@ -318,8 +404,10 @@
         let now = state.context.clock.now();
         renewed = state.session.rejoin(now, state.is_serving()).await;
     }
-    if let Err(cause) = renewed {
-        log::debug!("cannot renew lease: {cause}");
+    match renewed {
+        Ok(LeaseStep::Renew) => state.contact.on_reply(now),
+        Ok(LeaseStep::Rejoin) => {}
+        Err(cause) => log::debug!("cannot renew lease: {cause}"),
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 mod claims;
 mod config;
 mod engine;
+mod feed;
 mod gateway;
 mod hash;
 mod http;
@@ -76,6 +77,10 @@
     EngineEvent, EngineOrder, EngineReport, EngineStream, FinishCause, GenerateRequest, HeldStage,
     OrderReply, PipelineWork, StagePhase, StageProgress, StreamRecord,
 };
+pub use feed::{
+    FeedChange, FeedError, FeedFrame, FeedInbox, FeedPart, FeedStep, READERS_PER_DOMAIN,
+    ReadingRole, StoreContactCell, next_list_timeout, reading_role,
+};
 pub use gateway::{
     AddressReply, GatewayError, GatewayHandle, GatewayPorts, GatewayState, LayerOrder,
     OrderOutcome, StoreSchema, TargetCall, TargetPort, TargetPublisher, TargetRegistry,
@@ -110,9 +115,9 @@
 };
 pub use mirror::{
     CommitOutcome, EraCell, EraReading, ExpiryHold, ItemGuard, ItemPage, ItemWrite, LeaseGrant,
-    MirrorChange, MirrorSet, MirrorStep, PortError, PortFuture, PortResult, PrefixMirror,
-    RemovalStep, RenewOutcome, RevisionNumber, StoreItem, StorePort, StoreTransaction,
-    StoreVersion, WatchChange, WatchOutcome, next_list_timeout,
+    MirrorChange, MirrorDelta, MirrorSet, MirrorStep, PortError, PortFuture, PortResult,
+    PrefixMirror, RemovalStep, RenewOutcome, RevisionNumber, StoreItem, StorePort,
+    StoreTransaction, StoreVersion, WatchChange, WatchOutcome,
 };
 pub use operator::{
     AskRequest, OperatorClient, OperatorCommand, OperatorError, format_plan, format_status,
@@ -157,6 +162,7 @@
 pub use settings::{
     BoundSettings, DaemonSettings, LogSettings, PlatformSettings, TimingSettings, TraceSettings,
 };
+pub use snapshots::{FeedPosition, FeedRequest, SnapshotReply, SnapshotRequest};
 pub use store::{
     CompareClause, EventKind, ExpectedRevision, JsonInt64, KeyValue, LeaseGrantReply,
     LeaseGrantRequest, LeaseKeepAliveReply, LeaseRequest, RangeReply, RangeRequest, ReplyHeader,
--- a/src/mirror/port.rs
+++ b/src/mirror/port.rs
@@ -79,6 +79,24 @@
     Removed(Arc<str>, StoreVersion),
 }
 
+impl WatchChange {
+    /// Version of the write or removal.
+    pub fn version(&self) -> StoreVersion {
+        match self {
+            Self::Written(item) => item.version,
+            Self::Removed(_, version) => *version,
+        }
+    }
+
+    /// Key that was written or removed.
+    pub fn key(&self) -> &Arc<str> {
+        match self {
+            Self::Written(item) => &item.key,
+            Self::Removed(key, _) => key,
+        }
+    }
+}
+
 /// Reply to a watch.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum WatchOutcome {
@@ -151,7 +169,8 @@
     Expired,
 }
 
-type PortCall<Q, R> = Arc<dyn Fn(Q) -> PortFuture<R> + Send + Sync>;
+/// One kind of call to the store.
+pub type PortCall<Q, R> = Arc<dyn Fn(Q) -> PortFuture<R> + Send + Sync>;
 
 /// Calls to the store.
 #[derive(Clone)]
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -7,8 +7,8 @@
 mod listener;
 mod transport;
 
-pub(crate) use frame::frame_stream;
 pub use frame::{FrameKind, PeerFrame, PeerTopic};
+pub(crate) use frame::{FrameStream, frame_stream};
 pub use handlers::PeerHandlers;
 pub use handshake::HandshakeError;
 pub use listener::serve_peers;
--- a/src/presence/session.rs
+++ b/src/presence/session.rs
@@ -63,6 +63,8 @@
 struct SessionState {
     lease: Option<LeaseState>,
     presence_written: bool,
+    /// Version of the last write of the presence entry.
+    presence_version: StoreVersion,
     fence_number: Option<FenceNumber>,
     /// Version of the leader's key that this daemon has written.
     leader_version: Option<StoreVersion>,
@@ -214,10 +216,14 @@
         lease.era != self.port.era.current()
     }
 
-    /// Records that the presence entry is missing in the store, so that the next renewal writes it
-    /// again.
-    pub fn mark_missing(&self) {
-        self.with(|state| state.presence_written = false);
+    /// Records that the presence entry is missing in the store at this version, so that the next renewal
+    /// writes it again. A version from before the entry was written says nothing.
+    pub fn mark_missing(&self, at: StoreVersion) {
+        self.with(|state| {
+            if at >= state.presence_version {
+                state.presence_written = false;
+            }
+        });
     }
 
     /// Revokes the lease, which removes this daemon from address responses and gives up leadership.
@@ -350,7 +356,10 @@
         };
         match (self.port.commit)(transaction).await? {
             CommitOutcome::Done(version) if version.era() == lease.era => {
-                self.with(|state| state.presence_written = true);
+                self.with(|state| {
+                    state.presence_written = true;
+                    state.presence_version = version;
+                });
             }
             _ => self.with(SessionState::forget_lease),
         }
--- a/src/presence/table.rs
+++ b/src/presence/table.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use subtle::ConstantTimeEq;
 
 /// Minimum number of daemons in a caller's own failure domain for a response that names only these.
 const MIN_DOMAIN_DAEMONS: usize = 2;
@@ -51,6 +52,14 @@
         self.rows.load_full()
     }
 
+    /// True if a daemon with this name is listed, and `token` is the secret of its run.
+    pub fn knows_run(&self, instance: &str, token: &str) -> bool {
+        let rows = self.rows.load();
+        let listed = rows.values().find(|row| row.instance.as_str() == instance);
+        let access = listed.and_then(|row| row.relay.as_ref());
+        access.is_some_and(|access| access.token.as_bytes().ct_eq(token.as_bytes()).into())
+    }
+
     /// Replaces the snapshot.
     pub fn publish(&self, rows: BTreeMap<Arc<str>, PresenceRow>) {
         // A daemon whose own entry is not in the list yet still counts itself.
--- a/src/relay/listener.rs
+++ b/src/relay/listener.rs
@@ -1,6 +1,5 @@
 //! Accepts callers' connections and serves the requests on them.
 
-use crate::presence::PresenceRow;
 use crate::relay::context::RelayContext;
 use crate::relay::exchange::{
     ActiveRequest, ExchangeEnd, RoutingDecision, compute_deadline, relay_request, route_request,
@@ -19,7 +18,6 @@
 use futures_lite::future::or;
 use std::net::TcpStream;
 use std::sync::{Arc, OnceLock};
-use subtle::ConstantTimeEq;
 
 /// Maximum number of bytes buffered while a response is pending. Further bytes stay in the socket
 /// buffer, and reading no longer detects that the caller closes the connection.
@@ -230,8 +228,8 @@
     }
     let dispatch = head.field(PEER_FIELD).and_then(|text| text.parse().ok());
     let dispatch: PeerDispatch = dispatch.ok_or(RefusalCause::UnknownPeer)?;
-    let rows = context.presence.rows();
-    if !rows.values().any(|row| is_sender(row, &dispatch)) {
+    let sender = dispatch.sender.as_str();
+    if !context.presence.knows_run(sender, &dispatch.token) {
         return Err(RefusalCause::UnknownPeer);
     }
     let taken = context.metrics.peer_requests.with_label_values(&["taken"]);
@@ -239,15 +237,6 @@
     Ok(Some(dispatch))
 }
 
-/// True when the entry is that of the daemon that sent the dispatch.
-fn is_sender(row: &PresenceRow, dispatch: &PeerDispatch) -> bool {
-    let Some(access) = &row.relay else {
-        return false;
-    };
-    let is_token_equal = access.token.as_bytes().ct_eq(dispatch.token.as_bytes());
-    row.instance == dispatch.sender && bool::from(is_token_equal)
-}
-
 fn record_outcome(request: &ActiveRequest<'_>, end: Option<ExchangeEnd>) {
     let outcome = match end {
         Some(ExchangeEnd::Relayed(status)) if status < 400 => "relayed",
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -27,8 +27,13 @@
     /// Seconds from the arrival of the request head, by kind. The only kind is `first_event`, until
     /// the first bytes of a stream are ready to be forwarded.
     pub latency: HistogramVec,
-    /// Calls to the store by call and outcome.
+    /// Calls to the store by call and outcome. With the outcome `fed`, changes came from the feed of
+    /// another daemon instead.
     pub store_calls: IntCounterVec,
+    /// Calls to the store by their kind.
+    pub store_requests: IntCounterVec,
+    /// Feeds of other daemons by event: `began`, `ended`, and `rejected` for frames that cannot be used.
+    pub feeds: IntCounterVec,
     /// Restores of the store from an older copy, by whether this daemon's entries are back.
     pub store_restores: IntCounterVec,
     /// Version of the configuration and numbers of targets, chains and daemons that this daemon
@@ -88,6 +93,16 @@
                 "Calls to the store by call and outcome",
                 &["call", "outcome"],
             )?,
+            store_requests: metrics.counter(
+                "store_requests_total",
+                "Calls to the store by kind",
+                &["kind"],
+            )?,
+            feeds: metrics.counter(
+                "store_feeds_total",
+                "Feeds of other daemons by event",
+                &["event"],
+            )?,
             store_restores: metrics.counter(
                 "store_restores_total",
                 "Restores of the store from an older copy, by outcome for this daemon",
--- a/src/snapshots/message.rs
+++ b/src/snapshots/message.rs
@@ -1,4 +1,4 @@
-//! Messages for fetching a snapshot from a peer.
+//! Messages for fetching a snapshot from a peer, and for asking it for further changes.
 
 use crate::ids::{LeaseId, StoreEra};
 use crate::mirror::{StoreItem, StoreVersion};
@@ -12,6 +12,55 @@
     /// Prefix of the keys.
     #[prost(string, tag = "1")]
     pub prefix: String,
+    /// Asks for a feed in place of a snapshot.
+    #[prost(message, optional, tag = "2")]
+    pub feed: Option<FeedRequest>,
+}
+
+/// Asks for all further changes. Daemons that serve no feeds answer with an empty snapshot.
+#[derive(Clone, PartialEq, Eq, Hash)]
+#[derive(Message)]
+pub struct FeedRequest {
+    /// The version that is known of each prefix.
+    #[prost(message, repeated, tag = "1")]
+    pub positions: Vec<FeedPosition>,
+    /// Name of the sender's instance.
+    #[prost(string, tag = "2")]
+    pub sender: String,
+    /// Secret of the sender's run, as its presence entry has it.
+    #[prost(string, tag = "3")]
+    pub token: String,
+}
+
+/// A version of one prefix.
+#[derive(Clone, PartialEq, Eq, Hash)]
+#[derive(Message)]
+pub struct FeedPosition {
+    /// Prefix of the keys.
+    #[prost(string, tag = "1")]
+    pub prefix: String,
+    /// Era of the store.
+    #[prost(uint64, tag = "2")]
+    pub era: u64,
+    /// Revision within the era.
+    #[prost(uint64, tag = "3")]
+    pub revision: u64,
+}
+
+impl FeedPosition {
+    /// The position of `prefix` at `version`.
+    pub fn new(prefix: &str, version: StoreVersion) -> Self {
+        Self {
+            prefix: prefix.to_owned(),
+            era: version.era().0,
+            revision: version.revision().into(),
+        }
+    }
+
+    /// The version.
+    pub fn version(&self) -> StoreVersion {
+        StoreVersion::new(StoreEra(self.era), self.revision)
+    }
 }
 
 /// Keys that the peer knows.
--- a/src/snapshots/mod.rs
+++ b/src/snapshots/mod.rs
@@ -7,8 +7,7 @@
 mod message;
 mod recent;
 mod request;
-mod serve;
 
+pub use message::{FeedPosition, FeedRequest, SnapshotItem, SnapshotReply, SnapshotRequest};
 pub use recent::RecentPeers;
 pub use request::fetch_snapshot;
-pub use serve::serve_snapshots;
--- a/src/snapshots/request.rs
+++ b/src/snapshots/request.rs
@@ -61,6 +61,7 @@
     let mut frames = frame_stream(TcpStream::connect(peer).await?);
     let request = SnapshotRequest {
         prefix: prefix.to_owned(),
+        feed: None,
     };
     frames.send(Bytes::from(request.encode_to_vec())).await?;
     let closed = || io::Error::from(io::ErrorKind::UnexpectedEof);
