Exchange loads mostly within failure domains, and let campaigns begin within 1.2 s

Cause: each daemon sent its digest to 16 of all others, so at 195 daemons each was heard every 2.4 s, more than the 2 s after which a digest no longer counts, and four in five datagrams left the domain. Daemons that started together also sent to the same 16 at the same time. A campaign for the lead waited 150 ms for each daemon listed before, whether that could lead or not. Change: twelve digests of a period go to daemons of the own domain and four to others, in an order that differs by daemon; the reservations of other domains are taken as a sample of all daemons there. Digests of senders that are not listed do not count. The delay of a campaign ends at 1.2 s.

--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -14,6 +14,9 @@
 /// Delay of a campaign for leadership for each daemon that precedes this one in the order of the
 /// presence keys, so that daemons do not all campaign at once.
 const CAMPAIGN_DELAY: Duration = Duration::from_millis(150);
+/// Longest delay of a campaign. If none of the first daemons can lead, all others campaign after it, and
+/// the store lets one of them win.
+const MAX_CAMPAIGN_DELAY: Duration = Duration::from_millis(1_200);
 
 /// Campaigns when there is no leader and it is this daemon's turn; sends orders while this daemon
 /// leads.
@@ -58,8 +61,7 @@
         .keys()
         .position(|key| key == &state.presence_key)
         .unwrap_or(rows.len());
-    let turn = leaderless_since.after(CAMPAIGN_DELAY.saturating_mul(rank as u32));
-    if now < turn || !state.is_serving() {
+    if now < leaderless_since.after(campaign_delay(rank)) || !state.is_serving() {
         return;
     }
     match state.session.campaign().await {
@@ -80,6 +82,12 @@
     }
 }
 
+/// Time after the loss of the leader after which the daemon with this rank campaigns.
+pub fn campaign_delay(rank: usize) -> Duration {
+    let rank = u32::try_from(rank).unwrap_or(u32::MAX);
+    CAMPAIGN_DELAY.saturating_mul(rank).min(MAX_CAMPAIGN_DELAY)
+}
+
 fn order_missing_layers(state: &Arc<GatewayState>, service: &ServiceEntry, model: &ModelShape) {
     let context = &state.context;
     let now = context.clock.now();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod targets;
 
 pub use addresses::AddressReply;
+pub use leader::campaign_delay;
 pub use ports::{
     GatewayPorts, LayerOrder, OrderOutcome, StoreSchema, TargetCall, TargetPort, TargetReport,
 };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -84,7 +84,7 @@
 pub use gateway::{
     AddressReply, GatewayError, GatewayHandle, GatewayPorts, GatewayState, LayerOrder,
     OrderOutcome, StoreSchema, TargetCall, TargetPort, TargetPublisher, TargetRegistry,
-    TargetReport, start_gateway,
+    TargetReport, campaign_delay, start_gateway,
 };
 pub use http::{
     CallerWatch, ConnectionCount, ConnectionPool, ConnectionReuse, ExecutionOutcome, HttpCall,
@@ -106,7 +106,9 @@
     KeeperTable, LimitCell, LimitChange, LimitRow, LimitStatement, PermitAsk, PermitClient,
     PermitGrant, PermitReply, TakeOutcome, choose_keeper,
 };
-pub use loads::{LoadTable, ReservationDigest, ReservationRow, target_hash};
+pub use loads::{
+    LoadTable, PeerGroups, PeerOrigin, ReservationDigest, ReservationRow, target_hash,
+};
 pub use membership::{
     AddressPlan, CallNumber, IncarnationNumber, LeavingMarks, LeavingTarget, MarkRecord,
     MemberCall, MemberChange, MemberMessage, MemberProtocol, MemberRecord, MemberRow,
@@ -171,7 +173,8 @@
     WatchRequest, WireEvent, decode_bytes, encode_bytes,
 };
 pub use targets::{
-    ChainPart, LayerChain, TargetEntry, TargetPhase, TargetStats, TargetView, ViewCell, find_chains,
+    ChainPart, LayerChain, TargetEntry, TargetPhase, TargetStats, TargetView,
+    ViewCell, find_chains,
 };
 pub use telemetry::{
     EventLine, EventLog, LogError, MetricSet, SpanGuard, SpanOutcome, SpanRecord, TraceContext,
--- a/src/loads/exchange.rs
+++ b/src/loads/exchange.rs
@@ -3,6 +3,7 @@
 
 use crate::kernel::MonoClock;
 use crate::loads::digest::{ReservationDigest, ReservationRow, target_hash};
+use crate::loads::fanout::PeerGroups;
 use crate::loads::table::LoadTable;
 use crate::relay::{
     RelayContext, answer_ask, count_crashes, known_limits, leaving_runs, merge_leaving_runs,
@@ -18,9 +19,6 @@
 
 /// Period of sending digests.
 const SEND_PERIOD: Duration = Duration::from_millis(200);
-/// Maximum number of daemons that one digest is sent to. In larger fleets, consecutive digests go
-/// to consecutive groups of this size.
-const FAN_OUT: usize = 16;
 /// While this daemon reaches no target, all others are told in one of this many periods.
 const LOSS_REMINDER_INTERVAL: u64 = 5;
 /// Size of the receive buffer; longer datagrams are cut off.
@@ -34,6 +32,7 @@
     let socket = Arc::new(Async::<UdpSocket>::bind(listen)?);
     context.permits.set_socket(Arc::clone(&socket));
     let mut table = LoadTable::default();
+    let mut peers = peer_groups(&context);
     let mut digest = ReservationDigest {
         sender: fastrand::u64(..),
         ..ReservationDigest::default()
@@ -69,12 +68,13 @@
                     merge_limits(&context, &digest.limits);
                     merge_leaving_runs(&context, &digest.leaving);
                     merge_peer_crashes(&context, &digest.crashes);
-                    table.record(digest, clock.now());
+                    table.record(digest, peers.origin(from), clock.now());
                 }
             }
             Ok(Some(Err(cause))) => log::debug!("malformed load digest: {cause}"),
             Ok(None) => {
-                apply_totals(&context, &table);
+                peers = peer_groups(&context);
+                apply_totals(&context, &table, peers.remote_count());
                 digest.sequence += 1;
                 digest.rows = local_rows(&context);
                 count_crashes(&context);
@@ -83,10 +83,10 @@
                 digest.leaving = leaving_runs(&context);
                 let statement = context.reach.statement();
                 let is_news = digest.reach.replace(statement) != Some(statement);
-                send_digest(&context, &socket, &digest).await;
+                send_digest(&socket, &digest, &peers).await;
                 let is_due = digest.sequence.is_multiple_of(LOSS_REMINDER_INTERVAL);
                 if is_news || (statement.is_lost && is_due) {
-                    announce_reach(&context, &socket, &digest).await;
+                    announce_reach(&socket, &digest, &peers).await;
                 }
                 next_send = clock.now().after(SEND_PERIOD);
             }
@@ -135,8 +135,8 @@
         .collect()
 }
 
-fn apply_totals(context: &RelayContext, table: &LoadTable) {
-    let totals = table.totals(context.clock.now());
+fn apply_totals(context: &RelayContext, table: &LoadTable, remote_daemons: usize) {
+    let totals = table.totals(remote_daemons, context.clock.now());
     for target in context.targets.load().targets() {
         let total = totals
             .get(&target_hash(&target.id))
@@ -148,43 +148,31 @@
     }
 }
 
-async fn send_digest(
-    context: &RelayContext,
-    socket: &Async<UdpSocket>,
-    digest: &ReservationDigest,
-) {
+async fn send_digest(socket: &Async<UdpSocket>, digest: &ReservationDigest, peers: &PeerGroups) {
     let bytes = digest.encode_to_vec();
-    let others = other_daemons(context);
-    let offset = digest.sequence as usize * FAN_OUT;
-    for index in 0..others.len().min(FAN_OUT) {
-        send_bytes(socket, &bytes, others[(offset + index) % others.len()]).await;
+    for address in peers.recipients(digest.sequence) {
+        send_bytes(socket, &bytes, address).await;
     }
 }
 
 /// Tells all daemons whether this one has a path to the targets; in larger fleets, a digest goes to some
 /// of them only.
-async fn announce_reach(
-    context: &RelayContext,
-    socket: &Async<UdpSocket>,
-    digest: &ReservationDigest,
-) {
+async fn announce_reach(socket: &Async<UdpSocket>, digest: &ReservationDigest, peers: &PeerGroups) {
     let announcement = ReservationDigest {
         sender: digest.sender,
         reach: digest.reach,
         ..ReservationDigest::default()
     };
     let bytes = announcement.encode_to_vec();
-    for address in other_daemons(context) {
+    for address in peers.all() {
         send_bytes(socket, &bytes, address).await;
     }
 }
 
-/// Addresses of all listed daemons but this one.
-fn other_daemons(context: &RelayContext) -> Vec<SocketAddr> {
+fn peer_groups(context: &RelayContext) -> PeerGroups {
     let rows = context.presence.rows();
-    let local_instance = &context.settings.instance;
-    let others = rows.values().filter(|row| &row.instance != local_instance);
-    others.map(|row| row.peers).collect()
+    let settings = &context.settings;
+    PeerGroups::new(rows.values(), &settings.instance, &settings.failure_domain)
 }
 
 async fn send_bytes(socket: &Async<UdpSocket>, bytes: &[u8], address: SocketAddr) {
--- a/src/loads/mod.rs
+++ b/src/loads/mod.rs
@@ -5,8 +5,10 @@
 
 mod digest;
 mod exchange;
+mod fanout;
 mod table;
 
 pub use digest::{ReservationDigest, ReservationRow, target_hash};
 pub use exchange::exchange_loads;
+pub use fanout::{PeerGroups, PeerOrigin};
 pub use table::LoadTable;
