Use targets that shed load without naming a time only where no other is left

Cause: a server that turns requests away and names no rest that can be read looks idle, so each request asked it first, and retries and their budget went there. Result: platform_notices.rs, other_server_serves_while_one_sheds_load: none refused.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -173,7 +173,7 @@
     WatchRequest, WireEvent, decode_bytes, encode_bytes,
 };
 pub use targets::{
-    ChainPart, LayerChain, TargetEntry, TargetPhase, TargetStats, TargetView,
+    ChainPart, LayerChain, SheddingCell, TargetEntry, TargetPhase, TargetStats, TargetView,
     ViewCell, find_chains,
 };
 pub use telemetry::{
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -217,6 +217,7 @@
         } else {
             request.deadline
         };
+        target.stats.shedding().on_send(now);
         self.state.on_start(&target.id);
         self.newest = Some(Arc::clone(&target));
         self.running
@@ -366,7 +367,9 @@
         RelayFailure::NotExecuted if failed.kind == FailureKind::Misdirected => {
             target.stats.mark_replaced();
         }
-        RelayFailure::NotExecuted => {}
+        // A target that has named a rest gets nothing anyway.
+        RelayFailure::NotExecuted if target.stats.limit().resting_until(now).is_some() => {}
+        RelayFailure::NotExecuted => target.stats.shedding().on_refusal(now),
         RelayFailure::NotSent => target.stats.record_failure(now),
         _ if failed.kind == FailureKind::TimedOut => target.stats.record_failure(now),
         _ => target.stats.record_bad_reply(now),
--- a/src/targets/stats.rs
+++ b/src/targets/stats.rs
@@ -3,6 +3,7 @@
 
 use crate::limits::LimitCell;
 use crate::routing::GapEstimate;
+use crate::targets::shedding::SheddingCell;
 use crate::units::MonoTime;
 use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -45,6 +46,7 @@
     stalled_since: AtomicU64,
     last_probe: AtomicU64,
     limit: LimitCell,
+    shedding: SheddingCell,
 }
 
 impl TargetStats {
@@ -53,6 +55,11 @@
         &self.limit
     }
 
+    /// Whether the target turns requests away.
+    pub fn shedding(&self) -> &SheddingCell {
+        &self.shedding
+    }
+
     /// Requests of this daemon in flight.
     pub fn in_progress(&self) -> u32 {
         self.in_progress.load(Ordering::Relaxed)
@@ -221,14 +228,15 @@
             .store(now.after(DEGRADED_TIME).0, Ordering::Relaxed);
     }
 
-    /// True while the target is degraded, that is, used only where no other is left.
+    /// True while the target is degraded or sheds load, that is, used only where no other is left.
     pub fn is_degraded(&self, now: MonoTime) -> bool {
-        now.0 < self.degraded_until.load(Ordering::Relaxed)
+        now.0 < self.degraded_until.load(Ordering::Relaxed) || self.shedding.is_shedding(now)
     }
 
     /// Records a successful request, which ends a series of failures.
     pub fn record_success(&self) {
         self.record_connect(true);
+        self.shedding.on_response();
         self.stalled_since.store(0, Ordering::Relaxed);
         if self.failures.load(Ordering::Relaxed) != 0 {
             self.failures.store(0, Ordering::Relaxed);
--- a/tests/platform_notices.rs
+++ b/tests/platform_notices.rs
@@ -209,6 +209,25 @@
     assert!(site.plain_servers[0].notices().arrivals() > asked);
 }
 
+/// One of two servers turns all requests away and names no time that can be read, so it looks idle: each
+/// request asked it first, and two in five were refused though the other server was sound.
+#[test_case("get", "abc")]
+#[test_case("post", "-5")]
+#[test_case("post", "Wed, 21 Oct 2026 07:28:00 GMT")]
+#[test_case("post", "")]
+fn other_server_serves_while_one_sheds_load(kind: &str, text: &str) {
+    let site = SiteFleet::start(SiteSpec {
+        plain_servers: 2,
+        models_per_domain: 0,
+        ..SiteSpec::default()
+    });
+    site.plain_servers[0].notices().set_rest(Some(text));
+
+    let responses = send_load(&site, kind, Duration::from_millis(1_500));
+
+    assert_eq!(count_refused(&responses), 0, "of {}", responses.len());
+}
+
 fn assert_left_alone(server: &PlainServer) {
     let late = server.notices().arrivals_after_leaving(ON_THE_WAY);
     assert_eq!(late, 0, "requests at {}", server.id());
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -323,6 +323,30 @@
     assert_eq!(choose(), Some("b".to_owned()));
 }
 
+/// A target that sheds load without naming a time looks idle, so that each request asked it first.
+#[test]
+fn target_that_sheds_load_is_used_only_where_no_other_is_left() {
+    let targets = [
+        target("busy", "here", None),
+        target("shedding", "here", None),
+    ];
+    targets[0].stats.set_peer_load(0, 3, 0);
+    let local = domain("here");
+    let mut rng = fastrand::Rng::with_seed(7);
+    let mut choose = |tried: &[InstanceId], now: MonoTime| {
+        let chosen = pick_target(&targets, tried, &local, now, &mut rng);
+        chosen.map(|target| target.id.to_string())
+    };
+    assert_eq!(choose(&[], at(0)), Some("shedding".to_owned()));
+
+    targets[1].stats.shedding().on_refusal(at(10));
+
+    assert_eq!(choose(&[], at(20)), Some("busy".to_owned()));
+    assert_eq!(choose(&[id("busy")], at(20)), Some("shedding".to_owned()));
+    targets[1].stats.record_success();
+    assert_eq!(choose(&[], at(30)), Some("shedding".to_owned()));
+}
+
 #[test]
 fn target_whose_address_was_taken_over_is_never_chosen() {
     let targets = [target("a", "here", None)];
