Keep feeds through the end of a lease and through outages of the store

Change: a daemon that is not listed neither follows a new feed nor gives up the one that it has, and serves those that it has. A sender without contact to the store is left only if this daemon has one. A daemon with a feed waits up to 2.4 s between failed calls.

--- a/src/feed/follow.rs
+++ b/src/feed/follow.rs
@@ -20,6 +20,8 @@
 /// Longest delay between failed calls. With up to half of it taken off as jitter, it keeps 430
 /// daemons with three prefixes each below the store's limit on read calls.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
+/// The same for a daemon with an open feed, which tells it of the store's return.
+const MAX_FED_RETRY_DELAY: Duration = Duration::from_millis(2_400);
 /// Upper limit of the random delay before a list after a gap in the history, so that daemons do not
 /// all list at once.
 const LIST_JITTER: Duration = Duration::from_millis(50);
@@ -107,6 +109,15 @@
     Restored,
 }
 
+fn next_retry_delay(current: Duration, is_fed: bool) -> Duration {
+    let longest = if is_fed {
+        MAX_FED_RETRY_DELAY
+    } else {
+        MAX_RETRY_DELAY
+    };
+    current.saturating_mul(2).min(longest)
+}
+
 /// Keeps `mirror` in sync with a prefix of the store and passes what happens to `report`. Never
 /// returns.
 pub async fn follow_prefix(
@@ -153,7 +164,7 @@
                     report(FollowNotice::PeerSnapshot(&changes));
                 }
                 wait_retry(&spec, &mirror, retry_delay).await;
-                retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
+                retry_delay = next_retry_delay(retry_delay, spec.inbox.is_open());
                 continue;
             }
         };
--- a/src/feed/inbox.rs
+++ b/src/feed/inbox.rs
@@ -137,6 +137,11 @@
         self.changed.notify(usize::MAX);
     }
 
+    /// True while a daemon's feed is followed, whether or not it can be relied on.
+    pub fn is_open(&self) -> bool {
+        self.lock().is_some()
+    }
+
     /// Records a frame that arrived at `now`.
     ///
     /// # Errors
--- a/src/feed/readers.rs
+++ b/src/feed/readers.rs
@@ -10,14 +10,16 @@
 /// How a daemon learns of changes of the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ReadingRole {
-    /// It reads the store itself.
+    /// It reads the store itself, and others follow it.
     Reader,
+    /// It reads the store itself because it is not listed: it has just started, or its lease has run out.
+    Unlisted,
     /// It follows one of these daemons, the preferred one first.
     Follower(Vec<PresenceRow>),
 }
 
 /// Decides how a daemon learns of changes of the store, by rendezvous hashing over the listed daemons of
-/// its failure domain. One that is not listed reads the store itself.
+/// its failure domain.
 pub fn reading_role<'a>(
     rows: impl Iterator<Item = &'a PresenceRow>,
     instance: &InstanceId,
@@ -25,7 +27,7 @@
 ) -> ReadingRole {
     let mut ranked: Vec<&PresenceRow> = rows.filter(|row| row.domain == *domain).collect();
     if !ranked.iter().any(|row| row.instance == *instance) {
-        return ReadingRole::Reader;
+        return ReadingRole::Unlisted;
     }
     let order =
         |row: &&PresenceRow| stable_hash(&[b"store reader", row.instance.as_str().as_bytes()]);
--- a/src/feed/serve.rs
+++ b/src/feed/serve.rs
@@ -2,6 +2,7 @@
 
 use crate::feed::contact::StoreContactCell;
 use crate::feed::message::{FeedFrame, FeedPart};
+use crate::feed::readers::ReadingRole;
 use crate::kernel::MonoClock;
 use crate::mirror::{MirrorSet, StoreVersion};
 use crate::peer::FrameStream;
@@ -38,8 +39,8 @@
     pub(crate) contact: Arc<StoreContactCell>,
     /// Clock of this process.
     pub(crate) clock: MonoClock,
-    /// True while this daemon watches the store itself.
-    pub(crate) is_reader: Arc<dyn Fn() -> bool + Send + Sync>,
+    /// How this daemon learns of changes at present.
+    pub(crate) role: Arc<dyn Fn() -> ReadingRole + Send + Sync>,
     /// True for the request of a listed daemon.
     pub(crate) is_listed: Arc<dyn Fn(&FeedRequest) -> bool + Send + Sync>,
     /// Number of feeds that are served.
@@ -56,7 +57,8 @@
     /// The next frame of a feed that has told everything up to `positions`, which are moved on. `None`
     /// when this daemon cannot serve the feed.
     fn next_frame(&self, positions: &mut [(Arc<str>, StoreVersion)]) -> Option<FeedFrame> {
-        if !(self.is_reader)() {
+        // A reader whose lease has run out, as in an outage of the store, continues.
+        if matches!((self.role)(), ReadingRole::Follower(_)) {
             return None;
         }
         let age = self.contact.age(self.clock.now())?;
--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -1,5 +1,6 @@
 //! Follows the feed of a daemon that reads the store.
 
+use crate::feed::contact::StoreContactCell;
 use crate::feed::inbox::{FeedError, FeedInbox, MAX_SILENCE};
 use crate::feed::message::FeedFrame;
 use crate::feed::readers::ReadingRole;
@@ -45,6 +46,8 @@
     pub(crate) clock: MonoClock,
     /// Mirrors that the feed continues.
     pub(crate) mirrors: MirrorSet,
+    /// This daemon's own contact with the store.
+    pub(crate) contact: Arc<StoreContactCell>,
     /// Receives the changes.
     pub(crate) inbox: Arc<FeedInbox>,
     /// Name of this daemon's instance, and the secret of its run.
@@ -104,6 +107,7 @@
 /// Follows the feed of one daemon after the other while this one does not read the store. Never returns.
 pub(crate) async fn subscribe_feeds(ports: SubscriberPorts) {
     let mut avoided: HashMap<InstanceId, MonoTime> = HashMap::new();
+    let mut was_refused = false;
     loop {
         let now = ports.clock.now();
         avoided.retain(|_, until| now < *until);
@@ -117,8 +121,13 @@
         ports.inbox.close();
         let mut avoid_time = AVOID_TIME;
         if let Err(cause) = ended {
-            report_end(&ports, &sender, &cause);
-            if matches!(cause, LinkError::Rejected(FeedError::Refused)) {
+            let is_refused = matches!(cause, LinkError::Rejected(FeedError::Refused));
+            // A daemon that all readers refuse asks them every second.
+            if !(is_refused && was_refused) {
+                report_end(&ports, &sender, &cause);
+            }
+            was_refused = is_refused;
+            if is_refused {
                 avoid_time = REFUSED_TIME;
             }
         }
@@ -131,7 +140,7 @@
     avoided: &HashMap<InstanceId, MonoTime>,
 ) -> Option<PresenceRow> {
     match role {
-        ReadingRole::Reader => None,
+        ReadingRole::Reader | ReadingRole::Unlisted => None,
         ReadingRole::Follower(readers) => readers
             .into_iter()
             .find(|row| !avoided.contains_key(&row.instance)),
@@ -161,7 +170,10 @@
         if !std::mem::replace(&mut is_reported, true) {
             report_begin(ports, sender);
         }
-        if now.since(contact_at) > MAX_OUTDATED_TIME {
+        // If the store does not answer this daemon either, another reader is no better.
+        let own_age = ports.contact.age(now);
+        let has_contact = own_age.is_some_and(|age| age < MAX_OUTDATED_TIME);
+        if has_contact && now.since(contact_at) > MAX_OUTDATED_TIME {
             return Err(LinkError::Outdated);
         }
         if (ports.role)() == ReadingRole::Reader {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -316,7 +316,7 @@
         mirrors: state.mirrors.clone(),
         contact: Arc::clone(&state.contact),
         clock: state.context.clock,
-        is_reader: Arc::new(move || reading.reading_role() == ReadingRole::Reader),
+        role: Arc::new(move || reading.reading_role()),
         is_listed: Arc::new(move |request| {
             let presence = &listed.context.presence;
             presence.knows_run(&request.sender, &request.token)
@@ -333,6 +333,7 @@
     let ports = SubscriberPorts {
         clock: state.context.clock,
         mirrors: state.mirrors.clone(),
+        contact: Arc::clone(&state.contact),
         inbox: Arc::clone(&state.inbox),
         identity: (
             state.context.settings.instance.clone(),
