Spread refused callers by the share of refusals, and keep retries for requests that have failed

Each daemon found the crashed parts out by itself. Change: attempts beside running ones may spend half of the retry budget. Daemons tell each other at which targets their requests have just failed; two that say so make a target the last choice. While many requests are refused, callers are asked to return over up to 0.32 of the time that they have left.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -147,9 +147,10 @@
 };
 pub use relay::{
     BudgetLimits, ChainRequirement, DispatchMetadata, GatewayBounds, GatewayListen,
-    GatewaySettings, GatewayStore, LocalReply, PeerDispatch, RefusalCause, RelayCodec,
-    RelayContext, RelayFailure, RelayMetrics, ReplyMetadata, RequestMetadata, RetryBudget,
-    RetryState, RetryStep, StallDetector, StallStep, TargetNotices, pick_chain, pick_target,
+    GatewaySettings, GatewayStore, LocalReply, PeerDispatch, RefusalCause, RefusalPressure,
+    RelayCodec, RelayContext, RelayFailure, RelayMetrics, ReplyMetadata, RequestMetadata,
+    RetryBudget, RetryState, RetryStep, StallDetector, StallStep, TargetNotices, pick_chain,
+    pick_target, return_delay,
 };
 pub use routing::{
     AnswerEvent, AnswerStream, AttemptEvent, AttemptFailure, AttemptLimits, AttemptMachine,
--- a/src/loads/digest.rs
+++ b/src/loads/digest.rs
@@ -66,6 +66,9 @@
     /// True when the sender cannot reach the target.
     #[prost(bool, tag = "4")]
     pub unreachable: bool,
+    /// True while the sender gives the target nothing because its last requests there have failed.
+    #[prost(bool, tag = "5")]
+    pub failing: bool,
 }
 
 /// Hash of a target's identity, the same in all daemons.
--- a/src/loads/exchange.rs
+++ b/src/loads/exchange.rs
@@ -125,13 +125,15 @@
 
 fn local_rows(context: &RelayContext) -> Vec<ReservationRow> {
     let view = context.targets.load();
+    let now = context.clock.now();
     let rows = view.targets().map(|target| ReservationRow {
         target: target_hash(&target.id),
         tokens: target.stats.reserved_tokens() as u32,
         requests: target.stats.in_progress(),
         unreachable: target.stats.is_unreachable(),
+        failing: target.stats.is_ejected(now) && !target.stats.is_replaced(),
     });
-    rows.filter(|row| row.requests > 0 || row.unreachable)
+    rows.filter(|row| row.requests > 0 || row.unreachable || row.failing)
         .collect()
 }
 
@@ -145,6 +147,7 @@
         target
             .stats
             .set_peer_load(total.tokens, total.requests, total.unreachable_from);
+        target.stats.set_peers_failing(total.failing_at);
     }
 }
 
--- a/src/loads/table.rs
+++ b/src/loads/table.rs
@@ -27,6 +27,8 @@
     pub requests: u32,
     /// Number of daemons that cannot reach the target.
     pub unreachable_from: u32,
+    /// Number of daemons whose last requests at the target have failed.
+    pub failing_at: u32,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
@@ -68,6 +70,7 @@
             heard_remote += usize::from(is_remote);
             for row in &digest.rows {
                 let total = totals.entry(row.target).or_default();
+                total.failing_at += u32::from(row.failing && !digest.is_cut_off());
                 total.unreachable_from += u32::from(row.unreachable && !digest.is_cut_off());
                 if is_remote {
                     let load = remote.entry(row.target).or_default();
--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -19,6 +19,10 @@
 /// instance may have spent its share already, of which the new one knows nothing.
 const SPENDABLE_SHARE_AT_START: f64 = 1.0 - SPENDABLE_SHARE;
 
+/// Share of these that attempts beside a running one may spend. A slow attempt may still succeed, a
+/// request whose attempts have all failed has only the retry.
+const BESIDE_SHARE: f64 = 0.5;
+
 /// Limits on the retries of one service, over all daemons together.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct BudgetLimits {
@@ -77,7 +81,7 @@
     pub fn try_spend(&self, service: &ServiceId, daemons: usize, now: MonoTime) -> bool {
         let limits = *self.lock_limits();
         self.with_window(service, now, |window| {
-            let granted = allows_retry(&limits, window, daemons, now);
+            let granted = allows_retry(&limits, window, daemons, 1.0, now);
             if let (true, Some(bucket)) = (granted, window.back_mut()) {
                 bucket.retries += 1;
             }
@@ -85,11 +89,12 @@
         })
     }
 
-    /// True when [`Self::try_spend`] would allow a retry at `now`.
-    pub fn may_spend(&self, service: &ServiceId, daemons: usize, now: MonoTime) -> bool {
+    /// True when an attempt may be started beside a running one. It spends from the same budget, but
+    /// leaves a part of it to requests without a running attempt.
+    pub fn may_spend_beside(&self, service: &ServiceId, daemons: usize, now: MonoTime) -> bool {
         let limits = *self.lock_limits();
         self.with_window(service, now, |window| {
-            allows_retry(&limits, window, daemons, now)
+            allows_retry(&limits, window, daemons, BESIDE_SHARE, now)
         })
     }
 
@@ -124,11 +129,12 @@
     }
 }
 
-/// True when one more retry stays within this daemon's share of the limits.
+/// True when one more retry stays within `part` of this daemon's share of the limits.
 fn allows_retry(
     limits: &BudgetLimits,
     window: &VecDeque<CountBucket>,
     daemons: usize,
+    part: f64,
     now: MonoTime,
 ) -> bool {
     let requests: u32 = window.iter().map(|bucket| bucket.requests).sum();
@@ -143,6 +149,6 @@
     } else {
         SPENDABLE_SHARE
     };
-    let allowed = share * (limits.ratio * f64::from(requests) + allowance);
+    let allowed = part * share * (limits.ratio * f64::from(requests) + allowance);
     f64::from(retries + 1) <= allowed
 }
--- a/src/relay/context.rs
+++ b/src/relay/context.rs
@@ -12,6 +12,7 @@
 use crate::relay::metadata::RelayCodec;
 use crate::relay::metrics::RelayMetrics;
 use crate::relay::refusals::RefusalLog;
+use crate::relay::return_time::RefusalPressure;
 use crate::relay::settings::{GatewayBounds, GatewaySettings};
 use crate::relay::suspicion::SuspicionList;
 use crate::snapshots::RecentPeers;
@@ -61,6 +62,8 @@
     pub outbox: CrashOutbox,
     /// Parts of prompts that are known not to crash targets.
     pub harmless: HarmlessParts,
+    /// Share of refused requests.
+    pub pressure: RefusalPressure,
     /// Refusals that have been logged.
     pub refusals: RefusalLog,
     /// Attempts that ended without a whole response lately.
@@ -217,6 +220,7 @@
             poison: PoisonTable::default(),
             outbox: CrashOutbox::default(),
             harmless: HarmlessParts::default(),
+            pressure: RefusalPressure::default(),
             refusals: RefusalLog::default(),
             suspicions: SuspicionList::default(),
             budget: RetryBudget::new(settings.bounds.budget()),
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -339,6 +339,9 @@
         context
             .budget
             .count_request(&request.service.name, context.clock.now());
+        context
+            .pressure
+            .on_request(&request.service.name, context.clock.now());
     }
     if request.route.retry_rule.is_stream() || request.service.model.is_some() {
         streaming::relay_stream(request).await
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -160,7 +160,10 @@
             return;
         }
         self.overdue_at = now.after(TARGET_POLL);
-        if self.state.next_step(now) != RetryStep::TryNext {
+        let daemons = request.context.presence.peak_count();
+        let budget = &request.context.budget;
+        let may_retry = budget.may_spend_beside(&request.service.name, daemons, now);
+        if !may_retry || self.state.next_step(now) != RetryStep::TryNext {
             return;
         }
         let TargetTry::Found(target) = try_target(request, &self.state, &mut self.rng).await else {
--- a/src/relay/request_refusal.rs
+++ b/src/relay/request_refusal.rs
@@ -3,6 +3,7 @@
 use crate::relay::exchange::{ActiveRequest, DEFAULT_TIMEOUT, ExchangeEnd};
 use crate::relay::local_reply::{LocalReply, RefusalCause};
 use crate::relay::notices::rest_left;
+use crate::relay::return_time::return_delay;
 use std::time::Duration;
 
 /// Base of `Retry-After`, see [`ActiveRequest::reply_locally`]. In most cases, the layers of a lost
@@ -13,6 +14,9 @@
 /// Upper limit of the base, as a share of the caller's timeout. The value sent is between the base
 /// and twice the base.
 const RETRY_AFTER_SHARE: f64 = 0.15;
+/// Longest `Retry-After` of a request that targets had no room for, as a share of the time that its caller
+/// has left. Callers honour up to a third.
+const MAX_RETURN_SHARE: f64 = 0.32;
 /// Time after the end of a rest over which refused callers return.
 const REST_SPREAD: Duration = Duration::from_secs(1);
 
@@ -55,10 +59,25 @@
                 reply.retry_after = Some(rest + REST_SPREAD.mul_f64(rng.f64()));
                 reply
             }
+            None if depends_on_targets.contains(&reply.cause) => {
+                reply.retry_after = Some(self.return_delay(&mut rng));
+                reply
+            }
             None => reply.with_retry_after(self.retry_delay(reply.cause), &mut rng),
         }
     }
 
+    /// Time after which the caller should return when targets had no room for its request.
+    fn return_delay(&self, rng: &mut fastrand::Rng) -> Duration {
+        let service = &self.service.name;
+        let now = self.context.clock.now();
+        self.context.pressure.on_refusal(service, now);
+        let share = self.context.pressure.share(service, now);
+        let base = self.retry_delay(RefusalCause::NoTarget);
+        let time_left = self.deadline.since(now);
+        return_delay(base, time_left.mul_f64(MAX_RETURN_SHARE), share, rng)
+    }
+
     /// For the log: the fingerprints for which a request is refused with this cause, separated by
     /// commas.
     fn refusal_reasons(&self, cause: RefusalCause) -> Option<String> {
--- a/src/relay/stream_chain.rs
+++ b/src/relay/stream_chain.rs
@@ -74,7 +74,7 @@
     let daemons = context.presence.peak_count();
     let may_retry = context
         .budget
-        .may_spend(&request.service.name, daemons, now);
+        .may_spend_beside(&request.service.name, daemons, now);
     if !may_retry || state.next_step(now) != RetryStep::TryNext {
         return None;
     }
--- a/src/relay/stream_failure.rs
+++ b/src/relay/stream_failure.rs
@@ -37,9 +37,6 @@
             target.stats.mark_replaced();
         }
         RelayFailure::NotSent => target.stats.record_failure(now),
-        RelayFailure::NotExecuted if faulty_part.is_none() => {
-            target.stats.shedding().on_refusal(now);
-        }
         _ if failed.kind == FailureKind::TimedOut || faulty_part.is_some() => {
             target.stats.record_failure(now);
         }
--- a/src/relay/streaming.rs
+++ b/src/relay/streaming.rs
@@ -170,7 +170,6 @@
     fn start_attempt(&mut self, chain: &Arc<LayerChain>) {
         let opening = OpeningAttempt::start(self.request, &self.state, chain, &self.delivered);
         let now = self.request.context.clock.now();
-        chain.head().stats.shedding().on_send(now);
         self.starts.push((chain.head().id.clone(), now));
         self.state.on_start(&chain.head().id);
         self.openings.push(opening);
--- a/src/targets/stats.rs
+++ b/src/targets/stats.rs
@@ -17,6 +17,9 @@
 const UNREACHABLE_THRESHOLD: u32 = 2;
 /// Consecutive failed connects after which the target counts as lost whatever other daemons report.
 const LOST_THRESHOLD: u32 = 5;
+/// Number of other daemons whose requests fail at a target from which it counts as degraded: a single one
+/// may have failed for a reason of its own.
+const FAILING_PEERS_THRESHOLD: u32 = 2;
 /// Shortest interval between two queries for a target's report.
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(250);
 /// Shortest interval between two probes of a target.
@@ -41,6 +44,7 @@
     first_event: Mutex<GapEstimate>,
     failed_connects: AtomicU32,
     peers_unreachable: AtomicU32,
+    peers_failing: AtomicU32,
     last_report_query: AtomicU64,
     refused_at: AtomicU64,
     stalled_since: AtomicU64,
@@ -79,6 +83,11 @@
         self.peer_requests.store(requests, Ordering::Relaxed);
     }
 
+    /// Sets the number of other daemons whose last requests at the target have failed.
+    pub fn set_peers_failing(&self, daemons: u32) {
+        self.peers_failing.store(daemons, Ordering::Relaxed);
+    }
+
     /// Context tokens reserved by requests of all daemons.
     pub fn total_tokens(&self) -> f64 {
         self.reserved_tokens() + self.peer_tokens.load(Ordering::Relaxed) as f64
@@ -228,9 +237,11 @@
             .store(now.after(DEGRADED_TIME).0, Ordering::Relaxed);
     }
 
-    /// True while the target is degraded or sheds load, that is, used only where no other is left.
+    /// True while the target is degraded, sheds load or fails requests of other daemons, that is, used only where no other is left.
     pub fn is_degraded(&self, now: MonoTime) -> bool {
-        now.0 < self.degraded_until.load(Ordering::Relaxed) || self.shedding.is_shedding(now)
+        let is_failing = self.peers_failing.load(Ordering::Relaxed) >= FAILING_PEERS_THRESHOLD;
+        let is_degraded = now.0 < self.degraded_until.load(Ordering::Relaxed);
+        is_degraded || is_failing || self.shedding.is_shedding(now)
     }
 
     /// Records a successful request, which ends a series of failures.
--- a/tests/load_spread.rs
+++ b/tests/load_spread.rs
@@ -54,6 +54,7 @@
             tokens: requests * 1_000,
             requests,
             unreachable: false,
+            failing: false,
         }],
         ..ReservationDigest::default()
     }
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -347,6 +347,55 @@
     assert_eq!(choose(&[], at(30)), Some("shedding".to_owned()));
 }
 
+/// Several servers crash at once: each of 39 daemons of a domain found out by failed attempts of its own,
+/// and spent its retries on that.
+#[test]
+fn chain_that_fails_at_two_other_daemons_is_used_only_where_no_other_has_room() {
+    let chains = [chain("fast", "here", 1.0), chain("slow", "here", 4.0)];
+    let local = domain("here");
+    let requirement = ChainRequirement {
+        domain: &local,
+        tokens: 10.0,
+        is_resumed: false,
+    };
+    let mut rng = fastrand::Rng::with_seed(7);
+    let mut choose = |tried: &[InstanceId]| {
+        let chosen = pick_chain(&chains, &model(), requirement, tried, at(0), &mut rng);
+        chosen.map(|chain| chain.head().id.to_string())
+    };
+    let fast = &chains[0].head().stats;
+
+    fast.set_peers_failing(1);
+    assert_eq!(choose(&[]), Some("fast".to_owned()), "one may be mistaken");
+    fast.set_peers_failing(2);
+    assert_eq!(choose(&[]), Some("slow".to_owned()));
+    assert_eq!(choose(&[id("slow")]), Some("fast".to_owned()));
+    fast.set_peers_failing(0);
+    assert_eq!(choose(&[]), Some("fast".to_owned()));
+}
+
+/// Streams slow down together, and a few of their requests fail: attempts beside the slow ones must not
+/// leave nothing for those that have failed.
+#[test]
+fn attempts_beside_running_ones_leave_retries_for_failed_requests() {
+    let budget = RetryBudget::new(BudgetLimits {
+        ratio: 0.2,
+        allowance: 40.0,
+        window: Duration::from_secs(10),
+    });
+    let now = at(20_000);
+    (0..100).for_each(|_| budget.count_request(&service(), now));
+    let mut beside = 0;
+    while budget.may_spend_beside(&service(), 1, now) && budget.try_spend(&service(), 1, now) {
+        beside += 1;
+    }
+
+    let left = (0..).take_while(|_| budget.try_spend(&service(), 1, now));
+    let left = left.count();
+
+    assert!(beside > 0 && left >= beside, "{beside} beside, {left} left");
+}
+
 #[test]
 fn target_whose_address_was_taken_over_is_never_chosen() {
     let targets = [target("a", "here", None)];
