--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -21,6 +21,6 @@
 pub use inbox::{FeedError, FeedInbox, FeedStep};
 pub(crate) use listen::serve_copies;
 pub use message::{FeedChange, FeedFrame, FeedPart};
-pub use readers::{READERS_PER_DOMAIN, ReadingRole, reading_role};
+pub use readers::{READERS_PER_DOMAIN, ReadingRole, count_readers, reading_role};
 pub(crate) use serve::FeedSource;
 pub(crate) use subscribe::{SubscriberPorts, subscribe_feeds};
--- a/src/feed/readers.rs
+++ b/src/feed/readers.rs
@@ -3,6 +3,7 @@
 use crate::hash::stable_hash;
 use crate::ids::{DomainId, InstanceId};
 use crate::presence::PresenceRow;
+use std::collections::HashMap;
 
 /// Daemons of each failure domain that read the store: two of them may fail at the same time.
 pub const READERS_PER_DOMAIN: usize = 3;
@@ -18,6 +19,18 @@
     Follower(Vec<PresenceRow>),
 }
 
+/// Number of daemons that read the store among the listed ones.
+pub fn count_readers<'a>(rows: impl Iterator<Item = &'a PresenceRow>) -> usize {
+    let mut daemons: HashMap<&DomainId, usize> = HashMap::new();
+    for row in rows {
+        *daemons.entry(&row.domain).or_default() += 1;
+    }
+    let readers = daemons
+        .values()
+        .map(|count| (*count).min(READERS_PER_DOMAIN));
+    readers.sum()
+}
+
 /// Decides how a daemon learns of changes of the store, by rendezvous hashing over the listed daemons of
 /// its failure domain.
 pub fn reading_role<'a>(
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -1,7 +1,9 @@
 //! Keeps the mirrors of the store's prefixes in sync and publishes their contents to the request
 //! path.
 
-use crate::feed::{ChangeSource, FollowNotice, FollowSpec, SnapshotSource, follow_prefix};
+use crate::feed::{
+    ChangeSource, FollowNotice, FollowSpec, SnapshotSource, count_readers, follow_prefix,
+};
 use crate::gateway::crashes::apply_crash_change;
 use crate::gateway::run::GatewayState;
 use crate::gateway::targets::TargetNotice;
@@ -25,9 +27,9 @@
 /// Time for which presence changes are collected into one batch.
 const PRESENCE_BATCH_DELAY: Duration = Duration::from_millis(400);
 
-/// Number of daemons up to which the batch delays above apply. Larger fleets collect changes for
-/// longer, so that the total number of store calls grows more slowly than the fleet.
-const SMALL_FLEET_DAEMONS: usize = 20;
+/// Number of daemons that read the store up to which the batch delays above apply. If more do, changes
+/// are collected for longer, so that the total number of store calls grows more slowly.
+const FEW_READERS: usize = 20;
 /// Largest factor on the batch delays: a change that marks a server as leaving must be applied
 /// within one second of the previous change.
 const MAX_BATCH_FACTOR: f64 = 2.0;
@@ -37,15 +39,18 @@
     FollowSpec {
         prefix: Arc::from(prefix),
         watch_timeout: WATCH_TIMEOUT,
-        batch_delay: Arc::new(move || batch_delay(delay, context.presence.rows().len())),
+        batch_delay: Arc::new(move || {
+            let rows = context.presence.rows();
+            batch_delay(delay, count_readers(rows.values()))
+        }),
         inbox: Arc::clone(&state.inbox),
         clock: state.context.clock,
     }
 }
 
-/// Batch delay of one daemon in a fleet of `daemons`.
-fn batch_delay(delay: Duration, daemons: usize) -> Duration {
-    let factor = daemons as f64 / SMALL_FLEET_DAEMONS as f64;
+/// Batch delay of one daemon when so many read the store.
+fn batch_delay(delay: Duration, readers: usize) -> Duration {
+    let factor = readers as f64 / FEW_READERS as f64;
     delay.mul_f64(factor.clamp(1.0, MAX_BATCH_FACTOR))
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -79,7 +79,7 @@
 };
 pub use feed::{
     FeedChange, FeedError, FeedFrame, FeedInbox, FeedPart, FeedStep, READERS_PER_DOMAIN,
-    ReadingRole, StoreContactCell, next_list_timeout, reading_role,
+    ReadingRole, StoreContactCell, count_readers, next_list_timeout, reading_role,
 };
 pub use gateway::{
     AddressReply, GatewayError, GatewayHandle, GatewayPorts, GatewayState, LayerOrder,
--- a/tests/feed_decisions.rs
+++ b/tests/feed_decisions.rs
@@ -6,7 +6,8 @@
 use arbutusmount::{
     DomainId, FeedError, FeedFrame, FeedInbox, FeedPart, FeedStep, InstanceId, ItemPage, LeaseId,
     MirrorChange, MirrorDelta, MonoTime, PrefixMirror, PresenceRow, READERS_PER_DOMAIN,
-    ReadingRole, StoreContactCell, StoreEra, StoreItem, StoreVersion, WatchChange, reading_role,
+    ReadingRole, StoreContactCell, StoreEra, StoreItem, StoreVersion, WatchChange, count_readers,
+    reading_role,
 };
 use proptest::prelude::*;
 use std::collections::BTreeMap;
@@ -67,6 +68,7 @@
     let rows = fleet(daemons, domains);
 
     assert_eq!(readers(&rows).len(), wanted);
+    assert_eq!(count_readers(rows.iter()), wanted);
 }
 
 #[test]
