--- a/src/loads/fanout.rs
+++ b/src/loads/fanout.rs
@@ -1,6 +1,6 @@
 //! Chooses which daemons a digest is sent to.
 //!
-//! Most of what a daemon reserves is at targets of its own failure domain, and the daemons there choose
+//! Most of what a daemon reserves is at targets of its failure domain, and the daemons there choose
 //! among the same targets. They get most digests, and every daemon of the other domains some.
 
 use crate::hash::stable_hash;
--- a/src/targets/stats.rs
+++ b/src/targets/stats.rs
@@ -18,7 +18,7 @@
 /// Consecutive failed connects after which the target counts as lost whatever other daemons report.
 const LOST_THRESHOLD: u32 = 5;
 /// Number of other daemons whose requests fail at a target from which it counts as degraded: a single one
-/// may have failed for a reason of its own.
+/// may have failed for reasons that no other daemon has.
 const FAILING_PEERS_THRESHOLD: u32 = 2;
 /// Shortest interval between two queries for a target's report.
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(250);
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -347,7 +347,7 @@
     assert_eq!(choose(&[], at(30)), Some("shedding".to_owned()));
 }
 
-/// Several servers crash at once: each of 39 daemons of a domain found out by failed attempts of its own,
+/// Several servers crash at once: each of 39 daemons of a domain found out by its own failed attempts,
 /// and spent its retries on that.
 #[test]
 fn chain_that_fails_at_two_other_daemons_is_used_only_where_no_other_has_room() {
