Wait for a chain without the removed server in one look at the targets

Orders go out in the same round in which the targets are published. Change: the test waits for one view that lacks the server and has a chain, which only the other servers can make up. It fails as before if they refuse their orders.

--- a/tests/platform_restore.rs
+++ b/tests/platform_restore.rs
@@ -162,8 +162,11 @@
     let gone = site.model_servers[0].id();
     site.store.remove(&format!("servers/{gone}"));
 
-    until("the chain to end", || !has_chain());
-    until("a chain of the other servers", has_chain);
+    let gone: InstanceId = gone.parse().expect("an identifier");
+    until("a chain of the other servers", || {
+        let view = site.daemons[0].state.context.targets.load();
+        view.target(&gone).is_none() && view.chain_count() > 0
+    });
 }
 
 /// Guards against a starting daemon that takes the older of two snapshots, since the revisions in it
