--- a/src/feed/follow.rs
+++ b/src/feed/follow.rs
@@ -5,12 +5,11 @@
 use crate::ids::StoreEra;
 use crate::kernel::MonoClock;
 use crate::mirror::{
-    MirrorChange, MirrorStep, PortError, PortResult, PrefixMirror, SharedMirror, StoreItem,
-    StorePort, StoreVersion, WatchOutcome,
+    ItemPage, MirrorChange, MirrorStep, PortError, PortResult, PrefixMirror, SharedMirror,
+    StoreItem, StorePort, StoreVersion, WatchOutcome,
 };
-use async_std::future::timeout;
 use async_std::task;
-use futures_lite::future::{Boxed, or};
+use futures_lite::future::{Boxed, or, pending};
 use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
@@ -30,12 +29,12 @@
 /// calls.
 const RESTORE_JITTER: Duration = Duration::from_millis(700);
 
-/// Timeout of the first list of a daemon that has no data yet, doubled with each retry. A store
-/// that is up answers within some ten milliseconds. After a timeout, peers are asked for a
-/// snapshot.
-const FIRST_LIST_TIMEOUT: Duration = Duration::from_millis(300);
-/// Longest timeout of a first list; the port's own call timeout is shorter.
-const MAX_LIST_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time after which a daemon that has no data yet asks peers for a snapshot while the store answers its
+/// list, doubled each time. A store that is up begins its answer within some ten milliseconds, but
+/// when a whole fleet starts, the answers share the store's link.
+const FIRST_PATIENCE: Duration = Duration::from_millis(300);
+/// Longest such time; the list mostly ends earlier by the port's own timeout.
+const MAX_PATIENCE: Duration = Duration::from_secs(5);
 
 /// Fetches a peer's snapshot of the prefix; `None` when no peer has one.
 pub type SnapshotSource = Arc<dyn Fn(Arc<str>) -> Boxed<Option<Vec<StoreItem>>> + Send + Sync>;
@@ -88,9 +87,9 @@
     PeerSnapshot(&'a [MirrorChange]),
 }
 
-/// Timeout of the next attempt after one that timed out after `current`.
-pub fn next_list_timeout(current: Duration) -> Duration {
-    current.saturating_mul(2).min(MAX_LIST_TIMEOUT)
+/// Time after which peers are asked again when they had no snapshot after `current`.
+pub fn next_patience(current: Duration) -> Duration {
+    current.saturating_mul(2).min(MAX_PATIENCE)
 }
 
 /// What came of one step.
@@ -129,7 +128,6 @@
 ) {
     let lock = || mirror.lock().expect("mirror lock is never poisoned");
     let mut retry_delay = FIRST_RETRY_DELAY;
-    let mut list_timeout = FIRST_LIST_TIMEOUT;
     let mut era = port.era.known();
     loop {
         let known = port.era.known();
@@ -143,7 +141,12 @@
         resume_by_feed(&spec, &mirror);
         let step = lock().next_step();
         let outcome = match step {
-            MirrorStep::List(after) => list_page(&port, &spec, &mirror, after, list_timeout).await,
+            MirrorStep::List(after) => {
+                let list = (port.list)((Arc::clone(&spec.prefix), after));
+                let copied = copy_meanwhile(&spec, &mirror, &snapshots, &mut report);
+                let page = or(list, copied).await;
+                StepOutcome::Store(page.map(|page| lock().on_page(page)))
+            }
             MirrorStep::Watch(version) => watch_changes(&port, &spec, &mirror, version, era).await,
         };
         let (changes, source) = match outcome {
@@ -157,11 +160,9 @@
             StepOutcome::Store(Err(cause)) => {
                 lock().on_failure();
                 report(FollowNotice::Failed(&cause));
-                list_timeout = next_list_timeout(list_timeout);
                 let is_complete = lock().is_complete();
-                if !is_complete && let Some(items) = snapshots(Arc::clone(&spec.prefix)).await {
-                    let changes = lock().load_snapshot(items);
-                    report(FollowNotice::PeerSnapshot(&changes));
+                if !is_complete {
+                    load_snapshot(&spec, &mirror, &snapshots, &mut report).await;
                 }
                 wait_retry(&spec, &mirror, retry_delay).await;
                 retry_delay = next_retry_delay(retry_delay, spec.inbox.is_open());
@@ -205,25 +206,39 @@
     }
 }
 
-async fn list_page(
-    port: &StorePort,
+/// Loads a peer's snapshot if the first list takes long. Never returns, as only the list ends the step.
+async fn copy_meanwhile(
     spec: &FollowSpec,
     mirror: &SharedMirror,
-    after: Option<Arc<str>>,
-    list_timeout: Duration,
-) -> StepOutcome {
-    let lock = || mirror.lock().expect("mirror lock is never poisoned");
-    let list = (port.list)((Arc::clone(&spec.prefix), after));
-    let page = if lock().is_complete() {
-        list.await
-    } else {
-        let timed_out = |_elapsed| {
-            let cause = "store did not answer the list before the timeout";
-            Err(PortError::NotExecuted(cause.to_owned()))
-        };
-        timeout(list_timeout, list).await.unwrap_or_else(timed_out)
+    snapshots: &SnapshotSource,
+    report: &mut impl FnMut(FollowNotice<'_>),
+) -> PortResult<ItemPage> {
+    let is_complete = || {
+        let mirror = mirror.lock().expect("mirror lock is never poisoned");
+        mirror.is_complete()
     };
-    StepOutcome::Store(page.map(|page| lock().on_page(page)))
+    let mut patience = FIRST_PATIENCE;
+    while !is_complete() {
+        task::sleep(patience).await;
+        load_snapshot(spec, mirror, snapshots, report).await;
+        patience = next_patience(patience);
+    }
+    pending().await
+}
+
+/// Loads a peer's snapshot, if one has any.
+async fn load_snapshot(
+    spec: &FollowSpec,
+    mirror: &SharedMirror,
+    snapshots: &SnapshotSource,
+    report: &mut impl FnMut(FollowNotice<'_>),
+) {
+    if let Some(items) = snapshots(Arc::clone(&spec.prefix)).await {
+        let mut mirror = mirror.lock().expect("mirror lock is never poisoned");
+        let changes = mirror.load_snapshot(items);
+        drop(mirror);
+        report(FollowNotice::PeerSnapshot(&changes));
+    }
 }
 
 async fn watch_changes(
--- a/src/feed/inbox.rs
+++ b/src/feed/inbox.rs
@@ -1,8 +1,9 @@
 //! What this daemon has received from the daemon whose feed it follows.
 
-use crate::feed::message::{FeedFrame, FeedPart};
+use crate::feed::message::{FeedFrame, FeedPart, FeedParts};
 use crate::kernel::MonoClock;
 use crate::mirror::{MirrorDelta, StoreVersion, WatchChange};
+use crate::snapshots::{PackingError, unpack_message};
 use crate::units::MonoTime;
 use async_io::Timer;
 use event_listener::{Event, EventListener};
@@ -39,6 +40,8 @@
     OutOfOrder,
     /// More changes wait to be applied than are kept.
     Overflow,
+    /// Compressed changes cannot be used.
+    Packing(PackingError),
 }
 
 impl fmt::Display for FeedError {
@@ -49,6 +52,7 @@
             Self::UnknownPrefix(prefix) => write!(f, "prefix {prefix:?} was not asked for"),
             Self::OtherEra => f.write_str("the feed is of another era of the store"),
             Self::Overflow => f.write_str("too many changes wait to be applied"),
+            Self::Packing(cause) => cause.fmt(f),
             Self::OutOfOrder => f.write_str("a change is outside of the frame's versions"),
         }
     }
@@ -56,6 +60,12 @@
 
 impl std::error::Error for FeedError {}
 
+impl From<PackingError> for FeedError {
+    fn from(cause: PackingError) -> Self {
+        Self::Packing(cause)
+    }
+}
+
 /// What to do next about a prefix.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum FeedStep {
@@ -153,7 +163,9 @@
         }
         let mut feed = self.lock();
         let open = feed.as_mut().ok_or(FeedError::NotOpen)?;
-        for part in frame.parts {
+        let packed = frame.packed.as_deref().map(unpack_message::<FeedParts>);
+        let packed = packed.transpose()?.unwrap_or_default();
+        for part in frame.parts.into_iter().chain(packed.parts) {
             record_part(open, part)?;
         }
         if open.valid_until.is_none() {
--- a/src/feed/listen.rs
+++ b/src/feed/listen.rs
@@ -80,6 +80,12 @@
     let reply = SnapshotReply {
         complete: items.is_some(),
         items: items.iter().flatten().map(SnapshotItem::from).collect(),
+        packed: None,
+    };
+    let reply = if request.reads_packed {
+        reply.into_packed()
+    } else {
+        reply
     };
     frames.send(Bytes::from(reply.encode_to_vec())).await?;
     Ok(NextStep::Close)
@@ -91,9 +97,6 @@
     source: FeedSource,
     from: SocketAddr,
 ) {
-    let Some(request) = request.feed else {
-        return;
-    };
     if let Err(cause) = serve_feed(&mut frames, request, &source).await {
         log::debug!("feed of {from} ended: {cause}");
     }
--- a/src/feed/message.rs
+++ b/src/feed/message.rs
@@ -4,6 +4,7 @@
 use crate::mirror::{MirrorDelta, StoreVersion, WatchChange};
 use crate::snapshots::{FeedPosition, SnapshotItem};
 use prost::Message;
+use prost::bytes::Bytes;
 use std::sync::Arc;
 
 /// Changes since the last frame, and the state of the sender's contact with the store.
@@ -23,6 +24,18 @@
     /// Prefixes of which the sender knows a later version than it has told.
     #[prost(message, repeated, tag = "4")]
     pub parts: Vec<FeedPart>,
+    /// Such prefixes as a compressed [`FeedParts`], to daemons that have asked for it.
+    #[prost(bytes = "bytes", optional, tag = "5")]
+    pub packed: Option<Bytes>,
+}
+
+/// Changes of several prefixes.
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+pub struct FeedParts {
+    /// The changes by prefix.
+    #[prost(message, repeated, tag = "1")]
+    pub parts: Vec<FeedPart>,
 }
 
 /// Changes of one prefix.
--- a/src/feed/readers.rs
+++ b/src/feed/readers.rs
@@ -31,6 +31,21 @@
     readers.sum()
 }
 
+fn reader_order(row: &PresenceRow) -> u64 {
+    stable_hash(&[b"store reader", row.instance.as_str().as_bytes()])
+}
+
+/// True for the first of the daemons that read the store for a failure domain.
+pub fn is_first_reader<'a>(
+    rows: impl Iterator<Item = &'a PresenceRow>,
+    instance: &InstanceId,
+    domain: &DomainId,
+) -> bool {
+    let members = rows.filter(|row| row.domain == *domain);
+    let first = members.min_by_key(|row| reader_order(row));
+    first.is_some_and(|row| row.instance == *instance)
+}
+
 /// Decides how a daemon learns of changes of the store, by rendezvous hashing over the listed daemons of
 /// its failure domain.
 pub fn reading_role<'a>(
@@ -42,9 +57,7 @@
     if !ranked.iter().any(|row| row.instance == *instance) {
         return ReadingRole::Unlisted;
     }
-    let order =
-        |row: &&PresenceRow| stable_hash(&[b"store reader", row.instance.as_str().as_bytes()]);
-    ranked.sort_by_key(order);
+    ranked.sort_by_key(|row| reader_order(row));
     ranked.truncate(READERS_PER_DOMAIN);
     if ranked.iter().any(|row| row.instance == *instance) {
         return ReadingRole::Reader;
--- a/src/feed/serve.rs
+++ b/src/feed/serve.rs
@@ -1,12 +1,13 @@
 //! Serves a feed to a daemon of the same failure domain.
 
 use crate::feed::contact::StoreContactCell;
-use crate::feed::message::{FeedFrame, FeedPart};
+use crate::feed::message::{FeedFrame, FeedPart, FeedParts};
+use crate::feed::packing::PackedCache;
 use crate::feed::readers::ReadingRole;
 use crate::kernel::MonoClock;
 use crate::mirror::{MirrorSet, StoreVersion};
 use crate::peer::FrameStream;
-use crate::snapshots::FeedRequest;
+use crate::snapshots::{FeedRequest, SnapshotRequest};
 use async_io::Timer;
 use async_std::future::timeout;
 use futures_lite::future::or;
@@ -23,8 +24,8 @@
 const BEAT_PERIOD: Duration = Duration::from_millis(400);
 /// Time for which changes are collected into one frame.
 const COLLECT_DELAY: Duration = Duration::from_millis(20);
-/// Time limit for sending a frame.
-const SEND_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time limit for sending a frame; of the largest ones to many followers on a slow link, too.
+const SEND_TIMEOUT: Duration = Duration::from_secs(3);
 /// Most feeds that a daemon serves at the same time.
 const MAX_FEEDS: usize = 128;
 /// Most prefixes of one feed.
@@ -43,6 +44,8 @@
     pub(crate) role: Arc<dyn Fn() -> ReadingRole + Send + Sync>,
     /// True for the request of a listed daemon.
     pub(crate) is_listed: Arc<dyn Fn(&FeedRequest) -> bool + Send + Sync>,
+    /// Compressed changes.
+    pub(crate) packed: Arc<PackedCache>,
     /// Number of feeds that are served.
     pub(crate) served: Arc<AtomicUsize>,
 }
@@ -56,26 +59,41 @@
 impl FeedSource {
     /// The next frame of a feed that has told everything up to `positions`, which are moved on. `None`
     /// when this daemon cannot serve the feed.
-    fn next_frame(&self, positions: &mut [(Arc<str>, StoreVersion)]) -> Option<FeedFrame> {
+    fn next_frame(
+        &self,
+        positions: &mut [(Arc<str>, StoreVersion)],
+        may_pack: bool,
+    ) -> Option<FeedFrame> {
         // A reader whose lease has run out, as in an outage of the store, continues.
         if matches!((self.role)(), ReadingRole::Follower(_)) {
             return None;
         }
         let age = self.contact.age(self.clock.now())?;
         let failures = self.contact.failures();
-        let mut parts = Vec::new();
+        let mut parts = FeedParts::default();
+        let mut range = Vec::new();
         for (prefix, version) in positions {
             let delta = self.mirrors.delta_since(prefix, *version)?;
             if delta.version > *version {
+                range.push((Arc::clone(prefix), *version, delta.version));
                 *version = delta.version;
-                parts.push(FeedPart::new(prefix, &delta));
+                parts.parts.push(FeedPart::new(prefix, &delta));
             }
         }
+        let packed = if may_pack && !range.is_empty() {
+            self.packed.pack(range, &parts)
+        } else {
+            None
+        };
         Some(FeedFrame {
             accepted: true,
             age_ms: age.as_millis() as u64,
             failures,
-            parts,
+            parts: match packed {
+                Some(_) => Vec::new(),
+                None => parts.parts,
+            },
+            packed,
         })
     }
 }
@@ -104,9 +122,11 @@
 /// When a frame cannot be sent.
 pub(crate) async fn serve_feed(
     frames: &mut FrameStream,
-    request: FeedRequest,
+    request: SnapshotRequest,
     source: &FeedSource,
 ) -> io::Result<()> {
+    let may_pack = request.reads_packed;
+    let request = request.feed.unwrap_or_default();
     let served = ServedFeed::begin(&source.served);
     let is_welcome = (source.is_listed)(&request) && request.positions.len() <= MAX_PREFIXES;
     if served.is_none() || !is_welcome {
@@ -118,7 +138,7 @@
         .collect();
     loop {
         let changed = source.mirrors.listen();
-        let Some(frame) = source.next_frame(&mut positions) else {
+        let Some(frame) = source.next_frame(&mut positions, may_pack) else {
             return send_frame(frames, &FeedFrame::default()).await;
         };
         send_frame(frames, &frame).await?;
--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -197,6 +197,7 @@
     let (instance, token) = &ports.identity;
     let request = SnapshotRequest {
         prefix: String::new(),
+        reads_packed: true,
         feed: Some(FeedRequest {
             positions: positions
                 .map(|(prefix, version)| FeedPosition::new(prefix, *version))
@@ -210,8 +211,17 @@
 }
 
 async fn receive_frame(frames: &mut FrameStream) -> Result<FeedFrame> {
-    let frame = timeout(MAX_SILENCE, frames.next()).await;
-    let frame = frame.map_err(|_elapsed| LinkError::Silent)?;
+    let mut received = frames.read_buffer().len();
+    let frame = loop {
+        match timeout(MAX_SILENCE, frames.next()).await {
+            Ok(frame) => break frame,
+            // A large frame may take its time on a slow link.
+            Err(_elapsed) if frames.read_buffer().len() > received => {
+                received = frames.read_buffer().len();
+            }
+            Err(_elapsed) => return Err(LinkError::Silent),
+        }
+    };
     let frame = frame.ok_or_else(|| io::Error::from(io::ErrorKind::UnexpectedEof))??;
     FeedFrame::decode(frame.as_ref()).map_err(LinkError::Malformed)
 }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -321,6 +321,7 @@
             let presence = &listed.context.presence;
             presence.knows_run(&request.sender, &request.token)
         }),
+        packed: Arc::default(),
         served: Arc::default(),
     };
     if let Err(cause) = serve_copies(listen, source).await {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 mod ids;
 mod instances;
 mod kernel;
+mod lending;
 mod limits;
 mod loads;
 mod membership;
@@ -78,8 +79,8 @@
     OrderReply, PipelineWork, StagePhase, StageProgress, StreamRecord,
 };
 pub use feed::{
-    FeedChange, FeedError, FeedFrame, FeedInbox, FeedPart, FeedStep, READERS_PER_DOMAIN,
-    ReadingRole, StoreContactCell, count_readers, next_list_timeout, reading_role,
+    FeedChange, FeedError, FeedFrame, FeedInbox, FeedPart, FeedParts, FeedStep, READERS_PER_DOMAIN,
+    ReadingRole, StoreContactCell, count_readers, is_first_reader, next_patience, reading_role,
 };
 pub use gateway::{
     AddressReply, GatewayError, GatewayHandle, GatewayPorts, GatewayState, LayerOrder,
@@ -102,9 +103,10 @@
     DaemonError, DaemonHandle, DaemonPhase, KernelContext, LifecycleCell, MonoClock, PluginEntry,
     PluginError, PluginHost, TimerJob, TimerService, TimerSpec, WebApp, run_daemon, start_daemon,
 };
+pub use lending::{RetryAsk, RetryLoan};
 pub use limits::{
-    KeeperTable, LimitCell, LimitChange, LimitRow, LimitStatement, PermitAsk, PermitClient,
-    PermitGrant, PermitReply, TakeOutcome, choose_keeper,
+    KeeperTable, LimitCell, LimitChange, LimitRow, LimitStatement, PermitAsk, PermitGrant,
+    PermitReply, TakeOutcome, choose_keeper,
 };
 pub use loads::{
     LoadTable, PeerGroups, PeerOrigin, ReservationDigest, ReservationRow, target_hash,
@@ -127,7 +129,7 @@
 };
 pub use peer::{
     FrameKind, HandshakeError, PeerError, PeerFrame, PeerHandlers, PeerTopic, PeerTransport,
-    serve_peers,
+    QuestionClient, serve_peers,
 };
 pub use placement::{
     LayerAssignment, OrderScheduler, PendingOrder, PlanScope, ServerPlacement, chain_rate,
@@ -165,7 +167,10 @@
 pub use settings::{
     BoundSettings, DaemonSettings, LogSettings, PlatformSettings, TimingSettings, TraceSettings,
 };
-pub use snapshots::{FeedPosition, FeedRequest, SnapshotReply, SnapshotRequest};
+pub use snapshots::{
+    FeedPosition, FeedRequest, PackingError, SnapshotItem, SnapshotReply, SnapshotRequest,
+    pack_message, unpack_message,
+};
 pub use store::{
     CompareClause, EventKind, ExpectedRevision, JsonInt64, KeyValue, LeaseGrantReply,
     LeaseGrantRequest, LeaseKeepAliveReply, LeaseRequest, RangeReply, RangeRequest, ReplyHeader,
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -6,10 +6,8 @@
 mod keeper;
 mod known;
 mod message;
-mod permits;
 mod rest;
 
 pub use keeper::{KeeperTable, PermitGrant, choose_keeper};
 pub use known::{LimitCell, LimitChange, LimitStatement, TakeOutcome};
 pub use message::{LimitRow, PermitAsk, PermitReply};
-pub use permits::PermitClient;
--- a/src/loads/digest.rs
+++ b/src/loads/digest.rs
@@ -3,6 +3,7 @@
 
 use crate::hash::stable_hash;
 use crate::ids::InstanceId;
+use crate::lending::{RetryAsk, RetryLoan};
 use crate::limits::{LimitRow, PermitAsk, PermitReply};
 use crate::poison::PoisonRow;
 use crate::reach::ReachStatement;
@@ -41,6 +42,12 @@
     /// Runs of targets that leave, by their hashes.
     #[prost(fixed64, repeated, tag = "9")]
     pub leaving: Vec<u64>,
+    /// Question for retries that the receiver does not need.
+    #[prost(message, optional, tag = "10")]
+    pub retry_ask: Option<RetryAsk>,
+    /// Reply to such a question of the receiver.
+    #[prost(message, optional, tag = "11")]
+    pub retry_loan: Option<RetryLoan>,
 }
 
 impl ReservationDigest {
--- a/src/loads/exchange.rs
+++ b/src/loads/exchange.rs
@@ -6,8 +6,8 @@
 use crate::loads::fanout::PeerGroups;
 use crate::loads::table::LoadTable;
 use crate::relay::{
-    RelayContext, answer_ask, count_crashes, known_limits, leaving_runs, merge_leaving_runs,
-    merge_limits, merge_peer_crashes, unstored_crashes,
+    RelayContext, answer_ask, answer_retry_ask, count_crashes, known_limits, leaving_runs,
+    merge_leaving_runs, merge_limits, merge_peer_crashes, unstored_crashes,
 };
 use async_io::{Async, Timer};
 use futures_lite::future::or;
@@ -31,6 +31,7 @@
 pub async fn exchange_loads(context: Arc<RelayContext>, listen: SocketAddr) -> io::Result<()> {
     let socket = Arc::new(Async::<UdpSocket>::bind(listen)?);
     context.permits.set_socket(Arc::clone(&socket));
+    context.loans.set_socket(Arc::clone(&socket));
     let mut table = LoadTable::default();
     let mut peers = peer_groups(&context);
     let mut digest = ReservationDigest {
@@ -63,7 +64,8 @@
                     let now = clock.now();
                     context.peer_reach.record(from, digest.sender, reach, now);
                 }
-                handle_permits(&context, &socket, &digest, from).await;
+                handle_replies(&context, &digest, from);
+                answer_questions(&context, &socket, &digest, from).await;
                 if digest.sequence > 0 {
                     merge_limits(&context, &digest.limits);
                     merge_leaving_runs(&context, &digest.leaving);
@@ -99,27 +101,40 @@
     }
 }
 
-/// Replies to a question for permits, and hands on the reply to one of this daemon's own.
-async fn handle_permits(
+/// Hands the replies to this daemon's own questions on.
+fn handle_replies(context: &RelayContext, digest: &ReservationDigest, from: SocketAddr) {
+    if let Some(reply) = digest.reply
+        && !context.permits.on_reply(reply.number, reply)
+    {
+        log::debug!("nobody waits for the permits of {from}");
+    }
+    if let Some(loan) = digest.retry_loan
+        && !context.loans.on_reply(loan.number, loan)
+    {
+        log::debug!("nobody waits for the retries of {from}");
+    }
+}
+
+/// Replies to questions for permits and for retries.
+async fn answer_questions(
     context: &RelayContext,
     socket: &Async<UdpSocket>,
     digest: &ReservationDigest,
     from: SocketAddr,
 ) {
-    if let Some(reply) = digest.reply
-        && !context.permits.on_reply(reply)
-    {
-        log::debug!("nobody waits for the permits of {from}");
-    }
-    let Some(ask) = &digest.ask else {
+    let reply = digest.ask.map(|ask| answer_ask(context, &ask));
+    let retry_ask = digest.retry_ask.as_ref();
+    let retry_loan = retry_ask.and_then(|ask| answer_retry_ask(context, ask, from));
+    if reply.is_none() && retry_loan.is_none() {
         return;
-    };
-    let reply = ReservationDigest {
-        reply: Some(answer_ask(context, ask)),
+    }
+    let answer = ReservationDigest {
+        reply,
+        retry_loan,
         ..ReservationDigest::default()
     };
-    if let Err(cause) = socket.send_to(&reply.encode_to_vec(), from).await {
-        log::debug!("cannot hand out permits to {from}: {cause}");
+    if let Err(cause) = socket.send_to(&answer.encode_to_vec(), from).await {
+        log::debug!("cannot answer the question of {from}: {cause}");
     }
 }
 
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -5,6 +5,7 @@
 mod handshake;
 mod link;
 mod listener;
+mod questions;
 mod transport;
 
 pub use frame::{FrameKind, PeerFrame, PeerTopic};
@@ -12,4 +13,5 @@
 pub use handlers::PeerHandlers;
 pub use handshake::HandshakeError;
 pub use listener::serve_peers;
+pub use questions::QuestionClient;
 pub use transport::{PeerError, PeerTransport};
--- a/src/poison/outbox.rs
+++ b/src/poison/outbox.rs
@@ -4,7 +4,7 @@
 use crate::poison::table::{CrashState, CrashedRun};
 use crate::units::MonoTime;
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -13,6 +13,8 @@
 /// Runs of a fingerprint from which on they are written to the store and passed on for other daemons.
 /// Most requests are beside one crash and never come again.
 const MIN_STORED_RUNS: u32 = 2;
+/// Time for which a crash that was cleared before it was written is remembered.
+const FORGOTTEN_TIME: Duration = Duration::from_secs(30);
 /// Time for which a daemon goes on telling of a fingerprint's only run once it is due.
 const SINGLE_RUN_TIME: Duration = Duration::from_secs(4);
 
@@ -46,24 +48,37 @@
     }
 }
 
-type WaitingMap = BTreeMap<(PoisonFingerprint, CrashedRun), WaitingRow>;
+type RowKey = (PoisonFingerprint, CrashedRun);
+type WaitingMap = BTreeMap<RowKey, WaitingRow>;
+
+#[derive(Debug, Default)]
+struct OutboxState {
+    waiting: WaitingMap,
+    /// Crashes that the store holds, as far as this daemon knows.
+    stored: BTreeSet<RowKey>,
+    /// Crashes that were cleared here before the store was told of them, and the time for which that is
+    /// remembered: another daemon may write them yet.
+    forgotten: BTreeMap<RowKey, MonoTime>,
+}
 
 /// Crashes that wait for the store. Other daemons are told of them meanwhile, so that knowledge
 /// spreads while the store is away.
 #[derive(Debug, Default)]
 pub struct CrashOutbox {
-    waiting: Mutex<WaitingMap>,
+    state: Mutex<OutboxState>,
 }
 
 impl CrashOutbox {
-    /// Adds a crash, which is due for the store at `due`. One that is not waiting when it is cleared
-    /// is taken to be in the store.
+    /// Adds a crash, which is due for the store at `due`. One that is not in the store when it is
+    /// cleared needs no call.
     pub fn add(&self, row: OutboxRow, due: MonoTime) {
         self.insert(row, due, false);
     }
 
     fn insert(&self, row: OutboxRow, due: MonoTime, is_from_peer: bool) {
-        let mut waiting = self.lock();
+        let OutboxState {
+            waiting, stored, ..
+        } = &mut *self.lock();
         let key = (row.fingerprint, row.run);
         let state = row.state;
         let is_written = match waiting.get(&key) {
@@ -71,7 +86,7 @@
             Some(known) => known.is_written,
             None if waiting.len() >= MAX_ROWS => return,
             None if is_from_peer && state == CrashState::Cleared => return,
-            None => state == CrashState::Cleared,
+            None => state == CrashState::Cleared && stored.contains(&key),
         };
         waiting.insert(
             key,
@@ -99,12 +114,18 @@
         now: MonoTime,
         known_runs: impl Fn(PoisonFingerprint) -> u32,
     ) -> Vec<OutboxRow> {
-        let mut waiting = self.lock();
+        let OutboxState {
+            waiting, forgotten, ..
+        } = &mut *self.lock();
+        forgotten.retain(|_, until| now < *until);
         let is_single = |key: &(PoisonFingerprint, CrashedRun), row: &WaitingRow| {
             !row.is_written && known_runs(key.0) < MIN_STORED_RUNS
         };
         waiting.retain(|key, row| {
             let is_dropped = row.needs_no_call() && row.due <= now;
+            if is_dropped && !row.is_from_peer && forgotten.len() < MAX_ROWS {
+                forgotten.insert(*key, now.after(FORGOTTEN_TIME));
+            }
             let is_over = row.due.after(SINGLE_RUN_TIME) <= now && is_single(key, row);
             !is_dropped && !is_over
         });
@@ -127,8 +148,9 @@
         now: MonoTime,
         known_runs: impl Fn(PoisonFingerprint) -> u32,
     ) -> Vec<OutboxRow> {
-        let waiting = self.lock();
-        let rows = waiting
+        let state = self.lock();
+        let rows = state
+            .waiting
             .iter()
             .map(|(key, row)| (known_runs(key.0), key, row));
         let wanted = rows.filter(|(runs, _, row)| {
@@ -143,20 +165,47 @@
         wanted.into_iter().map(|(_, row)| row).collect()
     }
 
-    /// Drops a crash that the store has in this state or a later one.
+    /// Drops a crash that the store has in this state or a later one. One that the store holds although
+    /// it was cleared here is removed from it.
     pub fn on_stored(&self, row: OutboxRow) {
-        let mut waiting = self.lock();
+        let OutboxState {
+            waiting,
+            stored,
+            forgotten,
+        } = &mut *self.lock();
         let key = (row.fingerprint, row.run);
-        if waiting
-            .get(&key)
-            .is_some_and(|known| known.state <= row.state)
-        {
-            waiting.remove(&key);
+        match row.state {
+            CrashState::Counted if stored.len() < MAX_ROWS => {
+                stored.insert(key);
+            }
+            CrashState::Counted => {}
+            CrashState::Cleared => {
+                stored.remove(&key);
+            }
+        }
+        match waiting.get_mut(&key) {
+            Some(known) if known.state <= row.state => {
+                waiting.remove(&key);
+            }
+            // The store was told of a crash that has been cleared meanwhile.
+            Some(known) => known.is_written = true,
+            None if row.state == CrashState::Counted => {
+                if let Some(until) = forgotten.remove(&key) {
+                    let removal = WaitingRow {
+                        state: CrashState::Cleared,
+                        due: MonoTime(until.0.saturating_sub(FORGOTTEN_TIME.as_micros() as u64)),
+                        is_written: true,
+                        is_from_peer: false,
+                    };
+                    waiting.insert(key, removal);
+                }
+            }
+            None => {}
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, WaitingMap> {
-        self.waiting.lock().expect("outbox is never poisoned")
+    fn lock(&self) -> MutexGuard<'_, OutboxState> {
+        self.state.lock().expect("outbox is never poisoned")
     }
 }
 
--- a/src/relay/context.rs
+++ b/src/relay/context.rs
@@ -4,7 +4,9 @@
 use crate::gateway::TargetPort;
 use crate::ids::InstanceId;
 use crate::kernel::{LifecycleCell, MonoClock};
-use crate::limits::{KeeperTable, PermitClient};
+use crate::lending::RetryLoan;
+use crate::limits::{KeeperTable, PermitReply};
+use crate::peer::QuestionClient;
 use crate::poison::{CrashOutbox, HarmlessParts, PoisonTable};
 use crate::presence::{PresenceRow, PresenceTable};
 use crate::reach::{PeerReach, ReachCell};
@@ -73,7 +75,9 @@
     /// Permits that this daemon hands out to all for the targets that it keeps.
     pub keeper: KeeperTable,
     /// Questions to the keepers of other targets.
-    pub permits: PermitClient,
+    pub permits: QuestionClient<PermitReply>,
+    /// Questions to other daemons for retries.
+    pub loans: QuestionClient<RetryLoan>,
     /// Codec of the platform's request and response heads.
     pub codec: RelayCodec,
     /// Metrics of relaying.
@@ -225,7 +229,8 @@
             suspicions: SuspicionList::default(),
             budget: RetryBudget::new(settings.bounds.budget()),
             keeper: KeeperTable::default(),
-            permits: PermitClient::default(),
+            permits: QuestionClient::default(),
+            loans: QuestionClient::default(),
             codec,
             metrics: RelayMetrics::register(metrics)?,
             events,
--- a/src/relay/crashes.rs
+++ b/src/relay/crashes.rs
@@ -1,5 +1,6 @@
 //! Crashes of targets under requests: what this daemon has found out, and what other daemons tell.
 
+use crate::feed::is_first_reader;
 use crate::poison::{
     CrashState, CrashedRun, OutboxRow, PartId, PoisonEntry, PoisonFingerprint, PoisonRow,
 };
@@ -15,11 +16,16 @@
 pub(crate) const CRASH_RETENTION: Duration = Duration::from_secs(600);
 /// Most crashes in one message to other daemons, about 1.3 KB.
 const MAX_DIGEST_CRASHES: usize = 32;
-/// Time after which a crash is written to the store, or a cleared one removed. Most requests that
-/// were beside a crash are answered whole before and cost no call.
-const WRITE_DELAY: Duration = Duration::from_secs(1);
-/// Time after which a daemon writes a crash to the store that another one has told of.
-const PEER_WRITE_DELAY: Duration = Duration::from_secs(2);
+/// Time after which the first reader of a failure domain writes the crashes of the domain to the store, or
+/// removes cleared ones, so that few calls hold many. Most requests that were beside a crash are
+/// answered whole before and cost no call.
+const READER_WRITE_DELAY: Duration = Duration::from_millis(600);
+/// The same for a crash that another daemon has found out itself, if the reader has not written it.
+const OWN_WRITE_DELAY: Duration = Duration::from_millis(2_500);
+/// The same for a crash that another daemon has been told of.
+const PEER_WRITE_DELAY: Duration = Duration::from_millis(3_500);
+/// Longest random addition to that time, as many daemons are told at once.
+const PEER_WRITE_SPREAD: Duration = Duration::from_millis(1_500);
 
 /// A part of a prompt that a request shares with others.
 #[derive(Debug, Clone, Copy)]
@@ -98,6 +104,28 @@
     added.counted().collect()
 }
 
+/// Who found a crash out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CrashSource {
+    /// This daemon.
+    Own,
+    /// Another daemon, which has told of it.
+    Peer,
+}
+
+/// Time at which this daemon writes a crash to the store, unless another one has done so.
+fn write_time(context: &RelayContext, source: CrashSource, now: MonoTime) -> MonoTime {
+    let settings = &context.settings;
+    let rows = context.presence.rows();
+    let is_reader = is_first_reader(rows.values(), &settings.instance, &settings.failure_domain);
+    let delay = match source {
+        _ if is_reader => READER_WRITE_DELAY,
+        CrashSource::Own => OWN_WRITE_DELAY,
+        CrashSource::Peer => PEER_WRITE_DELAY + PEER_WRITE_SPREAD.mul_f64(fastrand::f64()),
+    };
+    now.after(delay)
+}
+
 fn add_to_outbox(
     context: &RelayContext,
     fingerprint: PoisonFingerprint,
@@ -110,7 +138,8 @@
         run,
         state,
     };
-    context.outbox.add(row, now.after(WRITE_DELAY));
+    let due = write_time(context, CrashSource::Own, now);
+    context.outbox.add(row, due);
 }
 
 fn log_crash(
@@ -173,9 +202,8 @@
                 run,
                 state,
             };
-            context
-                .outbox
-                .add_from_peer(row, now.after(PEER_WRITE_DELAY));
+            let due = write_time(context, CrashSource::Peer, now);
+            context.outbox.add_from_peer(row, due);
         }
     }
     context.poison.merge_all(&added, now);
@@ -186,7 +214,7 @@
                 run,
                 state: CrashState::Counted,
             };
-            let due = now.after(PEER_WRITE_DELAY);
+            let due = write_time(context, CrashSource::Peer, now);
             context.outbox.add_from_peer(row, due);
         }
         if context.harmless.contains(*fingerprint, now) {
--- a/src/relay/listener.rs
+++ b/src/relay/listener.rs
@@ -1,10 +1,12 @@
 //! Accepts callers' connections and serves the requests on them.
 
+use crate::catalog::RoutingCatalog;
 use crate::relay::context::RelayContext;
 use crate::relay::exchange::{
     ActiveRequest, ExchangeEnd, RoutingDecision, compute_deadline, relay_request, route_request,
 };
 use crate::relay::local_reply::{LocalReply, RefusalCause};
+use crate::relay::request_refusal::RETRY_AFTER_SHARE;
 use crate::relay::via_peer::{PEER_FIELD, PeerDispatch};
 use crate::telemetry::EventLine;
 use crate::units::MonoTime;
@@ -18,10 +20,17 @@
 use futures_lite::future::or;
 use std::net::TcpStream;
 use std::sync::{Arc, OnceLock};
+use std::time::Duration;
 
 /// Maximum number of bytes buffered while a response is pending. Further bytes stay in the socket
 /// buffer, and reading no longer detects that the caller closes the connection.
 const MAX_PIPELINED_BYTES: usize = 64 * 1024;
+/// Longest time that a request waits for the first configuration.
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(250);
+/// Period of checking for it.
+const CONFIGURATION_POLL: Duration = Duration::from_millis(25);
+/// Base of `Retry-After` without a configuration; the value sent is between it and twice as much.
+const CONFIGURATION_RETRY_AFTER: Duration = Duration::from_millis(800);
 
 /// Whether a connection stays open.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -100,22 +109,52 @@
     }
 }
 
+/// Waits for a configuration for a short time: a daemon that has just started reads it at once.
+async fn wait_configuration(context: &RelayContext) -> Option<Arc<RoutingCatalog>> {
+    let started = context.clock.now();
+    loop {
+        let catalog = context.catalog.load();
+        if catalog.is_some() || context.clock.now().since(started) >= CONFIGURATION_WAIT {
+            return catalog;
+        }
+        task::sleep(CONFIGURATION_POLL).await;
+    }
+}
+
 /// Sends a local reply to a request that is invalid or that the configuration gives no service.
-/// Only a missing configuration gets a `Retry-After` here, of 0.5 to 1 s.
 async fn refuse(
     context: &RelayContext,
     stream: &WireStream,
     cause: RefusalCause,
     source: RequestSource,
 ) -> ConnectionStep {
-    let mut reply = LocalReply::new(cause);
+    refuse_with(context, stream, LocalReply::new(cause), source).await
+}
+
+/// Refuses a request since there is no configuration yet. Its caller is asked to return once a fleet that
+/// starts as a whole has read it, if that is in time.
+async fn refuse_unconfigured(
+    context: &RelayContext,
+    stream: &WireStream,
+    time_left: Option<Duration>,
+    source: RequestSource,
+) -> ConnectionStep {
+    let delay = time_left.map_or(CONFIGURATION_RETRY_AFTER, |time_left| {
+        CONFIGURATION_RETRY_AFTER.min(time_left.mul_f64(RETRY_AFTER_SHARE))
+    });
+    let reply = LocalReply::new(RefusalCause::NoConfiguration)
+        .with_retry_after(delay, &mut fastrand::Rng::new());
+    refuse_with(context, stream, reply, source).await
+}
+
+async fn refuse_with(
+    context: &RelayContext,
+    stream: &WireStream,
+    mut reply: LocalReply,
+    source: RequestSource,
+) -> ConnectionStep {
+    let cause = reply.cause;
     reply.is_for_peer = source == RequestSource::Peers;
-    if cause == RefusalCause::NoConfiguration {
-        reply = reply.with_retry_after(
-            std::time::Duration::from_millis(500),
-            &mut fastrand::Rng::new(),
-        );
-    }
     let close = context.lifecycle.phase() == crate::kernel::DaemonPhase::Draining;
     context
         .metrics
@@ -168,7 +207,7 @@
         Err(_) => return ConnectionStep::Close,
     };
     // The configuration may have arrived or changed while the body was read.
-    let catalog = context.catalog.load();
+    let catalog = wait_configuration(context).await;
     let head = if origin.is_some() {
         head.without(PEER_FIELD)
     } else {
@@ -179,8 +218,12 @@
         metadata.time_left = Some(origin.time_left);
         metadata.resume_after = origin.resume_after.or(metadata.resume_after);
     }
+    let time_left = metadata.time_left;
     let matched = match route_request(catalog.as_deref(), &head, metadata) {
         RoutingDecision::Relay(matched) => *matched,
+        RoutingDecision::Refuse(RefusalCause::NoConfiguration) => {
+            return refuse_unconfigured(context, stream, time_left, source).await;
+        }
         RoutingDecision::Refuse(cause) => return refuse(context, stream, cause, source).await,
     };
     let draining = context.lifecycle.phase() == crate::kernel::DaemonPhase::Draining;
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -19,6 +19,9 @@
     /// Rate limits of targets, by event: `learned`, `changed` and `ended`, `held_back` for a request
     /// that found no permit, `keeper_silent` for a question without a reply.
     pub limits: IntCounterVec,
+    /// Retries between daemons: `borrowed` and `lent` ones, and `none_lent` for each time when no daemon
+    /// had any.
+    pub loans: IntCounterVec,
     /// Requests between daemons: `passed_on` to another one, `failed` there, and `taken` from another
     /// one.
     pub peer_requests: IntCounterVec,
@@ -73,6 +76,11 @@
                 "Rate limits of targets and requests that were held back, by event",
                 &["event"],
             )?,
+            loans: metrics.counter(
+                "relay_retry_loans_total",
+                "Retries that daemons lend each other, by event",
+                &["event"],
+            )?,
             peer_requests: metrics.counter(
                 "relay_peer_requests_total",
                 "Requests that daemons pass on to each other, by event",
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -6,6 +6,7 @@
 };
 use crate::relay::choice::pick_target;
 use crate::relay::exchange::{ActiveRequest, ExchangeEnd, forward_head};
+use crate::relay::lending::{StalledAttempt, secure_retry, secure_retry_beside};
 use crate::relay::limits::{PermitOutcome, acquire_permit, any_held_back, return_permit};
 use crate::relay::local_reply::RefusalCause;
 use crate::relay::notices::held_back_detail;
@@ -145,6 +146,9 @@
         if target.is_none() && is_held_back(request) {
             self.detail = String::from(held_back_detail(request));
         }
+        if target.is_some() {
+            secure_retry(request, &self.state).await;
+        }
         self.start_if_allowed(target)
     }
 
@@ -160,10 +164,10 @@
             return;
         }
         self.overdue_at = now.after(TARGET_POLL);
-        let daemons = request.context.presence.peak_count();
-        let budget = &request.context.budget;
-        let may_retry = budget.may_spend_beside(&request.service.name, daemons, now);
-        if !may_retry || self.state.next_step(now) != RetryStep::TryNext {
+        if self.state.next_step(now) != RetryStep::TryNext
+            || !secure_retry_beside(request.context, &request.service.name, StalledAttempt::Slow)
+                .await
+        {
             return;
         }
         let TargetTry::Found(target) = try_target(request, &self.state, &mut self.rng).await else {
--- a/src/relay/request_refusal.rs
+++ b/src/relay/request_refusal.rs
@@ -13,7 +13,7 @@
 const DRAINING_RETRY_AFTER: Duration = Duration::from_millis(20);
 /// Upper limit of the base, as a share of the caller's timeout. The value sent is between the base
 /// and twice the base.
-const RETRY_AFTER_SHARE: f64 = 0.15;
+pub(super) const RETRY_AFTER_SHARE: f64 = 0.15;
 /// Longest `Retry-After` of a request that targets had no room for, as a share of the time that its caller
 /// has left. Callers honour up to a third.
 const MAX_RETURN_SHARE: f64 = 0.32;
--- a/src/relay/stall.rs
+++ b/src/relay/stall.rs
@@ -13,6 +13,8 @@
 /// Silence after which the targets of a chain count as failing although no other chain can take its
 /// stream over.
 const LONG_STALL_TIME: Duration = Duration::from_millis(1_700);
+/// Silence after which a stream that has brought events counts as broken rather than slow.
+const BROKEN_STALL_TIME: Duration = Duration::from_millis(500);
 /// Interval at which other chains are checked for capacity while waiting for a stalled one.
 const ALTERNATIVE_POLL: Duration = Duration::from_millis(50);
 
@@ -69,6 +71,12 @@
         self.idle_time(now) >= LONG_STALL_TIME
     }
 
+    /// True when events have come and then stopped for so long that the attempt is unlikely to
+    /// continue. One that waits for its first event may only be queued.
+    pub fn is_broken(&self, now: MonoTime) -> bool {
+        self.last_event.is_some() && self.idle_time(now) >= BROKEN_STALL_TIME
+    }
+
     /// The step to take at `now`.
     pub fn next_step(&self, now: MonoTime) -> StallStep {
         let idle_time = self.idle_time(now);
--- a/src/relay/stream_chain.rs
+++ b/src/relay/stream_chain.rs
@@ -5,12 +5,14 @@
 use crate::relay::closed_heads::ClosedHeads;
 use crate::relay::event_progress::DeliveryProgress;
 use crate::relay::exchange::ActiveRequest;
+use crate::relay::lending::{StalledAttempt, secure_retry, secure_retry_beside};
 use crate::relay::limits::{PermitOutcome, acquire_permit, any_held_back, return_permit};
 use crate::relay::notices::{held_back_detail, rest_left};
 use crate::relay::retry::{RetryState, RetryStep};
 use crate::relay::suspicion::separate_suspects;
 use crate::targets::{LayerChain, ReservationGuard};
 use async_io::Timer;
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -49,6 +51,9 @@
     if chain.is_none() && is_held_back(request) {
         *detail = String::from(held_back_detail(request));
     }
+    if chain.is_some() {
+        secure_retry(request, state).await;
+    }
     let step = request.next_step(state, chain.is_some());
     match (chain, step) {
         (Some(chain), RetryStep::TryNext) => Ok(chain),
@@ -61,32 +66,57 @@
     }
 }
 
+/// Why no other chain takes a stalled stream over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ClaimFailure {
+    /// The route allows no further attempt.
+    AttemptsSpent,
+    /// No other chain has capacity.
+    NoChain,
+    /// Neither this daemon's retry budget nor those of others have a retry left for it.
+    NoRetry,
+    /// The chain's first target is at its rate limit.
+    HeldBack,
+}
+
+impl fmt::Display for ClaimFailure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::AttemptsSpent => "attempts_spent",
+            Self::NoChain => "no_chain",
+            Self::NoRetry => "no_retry",
+            Self::HeldBack => "held_back",
+        })
+    }
+}
+
 /// Claims a chain that can take a stalled stream over at once: with capacity, a permit of its head and a
 /// retry of the budget. `state` counts the stalled attempt as running.
 pub(super) async fn claim_chain(
     request: &ActiveRequest<'_>,
     state: &RetryState,
     delivered: &DeliveryProgress,
-) -> Option<Arc<LayerChain>> {
+    running: StalledAttempt,
+) -> std::result::Result<Arc<LayerChain>, ClaimFailure> {
     let context = request.context;
-    let model = request.service.model.as_ref()?;
-    let now = context.clock.now();
-    let daemons = context.presence.peak_count();
-    let may_retry = context
-        .budget
-        .may_spend_beside(&request.service.name, daemons, now);
-    if !may_retry || state.next_step(now) != RetryStep::TryNext {
-        return None;
+    if state.next_step(context.clock.now()) != RetryStep::TryNext {
+        return Err(ClaimFailure::AttemptsSpent);
+    }
+    // A retry is borrowed only when there is a use for it.
+    let model = request.service.model.as_ref();
+    let chain = model.and_then(|model| choose_chain(request, model, state, delivered));
+    let chain = chain.ok_or(ClaimFailure::NoChain)?;
+    if !secure_retry_beside(context, &request.service.name, running).await {
+        return Err(ClaimFailure::NoRetry);
     }
-    let chain = choose_chain(request, model, state, delivered)?;
     if acquire_permit(context, chain.head()).await == PermitOutcome::HeldBack {
-        return None;
+        return Err(ClaimFailure::HeldBack);
     }
     if request.next_step(state, true) == RetryStep::TryNext {
-        return Some(chain);
+        return Ok(chain);
     }
     return_permit(context, chain.head());
-    None
+    Err(ClaimFailure::NoRetry)
 }
 
 /// True when the first target of a chain gets no request because of its rate limit.
--- a/src/relay/streaming.rs
+++ b/src/relay/streaming.rs
@@ -10,11 +10,12 @@
 use crate::relay::event_progress::DeliveryProgress;
 use crate::relay::exchange::{ActiveRequest, ExchangeEnd};
 use crate::relay::forwarding::{ForwardStep, ReadOutcome, StreamForwarder};
+use crate::relay::lending::StalledAttempt;
 use crate::relay::local_reply::RefusalCause;
 use crate::relay::path::NO_PATH;
 use crate::relay::retry::{RelayFailure, RetryState, RetryStep};
 use crate::relay::stall::{StallDetector, StallStep};
-use crate::relay::stream_chain::{claim_chain, find_next_chain};
+use crate::relay::stream_chain::{ClaimFailure, claim_chain, find_next_chain};
 use crate::relay::stream_failure::{log_failure, record_failure, report_stalled_chain};
 use crate::relay::stream_opening::{OpenedStream, OpeningAttempt, OpeningResult, next_opened};
 use crate::relay::suspicion::check_for_crash;
@@ -90,6 +91,8 @@
     last_look: MonoTime,
     /// True when its chain counts as failing.
     is_reported: bool,
+    /// Why no other chain took the stream over at the last look.
+    failure: Option<ClaimFailure>,
 }
 
 impl<'a> StreamRelay<'a> {
@@ -326,19 +329,44 @@
             return self.give_up_attempts();
         }
         self.state.set_ended(self.closed_heads.count_ended());
-        let claimed = claim_chain(self.request, &self.state, &self.delivered).await;
-        let is_overdue = claimed.is_some() || detector.is_long_stalled(now);
+        let running = if detector.is_broken(now) {
+            StalledAttempt::Broken
+        } else {
+            StalledAttempt::Slow
+        };
+        let claimed = claim_chain(self.request, &self.state, &self.delivered, running).await;
+        let is_overdue = claimed.is_ok() || detector.is_long_stalled(now);
         if is_overdue && let Some(stall) = &mut self.stall {
             if !stall.is_reported {
                 report_stalled_chain(self.request.context, &chain);
             }
             stall.is_reported = true;
         }
-        if let Some(claimed) = claimed {
-            self.start_attempt(&claimed);
+        match claimed {
+            Ok(claimed) => self.start_attempt(&claimed),
+            Err(failure) => self.note_claim_failure(&chain, detector, failure),
         }
     }
 
+    /// Logs why a stalled stream stays where it is, whenever the reason changes.
+    fn note_claim_failure(
+        &mut self,
+        chain: &LayerChain,
+        detector: StallDetector,
+        failure: ClaimFailure,
+    ) {
+        let Some(stall) = &mut self.stall else {
+            return;
+        };
+        if stall.failure.replace(failure) == Some(failure) {
+            return;
+        }
+        let now = self.request.context.clock.now();
+        let line = self.request.log_line("stall_kept");
+        let line = line.with_display("cause", failure);
+        self.log_attempt(line, chain, detector.idle_time(now));
+    }
+
     /// Ends all attempts, as their connections are silent for want of a path to the targets.
     fn give_up_attempts(&mut self) {
         let failed = no_event_in_time();
@@ -357,6 +385,7 @@
         self.stall = Some(StallRecord {
             last_look: now,
             is_reported: false,
+            failure: None,
         });
         let line = self.request.log_line("attempt_stalled");
         self.log_attempt(line, chain, detector.idle_time(now));
--- a/src/snapshots/message.rs
+++ b/src/snapshots/message.rs
@@ -2,7 +2,9 @@
 
 use crate::ids::{LeaseId, StoreEra};
 use crate::mirror::{StoreItem, StoreVersion};
+use crate::snapshots::packing::{pack_message, unpack_message};
 use prost::Message;
+use prost::bytes::Bytes;
 use std::sync::Arc;
 
 /// Requests all keys with a prefix.
@@ -15,6 +17,9 @@
     /// Asks for a feed in place of a snapshot.
     #[prost(message, optional, tag = "2")]
     pub feed: Option<FeedRequest>,
+    /// True if the sender can read compressed replies and frames.
+    #[prost(bool, tag = "3")]
+    pub reads_packed: bool,
 }
 
 /// Asks for all further changes. Daemons that serve no feeds answer with an empty snapshot.
@@ -73,6 +78,34 @@
     /// Keys and values.
     #[prost(message, repeated, tag = "2")]
     pub items: Vec<SnapshotItem>,
+    /// The whole reply as a compressed message, to daemons that have asked for it.
+    #[prost(bytes = "bytes", optional, tag = "3")]
+    pub packed: Option<Bytes>,
+}
+
+impl SnapshotReply {
+    /// Compresses the reply where it is large.
+    #[must_use]
+    pub fn into_packed(self) -> Self {
+        match pack_message(&self) {
+            Some(packed) => Self {
+                packed: Some(packed),
+                ..Self::default()
+            },
+            None => self,
+        }
+    }
+
+    /// Restores a compressed reply.
+    ///
+    /// # Errors
+    /// When it is damaged.
+    pub fn into_unpacked(self) -> super::packing::Result<Self> {
+        match &self.packed {
+            Some(packed) => unpack_message(packed),
+            None => Ok(self),
+        }
+    }
 }
 
 /// A key, its value and its revisions.
--- a/src/snapshots/mod.rs
+++ b/src/snapshots/mod.rs
@@ -5,9 +5,11 @@
 //! than a running daemon that is cut off from the store. The store's own reply replaces it.
 
 mod message;
+mod packing;
 mod recent;
 mod request;
 
 pub use message::{FeedPosition, FeedRequest, SnapshotItem, SnapshotReply, SnapshotRequest};
+pub use packing::{PackingError, pack_message, unpack_message};
 pub use recent::RecentPeers;
 pub use request::fetch_snapshot;
--- a/src/snapshots/request.rs
+++ b/src/snapshots/request.rs
@@ -62,9 +62,11 @@
     let request = SnapshotRequest {
         prefix: prefix.to_owned(),
         feed: None,
+        reads_packed: true,
     };
     frames.send(Bytes::from(request.encode_to_vec())).await?;
     let closed = || io::Error::from(io::ErrorKind::UnexpectedEof);
     let frame = frames.next().await.ok_or_else(closed)??;
-    SnapshotReply::decode(frame.as_ref()).map_err(io::Error::other)
+    let reply = SnapshotReply::decode(frame.as_ref()).map_err(io::Error::other)?;
+    reply.into_unpacked().map_err(io::Error::other)
 }
--- a/tests/feed_decisions.rs
+++ b/tests/feed_decisions.rs
@@ -7,7 +7,7 @@
     DomainId, FeedError, FeedFrame, FeedInbox, FeedPart, FeedStep, InstanceId, ItemPage, LeaseId,
     MirrorChange, MirrorDelta, MonoTime, PrefixMirror, PresenceRow, READERS_PER_DOMAIN,
     ReadingRole, StoreContactCell, StoreEra, StoreItem, StoreVersion, WatchChange, count_readers,
-    reading_role,
+    is_first_reader, reading_role,
 };
 use proptest::prelude::*;
 use std::collections::BTreeMap;
@@ -71,6 +71,35 @@
     assert_eq!(count_readers(rows.iter()), wanted);
 }
 
+/// Pattern: servers crash under requests of all daemons. Guards against a write of each daemon: only
+/// the first reader of a failure domain writes at once, and another one takes its place when it
+/// is gone.
+#[test_case(8, 3)]
+#[test_case(195, 5)]
+#[test_case(430, 15)]
+fn one_daemon_of_each_domain_writes_crashes_first(daemons: usize, domains: usize) {
+    let mut rows = fleet(daemons, domains);
+    let first = |rows: &[PresenceRow]| -> Vec<InstanceId> {
+        let first = rows
+            .iter()
+            .filter(|row| is_first_reader(rows.iter(), &row.instance, &row.domain));
+        first.map(|row| row.instance.clone()).collect()
+    };
+    let before = first(&rows);
+    assert_eq!(before.len(), domains);
+    assert!(
+        before
+            .iter()
+            .all(|instance| readers(&rows).contains(instance))
+    );
+
+    rows.retain(|row| row.instance != before[0]);
+
+    let after = first(&rows);
+    assert_eq!(after.len(), domains);
+    assert!(!after.contains(&before[0]));
+}
+
 #[test]
 fn followers_are_spread_over_the_readers_of_their_domain() {
     let rows = fleet(195, 5);
@@ -148,6 +177,7 @@
         age_ms: 0,
         failures: 0,
         parts,
+        packed: None,
     }
 }
 
--- a/tests/feed_schedules.rs
+++ b/tests/feed_schedules.rs
@@ -163,6 +163,7 @@
             } else {
                 Vec::new()
             },
+            packed: None,
         };
         self.inbox
             .record(frame, now)
--- a/tests/poison_outbox.rs
+++ b/tests/poison_outbox.rs
@@ -138,3 +138,53 @@
     assert_eq!(told.len(), 32);
     assert_eq!(told[0].fingerprint, PoisonFingerprint(250));
 }
+
+/// Guards against a removal for each daemon that clears a crash which was never written: at 195 daemons
+/// they were most of the calls to the store after a crash.
+#[test]
+fn clearing_a_crash_that_the_store_does_not_hold_costs_no_call() {
+    let outbox = CrashOutbox::default();
+
+    outbox.add(cleared(), NOW);
+
+    assert_eq!(outbox.take_due(32, LATER, two_runs), Vec::new());
+}
+
+/// Guards against crashes that stay in the store: another daemon has written this one.
+#[test]
+fn crash_that_another_daemon_wrote_is_removed_once_cleared() {
+    let outbox = CrashOutbox::default();
+    outbox.on_stored(counted());
+
+    outbox.add(cleared(), LATER);
+
+    assert_eq!(outbox.take_due(32, LATER, two_runs), vec![cleared()]);
+    outbox.on_stored(cleared());
+    outbox.add(cleared(), LATER);
+    assert_eq!(outbox.take_due(32, LATER, two_runs), Vec::new());
+}
+
+/// Guards against crashes that stay in the store: another daemon writes one after it was cleared here.
+#[test]
+fn crash_that_is_written_after_it_was_cleared_is_removed() {
+    let outbox = CrashOutbox::default();
+    outbox.add(counted(), NOW);
+    outbox.add(cleared(), NOW);
+    assert_eq!(outbox.take_due(32, LATER, two_runs), Vec::new());
+
+    outbox.on_stored(counted());
+
+    assert_eq!(outbox.take_due(32, LATER, two_runs), vec![cleared()]);
+}
+
+/// The same while the cleared crash is still told to others.
+#[test]
+fn crash_that_is_written_while_it_is_cleared_is_removed() {
+    let outbox = CrashOutbox::default();
+    outbox.add(counted(), LATER);
+    outbox.add(cleared(), LATER);
+
+    outbox.on_stored(counted());
+
+    assert_eq!(outbox.take_due(32, LATER, two_runs), vec![cleared()]);
+}
