Spread resumed streams over chains, and report silent chains whether or not a retry is left

Streams that were taken over got their third event 1.2 to 1.4 s after the stall was noticed, as all daemons chose the same chain. Commits after crashes: daemons wrote a crash at once when its fingerprint got a second run, as the first one's delay was over. Resumed streams draw a chain by cost. Up to five daemons are asked for a retry, again after 0.1 s. A second run begins the delay of the first one anew, and a crash that another daemon cleared is removed by the first reader that hears of it.

--- a/src/poison/outbox.rs
+++ b/src/poison/outbox.rs
@@ -81,11 +81,20 @@
         } = &mut *self.lock();
         let key = (row.fingerprint, row.run);
         let state = row.state;
-        let is_written = match waiting.get(&key) {
+        let is_full = waiting.len() >= MAX_ROWS;
+        let is_written = match waiting.get_mut(&key) {
+            // Its fingerprint has just got a second run. It was not due for the store before, so that
+            // all daemons that know of it would write it now.
+            Some(known) if known.state == state && !known.is_written => {
+                known.due = known.due.max(due);
+                return;
+            }
             Some(known) if known.state >= state => return,
             Some(known) => known.is_written,
-            None if waiting.len() >= MAX_ROWS => return,
-            None if is_from_peer && state == CrashState::Cleared => return,
+            None if is_full => return,
+            None if is_from_peer && state == CrashState::Cleared && !stored.contains(&key) => {
+                return;
+            }
             None => state == CrashState::Cleared && stored.contains(&key),
         };
         waiting.insert(
@@ -99,8 +108,8 @@
         );
     }
 
-    /// Adds a crash that another daemon tells of. One that it has cleared is its own to remove from
-    /// the store, so it only replaces a crash that waits here.
+    /// Adds a crash that another daemon tells of. One that it has cleared counts only if it is in the store
+    /// or waits here.
     pub fn add_from_peer(&self, row: OutboxRow, due: MonoTime) {
         self.insert(row, due, true);
     }
--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -27,7 +27,7 @@
 /// Time for which a borrowed retry can be used.
 const LOAN_LIFETIME: Duration = Duration::from_secs(1);
 /// Time after which a daemon that nobody lends anything asks again.
-const ASK_PAUSE: Duration = Duration::from_millis(250);
+const ASK_PAUSE: Duration = Duration::from_millis(100);
 
 /// Limits on the retries of one service, over all daemons together.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/src/relay/choice.rs
+++ b/src/relay/choice.rs
@@ -90,9 +90,13 @@
     loads.first().map(|(_, target)| *target)
 }
 
-/// Selects the cheapest chain that has capacity for the request. The cost grows with the chain's
-/// time per token and with its reserved share, so that slow chains take the load that fast ones
-/// have no capacity for. Degraded chains are selected only when no other has capacity.
+/// Selects a chain that has capacity for the request. The cost of a chain grows with its time per token and
+/// with its reserved share, so that slow chains take the load that fast ones have no capacity for.
+/// Degraded chains are selected only when no other has capacity.
+///
+/// New requests get the cheapest chain. Streams that are resumed come in a herd when servers crash, from
+/// daemons that do not know of each other's choices yet, so they are spread over all chains by
+/// their costs.
 pub fn pick_chain<'a>(
     chains: &'a [Arc<LayerChain>],
     model: &ModelShape,
@@ -112,38 +116,69 @@
         .iter()
         .filter(usable)
         .partition(|chain| chain.is_degraded(now));
-    least_cost(&healthy, model, requirement, rng)
-        .or_else(|| least_cost(&degraded, model, requirement, rng))
+    let mut choose = |chains: &[&'a Arc<LayerChain>]| {
+        let costs = chain_costs(chains, model, requirement);
+        if requirement.is_resumed {
+            draw_by_cost(&costs, rng)
+        } else {
+            least_cost(&costs, rng)
+        }
+    };
+    choose(&healthy).or_else(|| choose(&degraded))
 }
 
-/// Selects the chain of the lowest cost among those with capacity for the request.
-fn least_cost<'a>(
+/// Costs of the chains with capacity for the request.
+fn chain_costs<'a>(
     chains: &[&'a Arc<LayerChain>],
     model: &ModelShape,
     requirement: ChainRequirement<'_>,
-    rng: &mut fastrand::Rng,
-) -> Option<&'a Arc<LayerChain>> {
-    let mut best: Option<(f64, &Arc<LayerChain>)> = None;
-    for chain in chains {
+) -> Vec<(f64, &'a Arc<LayerChain>)> {
+    let limit = if requirement.is_resumed {
+        MAX_RESUMED_SHARE
+    } else {
+        MAX_RESERVED_SHARE
+    };
+    let cost = |chain: &&'a Arc<LayerChain>| {
         let load = chain.reserved_share(model) + requirement.tokens / chain.token_capacity.max(1.0);
-        let limit = if requirement.is_resumed {
-            MAX_RESUMED_SHARE
-        } else {
-            MAX_RESERVED_SHARE
-        };
-        if load > limit {
-            continue;
-        }
         let domain_factor = if &chain.domain == requirement.domain {
             1.0
         } else {
             REMOTE_DOMAIN_COST
         };
-        let jitter = 1.0 + rng.f64() * COST_JITTER;
-        let cost = chain.token_ms / (SATURATED_SHARE - load) * domain_factor * jitter;
+        let cost = chain.token_ms / (SATURATED_SHARE - load) * domain_factor;
+        (load <= limit).then_some((cost, *chain))
+    };
+    chains.iter().filter_map(cost).collect()
+}
+
+/// The chain of the lowest cost, give or take the jitter.
+fn least_cost<'a>(
+    costs: &[(f64, &'a Arc<LayerChain>)],
+    rng: &mut fastrand::Rng,
+) -> Option<&'a Arc<LayerChain>> {
+    let mut best: Option<(f64, &Arc<LayerChain>)> = None;
+    for (cost, chain) in costs {
+        let cost = cost * (1.0 + rng.f64() * COST_JITTER);
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, chain));
         }
     }
     best.map(|(_, chain)| chain)
 }
+
+/// A random chain, the more likely the lower its cost.
+fn draw_by_cost<'a>(
+    costs: &[(f64, &'a Arc<LayerChain>)],
+    rng: &mut fastrand::Rng,
+) -> Option<&'a Arc<LayerChain>> {
+    let weight = |cost: f64| 1.0 / cost.max(f64::MIN_POSITIVE);
+    let total: f64 = costs.iter().map(|(cost, _)| weight(*cost)).sum();
+    let mut left = rng.f64() * total;
+    for (cost, chain) in costs {
+        left -= weight(*cost);
+        if left <= 0.0 {
+            return Some(chain);
+        }
+    }
+    costs.last().map(|(_, chain)| *chain)
+}
--- a/src/relay/lending.rs
+++ b/src/relay/lending.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 
 /// Most daemons that are asked for one retry, one after the other.
-const MAX_LENDERS: usize = 3;
+const MAX_LENDERS: usize = 5;
 /// Most retries lent at a time.
 const MAX_LOAN: u32 = 8;
 
--- a/src/relay/stream_failure.rs
+++ b/src/relay/stream_failure.rs
@@ -78,8 +78,11 @@
 /// Asks the first target of a stalled chain for its report, which names the targets that it waits
 /// for, so that those of the chain are ejected instead of the first one. Requests do not wait for
 /// the report.
-fn query_stalled_parts(context: &Arc<RelayContext>, chain: &LayerChain) {
+pub(super) fn query_stalled_parts(context: &Arc<RelayContext>, chain: &LayerChain) {
     let first_target = chain.head();
+    if context.is_cut_off() {
+        return;
+    }
     if chain.parts.len() < 2 || !first_target.stats.try_begin_report(context.clock.now()) {
         return;
     }
--- a/src/relay/streaming.rs
+++ b/src/relay/streaming.rs
@@ -16,7 +16,9 @@
 use crate::relay::retry::{RelayFailure, RetryState, RetryStep};
 use crate::relay::stall::{StallDetector, StallStep};
 use crate::relay::stream_chain::{ClaimFailure, claim_chain, find_next_chain};
-use crate::relay::stream_failure::{log_failure, record_failure, report_stalled_chain};
+use crate::relay::stream_failure::{
+    log_failure, query_stalled_parts, record_failure, report_stalled_chain,
+};
 use crate::relay::stream_opening::{OpenedStream, OpeningAttempt, OpeningResult, next_opened};
 use crate::relay::suspicion::check_for_crash;
 use crate::relay::via_peer::relay_stream_via_peer;
@@ -335,7 +337,9 @@
             StalledAttempt::Slow
         };
         let claimed = claim_chain(self.request, &self.state, &self.delivered, running).await;
-        let is_overdue = claimed.is_ok() || detector.is_long_stalled(now);
+        // Whether or not a retry is left: new requests are not to wait at the same chain.
+        let is_broken = running == StalledAttempt::Broken || detector.is_long_stalled(now);
+        let is_overdue = claimed.is_ok() || is_broken;
         if is_overdue && let Some(stall) = &mut self.stall {
             if !stall.is_reported {
                 report_stalled_chain(self.request.context, &chain);
@@ -387,6 +391,7 @@
             is_reported: false,
             failure: None,
         });
+        query_stalled_parts(self.request.context, chain);
         let line = self.request.log_line("attempt_stalled");
         self.log_attempt(line, chain, detector.idle_time(now));
     }
--- a/tests/platform_streams.rs
+++ b/tests/platform_streams.rs
@@ -164,3 +164,49 @@
     let runs = site.model_servers.iter().flat_map(rig::ModelServer::runs);
     assert_eq!(runs.filter(|run| run.attempt_id == "a1").count(), 1);
 }
+
+/// Guards against new requests that wait at a chain that has fallen silent: it counted as failing only
+/// once another chain had taken one of its streams over, and no retry was left for that.
+#[test]
+fn silent_chain_is_avoided_although_no_retry_is_left() {
+    let site = model_site();
+    let none = BudgetLimits {
+        ratio: 0.0,
+        allowance: 0.0,
+        window: Duration::from_secs(10),
+    };
+    let context = &site.daemons[0].state.context;
+    context.budget.set_limits(none);
+    let halting = ModelKnobs {
+        event_gap: Duration::from_millis(5),
+        pause_at_event: Some((7, Duration::from_millis(1_200))),
+        ..ModelKnobs::default()
+    };
+    site.model_servers
+        .iter()
+        .for_each(|model| model.set_knobs(halting.clone()));
+    let address = site.daemons[0].address;
+    let halted = std::thread::spawn(move || send_site_request(address, &stream_call("a1")));
+    let heads = || {
+        let view = context.targets.load();
+        let chains = view.all_chains();
+        chains
+            .map(|chain| std::sync::Arc::clone(chain.head()))
+            .collect::<Vec<_>>()
+    };
+    let is_avoided = || {
+        let now = context.clock.now();
+        heads().iter().any(|head| head.stats.is_ejected(now))
+    };
+
+    let started = std::time::Instant::now();
+    until("the silent chain to be avoided", is_avoided);
+
+    assert!(
+        started.elapsed() < Duration::from_millis(1_000),
+        "{:?}",
+        started.elapsed()
+    );
+    let answer = halted.join().expect("the request ends");
+    assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+}
--- a/tests/poison_outbox.rs
+++ b/tests/poison_outbox.rs
@@ -188,3 +188,30 @@
 
     assert_eq!(outbox.take_due(32, LATER, two_runs), vec![cleared()]);
 }
+
+/// Guards against a removal by each daemon that clears a crash: one that the store holds is removed by
+/// the first reader of the domain, which hears of it.
+#[test]
+fn stored_crash_that_another_daemon_cleared_is_removed() {
+    let outbox = CrashOutbox::default();
+    outbox.on_stored(counted());
+
+    outbox.add_from_peer(cleared(), NOW);
+
+    assert_eq!(outbox.take_due(32, LATER, two_runs), vec![cleared()]);
+}
+
+/// Guards against a write by each daemon at the moment when a fingerprint gets its second run, as the
+/// delay of the first one is over by then.
+#[test]
+fn second_run_begins_the_delay_of_the_first_one_anew() {
+    let outbox = CrashOutbox::default();
+    outbox.add(counted(), NOW);
+    assert_eq!(outbox.take_due(32, NOW, |_| 1), Vec::new());
+
+    outbox.add(counted(), LATER);
+
+    let before = MonoTime(LATER.0 - 1);
+    assert_eq!(outbox.take_due(32, before, two_runs), Vec::new());
+    assert_eq!(outbox.take_due(32, LATER, two_runs), vec![counted()]);
+}
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -10,6 +10,7 @@
     RetryStep, ServiceId, StallDetector, StallStep, TargetEntry, pick_chain, pick_target,
 };
 use shapes::{model_on, ready_target};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 use test_case::test_case;
@@ -406,6 +407,41 @@
     assert!(pick_target(&targets, &[], &local, at(0), &mut rng).is_none());
 }
 
+/// Pattern: servers crash, and 39 daemons of a failure domain resume three streams each at the same moment,
+/// all with the same loads in view. Guards against a queue of prompts at the fastest chain that is left,
+/// where resumed streams waited for seconds.
+#[test]
+fn streams_resumed_at_the_same_moment_are_spread_over_the_chains() {
+    // Arrange: as the accelerators of the largest site are.
+    let mut chains = vec![chain("fast", "here", 2.4), chain("next", "here", 3.3)];
+    chains.extend((0..6).map(|number| chain(&format!("even-{number}"), "here", 5.7)));
+    chains.extend((0..4).map(|number| chain(&format!("slow-{number}"), "here", 16.3)));
+    chains.extend((0..8).map(|number| chain(&format!("far-{number}"), "there", 2.4)));
+    let local = domain("here");
+    let requirement = ChainRequirement {
+        domain: &local,
+        tokens: 10.0,
+        is_resumed: true,
+    };
+
+    // Act
+    let mut streams: BTreeMap<&str, usize> = BTreeMap::new();
+    for daemon in 0..39 {
+        let mut rng = fastrand::Rng::with_seed(daemon);
+        for _ in 0..3 {
+            let chosen = pick_chain(&chains, &model(), requirement, &[], at(1_000), &mut rng);
+            let chosen = chosen.expect("all have room");
+            *streams.entry(chosen.head().id.as_str()).or_default() += 1;
+        }
+    }
+
+    // Assert: no chain gets a quarter of them, and fast ones get more than slow ones.
+    let most = streams.values().max().copied().unwrap_or_default();
+    assert!(most < 39 * 3 / 4, "{streams:?}");
+    let count = |name: &str| streams.get(name).copied().unwrap_or_default();
+    assert!(count("fast") > 2 * count("slow-0"), "{streams:?}");
+}
+
 #[test]
 fn resumed_stream_may_use_more_of_a_chain() {
     let chains = [chain("near", "here", 2.0)];
