End a question for retries at the first daemon that does not reply

Cause: by reading: up to five silent daemons, as those of an earlier version or behind a cut, were asked for 60 ms each while the stalled stream was not read. Change: the first one without a reply ends the round. Counter no_reply.

--- a/src/relay/lending.rs
+++ b/src/relay/lending.rs
@@ -57,33 +57,62 @@
     may_retry()
 }
 
-/// Asks other daemons in turn until one lends a retry.
+/// Asks other daemons in turn until one lends a retry. Ends at the first that does not reply: the stream
+/// that needs the retry is not read meanwhile.
 async fn borrow_retry(context: &RelayContext, service: &ServiceId) {
     if !context.budget.may_ask(service, context.clock.now()) {
         return;
     }
     for lender in choose_lenders(context) {
-        let number = fastrand::u64(..);
-        let digest = ReservationDigest {
-            retry_ask: Some(RetryAsk {
-                number,
-                service: service.to_string(),
-                wanted: 1,
-            }),
-            ..ReservationDigest::default()
-        };
-        let datagram = digest.encode_to_vec();
-        let loan = context.loans.ask(lender, number, &datagram).await;
-        let count = loan.map_or(0, |loan| loan.count.min(1));
-        if count > 0 {
-            count_event(context, "borrowed");
-            return context.budget.add_loan(service, count, context.clock.now());
+        match ask_lender(context, service, lender).await {
+            LenderReply::Lent => {
+                count_event(context, "borrowed");
+                return context.budget.add_loan(service, 1, context.clock.now());
+            }
+            LenderReply::Nothing => {}
+            LenderReply::Silent => {
+                count_event(context, "no_reply");
+                break;
+            }
         }
     }
     count_event(context, "none_lent");
     context.budget.pause_asking(service, context.clock.now());
 }
 
+/// What a daemon says when it is asked for a retry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LenderReply {
+    /// It lends one.
+    Lent,
+    /// It needs its own.
+    Nothing,
+    /// There was no reply in time.
+    Silent,
+}
+
+async fn ask_lender(
+    context: &RelayContext,
+    service: &ServiceId,
+    lender: SocketAddr,
+) -> LenderReply {
+    let number = fastrand::u64(..);
+    let digest = ReservationDigest {
+        retry_ask: Some(RetryAsk {
+            number,
+            service: service.to_string(),
+            wanted: 1,
+        }),
+        ..ReservationDigest::default()
+    };
+    let datagram = digest.encode_to_vec();
+    match context.loans.ask(lender, number, &datagram).await {
+        Some(loan) if loan.count > 0 => LenderReply::Lent,
+        Some(_) => LenderReply::Nothing,
+        None => LenderReply::Silent,
+    }
+}
+
 /// Addresses of daemons to ask, in random order, those of other failure domains first: faults mostly
 /// concentrate on one domain, whose daemons need their own retries.
 fn choose_lenders(context: &RelayContext) -> Vec<SocketAddr> {
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -19,8 +19,8 @@
     /// Rate limits of targets, by event: `learned`, `changed` and `ended`, `held_back` for a request
     /// that found no permit, `keeper_silent` for a question without a reply.
     pub limits: IntCounterVec,
-    /// Retries between daemons: `borrowed` and `lent` ones, and `none_lent` for each time when no daemon
-    /// had any.
+    /// Retries between daemons: `borrowed` and `lent` ones, `none_lent` for each time when no daemon that was
+    /// asked lent any, and `no_reply` for each question without a reply.
     pub loans: IntCounterVec,
     /// Requests between daemons: `passed_on` to another one, `failed` there, and `taken` from another
     /// one.
