Unpack feeds outside of the inbox's lock, and mend what a last read of the change found

The inbox unpacked a frame while the tasks of all prefixes waited for its lock; small messages were encoded only to learn their size; the outbox derived the time of a removal back from the end of its retention; two arms recorded a failure of the store alike; three tests wrote out the same retry limits. Change: the frame is unpacked before the lock, so a damaged one is now reported as damaged also where no feed is open; the size comes from encoded_len; the outbox keeps the time at which a crash was dropped; record_target_failure and allow_retries serve the copies. Two phrases of comments reworded.

--- a/src/feed/inbox.rs
+++ b/src/feed/inbox.rs
@@ -161,10 +161,11 @@
         if !frame.accepted {
             return Err(FeedError::Refused);
         }
-        let mut feed = self.lock();
-        let open = feed.as_mut().ok_or(FeedError::NotOpen)?;
+        // Before the lock, for which the tasks of all prefixes wait.
         let packed = frame.packed.as_deref().map(unpack_message::<FeedParts>);
         let packed = packed.transpose()?.unwrap_or_default();
+        let mut feed = self.lock();
+        let open = feed.as_mut().ok_or(FeedError::NotOpen)?;
         for part in frame.parts.into_iter().chain(packed.parts) {
             record_part(open, part)?;
         }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -147,13 +147,9 @@
         match notice {
             FollowNotice::Failed(cause) => {
                 contact.on_failure(&state, cause);
-                state.record_target_sync(false);
-                state.with_targets(super::targets::TargetRegistry::on_failure);
-            }
-            FollowNotice::FeedFailed => {
-                state.record_target_sync(false);
-                state.with_targets(super::targets::TargetRegistry::on_failure);
+                record_target_failure(&state);
             }
+            FollowNotice::FeedFailed => record_target_failure(&state),
             // Nothing is ordered until the servers have had time to write again.
             FollowNotice::Restored => state.record_target_sync(false),
             // The list does not count as in sync: the leader must not place orders by a snapshot, which
@@ -172,6 +168,12 @@
     .await;
 }
 
+/// Records that the store does not answer: the list is out of sync, and entries may lapse.
+fn record_target_failure(state: &GatewayState) {
+    state.record_target_sync(false);
+    state.with_targets(super::targets::TargetRegistry::on_failure);
+}
+
 fn apply_target_changes(state: &GatewayState, changes: &[MirrorChange]) {
     let notices = state.with_targets(|targets, now| targets.on_changes(changes, now));
     log_target_notices(state, notices);
--- a/src/poison/outbox.rs
+++ b/src/poison/outbox.rs
@@ -56,8 +56,8 @@
     waiting: WaitingMap,
     /// Crashes that the store holds, as far as this daemon knows.
     stored: BTreeSet<RowKey>,
-    /// Crashes that were cleared here before the store was told of them, and the time for which that is
-    /// remembered: another daemon may write them yet.
+    /// Crashes that were cleared here before the store was told of them, and the time at which they were
+    /// dropped: another daemon may write them yet.
     forgotten: BTreeMap<RowKey, MonoTime>,
 }
 
@@ -126,14 +126,13 @@
         let OutboxState {
             waiting, forgotten, ..
         } = &mut *self.lock();
-        forgotten.retain(|_, until| now < *until);
-        let is_single = |key: &(PoisonFingerprint, CrashedRun), row: &WaitingRow| {
-            !row.is_written && known_runs(key.0) < MIN_STORED_RUNS
-        };
+        forgotten.retain(|_, dropped_at| now.since(*dropped_at) < FORGOTTEN_TIME);
+        let is_single =
+            |key: &RowKey, row: &WaitingRow| !row.is_written && known_runs(key.0) < MIN_STORED_RUNS;
         waiting.retain(|key, row| {
             let is_dropped = row.needs_no_call() && row.due <= now;
             if is_dropped && !row.is_from_peer && forgotten.len() < MAX_ROWS {
-                forgotten.insert(*key, now.after(FORGOTTEN_TIME));
+                forgotten.insert(*key, now);
             }
             let is_over = row.due.after(SINGLE_RUN_TIME) <= now && is_single(key, row);
             !is_dropped && !is_over
@@ -199,10 +198,10 @@
             // The store was told of a crash that has been cleared meanwhile.
             Some(known) => known.is_written = true,
             None if row.state == CrashState::Counted => {
-                if let Some(until) = forgotten.remove(&key) {
+                if let Some(dropped_at) = forgotten.remove(&key) {
                     let removal = WaitingRow {
                         state: CrashState::Cleared,
-                        due: MonoTime(until.0.saturating_sub(FORGOTTEN_TIME.as_micros() as u64)),
+                        due: dropped_at,
                         is_written: true,
                         is_from_peer: false,
                     };
@@ -218,7 +217,7 @@
     }
 }
 
-fn outbox_row(key: &(PoisonFingerprint, CrashedRun), row: &WaitingRow) -> OutboxRow {
+fn outbox_row(key: &RowKey, row: &WaitingRow) -> OutboxRow {
     OutboxRow {
         fingerprint: key.0,
         run: key.1,
--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -1,4 +1,4 @@
-//! Limits retries: each daemon spends a share of its own request count plus its part of the fixed
+//! Limits retries: each daemon spends a share of the requests that it counts plus its part of the fixed
 //! allowance, so that the sum stays within the overall limit. Daemons lend each other what they do
 //! not need.
 
@@ -151,7 +151,7 @@
     }
 
     /// Spends a retry if the budget, shared by `daemons` daemons, allows one; a borrowed one first, as it
-    /// is lost otherwise. Zero stands for a fleet that is not known yet, of which nothing of the
+    /// is lost otherwise. Zero means a fleet that is not known yet, of which nothing of the
     /// fixed allowance may be spent.
     pub fn try_spend(&self, service: &ServiceId, daemons: usize, now: MonoTime) -> bool {
         self.with_budget(service, now, |budget, limits| {
--- a/src/snapshots/packing.rs
+++ b/src/snapshots/packing.rs
@@ -42,10 +42,10 @@
 
 /// Compresses a message; `None` where it is small.
 pub fn pack_message(message: &impl Message) -> Option<Bytes> {
-    let bytes = message.encode_to_vec();
-    if bytes.len() < MIN_PACKED_BYTES {
+    if message.encoded_len() < MIN_PACKED_BYTES {
         return None;
     }
+    let bytes = message.encode_to_vec();
     let mut encoder = ZlibEncoder::new(Vec::new(), Compression::fast());
     let packed = encoder.write_all(&bytes).and_then(|()| encoder.finish());
     match packed {
--- a/src/targets/stats.rs
+++ b/src/targets/stats.rs
@@ -237,7 +237,8 @@
             .store(now.after(DEGRADED_TIME).0, Ordering::Relaxed);
     }
 
-    /// True while the target is degraded, sheds load or fails requests of other daemons, that is, used only where no other is left.
+    /// True while the target is degraded, sheds load or fails requests of other daemons, that is, used only
+    /// where no other is left.
     pub fn is_degraded(&self, now: MonoTime) -> bool {
         let is_failing = self.peers_failing.load(Ordering::Relaxed) >= FAILING_PEERS_THRESHOLD;
         let is_degraded = now.0 < self.degraded_until.load(Ordering::Relaxed);
--- a/tests/platform_lending.rs
+++ b/tests/platform_lending.rs
@@ -3,9 +3,9 @@
 #[path = "support/site.rs"]
 mod site;
 
-use arbutusmount::{BudgetLimits, ReachStatement};
+use arbutusmount::ReachStatement;
 use rig::{ModelKnobs, SiteFleet};
-use site::{call, model_site, stream_call, until};
+use site::{allow_retries, call, model_site, stream_call, until};
 use std::net::UdpSocket;
 use std::time::Duration;
 
@@ -46,12 +46,7 @@
 fn stream_is_read_again_soon_although_no_daemon_answers() {
     let site = model_site();
     let _silent = list_silent_daemons(&site, 6);
-    let none = BudgetLimits {
-        ratio: 0.0,
-        allowance: 0.0,
-        window: Duration::from_secs(10),
-    };
-    site.daemons[0].state.context.budget.set_limits(none);
+    allow_retries(&site, 0.0);
     let halting = ModelKnobs {
         event_gap: Duration::from_millis(5),
         pause_at_event: Some((7, HALT)),
--- a/tests/platform_silence.rs
+++ b/tests/platform_silence.rs
@@ -4,12 +4,11 @@
 #[path = "support/site.rs"]
 mod site;
 
-use arbutusmount::BudgetLimits;
 use rig::{
     CutEnd, CutScope, ModelKnobs, ModelServer, PLAIN_BODY, PlainFault, PlainServer, SiteFleet,
     SiteRequest, SiteResponse, SiteSpec, StreamCut, send_site_request,
 };
-use site::{call, model_site, stream_call, until};
+use site::{allow_retries, call, model_site, stream_call, until};
 use std::thread;
 use std::time::Duration;
 use test_case::test_case;
@@ -97,12 +96,7 @@
     // Arrange
     let site = model_site();
     let (used, _) = used_and_other_head(&site);
-    let limits = BudgetLimits {
-        ratio: 0.0,
-        allowance: retries,
-        window: Duration::from_secs(10),
-    };
-    site.daemons[0].state.context.budget.set_limits(limits);
+    allow_retries(&site, retries);
     used.set_knobs(silent_at(SILENT_EVENT, SHORT_SILENCE));
     let address = site.daemons[0].address;
 
--- a/tests/platform_streams.rs
+++ b/tests/platform_streams.rs
@@ -3,10 +3,9 @@
 #[path = "support/site.rs"]
 mod site;
 
-use arbutusmount::BudgetLimits;
 use async_std::task;
 use rig::{ModelKnobs, SiteFleet, StreamCut, send_site_request};
-use site::{call, model_site, stream_call, until};
+use site::{allow_retries, call, model_site, stream_call, until};
 use std::time::Duration;
 use test_case::test_case;
 
@@ -141,12 +140,7 @@
 #[test]
 fn stalled_stream_is_not_given_up_without_a_retry() {
     let site = model_site();
-    let none = BudgetLimits {
-        ratio: 0.0,
-        allowance: 0.0,
-        window: Duration::from_secs(10),
-    };
-    site.daemons[0].state.context.budget.set_limits(none);
+    allow_retries(&site, 0.0);
     // The halt is longer than the time after which a stream moves on to another chain.
     let halting = ModelKnobs {
         event_gap: Duration::from_millis(5),
@@ -170,13 +164,8 @@
 #[test]
 fn silent_chain_is_avoided_although_no_retry_is_left() {
     let site = model_site();
-    let none = BudgetLimits {
-        ratio: 0.0,
-        allowance: 0.0,
-        window: Duration::from_secs(10),
-    };
+    allow_retries(&site, 0.0);
     let context = &site.daemons[0].state.context;
-    context.budget.set_limits(none);
     let halting = ModelKnobs {
         event_gap: Duration::from_millis(5),
         pause_at_event: Some((7, Duration::from_millis(1_200))),
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test program uses a part of the fixtures")]
 
+use arbutusmount::BudgetLimits;
 use async_std::task;
 use rig::{SiteFleet, SiteRequest, SiteResponse, SiteSpec, send_site_request, wait_until};
 use std::time::Duration;
@@ -26,6 +27,16 @@
     })
 }
 
+/// Allows the first daemon this number of retries in a window.
+pub fn allow_retries(site: &SiteFleet, retries: f64) {
+    let limits = BudgetLimits {
+        ratio: 0.0,
+        allowance: retries,
+        window: Duration::from_secs(10),
+    };
+    site.daemons[0].state.context.budget.set_limits(limits);
+}
+
 /// Waits until a condition holds.
 pub fn until(what: &str, holds: impl Fn() -> bool) {
     task::block_on(wait_until(what, LIMIT, || async { holds() }));
