--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -110,22 +110,33 @@
     Ok(Some(message))
 }
 
-/// Writes a response with a body of known length.
-pub fn write_response(
+/// Writes the head of a response.
+pub fn write_head(
     stream: &mut TcpStream,
     status: u16,
     fields: &[(&str, String)],
-    body: &[u8],
+    length: usize,
 ) -> io::Result<()> {
-    let mut head = format!(
-        "HTTP/1.1 {status} Status\r\nContent-Length: {}\r\n",
-        body.len()
-    );
+    stream.write_all(encode_head(status, fields, length).as_bytes())
+}
+
+fn encode_head(status: u16, fields: &[(&str, String)], length: usize) -> String {
+    let mut head = format!("HTTP/1.1 {status} Status\r\nContent-Length: {length}\r\n");
     for (name, value) in fields {
         head.push_str(&format!("{name}: {value}\r\n"));
     }
     head.push_str("\r\n");
-    let mut bytes = head.into_bytes();
+    head
+}
+
+/// Writes a response with a body of known length.
+pub fn write_response(
+    stream: &mut TcpStream,
+    status: u16,
+    fields: &[(&str, String)],
+    body: &[u8],
+) -> io::Result<()> {
+    let mut bytes = encode_head(status, fields, body.len()).into_bytes();
     bytes.extend_from_slice(body);
     stream.write_all(&bytes)
 }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -12,6 +12,7 @@
 mod store;
 
 mod case_hang;
+mod case_head;
 mod case_joined;
 mod case_lost;
 mod case_reuse;
@@ -43,6 +44,7 @@
     let folder = Path::new(folder);
     let verdict = match case.as_str() {
         "hang" => case_hang::run(folder, trouble),
+        "head" => case_head::run(folder, trouble),
         "joined" => case_joined::run(folder, trouble),
         "lost" => case_lost::run(folder, trouble),
         "reuse" => case_reuse::run(folder, trouble),
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -1,6 +1,6 @@
 //! Stand-ins for servers: model servers that hold layers, and plain servers (PROTOCOL, "Servers").
 
-use crate::http::{Message, read_request, write_response};
+use crate::http::{Message, read_request, write_head, write_response};
 use crate::json::Json;
 use crate::record::note;
 use crate::store::Store;
@@ -448,7 +448,11 @@
         }
         note(&format!("run {run} of {attempt} ends"));
         let fields = [("X-Attempt-Id", attempt), ("X-Server-Stamp", run)];
-        write_response(stream, 200, &fields, b"whole body of the server")
+        let body: &[u8] = b"whole body of the server";
+        if request.method() == "HEAD" {
+            return write_head(stream, 200, &fields, body.len());
+        }
+        write_response(stream, 200, &fields, body)
     }
 }
 
--- a/review/standin/site.rs
+++ b/review/standin/site.rs
@@ -7,10 +7,22 @@
 
 /// The operator's configuration.
 pub fn configuration(version: u64, routes: &[String], services: &[String]) -> String {
+    configuration_with_keys(version, routes, services, &["key-1"])
+}
+
+/// The same with these keys of the tenant.
+pub fn configuration_with_keys(
+    version: u64,
+    routes: &[String],
+    services: &[String],
+    keys: &[&str],
+) -> String {
+    let keys: Vec<String> = keys.iter().map(|key| format!("\"{key}\"")).collect();
     format!(
-        "{{\"Version\":{version},\"Routes\":[{}],\"Services\":[{}],\"Limits\":{{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000}},\"Tenants\":[{{\"Name\":\"franchise\",\"ApiKeys\":[\"key-1\"],\"Priority\":1}}]}}",
+        "{{\"Version\":{version},\"Routes\":[{}],\"Services\":[{}],\"Limits\":{{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000}},\"Tenants\":[{{\"Name\":\"franchise\",\"ApiKeys\":[{}],\"Priority\":1}}]}}",
         routes.join(","),
-        services.join(",")
+        services.join(","),
+        keys.join(",")
     )
 }
 
