--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -11,6 +11,7 @@
 mod site;
 mod store;
 
+mod case_extra;
 mod case_hang;
 mod case_head;
 mod case_joined;
@@ -43,6 +44,7 @@
     ));
     let folder = Path::new(folder);
     let verdict = match case.as_str() {
+        "extra" => case_extra::run(folder, trouble),
         "hang" => case_hang::run(folder, trouble),
         "head" => case_head::run(folder, trouble),
         "joined" => case_joined::run(folder, trouble),
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -16,6 +16,10 @@
 /// Time that a server takes to load new layers before the first request.
 const LOAD_TIME: Duration = Duration::from_millis(30);
 
+/// Bytes after a complete answer: a second one, without the id of any attempt.
+const EXTRA_BYTES: &[u8] =
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 16\r\n\r\nnobody's answer\n";
+
 /// What a server is.
 #[derive(Clone)]
 pub struct ServerSpec {
@@ -67,6 +71,11 @@
     state: Mutex<State>,
     runs: AtomicU64,
     plan: Arc<RunPlan>,
+    /// One in this many answers is followed by bytes that belong to no request; 0 for none.
+    pub extra_every: AtomicU64,
+    answers: AtomicU64,
+    /// How often such bytes were sent.
+    pub extras: AtomicU64,
     /// When requests have arrived that it runs, and their attempts.
     pub arrivals: Mutex<Vec<(Instant, String)>>,
     /// Set when it was ordered to hold more than its memory holds.
@@ -98,6 +107,9 @@
             spec,
             runs: AtomicU64::new(0),
             plan,
+            extra_every: AtomicU64::new(0),
+            answers: AtomicU64::new(0),
+            extras: AtomicU64::new(0),
             arrivals: Mutex::default(),
             overfull: AtomicBool::new(false),
         });
@@ -241,10 +253,20 @@
 
     fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
         let mut reader = BufReader::new(stream.try_clone()?);
+        let mut owes_extra = false;
         while let Some(request) = read_request(&mut reader)? {
             if !self.is_alive() {
                 return Ok(());
             }
+            if std::mem::take(&mut owes_extra) {
+                // They arrive late, at the point where the next answer is expected.
+                note(&format!(
+                    "server {} sends bytes that belong to no request",
+                    self.id
+                ));
+                self.extras.fetch_add(1, Ordering::SeqCst);
+                stream.write_all(EXTRA_BYTES)?;
+            }
             match (request.method(), request.path()) {
                 ("POST", "/order") => {
                     let status = self.order(&request);
@@ -257,7 +279,12 @@
                     write_response(&mut stream, 200, &[("X-Instance-Id", self.id.clone())], b"")?;
                 }
                 _ if self.spec.card.is_some() => self.stream_events(&mut stream, &request)?,
-                _ => self.run_plain(&mut stream, &request)?,
+                _ => {
+                    self.run_plain(&mut stream, &request)?;
+                    let answers = self.answers.fetch_add(1, Ordering::SeqCst) + 1;
+                    let every = self.extra_every.load(Ordering::SeqCst);
+                    owes_extra = every > 0 && answers.is_multiple_of(every);
+                }
             }
         }
         Ok(())
