End a stalled run for good once another one has brought an event

Cause: a stalled attempt was kept as a fallback until the one in its place had brought three events, and read again when that one failed. Its next events were taken by their numbers, although each run generates its own text. Evidence: the record of the case names the run in each event; the first run is never ended and no third one begins. Change: the first event of another attempt ends all older ones. When the route allows no further target, a target that was given up without having failed resumes the stream once, in a new run after the caller's last event. The route limits targets, and this one is counted already; the run takes a retry and a permit as any other. Why it works: an attempt that was dropped has no connection left from which events could follow. Other paths: attempts beside each other, streams passed on to another daemon and the own interface were sound.

--- a/rig/src/site/caller.rs
+++ b/rig/src/site/caller.rs
@@ -107,6 +107,18 @@
         let ids = text.lines().filter_map(|line| line.strip_prefix("id: "));
         ids.filter_map(|id| id.parse().ok()).collect()
     }
+
+    /// Runs that the events of a stream are of, in order, each named once for consecutive events.
+    pub fn runs(&self) -> Vec<String> {
+        let text = String::from_utf8_lossy(&self.body);
+        let mut runs: Vec<String> = text
+            .lines()
+            .filter_map(|line| line.strip_prefix("data: run "))
+            .map(str::to_owned)
+            .collect();
+        runs.dedup();
+        runs
+    }
 }
 
 /// Sends a request on a new connection and closes it after `patience`, without reading.
--- a/rig/src/site/model.rs
+++ b/rig/src/site/model.rs
@@ -25,6 +25,8 @@
     pub event_gap: Duration,
     /// Number of events in a response.
     pub events: u64,
+    /// True when each event names the run that it is of, see [`StreamRun::name`].
+    pub names_runs: bool,
     /// How the end of a stream is shown.
     pub framing: StreamFraming,
     /// Part of the response that has no end, in place of the events.
@@ -45,6 +47,7 @@
         Self {
             event_gap: Duration::from_millis(5),
             events: 20,
+            names_runs: false,
             framing: StreamFraming::Chunked,
             endless: None,
             cuts: Vec::new(),
@@ -58,6 +61,8 @@
 /// A stream that a model server has started.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StreamRun {
+    /// Its server and its number there.
+    pub name: String,
     /// Value of `X-Attempt-Id`.
     pub attempt_id: String,
     /// Number of the first event; above 0 when the stream was resumed.
@@ -309,14 +314,15 @@
         let first_event = field("Last-Event-Id")
             .parse()
             .map_or(0, |last: u64| last + 1);
-        let run = StreamRun {
-            attempt_id: attempt_id.clone(),
-            first_event,
-            hops,
-        };
-        let knobs = self.with_state(|state| {
-            state.runs.push(run);
-            state.knobs.clone()
+        let (knobs, run) = self.with_state(|state| {
+            let name = format!("{}-{}", self.id, state.runs.len());
+            state.runs.push(StreamRun {
+                name: name.clone(),
+                attempt_id: attempt_id.clone(),
+                first_event,
+                hops,
+            });
+            (state.knobs.clone(), name)
         });
         let fields = format!(
             "Content-Type: text/event-stream\r\nX-Server-Stamp: stamp-{}\r\n\
@@ -332,7 +338,7 @@
             return AfterReply::Close;
         }
         let Some(part) = knobs.endless else {
-            return send_stream(stream, &fields, first_event, &knobs);
+            return send_stream(stream, &fields, first_event, &knobs, &run);
         };
         let sent = send_endless(stream, part, &fields);
         self.with_state(|state| state.endless_bytes.push(sent));
--- a/rig/src/site/model_stream.rs
+++ b/rig/src/site/model_stream.rs
@@ -86,6 +86,11 @@
     format!("id: {number}\ndata: token {number}\n\n")
 }
 
+/// One event of a server that names its run in each event.
+fn event_of_run(number: u64, run: &str) -> String {
+    format!("id: {number}\ndata: token {number}\ndata: run {run}\n\n")
+}
+
 /// Writes a response with the events from `first_event` on. `fields` are the lines of its head
 /// after the status line, without those about framing.
 pub(super) fn send_stream(
@@ -93,9 +98,10 @@
     fields: &str,
     first_event: u64,
     knobs: &ModelKnobs,
+    run: &str,
 ) -> AfterReply {
     // The daemon closes the connection when it gives up the stream.
-    write_stream(stream, fields, first_event, knobs).unwrap_or(AfterReply::Close)
+    write_stream(stream, fields, first_event, knobs, run).unwrap_or(AfterReply::Close)
 }
 
 /// Writes the head of a response and its first events, and no end.
@@ -128,6 +134,7 @@
     fields: &str,
     first_event: u64,
     knobs: &ModelKnobs,
+    run: &str,
 ) -> io::Result<AfterReply> {
     let mut output = begin_response(fields, knobs.framing);
     for number in first_event..knobs.events {
@@ -145,7 +152,11 @@
             thread::sleep(HANG_TIME);
             return Ok(AfterReply::Close);
         }
-        let event = event_text(number);
+        let event = if knobs.names_runs {
+            event_of_run(number, run)
+        } else {
+            event_text(number)
+        };
         let mut cuts = knobs.cuts.iter();
         let Some(cut) = cuts.find(|cut| cut.applies_to(number, first_event)) else {
             push_part(&mut output, &event, knobs.framing);
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -99,23 +99,24 @@
     /// The step to take, given whether a target is left to try and whether the retry budget allows
     /// a retry.
     pub(super) fn next_step(&self, state: &RetryState, has_target: bool) -> RetryStep {
-        let now = self.context.clock.now();
-        let step = state.next_step(now);
-        if step != RetryStep::TryNext {
+        let step = state.next_step(self.context.clock.now());
+        // Spends budget, so it is called only when there is a target to retry.
+        if step != RetryStep::TryNext || (has_target && self.spend_retry(state)) {
             return step;
         }
+        state.final_step()
+    }
+
+    /// Spends a retry if the next attempt is one; false when the budget has none left or targets are to
+    /// be kept from the request.
+    pub(super) fn spend_retry(&self, state: &RetryState) -> bool {
         if self.is_poison() {
-            return state.final_step();
+            return false;
         }
+        let now = self.context.clock.now();
         let daemons = self.context.presence.peak_count();
         let budget = &self.context.budget;
-        let granted = || !state.is_retry() || budget.try_spend(&self.service.name, daemons, now);
-        // `granted` spends budget, so it is called only when there is a target to retry.
-        if has_target && granted() {
-            RetryStep::TryNext
-        } else {
-            state.final_step()
-        }
+        !state.is_retry() || budget.try_spend(&self.service.name, daemons, now)
     }
 
     /// Cause of the local reply when no further attempt is made; `step` as in
--- a/src/relay/retry.rs
+++ b/src/relay/retry.rs
@@ -51,7 +51,10 @@
     /// Targets of the attempts that are not over.
     running: Vec<InstanceId>,
     not_executed: u32,
-    may_have_executed: u32,
+    /// Targets of the attempts that are over and may have executed the request, each once.
+    executed: Vec<InstanceId>,
+    /// Targets that may have executed the request for the daemon that passed it on.
+    executed_elsewhere: u32,
     ended: u32,
 }
 
@@ -66,7 +69,8 @@
             tried: Vec::new(),
             running: Vec::new(),
             not_executed: 0,
-            may_have_executed: 0,
+            executed: Vec::new(),
+            executed_elsewhere: 0,
             ended: 0,
         }
     }
@@ -91,16 +95,19 @@
         self.not_executed + self.executions() > 0
     }
 
-    /// Adds attempts of the daemon that passed the request on whose targets may have executed it.
+    /// Adds targets that may have executed the request for the daemon that passed it on.
     #[must_use]
     pub fn with_executions(mut self, count: u32) -> Self {
-        self.may_have_executed += count;
+        self.executed_elsewhere += count;
         self
     }
 
-    /// Attempts whose target may have executed the request or may be executing it.
+    /// Targets that may have executed the request or may be executing it. One that was tried again
+    /// counts once.
     pub fn executions(&self) -> u32 {
-        self.may_have_executed + self.running.len() as u32
+        let is_new = |id: &&InstanceId| !self.executed.contains(id);
+        let running = self.running.iter().filter(is_new).count();
+        (self.executed.len() + running) as u32 + self.executed_elsewhere
     }
 
     /// Time from `now` to the deadline.
@@ -124,8 +131,15 @@
 
     /// Records that the running attempts were given up; their targets may have executed the request.
     pub fn end_running(&mut self) {
-        self.may_have_executed += self.running.len() as u32;
-        self.running.clear();
+        for target in std::mem::take(&mut self.running) {
+            self.add_executed(&target);
+        }
+    }
+
+    fn add_executed(&mut self, target: &InstanceId) {
+        if !self.executed.contains(target) {
+            self.executed.push(target.clone());
+        }
     }
 
     /// Records a failed attempt at `target` and returns [`Self::next_step`]. A caller that first
@@ -144,18 +158,26 @@
         }
         match failure {
             RelayFailure::NotSent | RelayFailure::NotExecuted => self.not_executed += 1,
-            RelayFailure::OutcomeUnknown | RelayFailure::Failed => self.may_have_executed += 1,
+            RelayFailure::OutcomeUnknown | RelayFailure::Failed => self.add_executed(target),
         }
         self.next_step(now)
     }
 
     /// The step to take at `now`, if another target is left and the retry budget allows a retry.
     pub fn next_step(&self, now: MonoTime) -> RetryStep {
-        let may_execute_again = !self.may_have_executed() || self.rule.allows_reexecution();
         let executions = self.executions().saturating_sub(self.ended.min(MAX_ENDED));
-        let within_limits =
-            executions < self.max_targets.max(1) && self.not_executed < MAX_NOT_EXECUTED;
-        if may_execute_again && within_limits && self.time_left(now) >= MIN_ATTEMPT_TIME {
+        if executions < self.max_targets.max(1) {
+            return self.next_step_at_used(now);
+        }
+        self.final_step()
+    }
+
+    /// The step to take at `now` when the next target is one that may have executed the request
+    /// before: the number of such targets does not grow, so `max_targets` does not limit it.
+    pub fn next_step_at_used(&self, now: MonoTime) -> RetryStep {
+        let may_execute_again = !self.may_have_executed() || self.rule.allows_reexecution();
+        let is_within_limits = self.not_executed < MAX_NOT_EXECUTED;
+        if may_execute_again && is_within_limits && self.time_left(now) >= MIN_ATTEMPT_TIME {
             return RetryStep::TryNext;
         }
         self.final_step()
--- a/src/relay/stream_chain.rs
+++ b/src/relay/stream_chain.rs
@@ -1,6 +1,7 @@
 //! Selects the chain of the next attempt of a stream.
 
 use crate::catalog::ModelShape;
+use crate::ids::InstanceId;
 use crate::relay::choice::{ChainRequirement, pick_chain};
 use crate::relay::closed_heads::ClosedHeads;
 use crate::relay::event_progress::DeliveryProgress;
@@ -119,6 +120,47 @@
     Err(ClaimFailure::NoRetry)
 }
 
+/// Claims the chain of a target that was left because it was silent, for a stream whose route allows no
+/// further target. `None` when the target cannot resume the stream, or no retry is left for that.
+pub(super) async fn claim_left_chain(
+    request: &ActiveRequest<'_>,
+    state: &RetryState,
+    head: &InstanceId,
+) -> Option<Arc<LayerChain>> {
+    let context = request.context;
+    if state.next_step_at_used(context.clock.now()) != RetryStep::TryNext {
+        return None;
+    }
+    let chain = find_left_chain(request, head)?;
+    secure_retry(request, state).await;
+    if acquire_permit(context, chain.head()).await == PermitOutcome::HeldBack {
+        return None;
+    }
+    if request.spend_retry(state) {
+        return Some(chain);
+    }
+    return_permit(context, chain.head());
+    None
+}
+
+/// The chain of a first target that takes requests. The target itself may be ejected, as it was left for
+/// its silence; the others may not.
+fn find_left_chain(request: &ActiveRequest<'_>, head: &InstanceId) -> Option<Arc<LayerChain>> {
+    let context = request.context;
+    let now = context.clock.now();
+    let view = context.targets.load();
+    let is_usable = |chain: &&Arc<LayerChain>| {
+        let mut others = chain.parts.iter().skip(1);
+        chain.head().id == *head
+            && !chain.head().stats.limit().is_held_back(now)
+            && !chain.rests(now)
+            && !chain.leaves()
+            && others.all(|part| !part.target.stats.is_ejected(now))
+    };
+    let mut chains = view.chains(&request.service.name).iter();
+    chains.find(is_usable).cloned()
+}
+
 /// True when the first target of a chain gets no request because of its rate limit.
 fn is_held_back(request: &ActiveRequest<'_>) -> bool {
     let context = request.context;
--- a/src/relay/streaming.rs
+++ b/src/relay/streaming.rs
@@ -1,7 +1,8 @@
 //! Requests to models: an event stream that resumes at another chain when its own fails.
 //!
 //! An attempt that stalls is kept until another one has brought an event: its targets may only be silent
-//! for a while. Whichever attempt brings the next event serves the caller from then on.
+//! for a while. Whichever attempt brings the next event serves the caller from then on, and all others
+//! end: each run generates its own text, so no event of one may follow those of a run that came after it.
 
 use crate::catalog::ModelShape;
 use crate::ids::InstanceId;
@@ -15,7 +16,7 @@
 use crate::relay::path::NO_PATH;
 use crate::relay::retry::{RelayFailure, RetryState, RetryStep};
 use crate::relay::stall::{StallDetector, StallStep};
-use crate::relay::stream_chain::{ClaimFailure, claim_chain, find_next_chain};
+use crate::relay::stream_chain::{ClaimFailure, claim_chain, claim_left_chain, find_next_chain};
 use crate::relay::stream_failure::{
     log_failure, query_stalled_parts, record_failure, report_stalled_chain,
 };
@@ -49,10 +50,6 @@
     StreamRelay::new(request, model).run().await
 }
 
-/// Events of an attempt that has taken a stalled one's place after which the stalled one is dropped: a
-/// target that breaks off soon after it has begun leaves the stream without either.
-const FALLBACK_EVENTS: u64 = 3;
-
 /// What the relay of a stream waits for.
 enum RelayEvent<'a> {
     /// An attempt has something for the caller, or has failed before.
@@ -77,9 +74,9 @@
     detail: String,
     /// Attempt that serves the caller.
     current: Option<StreamForwarder<'a>>,
-    /// Stalled attempt that serves the caller again if the current one fails soon. It is not read
-    /// meanwhile.
-    fallback: Option<StreamForwarder<'a>>,
+    /// First targets of attempts that were given up although they had not failed. Each may resume the
+    /// stream once when the route allows no further target.
+    left: Vec<InstanceId>,
     /// Attempts that have not brought anything yet, the newest one last.
     openings: Vec<OpeningAttempt<'a>>,
     /// The silence of the newest attempt, once it has stalled.
@@ -111,7 +108,7 @@
             starts: Vec::new(),
             detail: String::from("no chain has room"),
             current: None,
-            fallback: None,
+            left: Vec::new(),
             openings: Vec::new(),
             stall: None,
         }
@@ -128,15 +125,7 @@
                     let step = self.state.final_step();
                     return self.end(step).await;
                 }
-                let found = find_next_chain(
-                    self.request,
-                    self.model,
-                    &mut self.state,
-                    &self.closed_heads,
-                    &self.delivered,
-                    &mut self.detail,
-                );
-                match found.await {
+                match self.find_chain().await {
                     Ok(chain) => self.start_attempt(&chain),
                     Err(step) => return self.end(step).await,
                 }
@@ -172,6 +161,30 @@
         relay_stream_via_peer(self.request, &mut self.state, &mut self.delivered).await
     }
 
+    /// Finds the chain of the next attempt: another one, or else that of a target that was left.
+    async fn find_chain(&mut self) -> std::result::Result<Arc<LayerChain>, RetryStep> {
+        let found = find_next_chain(
+            self.request,
+            self.model,
+            &mut self.state,
+            &self.closed_heads,
+            &self.delivered,
+            &mut self.detail,
+        );
+        let step = match found.await {
+            Ok(chain) => return Ok(chain),
+            Err(step) => step,
+        };
+        while let Some(head) = self.left.pop() {
+            let claimed = claim_left_chain(self.request, &self.state, &head).await;
+            if let Some(chain) = claimed {
+                self.log_return(&chain);
+                return Ok(chain);
+            }
+        }
+        Err(step)
+    }
+
     fn start_attempt(&mut self, chain: &Arc<LayerChain>) {
         let opening = OpeningAttempt::start(self.request, &self.state, chain, &self.delivered);
         let now = self.request.context.clock.now();
@@ -232,9 +245,7 @@
 
     /// An attempt has brought an event or the end of its response: it serves the caller from now on.
     async fn on_opened(&mut self, opened: OpenedStream<'a>) -> Option<ExchangeEnd> {
-        let stalled = self.current.take();
         self.drop_stalled();
-        self.fallback = stalled;
         self.current = Some(opened.forwarder);
         self.delivered = opened.delivered;
         self.on_step(opened.step, opened.output).await
@@ -247,9 +258,6 @@
         let events = current.events();
         let step = current.on_read(outcome, &mut self.delivered, &mut output);
         let brings_events = current.events() > events;
-        if current.events() >= FALLBACK_EVENTS {
-            self.drop_fallback();
-        }
         if brings_events {
             self.end_stall(idle_time);
         }
@@ -270,7 +278,6 @@
         {
             current.suspicion.on_failure(&failed);
             self.on_failure(&current.chain, &failed).await;
-            self.current = self.fallback.take();
         }
         None
     }
@@ -416,6 +423,7 @@
             let head = &opening.chain.head().id;
             self.state
                 .on_failure(head, RelayFailure::OutcomeUnknown, now);
+            self.left.push(head.clone());
         }
     }
 
@@ -425,19 +433,10 @@
         let failed = no_event_in_time();
         for chain in self.take_attempts(&failed) {
             self.log_dropped(&chain, &failed);
+            self.left.push(chain.head().id.clone());
         }
     }
 
-    /// The attempt that has taken a stalled one's place goes well: the stalled one is dropped.
-    fn drop_fallback(&mut self) {
-        let Some(mut fallback) = self.fallback.take() else {
-            return;
-        };
-        let failed = no_event_in_time();
-        fallback.suspicion.on_failure(&failed);
-        self.log_dropped(&fallback.chain, &failed);
-    }
-
     /// Records a stalled attempt that was dropped for another one.
     fn log_dropped(&mut self, chain: &LayerChain, failed: &FailedAttempt) {
         let now = self.request.context.clock.now();
@@ -457,14 +456,23 @@
     fn take_attempts(&mut self, failed: &FailedAttempt) -> Vec<Arc<LayerChain>> {
         let openings = std::mem::take(&mut self.openings);
         let mut chains: Vec<_> = openings.into_iter().map(|opening| opening.chain).collect();
-        let begun = [self.current.take(), self.fallback.take()];
-        for mut forwarder in begun.into_iter().flatten() {
+        if let Some(mut forwarder) = self.current.take() {
             forwarder.suspicion.on_failure(failed);
             chains.push(Arc::clone(&forwarder.chain));
         }
         chains
     }
 
+    /// Logs that a target that was left resumes the stream.
+    fn log_return(&self, chain: &LayerChain) {
+        let line = self
+            .request
+            .log_line("left_target_resumes")
+            .with_display("target", &chain.head().id)
+            .with("last_event", self.delivered.last_id);
+        self.request.context.events.emit(line);
+    }
+
     fn log_attempt(&self, line: EventLine, chain: &LayerChain, idle_time: Duration) {
         let line = line
             .with_display("target", &chain.head().id)
--- a/tests/platform_silence.rs
+++ b/tests/platform_silence.rs
@@ -9,6 +9,7 @@
     SiteRequest, SiteResponse, SiteSpec, StreamCut, send_site_request,
 };
 use site::{allow_retries, call, model_site, stream_call, until};
+use std::collections::BTreeSet;
 use std::thread;
 use std::time::Duration;
 use test_case::test_case;
@@ -33,6 +34,14 @@
     }
 }
 
+/// Knobs of a server that names its run in each event.
+fn named(knobs: ModelKnobs) -> ModelKnobs {
+    ModelKnobs {
+        names_runs: true,
+        ..knobs
+    }
+}
+
 fn set_all(site: &SiteFleet, knobs: &ModelKnobs) {
     let servers = site.model_servers.iter();
     servers.for_each(|server| server.set_knobs(knobs.clone()));
@@ -154,25 +163,81 @@
     }
 }
 
-/// A stalled stream goes on at its chain when the one that was to resume it breaks off, without an event
+/// No run may serve the caller again after events of the one that replaced it: each run has generated its
+/// own text.
+fn assert_runs_not_joined(answer: &SiteResponse) {
+    let runs = answer.runs();
+    let distinct: BTreeSet<&String> = runs.iter().collect();
+    assert_eq!(distinct.len(), runs.len(), "{runs:?}");
+}
+
+/// A stalled stream is served to its end when the chain that was to resume it breaks off, without an event
 /// or soon after. The stalled attempt was dropped before the next one had sent anything, or at its first
-/// event.
+/// event. It also served the caller again after events of the next one, so that pieces of two runs were
+/// joined.
 #[test_case(0; "without an event")]
 #[test_case(1; "after one event")]
 #[test_case(2; "after two events")]
+#[test_case(5; "after five events")]
 fn stalled_stream_outlives_a_failed_resumption(events: u64) {
     let site = model_site();
     let (used, other) = used_and_other_head(&site);
-    used.set_knobs(silent_at(SILENT_EVENT, SHORT_SILENCE));
-    other.set_knobs(cut_when_resumed(SILENT_EVENT + events));
+    used.set_knobs(named(silent_at(SILENT_EVENT, SHORT_SILENCE)));
+    other.set_knobs(named(cut_when_resumed(SILENT_EVENT + events)));
 
     let answer = call(&site, &stream_call("a1"));
 
     assert_whole(&answer);
+    assert_runs_not_joined(&answer);
     let resumed = other.runs().iter().any(|run| run.first_event > 0);
     assert!(resumed, "the other chain was tried");
 }
 
+/// A stream that nothing can resume any more is cut short after the events of its newest run. Events of the
+/// stalled run followed them.
+#[test_case(1; "after one event")]
+#[test_case(2; "after two events")]
+fn stream_that_no_target_resumes_ends_with_its_newest_run(events: u64) {
+    let site = model_site();
+    let (used, other) = used_and_other_head(&site);
+    let cut = cut_when_resumed(SILENT_EVENT + events);
+    used.set_knobs(named(ModelKnobs {
+        cuts: cut.cuts.clone(),
+        ..silent_at(SILENT_EVENT, SHORT_SILENCE)
+    }));
+    other.set_knobs(named(cut));
+
+    let answer = call(&site, &stream_call("a1"));
+
+    let received = (0..SILENT_EVENT + events).collect::<Vec<u64>>();
+    assert_eq!((answer.status, answer.complete), (200, false));
+    assert_eq!(answer.event_ids(), received);
+    assert_eq!(answer.runs().len(), 2, "{:?}", answer.runs());
+}
+
+/// A stalled stream whose chain continues, so that the attempt beside it ends, is resumed when that chain
+/// breaks off later. The attempt that had ended used up the last target of the route.
+#[test]
+fn stream_that_breaks_off_after_its_stall_is_resumed() {
+    let site = model_site();
+    let (used, other) = used_and_other_head(&site);
+    let later = StreamCut {
+        scope: CutScope::Started,
+        ..StreamCut::reset_at(SILENT_EVENT + 5)
+    };
+    used.set_knobs(named(ModelKnobs {
+        cuts: vec![later],
+        ..silent_at(SILENT_EVENT, BRIEF_SILENCE)
+    }));
+    other.set_knobs(named(silent_at(SILENT_EVENT, SHORT_SILENCE)));
+
+    let answer = call(&site, &stream_call("a1"));
+
+    assert_whole(&answer);
+    assert_runs_not_joined(&answer);
+    assert_eq!(other.runs().len(), 2, "{:?}", other.runs());
+}
+
 /// A chain that goes on after a silence serves the next requests at once. It was passed over like one that
 /// had failed.
 #[test]
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -51,6 +51,33 @@
     assert_eq!(state.final_step(), RetryStep::Fail);
 }
 
+/// A stream that returns to a target that it had left adds no target to those that may execute it.
+#[test]
+fn target_that_is_used_again_counts_once() {
+    let mut state = RetryState::new(STREAM, 2, at(20_000));
+    state.on_start(&id("a"));
+    state.on_failure(&id("a"), RelayFailure::OutcomeUnknown, at(10));
+    state.on_start(&id("b"));
+    state.on_failure(&id("b"), RelayFailure::OutcomeUnknown, at(20));
+    assert_eq!(state.next_step(at(20)), RetryStep::Fail);
+    assert_eq!(state.next_step_at_used(at(20)), RetryStep::TryNext);
+
+    state.on_start(&id("a"));
+
+    assert_eq!(state.executions(), 2);
+    state.on_failure(&id("a"), RelayFailure::OutcomeUnknown, at(30));
+    assert_eq!(state.executions(), 2);
+}
+
+/// A request that may run once only is not sent again, not even to the same target.
+#[test]
+fn request_that_may_run_once_does_not_return_to_a_target() {
+    let mut state = RetryState::new(ONE_WAY_STREAM, 3, at(20_000));
+    state.on_failure(&id("a"), RelayFailure::OutcomeUnknown, at(10));
+
+    assert_eq!(state.next_step_at_used(at(10)), RetryStep::Fail);
+}
+
 #[test]
 fn no_more_targets_than_the_route_allows() {
     let mut state = RetryState::new(STREAM, 2, at(20_000));
