Plan layers apart from requests, and in milliseconds for any number of kinds

Cause: the search for the next chain compared all compositions of free servers with each other, up to 11 to the power of twice the number of kinds, every 200 ms on the only thread of the executor. Daemons fell silent 2.8 and 3 s after each other, and their readiness checks failed, which needs neither the store nor a server. Rates are shared between domains. Plans are made on a blocking thread, and only when their input has changed; the lead is checked again afterwards. A timer of its own drops entries whose grace period is over.

--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -4,8 +4,10 @@
 use crate::gateway::ports::{LayerOrder, OrderOutcome};
 use crate::gateway::run::GatewayState;
 use crate::ids::{FenceNumber, InstanceId, ServiceId};
-use crate::placement::{OrderScheduler, PendingOrder, ServerPlacement};
-use crate::relay::{is_resting, observe_notices};
+use crate::placement::{
+    LayerAssignment, OrderScheduler, PendingOrder, PlanInput, PlanStep, ServerPlacement,
+};
+use crate::relay::{RelayContext, is_resting, observe_notices};
 use crate::telemetry::EventLine;
 use async_std::task;
 use std::sync::Arc;
@@ -39,7 +41,7 @@
     };
     for service in catalog.services() {
         if let Some(model) = &service.model {
-            order_missing_layers(state, service, model);
+            order_missing_layers(state, service, model).await;
         }
     }
 }
@@ -94,15 +96,73 @@
     CAMPAIGN_DELAY.saturating_mul(rank).min(MAX_CAMPAIGN_DELAY)
 }
 
-fn order_missing_layers(state: &Arc<GatewayState>, service: &ServiceEntry, model: &ModelShape) {
+async fn order_missing_layers(
+    state: &Arc<GatewayState>,
+    service: &ServiceEntry,
+    model: &ModelShape,
+) {
+    let context = &state.context;
+    let Some(step) = next_plan_step(state, service, model) else {
+        return;
+    };
+    let plan = match step {
+        PlanStep::Wait => return,
+        PlanStep::Keep(plan) => plan,
+        PlanStep::Plan(input) => plan_apart(state, &service.name, *input).await,
+    };
+    // Planning may have taken long: the lead may be lost, and servers may hold other layers by now.
+    let now = context.clock.now();
+    if state.session.fence(now).is_none() {
+        return;
+    }
+    let placements = ready_placements(context, service);
+    let pending = state.with_schedulers(|schedulers| {
+        let scheduler = schedulers.get_mut(&service.name);
+        scheduler.map_or_else(Vec::new, |s| s.orders(&plan, &placements, now))
+    });
+    for order in pending {
+        task::spawn(send_order(Arc::clone(state), service.name.clone(), order));
+    }
+}
+
+/// Finds out what is to be planned for a service, and logs whether lost servers are waited for. `None`
+/// while the list of servers is not known.
+fn next_plan_step(
+    state: &GatewayState,
+    service: &ServiceEntry,
+    model: &ModelShape,
+) -> Option<PlanStep> {
     let context = &state.context;
     let now = context.clock.now();
+    let placements = ready_placements(context, service);
+    let synced_since = state.synced_since()?;
+    // Plans without orders while a leader from before a restore may still act.
+    let synced_since = match state.session.fence(now) {
+        Some(_) => synced_since,
+        None => now,
+    };
+    let (step, wait_change) = state.with_schedulers(|schedulers| {
+        let scheduler: &mut OrderScheduler = schedulers.entry(service.name.clone()).or_default();
+        let step = scheduler.next_plan(model, &placements, synced_since, now);
+        (step, scheduler.poll_wait_change(now))
+    });
+    if let Some(waits) = wait_change {
+        let line = EventLine::new("lost_together").with_display("service", &service.name);
+        context
+            .events
+            .emit(line.with("waits", waits).with("targets", placements.len()));
+    }
+    Some(step)
+}
+
+/// The servers of a service that may get orders, with what they hold.
+fn ready_placements(context: &RelayContext, service: &ServiceEntry) -> Vec<ServerPlacement> {
     let view = context.targets.load();
     let ready = view
         .service_targets(&service.name)
         .iter()
         .filter(|target| target.is_ready() && !target.stats.is_lost());
-    let placements: Vec<ServerPlacement> = ready
+    ready
         .filter_map(|target| {
             Some(ServerPlacement {
                 id: target.id.clone(),
@@ -112,29 +172,39 @@
                 is_surplus: false,
             })
         })
-        .collect();
-    let Some(synced_since) = state.synced_since() else {
-        return;
-    };
-    // Plans without orders while a leader from before a restore may still act.
-    let synced_since = match state.session.fence(now) {
-        Some(_) => synced_since,
-        None => now,
-    };
-    let (pending, wait_change) = state.with_schedulers(|schedulers| {
-        let scheduler: &mut OrderScheduler = schedulers.entry(service.name.clone()).or_default();
-        let pending = scheduler.next_orders(model, &placements, synced_since, now);
-        (pending, scheduler.poll_wait_change(now))
+        .collect()
+}
+
+/// Plans apart from the threads that serve requests and renew the lease, as it may take long.
+async fn plan_apart(
+    state: &GatewayState,
+    service: &ServiceId,
+    input: PlanInput,
+) -> Arc<[LayerAssignment]> {
+    let context = &state.context;
+    let started = context.clock.now();
+    let planned = task::spawn_blocking(move || {
+        let plan = input.plan();
+        (input, plan)
     });
-    if let Some(waits) = wait_change {
-        let line = EventLine::new("lost_together").with_display("service", &service.name);
-        context
-            .events
-            .emit(line.with("waits", waits).with("targets", placements.len()));
-    }
-    for order in pending {
-        task::spawn(send_order(Arc::clone(state), service.name.clone(), order));
-    }
+    let (input, plan) = planned.await;
+    let took = context.clock.now().since(started);
+    let work = context.metrics.work.with_label_values(&["plan"]);
+    work.observe(took.as_secs_f64());
+    let line = EventLine::new("planned")
+        .with_display("service", service)
+        .with("targets", input.servers.len())
+        .with("assigned", plan.len());
+    context
+        .events
+        .emit(line.with("took_ms", took.as_millis() as u64));
+    let plan: Arc<[LayerAssignment]> = plan.into();
+    state.with_schedulers(|schedulers| {
+        if let Some(scheduler) = schedulers.get_mut(service) {
+            scheduler.keep_plan(input, &plan);
+        }
+    });
+    plan
 }
 
 async fn send_order(state: Arc<GatewayState>, service: ServiceId, pending: PendingOrder) {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -45,8 +45,10 @@
 /// Time for each known daemon over which leases of an earlier era of the store are replaced. With
 /// two write calls each, it keeps a fleet at 250 write calls a second.
 const REJOIN_SPREAD: Duration = Duration::from_millis(8);
-/// Period of the leader's duties and of dropping entries whose grace period is over.
+/// Period of the leader's duties.
 const DUTY_PERIOD: Duration = Duration::from_millis(200);
+/// Period of dropping entries whose grace period is over.
+const REFRESH_PERIOD: Duration = Duration::from_millis(200);
 /// Period of writing crashes under requests to the store.
 const CRASH_SYNC_PERIOD: Duration = Duration::from_millis(400);
 /// Time for which callers with a cached address response may still connect after this daemon has
@@ -378,13 +380,16 @@
         Box::pin(async move { renew_lease(&state, now).await }) as futures_lite::future::Boxed<()>
     };
     timers.schedule(TimerSpec::new("lease", RENEW_PERIOD), Arc::new(renew));
+    let refreshing = Arc::clone(state);
+    let refresh = move |now| {
+        let state = Arc::clone(&refreshing);
+        Box::pin(async move { refresh_targets(&state, now) }) as futures_lite::future::Boxed<()>
+    };
+    timers.schedule(TimerSpec::new("targets", REFRESH_PERIOD), Arc::new(refresh));
     let leading = Arc::clone(state);
-    let duty = move |now| {
+    let duty = move |_now| {
         let state = Arc::clone(&leading);
-        Box::pin(async move {
-            refresh_targets(&state, now);
-            run_leader_duty(&state).await;
-        }) as futures_lite::future::Boxed<()>
+        Box::pin(async move { run_leader_duty(&state).await }) as futures_lite::future::Boxed<()>
     };
     timers.schedule(TimerSpec::new("duty", DUTY_PERIOD), Arc::new(duty));
     let logging = Arc::clone(state);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -133,8 +133,8 @@
     QuestionClient, serve_peers,
 };
 pub use placement::{
-    LayerAssignment, OrderScheduler, PendingOrder, PlanScope, ServerPlacement, chain_rate,
-    plan_layers, split_layers,
+    LayerAssignment, OrderScheduler, PendingOrder, PlanInput, PlanScope, PlanStep, ServerPlacement,
+    chain_rate, plan_layers, split_layers,
 };
 pub use poison::{
     CrashOutbox, CrashState, CrashedRun, HarmlessParts, OutboxRow, PartId, PoisonEntry,
--- a/src/placement/composition.rs
+++ b/src/placement/composition.rs
@@ -11,8 +11,11 @@
 /// of tokens. Returns the layers of each accelerator, in the given order, and the token capacity of
 /// the chain; `None` when they cannot hold the model with capacity for one request.
 pub fn split_layers(model: &ModelShape, cards: &[&CardKind]) -> Option<(Vec<u32>, f64)> {
+    let groups: Vec<&[&CardKind]> = cards.chunk_by(|a, b| std::ptr::eq(*a, *b)).collect();
     let fits = |tokens: f64| {
-        let held = cards.iter().map(|card| model.max_layers(card, tokens));
+        let held = groups
+            .iter()
+            .map(|group| model.max_layers(group[0], tokens) * group.len() as u32);
         held.sum::<u32>() >= model.layers
     };
     let mut low = model.mean_context_tokens();
--- a/src/placement/order_scheduler.rs
+++ b/src/placement/order_scheduler.rs
@@ -1,5 +1,8 @@
 //! Schedules the orders that the leader sends. Performs no I/O.
 //!
+//! Planning takes long for many servers, so it is left to the caller: [`OrderScheduler::next_plan`] tells what
+//! is to be planned, and [`OrderScheduler::orders`] which orders follow from the plan.
+//!
 //! An order without a response may take effect seconds later, after newer ones. Orders are absolute
 //! and the plan follows what servers hold, so the effect of a late order is planned with like any
 //! other state.
@@ -11,6 +14,7 @@
 use crate::placement::server_counts::ServerCounts;
 use crate::units::{LayerRange, MonoTime};
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// The first placement is made after this time without a new server, as servers enter the list over
@@ -33,6 +37,42 @@
     pub layers: LayerRange,
 }
 
+/// What a plan is made of. The plan depends on nothing else.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PlanInput {
+    /// Model that is to be placed.
+    pub model: ModelShape,
+    /// Servers as they are once they have carried out the orders that were sent.
+    pub servers: Vec<ServerPlacement>,
+    /// Which servers may be reassigned.
+    pub scope: PlanScope,
+}
+
+impl PlanInput {
+    /// Plans the layers of all servers. May take long.
+    pub fn plan(&self) -> Vec<LayerAssignment> {
+        plan_layers(&self.model, &self.servers, self.scope)
+    }
+}
+
+/// What the leader does next.
+#[derive(Debug, Clone, PartialEq)]
+pub enum PlanStep {
+    /// Servers are still entering the list, or may return with their layers.
+    Wait,
+    /// The last plan is still in force.
+    Keep(Arc<[LayerAssignment]>),
+    /// Plan again.
+    Plan(Box<PlanInput>),
+}
+
+/// A plan and what it was made of.
+#[derive(Debug)]
+struct KnownPlan {
+    input: PlanInput,
+    plan: Arc<[LayerAssignment]>,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct SentOrder {
     layers: LayerRange,
@@ -49,42 +89,65 @@
     counts: ServerCounts,
     outages: OutageDetector,
     waits: bool,
+    known: Option<KnownPlan>,
 }
 
 impl OrderScheduler {
-    /// Returns the orders to send now, given what servers hold. `followed_since` is the time since
-    /// which the list has been followed without interruption.
-    pub fn next_orders(
+    /// What is to be planned, given what servers hold. `followed_since` is the time since which the list
+    /// has been followed without interruption.
+    pub fn next_plan(
         &mut self,
         model: &ModelShape,
         servers: &[ServerPlacement],
         followed_since: MonoTime,
         now: MonoTime,
-    ) -> Vec<PendingOrder> {
+    ) -> PlanStep {
         self.outages.update(servers, now);
         self.sent
             .retain(|id, _| servers.iter().any(|server| &server.id == id));
         let settled = self.is_settled(servers, now);
         if !settled || now.since(followed_since) < LIST_GRACE_PERIOD {
-            return Vec::new();
+            return PlanStep::Wait;
         }
         self.counts.update(servers, now);
-        let expected: Vec<ServerPlacement> = servers
-            .iter()
-            .map(|server| self.with_order(server))
-            .collect();
         let scope = if self.outages.may_return(now) {
             PlanScope::EmptyServers
         } else {
             PlanScope::IdleServers
         };
-        let plan = plan_layers(model, &expected, scope);
+        let input = PlanInput {
+            model: model.clone(),
+            servers: servers
+                .iter()
+                .map(|server| self.with_order(server))
+                .collect(),
+            scope,
+        };
+        match &self.known {
+            Some(known) if known.input == input => PlanStep::Keep(Arc::clone(&known.plan)),
+            _ => PlanStep::Plan(Box::new(input)),
+        }
+    }
+
+    /// Keeps a plan until it is to be made of something else.
+    pub fn keep_plan(&mut self, input: PlanInput, plan: &Arc<[LayerAssignment]>) {
+        let plan = Arc::clone(plan);
+        self.known = Some(KnownPlan { input, plan });
+    }
+
+    /// Returns the orders of a plan to send now, given what servers hold.
+    pub fn orders(
+        &mut self,
+        plan: &[LayerAssignment],
+        servers: &[ServerPlacement],
+        now: MonoTime,
+    ) -> Vec<PendingOrder> {
         let due = plan
-            .into_iter()
+            .iter()
             .filter(|assigned| self.is_due(assigned, servers, now));
         let orders: Vec<PendingOrder> = due
             .map(|assigned| PendingOrder {
-                id: assigned.id,
+                id: assigned.id.clone(),
                 layers: assigned.layers,
             })
             .collect();
--- a/src/placement/plan.rs
+++ b/src/placement/plan.rs
@@ -14,6 +14,7 @@
 use crate::placement::forming::form_chains;
 use crate::placement::repair::repair_chains;
 use crate::placement::replicas::{replicate_parts, take_over};
+use crate::placement::search::CompositionSearch;
 use crate::units::LayerRange;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -59,19 +60,21 @@
     scope: PlanScope,
 ) -> Vec<LayerAssignment> {
     let domains: BTreeSet<&DomainId> = servers.iter().map(|server| &server.domain).collect();
+    let mut search = CompositionSearch::new(model);
     let mut plan = Vec::new();
     for domain in domains {
         let members: Vec<&ServerPlacement> = servers
             .iter()
             .filter(|server| &server.domain == domain)
             .collect();
-        plan.extend(plan_domain(model, &members, scope));
+        plan.extend(plan_domain(model, &mut search, &members, scope));
     }
     plan
 }
 
 fn plan_domain(
     model: &ModelShape,
+    search: &mut CompositionSearch<'_>,
     members: &[&ServerPlacement],
     scope: PlanScope,
 ) -> Vec<LayerAssignment> {
@@ -93,7 +96,7 @@
         .filter_map(|server| keep_layers(server))
         .collect();
     let existing_rate = existing_rate(model, &members, &plan);
-    form_chains(model, &mut free, &mut plan, existing_rate);
+    form_chains(model, search, &mut free, &mut plan, existing_rate);
     // A surplus server first replicates a part whose loss would break the chain.
     let (surplus, mut regular): (Vec<&ServerPlacement>, Vec<&ServerPlacement>) =
         free.into_iter().partition(|server| server.is_surplus);
--- a/src/placement/replicas.rs
+++ b/src/placement/replicas.rs
@@ -33,13 +33,20 @@
     let speed =
         |server: &ServerPlacement| model.card(&server.card).map_or(f64::MAX, |c| c.step_factor);
     free.sort_by(|a, b| speed(a).total_cmp(&speed(b)).then(a.id.cmp(&b.id)));
+    // Kinds that gain nothing with the parts as they are: other servers of them need no search.
+    let mut without_gain: BTreeSet<&str> = BTreeSet::new();
     free.retain(|server| {
         let Some(card) = model.card(&server.card) else {
             return true;
         };
+        if without_gain.contains(&*card.name) {
+            return true;
+        }
         let Some(layers) = best_takeover(model, card, &parts) else {
+            without_gain.insert(&card.name);
             return true;
         };
+        without_gain.clear();
         parts.push(PathSegment::on_accelerator(layers, card));
         plan.push(LayerAssignment {
             id: server.id.clone(),
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -39,6 +39,9 @@
     pub feeds: IntCounterVec,
     /// Restores of the store from an older copy, by whether this daemon's entries are back.
     pub store_restores: IntCounterVec,
+    /// Seconds of work that is done apart from the threads that serve requests, by kind. The only kind
+    /// is `plan`, the placement of a model's layers.
+    pub work: HistogramVec,
     /// Version of the configuration and numbers of targets, chains and daemons that this daemon
     /// knows.
     pub known_state: IntGaugeVec,
@@ -116,6 +119,11 @@
                 "Restores of the store from an older copy, by outcome for this daemon",
                 &["outcome"],
             )?,
+            work: metrics.latency_histogram(
+                "work_seconds",
+                "Seconds of work apart from the threads that serve requests",
+                &["kind"],
+            )?,
             known_state: metrics.gauge(
                 "relay_beliefs",
                 "Configuration version and numbers of known targets, chains and daemons",
--- a/tests/layer_placement.rs
+++ b/tests/layer_placement.rs
@@ -1,8 +1,8 @@
 //! Placement of a model's layers on servers of mixed accelerators.
 
 use arbutusmount::{
-    CardKind, DomainId, InstanceId, LayerRange, ModelShape, MonoTime, OrderScheduler, PendingOrder,
-    PlanScope, ServerPlacement, plan_layers,
+    CardKind, DomainId, InstanceId, LayerAssignment, LayerRange, ModelShape, MonoTime,
+    OrderScheduler, PendingOrder, PlanScope, PlanStep, ServerPlacement, plan_layers,
 };
 use proptest::prelude::*;
 use std::collections::BTreeMap;
@@ -62,6 +62,26 @@
     servers
 }
 
+/// Orders that follow from what servers hold, with a new plan where one is due.
+fn next_orders(
+    scheduler: &mut OrderScheduler,
+    servers: &[ServerPlacement],
+    followed_since: MonoTime,
+    now: MonoTime,
+) -> Vec<PendingOrder> {
+    let plan: Arc<[LayerAssignment]> =
+        match scheduler.next_plan(&model(), servers, followed_since, now) {
+            PlanStep::Wait => return Vec::new(),
+            PlanStep::Keep(plan) => plan,
+            PlanStep::Plan(input) => {
+                let plan = input.plan().into();
+                scheduler.keep_plan(*input, &plan);
+                plan
+            }
+        };
+    scheduler.orders(&plan, servers, now)
+}
+
 type Held = BTreeMap<InstanceId, LayerRange>;
 
 /// Layers that the plan assigns.
@@ -264,7 +284,7 @@
     let counts = [("large", 2), ("middle", 2), ("small", 5)];
     let mut placed = settle(&servers("jugla", &counts));
     let mut scheduler = OrderScheduler::default();
-    scheduler.next_orders(&model(), &placed, at(0), at(5_000));
+    next_orders(&mut scheduler, &placed, at(0), at(5_000));
     let successor = ServerPlacement {
         id: "next".parse().expect("an identifier"),
         held: None,
@@ -272,7 +292,7 @@
     };
     placed.push(successor.clone());
 
-    let orders = scheduler.next_orders(&model(), &placed, at(0), at(6_000));
+    let orders = next_orders(&mut scheduler, &placed, at(0), at(6_000));
 
     assert_eq!(orders.len(), 1, "{orders:?}");
     assert_eq!(orders[0].id, successor.id);
@@ -294,14 +314,14 @@
     let at = |millis: u64| MonoTime(millis * 1_000);
     let placed = settle(&bangna());
     let mut scheduler = OrderScheduler::default();
-    scheduler.next_orders(&model(), &placed, at(0), at(5_000));
+    next_orders(&mut scheduler, &placed, at(0), at(5_000));
     let remaining = &placed[4..];
 
-    let at_once = scheduler.next_orders(&model(), remaining, at(0), at(6_000));
-    let later = scheduler.next_orders(&model(), remaining, at(0), at(8_000));
-    let returned = scheduler.next_orders(&model(), &placed, at(0), at(8_500));
-    let lost_again = scheduler.next_orders(&model(), remaining, at(0), at(9_000));
-    let for_good = scheduler.next_orders(&model(), remaining, at(0), at(12_500));
+    let at_once = next_orders(&mut scheduler, remaining, at(0), at(6_000));
+    let later = next_orders(&mut scheduler, remaining, at(0), at(8_000));
+    let returned = next_orders(&mut scheduler, &placed, at(0), at(8_500));
+    let lost_again = next_orders(&mut scheduler, remaining, at(0), at(9_000));
+    let for_good = next_orders(&mut scheduler, remaining, at(0), at(12_500));
 
     let moves = |orders: &[PendingOrder]| {
         let holds = |id: &InstanceId| placed.iter().any(|o| &o.id == id && o.held.is_some());
@@ -319,26 +339,10 @@
     let all = bangna();
     let at = |millis: u64| MonoTime(millis * 1_000);
 
-    assert!(
-        scheduler
-            .next_orders(&model(), &all[..6], at(0), at(0))
-            .is_empty()
-    );
-    assert!(
-        scheduler
-            .next_orders(&model(), &all, at(0), at(800))
-            .is_empty()
-    );
-    assert!(
-        scheduler
-            .next_orders(&model(), &all, at(0), at(1_600))
-            .is_empty()
-    );
-    assert!(
-        !scheduler
-            .next_orders(&model(), &all, at(0), at(2_300))
-            .is_empty()
-    );
+    assert!(next_orders(&mut scheduler, &all[..6], at(0), at(0)).is_empty());
+    assert!(next_orders(&mut scheduler, &all, at(0), at(800)).is_empty());
+    assert!(next_orders(&mut scheduler, &all, at(0), at(1_600)).is_empty());
+    assert!(!next_orders(&mut scheduler, &all, at(0), at(2_300)).is_empty());
 }
 
 /// After an outage in which leases lapse, entries come back over about two seconds. A leader that
@@ -351,9 +355,9 @@
     let half = &placed[..placed.len() / 2];
     let back = at(10_000);
 
-    let early = scheduler.next_orders(&model(), half, back, at(10_400));
-    let still = scheduler.next_orders(&model(), half, back, at(11_900));
-    let whole = scheduler.next_orders(&model(), &placed, back, at(12_400));
+    let early = next_orders(&mut scheduler, half, back, at(10_400));
+    let still = next_orders(&mut scheduler, half, back, at(11_900));
+    let whole = next_orders(&mut scheduler, &placed, back, at(12_400));
 
     assert_eq!((early, still, whole), (Vec::new(), Vec::new(), Vec::new()));
 }
@@ -363,16 +367,12 @@
     let mut scheduler = OrderScheduler::default();
     let all = bangna();
     let at = |millis: u64| MonoTime(millis * 1_000);
-    scheduler.next_orders(&model(), &all, at(0), at(0));
-    let first = scheduler.next_orders(&model(), &all, at(0), at(2_300));
+    next_orders(&mut scheduler, &all, at(0), at(0));
+    let first = next_orders(&mut scheduler, &all, at(0), at(2_300));
     assert!(!first.is_empty());
-    assert!(
-        scheduler
-            .next_orders(&model(), &all, at(0), at(2_400))
-            .is_empty()
-    );
+    assert!(next_orders(&mut scheduler, &all, at(0), at(2_400)).is_empty());
 
-    let replanned = scheduler.next_orders(&model(), &all, at(0), at(8_000));
+    let replanned = next_orders(&mut scheduler, &all, at(0), at(8_000));
 
     assert_eq!(replanned, first);
 }
@@ -396,3 +396,18 @@
         }
     }
 }
+
+/// What nothing has changed is not planned again.
+#[test]
+fn plan_is_kept_until_servers_change() {
+    let placed = settle(&bangna());
+    let at = |millis: u64| MonoTime(millis * 1_000);
+    let mut scheduler = OrderScheduler::default();
+    next_orders(&mut scheduler, &placed, at(0), at(5_000));
+
+    let same = scheduler.next_plan(&model(), &placed, at(0), at(5_200));
+    let fewer = scheduler.next_plan(&model(), &placed[1..], at(0), at(5_400));
+
+    assert!(matches!(same, PlanStep::Keep(_)), "{same:?}");
+    assert!(matches!(fewer, PlanStep::Plan(_)), "{fewer:?}");
+}
