Accept requests that may run once only if they end before the exit

Seen: four requests of 5 s with 10 s left reached a daemon 3.26 s after its SIGTERM; it passed them on and exited while servers ran them. Cause: of the time that a request may take, at most 3 s were counted, as no deployment had longer ones. Evidence: the connections ended 7.8 s after the signal, with the process; the address was 2.98 s old and allowed. Change: what may run once only is accepted, and sent on to a further target, only if its deadline lies before the exit. What may be repeated or resumed is also accepted in the first 2.8 s if 4.8 s are left, also with a short grace period. A refusal while draining closes its connection, also one that was in use before. Why it works: nothing is sent that the exit could cut off and its caller could not repeat.

--- a/rig/src/site/caller.rs
+++ b/rig/src/site/caller.rs
@@ -18,6 +18,8 @@
     pub target: String,
     /// Value of `X-Attempt-Id`.
     pub attempt_id: String,
+    /// Value of `X-Deadline-Ms`.
+    pub deadline_ms: u64,
     /// API key; no `Authorization` field when empty.
     pub key: &'static str,
     /// Further header fields.
@@ -27,13 +29,14 @@
 }
 
 impl SiteRequest {
-    /// Creates a request with an API key and no body.
+    /// Creates a request with an API key, a timeout of three seconds and no body.
     pub fn new(method: &'static str, target: &str, attempt_id: &str) -> Self {
         Self {
             method,
             version: "HTTP/1.1",
             target: target.to_owned(),
             attempt_id: attempt_id.to_owned(),
+            deadline_ms: 3_000,
             key: "key-1",
             fields: Vec::new(),
             body: Vec::new(),
@@ -43,8 +46,8 @@
     /// Encodes the request.
     pub fn encode(&self) -> Vec<u8> {
         let mut text = format!(
-            "{} {} {}\r\nHost: desk.example\r\nX-Attempt-Id: {}\r\nX-Deadline-Ms: 3000\r\n",
-            self.method, self.target, self.version, self.attempt_id
+            "{} {} {}\r\nHost: desk.example\r\nX-Attempt-Id: {}\r\nX-Deadline-Ms: {}\r\n",
+            self.method, self.target, self.version, self.attempt_id, self.deadline_ms
         );
         if !self.key.is_empty() {
             write_text(
--- a/rig/src/site/plain.rs
+++ b/rig/src/site/plain.rs
@@ -34,7 +34,7 @@
     WrongAttemptId,
     /// Sends bytes that are no HTTP response.
     Garbage,
-    /// Refuses the request as not executed: status 503 with `X-Not-Executed`.
+    /// Refuses the request as not executed, after the work time: status 503 with `X-Not-Executed`.
     Full,
     /// Runs the request and replies with status 500.
     Fails,
@@ -186,6 +186,12 @@
     }
 }
 
+impl PlainState {
+    fn work_time(&self) -> Duration {
+        *self.work_time.lock().expect("time is never poisoned")
+    }
+}
+
 /// How the handler of a request ends.
 enum HandlerEnd {
     Replied(AfterReply),
@@ -205,7 +211,7 @@
     let fault = *state.fault.lock().expect("fault is never poisoned");
     match begin_run(id, fault, state, request, stream) {
         Some(after) => return HandlerEnd::Replied(after),
-        None => thread::sleep(*state.work_time.lock().expect("time is never poisoned")),
+        None => thread::sleep(state.work_time()),
     }
     let path = request.head.path();
     if CrashPlace::of(path) == CrashPlace::Nowhere {
@@ -259,6 +265,9 @@
         return Some(reply(stream, 421, &fields, b""));
     }
     let rest = state.notices.take_rest();
+    if fault == PlainFault::Full {
+        thread::sleep(state.work_time());
+    }
     if fault == PlainFault::Full || rest.is_some() {
         let mut fields = vec![
             ("X-Not-Executed", "1"),
--- a/src/relay/context.rs
+++ b/src/relay/context.rs
@@ -1,6 +1,6 @@
 //! State shared by all requests of a relaying daemon.
 
-use crate::catalog::CatalogCell;
+use crate::catalog::{CatalogCell, RetryRule};
 use crate::gateway::TargetPort;
 use crate::ids::InstanceId;
 use crate::kernel::{LifecycleCell, MonoClock};
@@ -94,14 +94,11 @@
 
 /// Maximum number of idle connections kept for each target and each daemon.
 const MAX_IDLE_CONNECTIONS: usize = 32;
-/// Time from the start of draining after which no stream is accepted, as it might not end within
-/// the grace period. It does not depend on the configured grace period; with the default of 8 s,
-/// the last stream has 4.8 s until the process exits.
-const STREAM_CUTOFF: Duration = Duration::from_millis(2_800);
-
-/// Longest duration assumed for a plain request during draining: the users' services respond within
-/// three seconds or not at all. Nothing enforces this limit.
-const MAX_PLAIN_DURATION: Duration = Duration::from_secs(3);
+/// Time from the start of draining after which no request that could outlast the process is accepted, even if
+/// its caller may send it again. Callers with an address response from before have mostly left by then.
+const REPEATABLE_CUTOFF: Duration = Duration::from_millis(2_800);
+/// Time that such a request must have until the process exits: most streams end within it.
+const REPEATABLE_TIME: Duration = Duration::from_millis(4_800);
 /// The process exits this long before the grace period ends, whatever is in progress.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
 
@@ -150,25 +147,24 @@
         self.bounds().grace().saturating_sub(GRACE_MARGIN)
     }
 
-    /// True if a plain request whose response is due within `time_left` ends before the process
-    /// exits. Always true before draining; during it, a request is assumed to take at most three
-    /// seconds.
-    pub fn accepts_plain_requests(&self, time_left: Duration) -> bool {
+    /// True if a request that is due within `time_left` is accepted. Always true before draining; during it, one
+    /// that may run once only is accepted if it ends before the process exits however long its target
+    /// takes. One that may be sent again is also accepted early on, as it most likely ends in time.
+    pub fn accepts_request(&self, rule: RetryRule, time_left: Duration) -> bool {
         if !self.accepts_any_request() {
             return false;
         }
-        let time_left = time_left.min(MAX_PLAIN_DURATION);
-        self.drain_elapsed()
-            .is_none_or(|elapsed| elapsed + time_left <= self.drain_limit())
-    }
-
-    /// True while new streams are accepted.
-    pub fn accepts_streams(&self) -> bool {
-        if !self.accepts_any_request() {
-            return false;
+        let Some(elapsed) = self.drain_elapsed() else {
+            return true;
+        };
+        let limit = self.drain_limit();
+        let ends_in_time = elapsed + time_left <= limit;
+        let is_early = elapsed < REPEATABLE_CUTOFF && elapsed + REPEATABLE_TIME <= limit;
+        match rule {
+            RetryRule::AtMostOnce | RetryRule::Stream { resumable: false } => ends_in_time,
+            RetryRule::Idempotent => ends_in_time || is_early,
+            RetryRule::Stream { resumable: true } => is_early,
         }
-        self.drain_elapsed()
-            .is_none_or(|elapsed| elapsed < STREAM_CUTOFF)
     }
 
     /// Other daemons that are listed, were heard in the last few seconds and have a path to the targets.
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -79,6 +79,26 @@
             .with_executions(executions)
     }
 
+    /// True unless the process may exit before the response is complete.
+    pub(super) fn is_accepted(&self) -> bool {
+        let time_left = self.deadline.since(self.context.clock.now());
+        self.context
+            .accepts_request(self.route.retry_rule, time_left)
+    }
+
+    /// True when the request may run once only, has not run, and the process may exit before its response
+    /// is complete, so that another daemon is to serve it.
+    pub(super) fn must_move(&self, state: &RetryState) -> bool {
+        let is_repeatable = self.route.retry_rule.allows_reexecution();
+        !is_repeatable && !state.may_have_executed() && !self.is_accepted()
+    }
+
+    /// Refuses the request because the process may exit before its response is complete.
+    pub(super) async fn refuse_while_draining(&self) -> ExchangeEnd {
+        let detail = "draining: process may exit before the response is complete";
+        self.reply_locally(RefusalCause::Draining, detail).await
+    }
+
     /// True when another daemon is better placed to serve the request: this one reaches no target. A
     /// request is passed on once only.
     pub(super) fn is_for_peer(&self) -> bool {
--- a/src/relay/local_reply.rs
+++ b/src/relay/local_reply.rs
@@ -102,13 +102,15 @@
         }
     }
 
-    /// True when the connection cannot be reused, as the rest of the request was not read.
+    /// True when the connection cannot be reused: the rest of the request was not read, or the process is
+    /// about to exit.
     pub fn closes_connection(self) -> bool {
         let closing = [
             Self::Malformed,
             Self::HeadTooLong,
             Self::BodyTooLong,
             Self::HeadTimeout,
+            Self::Draining,
         ];
         closing.contains(&self)
     }
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -8,7 +8,6 @@
 use crate::relay::exchange::{ActiveRequest, ExchangeEnd, forward_head};
 use crate::relay::lending::{StalledAttempt, secure_retry, secure_retry_beside};
 use crate::relay::limits::{PermitOutcome, acquire_permit, any_held_back, return_permit};
-use crate::relay::local_reply::RefusalCause;
 use crate::relay::notices::held_back_detail;
 use crate::relay::path::NO_PATH;
 use crate::relay::retry::{RelayFailure, RetryState, RetryStep};
@@ -50,11 +49,8 @@
 
 /// Relays a request to a plain service, with retries where they are allowed.
 pub(super) async fn relay_plain(request: &ActiveRequest<'_>) -> ExchangeEnd {
-    let context = request.context;
-    let due = request.deadline.since(context.clock.now());
-    if !context.accepts_plain_requests(due) {
-        let detail = "draining: process may exit before the response is complete";
-        return request.reply_locally(RefusalCause::Draining, detail).await;
+    if !request.is_accepted() {
+        return request.refuse_while_draining().await;
     }
     PlainRelay::new(request).run().await
 }
@@ -107,6 +103,9 @@
     async fn run(mut self) -> ExchangeEnd {
         loop {
             if self.running.is_empty() {
+                if self.request.must_move(&self.state) {
+                    return self.request.refuse_while_draining().await;
+                }
                 if self.request.is_for_peer()
                     && let Some(end) = relay_plain_via_peer(self.request, &mut self.state).await
                 {
--- a/src/relay/streaming.rs
+++ b/src/relay/streaming.rs
@@ -42,10 +42,8 @@
             )
             .await;
     };
-    if !request.context.accepts_streams() {
-        return request
-            .reply_locally(RefusalCause::Draining, "no new streams while draining")
-            .await;
+    if !request.is_accepted() {
+        return request.refuse_while_draining().await;
     }
     StreamRelay::new(request, model).run().await
 }
@@ -117,6 +115,9 @@
     async fn run(mut self) -> ExchangeEnd {
         loop {
             if self.current.is_none() && self.openings.is_empty() {
+                if self.request.must_move(&self.state) {
+                    return self.request.refuse_while_draining().await;
+                }
                 if let Some(end) = self.pass_on().await {
                     return end;
                 }
--- a/tests/platform_plain.rs
+++ b/tests/platform_plain.rs
@@ -4,7 +4,7 @@
 #[path = "support/site.rs"]
 mod site;
 
-use arbutusmount::InstanceId;
+use arbutusmount::{InstanceId, RetryRule};
 use rig::{
     PLAIN_BODY, PlainFault, SiteFleet, SiteRequest, plain_server_entry, read_site_response,
     send_site_request,
@@ -285,13 +285,16 @@
     });
     until("the request to run", || runs(&site) == 1);
     set_fault(&site, PlainFault::None);
-    let long = Duration::from_secs(30);
-    assert!(state.context.accepts_plain_requests(long));
+    let accepts = |time_left: Duration| {
+        let context = &state.context;
+        context.accepts_request(RetryRule::AtMostOnce, time_left)
+    };
+    assert!(accepts(Duration::from_secs(30)));
 
     // Act
     let drained = async_std::task::spawn(daemon.drain());
     until("the daemon to accept no more requests", || {
-        !state.context.accepts_plain_requests(long)
+        !accepts(Duration::from_secs(3))
     });
     let answer = send_site_request(address, &SiteRequest::new("POST", "/post/x", "a2"));
 
--- a/tests/platform_streams.rs
+++ b/tests/platform_streams.rs
@@ -3,6 +3,7 @@
 #[path = "support/site.rs"]
 mod site;
 
+use arbutusmount::RetryRule;
 use async_std::task;
 use rig::{ModelKnobs, SiteFleet, StreamCut, send_site_request};
 use site::{allow_retries, call, model_site, stream_call, until};
@@ -124,7 +125,8 @@
     let state = std::sync::Arc::clone(&daemon.state);
     let drained = task::spawn(daemon.drain());
     until("the daemon to accept no more streams", || {
-        !state.context.accepts_streams()
+        let rule = RetryRule::Stream { resumable: true };
+        !state.context.accepts_request(rule, Duration::from_secs(3))
     });
 
     let answer = send_site_request(address, &stream_call("a1"));
