Read the instance list row by row, so that an odd one does not hide the others

Seen: other operators report machines that stop following the list of servers at an odd entry. On the own interface one row with a port out of range, a number too large or deep nesting made the whole list unreadable; the daemon kept its last one, and no line said so. Cause: the list was decoded as one value, and the error was dropped. Change: rows are split off without being decoded, then decoded one by one. Malformed rows name no instance and are logged when they change, and so is a list that cannot be read.

--- a/src/instances/list.rs
+++ b/src/instances/list.rs
@@ -6,7 +6,8 @@
 use crate::ids::{DomainId, InstanceId, ServiceId};
 use arc_swap::ArcSwap;
 use http_types::Method;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
+use serde_json::value::RawValue;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -63,12 +64,38 @@
     pub service: Option<ServiceId>,
 }
 
-/// The instance list.
+/// The instance list. A row that cannot be read names no instance; the others hold. Can be decoded from JSON
+/// only.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Serialize)]
 pub struct InstanceList {
     /// Instances, in no particular order.
     pub instances: Vec<InstanceRow>,
+    /// Why rows cannot be read, each beginning with its number in the list.
+    #[serde(skip)]
+    pub malformed: Vec<Arc<str>>,
+}
+
+/// The list before its rows are decoded.
+#[derive(Deserialize)]
+struct RawList {
+    instances: Vec<Box<RawValue>>,
+}
+
+impl<'de> Deserialize<'de> for InstanceList {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> std::result::Result<Self, D::Error> {
+        let raw = RawList::deserialize(deserializer)?;
+        let mut list = Self::default();
+        for (number, row) in raw.instances.iter().enumerate() {
+            match serde_json::from_str(row.get()) {
+                Ok(row) => list.instances.push(row),
+                Err(cause) => list
+                    .malformed
+                    .push(Arc::from(format!("row {number}: {cause}"))),
+            }
+        }
+        Ok(list)
+    }
 }
 
 impl InstanceList {
--- a/src/membership/platform_list.rs
+++ b/src/membership/platform_list.rs
@@ -1,6 +1,7 @@
 //! Plug-in that polls the platform's instance list and marks leaving targets, so that they get no
 //! new requests.
 
+use crate::http::SendError;
 use crate::instances::{InstanceList, InstanceRole, InstanceRow, InstanceState};
 use crate::kernel::{KernelContext, PluginEntry, PluginError, PluginHost, TimerSpec};
 use crate::membership::leaving::{LeavingMarks, LeavingTarget};
@@ -18,6 +19,29 @@
 #[derive(Debug, Default)]
 struct PolledList {
     last: InstanceList,
+    /// Why the list could not be read the last time.
+    failure: Option<String>,
+}
+
+impl PolledList {
+    /// Logs when the list cannot be read any more, or is read again, and when other rows than before cannot
+    /// be read.
+    fn log_changes(&mut self, read: &Result<InstanceList, SendError>) {
+        let failure = read.as_ref().err().map(ToString::to_string);
+        match (&failure, &self.failure) {
+            (Some(cause), None) => log::warn!("cannot read the instance list: {cause}"),
+            (None, Some(_)) => log::info!("the instance list is read again"),
+            _ => {}
+        }
+        self.failure = failure;
+        if let Ok(list) = read
+            && list.malformed != self.last.malformed
+        {
+            let count = list.malformed.len();
+            let first = list.malformed.first().map_or("none", |cause| cause);
+            log::warn!("{count} rows of the instance list are malformed and ignored: {first}");
+        }
+    }
 }
 
 fn install(host: &mut PluginHost) -> Result<(), PluginError> {
@@ -32,11 +56,12 @@
 }
 
 async fn read_instances(context: &Arc<KernelContext>, polled: &Mutex<PolledList>) {
-    // While the list cannot be read, the last one remains in use.
-    let read = context.instance_client.read().await.ok();
+    let read = context.instance_client.read().await;
     let list = {
         let mut polled = polled.lock().expect("list lock is never poisoned");
-        apply_list(context, &mut polled, read)
+        polled.log_changes(&read);
+        // While the list cannot be read, the last one remains in use.
+        apply_list(context, &mut polled, read.ok())
     };
     context.instances.publish(list);
     refresh_targets(context);
