Take a response on a connection in use again only with the request's own id

Cause: attempt ids were compared only where the response had one. Orders and reports, whose responses have none, used connections again as well. Change: on a connection that was used before a response counts only with the request's attempt id; anything else ends the attempt with an unknown outcome. Why it works: on a new connection nothing but the response to the request can be due.

--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -132,8 +132,19 @@
     }
 }
 
+/// What the response to a request must show to be taken for it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum IdentityCheck {
+    /// No attempt id but the request's: nothing else can be due on a new connection, and daemons send no
+    /// extra responses.
+    NoOther,
+    /// The request's attempt id: on a connection that was used before, a target may send an extra response to
+    /// an earlier request.
+    Own,
+}
+
 /// Sends a request and reads the head of the response within `limit`. `reuse` allows an idle pooled
-/// connection to be used. A response that reports that the request was not executed, which every
+/// connection to be used, if the request has an attempt id. A response that reports that the request was not executed, which every
 /// 421 does, is returned as a failed attempt.
 pub(super) async fn open_response(
     context: &RelayContext,
@@ -143,14 +154,17 @@
     reuse: bool,
     limit: Duration,
 ) -> Result<PendingResponse, FailedAttempt> {
-    let pooled = if reuse {
+    let pooled = if reuse && request.metadata.attempt_id.is_some() {
         context.pool.take(&target.id)
     } else {
         None
     };
-    let stream = match pooled {
-        Some(stream) => stream,
-        None => connect(context, target, limit).await?,
+    let (stream, check) = match pooled {
+        Some(stream) => (stream, IdentityCheck::Own),
+        None => (
+            connect(context, target, limit).await?,
+            IdentityCheck::NoOther,
+        ),
     };
     if is_resting(context, target) {
         return Err(FailedAttempt {
@@ -161,7 +175,7 @@
     let mut bytes = (context.codec.write_request)(request.head, dispatch).finish();
     bytes.extend_from_slice(request.body);
     let sent_at = context.clock.now();
-    let response = exchange_heads(context, stream, &bytes, request, limit).await?;
+    let response = exchange_heads(context, stream, &bytes, request, limit, check).await?;
     context.reach.on_heard(context.clock.now());
     let (status, metadata) = (response.head.status(), &response.metadata);
     observe_limit(context, target, sent_at, status, metadata);
@@ -191,6 +205,7 @@
     bytes: &[u8],
     request: &OutgoingRequest<'_>,
     limit: Duration,
+    check: IdentityCheck,
 ) -> Result<PendingResponse, FailedAttempt> {
     let mut written = false;
     let (socket, input) = stream.socket_and_input();
@@ -205,11 +220,12 @@
             .await
             .map_err(head_error)?;
         let metadata = (context.codec.read_reply)(&head);
-        if is_mismatched(&metadata, request.metadata) {
-            return Err(FailedAttempt::new(
-                RelayFailure::OutcomeUnknown,
-                "response repeats the id of another request",
-            ));
+        if is_mismatched(&metadata, request.metadata, check) {
+            let cause = match metadata.attempt_id {
+                Some(_) => "response repeats the id of another request",
+                None => "response without an id on a connection in use again",
+            };
+            return Err(FailedAttempt::new(RelayFailure::OutcomeUnknown, cause));
         }
         Ok((head, metadata))
     };
@@ -247,11 +263,15 @@
     }
 }
 
-/// True when the response repeats another attempt id than the caller's.
-fn is_mismatched(response: &ReplyMetadata, request: &RequestMetadata) -> bool {
+/// True when the response is not, or not for certain, that to the request.
+fn is_mismatched(
+    response: &ReplyMetadata,
+    request: &RequestMetadata,
+    check: IdentityCheck,
+) -> bool {
     match (&response.attempt_id, &request.attempt_id) {
         (Some(echoed), Some(sent)) => echoed != sent,
-        _ => false,
+        _ => check == IdentityCheck::Own,
     }
 }
 
--- a/src/relay/via_peer/exchange.rs
+++ b/src/relay/via_peer/exchange.rs
@@ -2,7 +2,7 @@
 
 use crate::ids::InstanceId;
 use crate::presence::{PresenceRow, RelayAccess};
-use crate::relay::attempt::{FailedAttempt, PendingResponse, exchange_heads};
+use crate::relay::attempt::{FailedAttempt, IdentityCheck, PendingResponse, exchange_heads};
 use crate::relay::exchange::{ActiveRequest, is_of_connection};
 use crate::relay::local_reply::RefusalCause;
 use crate::relay::retry::{RelayFailure, RetryState, RetryStep};
@@ -110,7 +110,9 @@
     };
     let mut bytes = write_head(request, &dispatch).finish();
     bytes.extend_from_slice(request.body);
-    let response = exchange_heads(context, stream, &bytes, &request.outgoing(), time_left).await?;
+    let check = IdentityCheck::NoOther;
+    let outgoing = request.outgoing();
+    let response = exchange_heads(context, stream, &bytes, &outgoing, time_left, check).await?;
     match response.head.field(LOCAL_REPLY_FIELD) {
         Some(cause) => Err(local_reply(cause)),
         None => Ok(response),
--- a/src/wire/client.rs
+++ b/src/wire/client.rs
@@ -88,21 +88,29 @@
     }
 }
 
-/// HTTP client that reuses connections; cheap to clone, as clones share the connection pool.
+/// HTTP client; cheap to clone, as clones share the connection pool.
 #[derive(Debug, Clone)]
 pub struct WireClient {
-    idle: Arc<StreamPool<SocketAddr>>,
+    /// Connections that are used again; `None` when each call uses a new one.
+    idle: Option<Arc<StreamPool<SocketAddr>>>,
 }
 
 impl Default for WireClient {
+    /// A client that uses connections again.
     fn default() -> Self {
         Self {
-            idle: Arc::new(StreamPool::new(MAX_IDLE_CONNECTIONS)),
+            idle: Some(Arc::new(StreamPool::new(MAX_IDLE_CONNECTIONS))),
         }
     }
 }
 
 impl WireClient {
+    /// A client that uses a new connection for each call, for servers that may send extra responses: nothing
+    /// tells those apart from the response to a later call.
+    pub fn with_new_connections() -> Self {
+        Self { idle: None }
+    }
+
     /// Sends a request and reads the response. If a reused connection turns out to be closed, the
     /// call is not retried: only the caller knows whether the request may be executed twice.
     ///
@@ -114,7 +122,8 @@
     }
 
     async fn exchange(&self, call: &WireCall) -> Result<WireResponse> {
-        let mut stream = match self.idle.take(&call.address) {
+        let pooled = self.idle.as_ref().and_then(|idle| idle.take(&call.address));
+        let mut stream = match pooled {
             Some(stream) => stream,
             None => WireStream::connect(call.address, call.timeout)
                 .await
@@ -125,8 +134,8 @@
             .await
             .map_err(CallError::Lost)?;
         let (response, reusable) = read_response(&mut stream, call.method).await?;
-        if reusable {
-            self.idle.put(&call.address, stream, IDLE_TIMEOUT);
+        if let Some(idle) = self.idle.as_ref().filter(|_| reusable) {
+            idle.put(&call.address, stream, IDLE_TIMEOUT);
         }
         Ok(response)
     }
