Continue a stream only with a response that is one

Seen: other operators' callers found the text of an error in the middle of their stream, or a stream that ended as if it were complete. Here it happened when the server that was to resume a stream answered 200 with another media type, without an event, or with a comment that had no end. Cause: of a resuming response only the status was looked at; its end counted as the end of the stream and what was left over was sent, as for a first response. Streams that another daemon continues went through the same code. Change: a response continues a stream only with status 200 and the media type of event streams, and ends it only if it has brought an event.

--- a/rig/src/site/model.rs
+++ b/rig/src/site/model.rs
@@ -10,6 +10,7 @@
 use crate::site::plain::leaving_field;
 use crate::site::store::SiteStore;
 use serde_json::{Value, json};
+use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -40,6 +41,9 @@
     pub pause_at_event: Option<(u64, Duration)>,
     /// Address that reports name as stalled.
     pub stalled_address: Option<SocketAddr>,
+    /// Response to a request that resumes a stream, in place of the rest of the stream. `{id}` is replaced by
+    /// the attempt id; the connection closes after it.
+    pub resume_response: Option<&'static str>,
 }
 
 impl Default for ModelKnobs {
@@ -54,6 +58,7 @@
             hang_at_event: None,
             pause_at_event: None,
             stalled_address: None,
+            resume_response: None,
         }
     }
 }
@@ -337,6 +342,11 @@
             self.crashes.crash(self.address, head.path());
             return AfterReply::Close;
         }
+        if let Some(response) = knobs.resume_response.filter(|_| first_event > 0) {
+            // The daemon may have closed the connection.
+            let _sent = stream.write_all(response.replace("{id}", &attempt_id).as_bytes());
+            return AfterReply::Close;
+        }
         let Some(part) = knobs.endless else {
             return send_stream(stream, &fields, first_event, &knobs, &run);
         };
--- a/src/relay/event_progress.rs
+++ b/src/relay/event_progress.rs
@@ -38,12 +38,21 @@
 
 /// True unless the response is a failure or declares another media type. Such a response has no
 /// events, and only its framing tells whether it is complete.
-fn is_event_stream(head: &WireHead) -> bool {
+pub(super) fn is_event_stream(head: &WireHead) -> bool {
     let media_type = head.field("content-type").unwrap_or(EVENT_STREAM_TYPE);
     let essence = media_type.split(';').next().unwrap_or_default().trim();
     (200..300).contains(&head.status()) && essence.eq_ignore_ascii_case(EVENT_STREAM_TYPE)
 }
 
+/// Why a response cannot continue a stream that has begun; `None` if it may.
+pub(super) fn resume_fault(head: &WireHead) -> Option<String> {
+    match head.status() {
+        200 if is_event_stream(head) => None,
+        200 => Some(String::from("no event stream when resuming")),
+        status => Some(format!("status {status} when resuming")),
+    }
+}
+
 /// True when a stream of events has ended inside one.
 pub(super) fn is_cut_off(head: &WireHead, splitter: &EventSplitter) -> bool {
     is_event_stream(head) && splitter.is_inside_event()
--- a/src/relay/forwarding.rs
+++ b/src/relay/forwarding.rs
@@ -24,6 +24,8 @@
     /// Target or daemon that sends the response, for the log.
     source: InstanceId,
     response: PendingResponse,
+    /// True when the caller has had the beginning of the stream from another response.
+    resumes: bool,
     splitter: EventSplitter,
     /// Number of events that were new to the caller.
     events: u64,
@@ -86,16 +88,19 @@
 }
 
 impl<'a> EventForwarder<'a> {
-    /// Begins with a response of which the head was read.
+    /// Begins with a response of which the head was read. `resumes` tells whether the caller has had the
+    /// beginning of the stream from another one.
     pub(super) fn new(
         request: &'a ActiveRequest<'a>,
         source: InstanceId,
         response: PendingResponse,
+        resumes: bool,
     ) -> Self {
         Self {
             request,
             source,
             response,
+            resumes,
             splitter: EventSplitter::default(),
             events: 0,
             arrived: 0,
@@ -141,7 +146,16 @@
             let cause = "connection closed inside an event";
             return ForwardStep::Fail(FailedAttempt::disconnected(cause));
         }
-        ForwardStep::Finish(BodyEnd::Closed)
+        self.finish_step(BodyEnd::Closed)
+    }
+
+    /// The step at the end of a response. One that was to continue a stream and has no event continues
+    /// nothing, so its end is not that of the stream.
+    fn finish_step(&self, end: BodyEnd) -> ForwardStep {
+        if self.resumes && self.arrived == 0 {
+            return invalid_stream(&"no event of the resumed stream");
+        }
+        ForwardStep::Finish(end)
     }
 
     /// Decodes the bytes that have arrived and moves complete events to the output.
@@ -171,7 +185,7 @@
                 if is_cut_off(&self.response.head, &self.splitter) {
                     return invalid_stream(&"stream ended inside an event");
                 }
-                ForwardStep::Finish(BodyEnd::Framed)
+                self.finish_step(BodyEnd::Framed)
             }
         }
     }
--- a/src/relay/stream_opening.rs
+++ b/src/relay/stream_opening.rs
@@ -1,7 +1,7 @@
 //! Attempts of a stream that were sent and have not brought anything for the caller yet.
 
 use crate::relay::attempt::{FailedAttempt, PendingResponse, open_response};
-use crate::relay::event_progress::DeliveryProgress;
+use crate::relay::event_progress::{DeliveryProgress, resume_fault};
 use crate::relay::exchange::ActiveRequest;
 use crate::relay::forwarding::{EventForwarder, ForwardStep, StreamForwarder};
 use crate::relay::retry::{RelayFailure, RetryState};
@@ -140,7 +140,7 @@
         _reserved: reserved,
         detector,
         suspicion,
-        forwarder: EventForwarder::new(request, source, response),
+        forwarder: EventForwarder::new(request, source, response, delivered.head_sent),
     };
     let mut output = Vec::new();
     let mut step = forwarder.take_input(&mut delivered, &mut output);
@@ -178,9 +178,7 @@
             ..FailedAttempt::new(RelayFailure::Failed, format_args!("status {status}"))
         });
     }
-    if status != 200 && delivered.head_sent {
-        let cause = format_args!("status {status} when resuming");
-        return Some(FailedAttempt::new(RelayFailure::OutcomeUnknown, cause));
-    }
-    None
+    let fault = delivered.head_sent.then(|| resume_fault(&response.head));
+    let fault = fault.flatten()?;
+    Some(FailedAttempt::new(RelayFailure::OutcomeUnknown, fault))
 }
--- a/src/relay/via_peer/stream.rs
+++ b/src/relay/via_peer/stream.rs
@@ -1,7 +1,7 @@
 //! Streams that other daemons serve, from their beginning or from the event after which they resume.
 
 use crate::relay::attempt::{FailedAttempt, keep_connection};
-use crate::relay::event_progress::DeliveryProgress;
+use crate::relay::event_progress::{DeliveryProgress, resume_fault};
 use crate::relay::exchange::{ActiveRequest, ExchangeEnd};
 use crate::relay::forwarding::{EventForwarder, ForwardStep};
 use crate::relay::retry::{RelayFailure, RetryState};
@@ -45,12 +45,12 @@
         Ok(response) => response,
         Err(failed) => return PeerStreamEnd::Failed(failed),
     };
-    let status = response.head.status();
-    if status != 200 && delivered.head_sent {
-        let cause = format_args!("status {status} when resuming");
-        return PeerStreamEnd::Failed(FailedAttempt::new(RelayFailure::OutcomeUnknown, cause));
+    let resumes = delivered.head_sent;
+    if resumes && let Some(fault) = resume_fault(&response.head) {
+        return PeerStreamEnd::Failed(FailedAttempt::new(RelayFailure::OutcomeUnknown, fault));
     }
-    let mut forwarder = EventForwarder::new(request, peer.instance.clone(), response);
+    let source = peer.instance.clone();
+    let mut forwarder = EventForwarder::new(request, source, response, resumes);
     let mut output = Vec::new();
     let mut step = forwarder.take_input(delivered, &mut output);
     loop {
