Name the server that an order is for

Cause: orders and questions for reports went to an address and named no server; orders were remembered by a server's identity, not by its run. Change: both name their server. A response with 421 makes the server count as replaced: it gets nothing more, and the plan is made without it. Orders are remembered by the run of a server.

--- a/rig/src/site/model.rs
+++ b/rig/src/site/model.rs
@@ -263,6 +263,10 @@
     ) -> AfterReply {
         let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
         let number = |name: &str| body[name].as_u64().unwrap_or(0);
+        let expected = request.head.field("X-Expect-Instance").unwrap_or(&self.id);
+        if expected != &*self.id {
+            return reply(stream, 421, &[("X-Instance-Id", &self.id)], b"");
+        }
         let status = self.with_state(|state| {
             if number("FencingToken") < state.fence {
                 return 412;
--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -7,7 +7,7 @@
 use crate::placement::{
     LayerAssignment, OrderScheduler, PendingOrder, PlanInput, PlanStep, ServerPlacement,
 };
-use crate::relay::{RelayContext, is_resting, observe_notices};
+use crate::relay::{RelayContext, is_resting, observe_call};
 use crate::telemetry::EventLine;
 use async_std::task;
 use std::sync::Arc;
@@ -161,11 +161,13 @@
     let ready = view
         .service_targets(&service.name)
         .iter()
-        .filter(|target| target.is_ready() && !target.stats.is_lost());
+        .filter(|target| target.is_ready() && !target.stats.is_lost())
+        .filter(|target| !target.stats.is_replaced());
     ready
         .filter_map(|target| {
             Some(ServerPlacement {
                 id: target.id.clone(),
+                started_ms: target.started_ms,
                 domain: target.domain.clone(),
                 card: Arc::clone(target.card.as_ref()?),
                 held: target.layers.filter(|layers| !layers.is_empty()),
@@ -226,7 +228,7 @@
     }
     let call = (state.ports.targets.order_layers)(order).await;
     if let Some((status, notices)) = call.notices {
-        observe_notices(context, &target, status, notices);
+        observe_call(context, &target, status, notices);
     }
     let outcome = call.outcome;
     let text = match &outcome {
--- a/src/gateway/ports.rs
+++ b/src/gateway/ports.rs
@@ -72,8 +72,8 @@
 /// Calls to model servers other than requests of callers.
 #[derive(Clone)]
 pub struct TargetPort {
-    /// Fetches a server's report.
-    pub report: Arc<dyn Fn(SocketAddr) -> TargetFuture<TargetReport> + Send + Sync>,
+    /// Fetches the report of a server at its address.
+    pub report: Arc<dyn Fn(InstanceId, SocketAddr) -> TargetFuture<TargetReport> + Send + Sync>,
     /// Sends an order to a server.
     pub order_layers: Arc<dyn Fn(LayerOrder) -> TargetFuture<OrderOutcome> + Send + Sync>,
 }
--- a/src/placement/order_scheduler.rs
+++ b/src/placement/order_scheduler.rs
@@ -75,6 +75,8 @@
 
 #[derive(Debug, Clone, Copy)]
 struct SentOrder {
+    /// Run of the server that the order went to. A server that starts again knows nothing of it.
+    started_ms: u64,
     layers: LayerRange,
     resend_at: MonoTime,
 }
@@ -103,8 +105,11 @@
         now: MonoTime,
     ) -> PlanStep {
         self.outages.update(servers, now);
-        self.sent
-            .retain(|id, _| servers.iter().any(|server| &server.id == id));
+        self.sent.retain(|id, sent| {
+            let is_run =
+                |server: &ServerPlacement| &server.id == id && server.started_ms == sent.started_ms;
+            servers.iter().any(is_run)
+        });
         let settled = self.is_settled(servers, now);
         if !settled || now.since(followed_since) < LIST_GRACE_PERIOD {
             return PlanStep::Wait;
@@ -152,7 +157,9 @@
             })
             .collect();
         for order in &orders {
+            let server = servers.iter().find(|server| server.id == order.id);
             let sent = SentOrder {
+                started_ms: server.map_or(0, |server| server.started_ms),
                 layers: order.layers,
                 resend_at: now.after(RESEND_DELAY),
             };
--- a/src/placement/plan.rs
+++ b/src/placement/plan.rs
@@ -24,6 +24,8 @@
 pub struct ServerPlacement {
     /// Identity of the server.
     pub id: InstanceId,
+    /// Start of its present run, in milliseconds since 1970; 0 if unknown.
+    pub started_ms: u64,
     /// Failure domain.
     pub domain: DomainId,
     /// Accelerator kind.
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -42,7 +42,7 @@
 pub use local_reply::{LocalReply, RefusalCause};
 pub use metadata::{DispatchMetadata, RelayCodec, ReplyMetadata, RequestMetadata, TargetNotices};
 pub use metrics::RelayMetrics;
-pub(crate) use notices::{leaving_runs, merge_leaving_runs, observe_notices};
+pub(crate) use notices::{leaving_runs, merge_leaving_runs, observe_call};
 pub(crate) use path::{PATH_WATCH_PERIOD, watch_path};
 pub use retry::{RelayFailure, RetryState, RetryStep};
 pub use return_time::{RefusalPressure, return_delay};
--- a/src/relay/notices.rs
+++ b/src/relay/notices.rs
@@ -19,7 +19,7 @@
 const MAX_LEAVING_RUNS: usize = 64;
 
 /// Takes what a response says about its target. One with status 421 comes from another target.
-pub(crate) fn observe_notices(
+pub(super) fn observe_notices(
     context: &RelayContext,
     target: &TargetEntry,
     status: u16,
@@ -38,6 +38,23 @@
     }
 }
 
+/// Takes what the response to a call other than a request says about its target. With status 421 another
+/// target has taken over the address: requests may also be misdirected in other ways, calls may not.
+pub(crate) fn observe_call(
+    context: &RelayContext,
+    target: &TargetEntry,
+    status: u16,
+    notices: TargetNotices,
+) {
+    if status != 421 {
+        return observe_notices(context, target, status, notices);
+    }
+    target.stats.mark_replaced();
+    context.targets_changed.store(true, Ordering::Release);
+    let line = EventLine::new("target_replaced").with_display("target", &target.id);
+    context.events.emit(line);
+}
+
 /// Takes what the first target of a chain says of the part at `faulty`, which could not take a request.
 pub(super) fn observe_part(
     context: &RelayContext,
--- a/src/relay/stream_failure.rs
+++ b/src/relay/stream_failure.rs
@@ -5,7 +5,7 @@
 use crate::relay::event_progress::DeliveryProgress;
 use crate::relay::exchange::ActiveRequest;
 use crate::relay::limits::{PermitOutcome, acquire_permit};
-use crate::relay::notices::observe_notices;
+use crate::relay::notices::observe_call;
 use crate::relay::path::probe_target;
 use crate::relay::retry::RelayFailure;
 use crate::targets::{LayerChain, TargetEntry};
@@ -93,9 +93,10 @@
         if acquire_permit(&context, first_target).await == PermitOutcome::HeldBack {
             return;
         }
-        let call = (context.target_port.report)(first_target.address).await;
+        let (id, address) = (first_target.id.clone(), first_target.address);
+        let call = (context.target_port.report)(id, address).await;
         if let Some((status, notices)) = call.notices {
-            observe_notices(&context, first_target, status, notices);
+            observe_call(&context, first_target, status, notices);
         }
         let report = match call.outcome {
             Ok(report) => report,
--- a/src/wire/client.rs
+++ b/src/wire/client.rs
@@ -64,6 +64,8 @@
     pub method: &'static str,
     /// Path and query.
     pub request_target: String,
+    /// A further field of the head, if any.
+    pub field: Option<(&'static str, String)>,
     /// Body in JSON, if any.
     pub body: Option<Vec<u8>>,
     /// Timeout of connecting, and of the whole call.
@@ -144,6 +146,9 @@
 fn encode_request(call: &WireCall) -> Vec<u8> {
     let mut head =
         HeadBuilder::request(call.method, &call.request_target).field("Host", call.address);
+    if let Some((name, value)) = &call.field {
+        head = head.field(name, value);
+    }
     if let Some(body) = &call.body {
         head = head
             .field("Content-Type", "application/json")
--- a/tests/layer_placement.rs
+++ b/tests/layer_placement.rs
@@ -52,6 +52,7 @@
             let card = Arc::from(*kind);
             servers.push(ServerPlacement {
                 id,
+                started_ms: 0,
                 domain: domain.clone(),
                 card,
                 held: None,
@@ -411,3 +412,24 @@
     assert!(matches!(same, PlanStep::Keep(_)), "{same:?}");
     assert!(matches!(fewer, PlanStep::Plan(_)), "{fewer:?}");
 }
+
+/// A server that starts again under its identity knows nothing of an order to its earlier run, which counted as
+/// carried out until it was due again.
+#[test]
+fn order_to_an_earlier_run_does_not_count() {
+    let all = bangna();
+    let at = |millis: u64| MonoTime(millis * 1_000);
+    let mut scheduler = OrderScheduler::default();
+    next_orders(&mut scheduler, &all, at(0), at(0));
+    let first = next_orders(&mut scheduler, &all, at(0), at(2_300));
+    assert!(!first.is_empty());
+    let restart = |server: &ServerPlacement| ServerPlacement {
+        started_ms: 2_350,
+        ..server.clone()
+    };
+    let restarted: Vec<ServerPlacement> = all.iter().map(restart).collect();
+
+    let again = next_orders(&mut scheduler, &restarted, at(0), at(2_400));
+
+    assert_eq!(again, first);
+}
--- a/tests/placement_search.rs
+++ b/tests/placement_search.rs
@@ -57,6 +57,7 @@
         id: format!("{}-{number}", kind.name)
             .parse()
             .expect("an identifier"),
+        started_ms: 0,
         domain: domain.clone(),
         card: Arc::clone(&kind.name),
         held: None,
