Send no body in replies to HEAD requests

Cause: local replies did not know the method. Streams framed their response without the method and status as well, so that the last chunk stood before the next response. Change: local replies know whether the method is HEAD; streams have a framing without a body. One function tells whether a response ends with its head, for targets' responses and for those to callers.

--- a/src/relay/caller_stream.rs
+++ b/src/relay/caller_stream.rs
@@ -1,7 +1,7 @@
 //! Framing of an event stream on the connection of its caller, so that a stream that is cut short
 //! does not look complete, also when the process ends.
 
-use crate::wire::{HeadBuilder, LAST_CHUNK, WireHead, encode_chunk, reset_on_close};
+use crate::wire::{HeadBuilder, LAST_CHUNK, WireHead, encode_chunk, is_bodiless, reset_on_close};
 use async_io::Async;
 use std::net::TcpStream;
 
@@ -10,15 +10,19 @@
 pub(super) enum CallerFraming {
     /// By the last chunk.
     Chunked,
+    /// At the end of the head: the response has no body, because of the method or the status.
+    Bodiless,
     /// By an orderly close, as HTTP/1.0 has no chunks. The connection is set up to be reset by any
     /// other end.
     UntilClose,
 }
 
 impl CallerFraming {
-    /// Framing of the response to a request with this head.
-    pub(super) fn for_request(head: &WireHead) -> Self {
-        if head.is_http_1_1() {
+    /// Framing of the response with this status to a request with this head.
+    pub(super) fn for_response(head: &WireHead, status: u16) -> Self {
+        if is_bodiless(head.method(), status) {
+            Self::Bodiless
+        } else if head.is_http_1_1() {
             Self::Chunked
         } else {
             Self::UntilClose
@@ -29,6 +33,7 @@
     pub(super) fn begin(self, head: HeadBuilder, caller: &Async<TcpStream>) -> HeadBuilder {
         match self {
             Self::Chunked => head.field("Transfer-Encoding", "chunked"),
+            Self::Bodiless => head,
             Self::UntilClose => {
                 reset_on_close(caller, true);
                 head
@@ -40,6 +45,7 @@
     pub(super) fn encode(self, data: &[u8], output: &mut Vec<u8>) {
         match self {
             Self::Chunked => encode_chunk(data, output),
+            Self::Bodiless => {}
             Self::UntilClose => output.extend_from_slice(data),
         }
     }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -216,9 +216,9 @@
             .with("age_ms", now.since(self.arrived).as_millis() as u64)
     }
 
-    /// Framing of an event stream on the caller's connection.
-    pub(super) fn framing(&self) -> CallerFraming {
-        CallerFraming::for_request(self.head)
+    /// Framing of an event stream on the caller's connection, given the status of the response.
+    pub(super) fn framing(&self, status: u16) -> CallerFraming {
+        CallerFraming::for_response(self.head, status)
     }
 
     /// Sends bytes to the caller; false when the connection is gone.
--- a/src/relay/forwarding.rs
+++ b/src/relay/forwarding.rs
@@ -197,7 +197,8 @@
             match classify_event(&event, delivered) {
                 EventVerdict::Forward => {
                     append_head(self.request, &self.response, delivered, output);
-                    self.request.framing().encode(&event.bytes, output);
+                    let status = self.response.head.status();
+                    self.request.framing(status).encode(&event.bytes, output);
                     delivered.last_id = event.id.or(delivered.last_id);
                     self.events += u64::from(!event.is_comment());
                 }
@@ -247,7 +248,7 @@
         mut output: Vec<u8>,
     ) -> FinishedResponse {
         append_head(self.request, &self.response, delivered, &mut output);
-        let framing = self.request.framing();
+        let framing = self.request.framing(self.response.head.status());
         framing.encode(self.splitter.remainder(), &mut output);
         framing.encode_end(&mut output);
         let is_sent = self.request.send(&output).await;
@@ -352,7 +353,8 @@
         return;
     }
     let head = forward_head(&response.head, request.close);
-    let head = request.framing().begin(head, request.caller);
+    let framing = request.framing(response.head.status());
+    let head = framing.begin(head, request.caller);
     output.extend_from_slice(&head.finish());
     delivered.head_sent = true;
     let context = request.context;
--- a/src/relay/listener.rs
+++ b/src/relay/listener.rs
@@ -48,6 +48,24 @@
     Peers,
 }
 
+/// Who gets a local reply.
+#[derive(Debug, Clone, Copy)]
+struct ReplyAsker {
+    source: RequestSource,
+    /// True when the request's method is HEAD.
+    is_head: bool,
+}
+
+impl ReplyAsker {
+    /// The sender of a request whose head cannot be read.
+    fn unknown(source: RequestSource) -> Self {
+        Self {
+            source,
+            is_head: false,
+        }
+    }
+}
+
 /// Accepts callers' connections; never returns.
 pub async fn serve_callers(context: Arc<RelayContext>, server: WireServer) {
     accept_all(context, server, RequestSource::Callers).await;
@@ -96,10 +114,11 @@
                     HeadError::TooLong => RefusalCause::HeadTooLong,
                     _ => RefusalCause::Malformed,
                 };
-                refuse(&context, &stream, cause, source).await
+                refuse(&context, &stream, cause, ReplyAsker::unknown(source)).await
             }
             HeadOutcome::TimedOut => {
-                refuse(&context, &stream, RefusalCause::HeadTimeout, source).await
+                let asker = ReplyAsker::unknown(source);
+                refuse(&context, &stream, RefusalCause::HeadTimeout, asker).await
             }
             HeadOutcome::Idle | HeadOutcome::ConnectionLost => return,
         };
@@ -126,9 +145,9 @@
     context: &RelayContext,
     stream: &WireStream,
     cause: RefusalCause,
-    source: RequestSource,
+    asker: ReplyAsker,
 ) -> ConnectionStep {
-    refuse_with(context, stream, LocalReply::new(cause), source).await
+    refuse_with(context, stream, LocalReply::new(cause), asker).await
 }
 
 /// Refuses a request since there is no configuration yet. Its caller is asked to return once a fleet that
@@ -137,24 +156,25 @@
     context: &RelayContext,
     stream: &WireStream,
     time_left: Option<Duration>,
-    source: RequestSource,
+    asker: ReplyAsker,
 ) -> ConnectionStep {
     let delay = time_left.map_or(CONFIGURATION_RETRY_AFTER, |time_left| {
         CONFIGURATION_RETRY_AFTER.min(time_left.mul_f64(RETRY_AFTER_SHARE))
     });
     let reply = LocalReply::new(RefusalCause::NoConfiguration)
         .with_retry_after(delay, &mut fastrand::Rng::new());
-    refuse_with(context, stream, reply, source).await
+    refuse_with(context, stream, reply, asker).await
 }
 
 async fn refuse_with(
     context: &RelayContext,
     stream: &WireStream,
     mut reply: LocalReply,
-    source: RequestSource,
+    asker: ReplyAsker,
 ) -> ConnectionStep {
     let cause = reply.cause;
-    reply.is_for_peer = source == RequestSource::Peers;
+    reply.is_for_peer = asker.source == RequestSource::Peers;
+    reply.is_for_head = asker.is_head;
     let close = context.lifecycle.phase() == crate::kernel::DaemonPhase::Draining;
     context
         .metrics
@@ -180,11 +200,15 @@
     source: RequestSource,
 ) -> ConnectionStep {
     let _in_flight = context.lifecycle.start_request();
+    let asker = ReplyAsker {
+        source,
+        is_head: head.method() == "HEAD",
+    };
     let origin = match read_origin(context, &head, source) {
         Ok(origin) => origin,
         Err(cause) => {
             // The body was not read.
-            refuse(context, stream, cause, source).await;
+            refuse(context, stream, cause, asker).await;
             return ConnectionStep::Close;
         }
     };
@@ -199,10 +223,10 @@
     let body = match read_request_body(stream, &head, limits.max_body_bytes).await {
         Ok(body) => body,
         Err(ReadError::BodyTooLong) => {
-            return refuse(context, stream, RefusalCause::BodyTooLong, source).await;
+            return refuse(context, stream, RefusalCause::BodyTooLong, asker).await;
         }
         Err(ReadError::Body(_)) => {
-            return refuse(context, stream, RefusalCause::Malformed, source).await;
+            return refuse(context, stream, RefusalCause::Malformed, asker).await;
         }
         Err(_) => return ConnectionStep::Close,
     };
@@ -222,9 +246,9 @@
     let matched = match route_request(catalog.as_deref(), &head, metadata) {
         RoutingDecision::Relay(matched) => *matched,
         RoutingDecision::Refuse(RefusalCause::NoConfiguration) => {
-            return refuse_unconfigured(context, stream, time_left, source).await;
+            return refuse_unconfigured(context, stream, time_left, asker).await;
         }
-        RoutingDecision::Refuse(cause) => return refuse(context, stream, cause, source).await,
+        RoutingDecision::Refuse(cause) => return refuse(context, stream, cause, asker).await,
     };
     let draining = context.lifecycle.phase() == crate::kernel::DaemonPhase::Draining;
     let (socket, input) = stream.socket_and_input();
--- a/src/relay/local_reply.rs
+++ b/src/relay/local_reply.rs
@@ -131,6 +131,8 @@
     pub retry_after: Option<Duration>,
     /// True when another daemon gets it, which must not take it for a target's response.
     pub is_for_peer: bool,
+    /// True when the request's method is HEAD, so that the response has no body.
+    pub is_for_head: bool,
 }
 
 impl LocalReply {
@@ -140,6 +142,7 @@
             cause,
             retry_after: None,
             is_for_peer: false,
+            is_for_head: false,
         }
     }
 
@@ -167,7 +170,9 @@
             head = head.field("Connection", "close");
         }
         let mut bytes = head.finish();
-        bytes.extend_from_slice(body.as_bytes());
+        if !self.is_for_head {
+            bytes.extend_from_slice(body.as_bytes());
+        }
         bytes
     }
 }
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -15,7 +15,7 @@
 use crate::relay::via_peer::relay_plain_via_peer;
 use crate::targets::TargetEntry;
 use crate::units::MonoTime;
-use crate::wire::{BodyEnd, WireHead, read_body};
+use crate::wire::{BodyEnd, WireHead, is_bodiless, read_body};
 use async_io::Timer;
 use async_std::future::timeout;
 use futures_lite::future::or;
@@ -467,8 +467,7 @@
 ) -> ExchangeEnd {
     let status = response.head.status();
     let declared = response.head.content_length();
-    let bodiless = request.head.method() == "HEAD" || matches!(status, 204 | 304);
-    let length = match (bodiless, declared) {
+    let length = match (is_bodiless(request.head.method(), status), declared) {
         (true, declared) => declared,
         (false, _) => Some(response.body.len() as u64),
     };
--- a/src/relay/request_refusal.rs
+++ b/src/relay/request_refusal.rs
@@ -26,6 +26,7 @@
     pub(super) async fn reply_locally(&self, cause: RefusalCause, detail: &str) -> ExchangeEnd {
         let mut reply = LocalReply::new(cause);
         reply.is_for_peer = self.origin.is_some();
+        reply.is_for_head = self.head.method() == "HEAD";
         if cause.status() == 503 {
             reply = self.with_retry_after(reply);
         }
--- a/src/wire/body.rs
+++ b/src/wire/body.rs
@@ -49,6 +49,11 @@
     UntilClose,
 }
 
+/// True when a response with `status` to a request with `method` ends with its head, whatever that says.
+pub fn is_bodiless(method: &str, status: u16) -> bool {
+    method == "HEAD" || matches!(status, 100..=199 | 204 | 304)
+}
+
 impl BodyFraming {
     /// Framing of the body of a request.
     pub fn for_request(head: &WireHead) -> Self {
@@ -63,8 +68,7 @@
 
     /// Framing of the body of a response to a request with `method`.
     pub fn for_response(head: &WireHead, method: &str) -> Self {
-        let bodiless = method == "HEAD" || matches!(head.status(), 100..=199 | 204 | 304);
-        if bodiless {
+        if is_bodiless(method, head.status()) {
             return Self::Empty;
         }
         if head.field("transfer-encoding").is_some() {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -10,7 +10,9 @@
 mod server;
 mod stream;
 
-pub use body::{BodyDecoder, BodyError, BodyFraming, BodyStep, LAST_CHUNK, encode_chunk};
+pub use body::{
+    BodyDecoder, BodyError, BodyFraming, BodyStep, LAST_CHUNK, encode_chunk, is_bodiless,
+};
 pub use client::{CallError, WireCall, WireClient, WireResponse};
 pub use events::{CompleteEvent, EventSplitter};
 pub use head::{
