Compute the framing of a stream and the leader's placements once

Cause: a last read of the change. The framing of a stream was determined anew at each event; the leader collected the placements of its servers twice in each round; is_event_stream was visible for no reason; a comment line was too long. Change: the forwarder keeps the framing; placements are collected again only after a plan was made, as servers may hold other layers by then. Nothing else changes.

--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -102,20 +102,24 @@
     model: &ModelShape,
 ) {
     let context = &state.context;
-    let Some(step) = next_plan_step(state, service, model) else {
+    let placements = ready_placements(context, service);
+    let Some(step) = next_plan_step(state, service, model, &placements) else {
         return;
     };
-    let plan = match step {
+    let (plan, placements) = match step {
         PlanStep::Wait => return,
-        PlanStep::Keep(plan) => plan,
-        PlanStep::Plan(input) => plan_apart(state, &service.name, *input).await,
+        PlanStep::Keep(plan) => (plan, placements),
+        PlanStep::Plan(input) => {
+            let plan = plan_apart(state, &service.name, *input).await;
+            // Servers may hold other layers by now.
+            (plan, ready_placements(context, service))
+        }
     };
-    // Planning may have taken long: the lead may be lost, and servers may hold other layers by now.
+    // Planning may have taken long: the lead may be lost.
     let now = context.clock.now();
     if state.session.fence(now).is_none() {
         return;
     }
-    let placements = ready_placements(context, service);
     let pending = state.with_schedulers(|schedulers| {
         let scheduler = schedulers.get_mut(&service.name);
         scheduler.map_or_else(Vec::new, |s| s.orders(&plan, &placements, now))
@@ -131,10 +135,10 @@
     state: &GatewayState,
     service: &ServiceEntry,
     model: &ModelShape,
+    placements: &[ServerPlacement],
 ) -> Option<PlanStep> {
     let context = &state.context;
     let now = context.clock.now();
-    let placements = ready_placements(context, service);
     let synced_since = state.synced_since()?;
     // Plans without orders while a leader from before a restore may still act.
     let synced_since = match state.session.fence(now) {
@@ -143,7 +147,7 @@
     };
     let (step, wait_change) = state.with_schedulers(|schedulers| {
         let scheduler: &mut OrderScheduler = schedulers.entry(service.name.clone()).or_default();
-        let step = scheduler.next_plan(model, &placements, synced_since, now);
+        let step = scheduler.next_plan(model, placements, synced_since, now);
         (step, scheduler.poll_wait_change(now))
     });
     if let Some(waits) = wait_change {
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -144,8 +144,8 @@
 }
 
 /// Sends a request and reads the head of the response within `limit`. `reuse` allows an idle pooled
-/// connection to be used, if the request has an attempt id. A response that reports that the request was not executed, which every
-/// 421 does, is returned as a failed attempt.
+/// connection to be used, if the request has an attempt id. A response that reports that the request
+/// was not executed, which every 421 does, is returned as a failed attempt.
 pub(super) async fn open_response(
     context: &RelayContext,
     request: &OutgoingRequest<'_>,
--- a/src/relay/event_progress.rs
+++ b/src/relay/event_progress.rs
@@ -38,7 +38,7 @@
 
 /// True unless the response is a failure or declares another media type. Such a response has no
 /// events, and only its framing tells whether it is complete.
-pub(super) fn is_event_stream(head: &WireHead) -> bool {
+fn is_event_stream(head: &WireHead) -> bool {
     let media_type = head.field("content-type").unwrap_or(EVENT_STREAM_TYPE);
     let essence = media_type.split(';').next().unwrap_or_default().trim();
     (200..300).contains(&head.status()) && essence.eq_ignore_ascii_case(EVENT_STREAM_TYPE)
--- a/src/relay/forwarding.rs
+++ b/src/relay/forwarding.rs
@@ -6,6 +6,7 @@
 
 use crate::ids::InstanceId;
 use crate::relay::attempt::{FailedAttempt, PendingResponse, keep_connection};
+use crate::relay::caller_stream::CallerFraming;
 use crate::relay::event_progress::{DeliveryProgress, EventVerdict, classify_event, is_cut_off};
 use crate::relay::exchange::{ActiveRequest, forward_head};
 use crate::relay::retry::RelayFailure;
@@ -24,6 +25,8 @@
     /// Target or daemon that sends the response, for the log.
     source: InstanceId,
     response: PendingResponse,
+    /// Framing of the stream on the caller's connection.
+    framing: CallerFraming,
     /// True when the caller has had the beginning of the stream from another response.
     resumes: bool,
     splitter: EventSplitter,
@@ -99,6 +102,7 @@
         Self {
             request,
             source,
+            framing: request.framing(response.head.status()),
             response,
             resumes,
             splitter: EventSplitter::default(),
@@ -196,9 +200,14 @@
         while let Some(event) = self.splitter.next_event() {
             match classify_event(&event, delivered) {
                 EventVerdict::Forward => {
-                    append_head(self.request, &self.response, delivered, output);
-                    let status = self.response.head.status();
-                    self.request.framing(status).encode(&event.bytes, output);
+                    append_head(
+                        self.request,
+                        &self.response,
+                        self.framing,
+                        delivered,
+                        output,
+                    );
+                    self.framing.encode(&event.bytes, output);
                     delivered.last_id = event.id.or(delivered.last_id);
                     self.events += u64::from(!event.is_comment());
                 }
@@ -247,8 +256,14 @@
         delivered: &mut DeliveryProgress,
         mut output: Vec<u8>,
     ) -> FinishedResponse {
-        append_head(self.request, &self.response, delivered, &mut output);
-        let framing = self.request.framing(self.response.head.status());
+        let framing = self.framing;
+        append_head(
+            self.request,
+            &self.response,
+            framing,
+            delivered,
+            &mut output,
+        );
         framing.encode(self.splitter.remainder(), &mut output);
         framing.encode_end(&mut output);
         let is_sent = self.request.send(&output).await;
@@ -346,6 +361,7 @@
 fn append_head(
     request: &ActiveRequest<'_>,
     response: &PendingResponse,
+    framing: CallerFraming,
     delivered: &mut DeliveryProgress,
     output: &mut Vec<u8>,
 ) {
@@ -353,7 +369,6 @@
         return;
     }
     let head = forward_head(&response.head, request.close);
-    let framing = request.framing(response.head.status());
     let head = framing.begin(head, request.caller);
     output.extend_from_slice(&head.finish());
     delivered.head_sent = true;
