--- a/rig/src/site/fleet.rs
+++ b/rig/src/site/fleet.rs
@@ -37,6 +37,8 @@
     pub domains: usize,
     /// True when daemons reach the servers through links that can fail.
     pub is_linked: bool,
+    /// True when daemons are set to make fewer calls to the store.
+    pub saves_calls: bool,
 }
 
 impl Default for SiteSpec {
@@ -47,6 +49,7 @@
             models_per_domain: 2,
             domains: 1,
             is_linked: false,
+            saves_calls: false,
         }
     }
 }
@@ -64,6 +67,8 @@
     pub model_servers: Vec<ModelServer>,
     /// Running daemons.
     pub daemons: Vec<SiteDaemon>,
+    /// True when daemons are set to make fewer calls to the store.
+    pub saves_calls: bool,
 }
 
 /// A running daemon.
@@ -146,6 +151,7 @@
             plain_servers,
             model_servers,
             daemons: Vec::new(),
+            saves_calls: spec.saves_calls,
         }
     }
 
@@ -205,6 +211,7 @@
             store: GatewayStore {
                 address: store,
                 lease_floor_ms: 1_000,
+                save_calls: self.saves_calls,
             },
             first_peers: self.daemons.iter().map(SiteDaemon::peer_address).collect(),
             bounds: GatewayBounds::default(),
--- a/rig/src/soak/run.rs
+++ b/rig/src/soak/run.rs
@@ -31,6 +31,7 @@
     models_per_domain: 3,
     domains: 2,
     is_linked: false,
+    saves_calls: false,
 };
 /// Callers for each daemon, up to [`MAX_CALLERS`].
 const CALLERS_PER_DAEMON: usize = 6;
--- a/src/feed/follow.rs
+++ b/src/feed/follow.rs
@@ -2,6 +2,7 @@
 //! through list and watch calls of a [`StorePort`].
 
 use crate::feed::inbox::{FeedInbox, FeedStep};
+use crate::feed::rest::{ListRest, RestSpec};
 use crate::ids::StoreEra;
 use crate::kernel::MonoClock;
 use crate::mirror::{
@@ -50,6 +51,8 @@
     pub batch_delay: Arc<dyn Fn() -> Duration + Send + Sync>,
     /// Changes that another daemon hands on, if any.
     pub inbox: Arc<FeedInbox>,
+    /// Rest after the first list, if any.
+    pub rest: Option<RestSpec>,
     /// Clock of this process.
     pub clock: MonoClock,
 }
@@ -129,6 +132,7 @@
     let lock = || mirror.lock().expect("mirror lock is never poisoned");
     let mut retry_delay = FIRST_RETRY_DELAY;
     let mut era = port.era.known();
+    let mut rest = ListRest::Unlisted;
     loop {
         let known = port.era.known();
         let is_restored = era.is_some() && known != era;
@@ -140,6 +144,15 @@
         }
         resume_by_feed(&spec, &mirror);
         let step = lock().next_step();
+        if let MirrorStep::Watch(version) = step
+            && let Some(wait) = next_rest(&spec, &mut rest, version)
+        {
+            let covered = spec.inbox.wait_covered(&spec.prefix, version, spec.clock);
+            or(task::sleep(wait), covered).await;
+            continue;
+        }
+        let is_list = matches!(step, MirrorStep::List(_));
+        let sent = spec.clock.now();
         let outcome = match step {
             MirrorStep::List(after) => {
                 let list = (port.list)((Arc::clone(&spec.prefix), after));
@@ -158,6 +171,7 @@
             StepOutcome::Store(Ok(changes)) => (changes, ChangeSource::Store),
             StepOutcome::Feed(changes) => (changes, ChangeSource::Feed),
             StepOutcome::Store(Err(cause)) => {
+                rest.end();
                 lock().on_failure();
                 report(FollowNotice::Failed(&cause));
                 let is_complete = lock().is_complete();
@@ -170,16 +184,39 @@
             }
         };
         retry_delay = FIRST_RETRY_DELAY;
+        if is_list && changes.contains(&MirrorChange::Synced) {
+            rest.on_listed(sent);
+            spec.inbox.set_rest(&spec.prefix, rest.listed_at());
+        }
         report(FollowNotice::Changed(&lock(), &changes, source));
         let listing = matches!(lock().next_step(), MirrorStep::List(None));
         match listing {
             true => task::sleep(LIST_JITTER.mul_f64(fastrand::f64())).await,
-            false if !changes.is_empty() => task::sleep((spec.batch_delay)()).await,
+            // A rest collects changes, too.
+            false if !changes.is_empty() && rest.listed_at().is_none() => {
+                task::sleep((spec.batch_delay)()).await;
+            }
             false => {}
         }
     }
 }
 
+/// Time for which a prefix that is known up to `version` rests before the next decision, if it does.
+fn next_rest(spec: &FollowSpec, rest: &mut ListRest, version: StoreVersion) -> Option<Duration> {
+    let now = spec.clock.now();
+    if spec.inbox.covers(&spec.prefix, version, now) {
+        rest.end();
+    }
+    let wait = spec
+        .rest
+        .as_ref()
+        .and_then(|spec| rest.next_wait(spec.limit, (spec.may_rest)(), now));
+    if wait.is_none() {
+        spec.inbox.set_rest(&spec.prefix, None);
+    }
+    wait
+}
+
 /// Spares a list after a failed call if a feed continues from the version that is known.
 fn resume_by_feed(spec: &FollowSpec, mirror: &SharedMirror) {
     let mut mirror = mirror.lock().expect("mirror lock is never poisoned");
--- a/src/feed/inbox.rs
+++ b/src/feed/inbox.rs
@@ -111,6 +111,12 @@
 struct OpenFeed {
     /// Time until which the feed can be relied on; `None` before the first frame.
     valid_until: Option<MonoTime>,
+    /// Time of the contact with the store on which that rests.
+    contact_at: Option<MonoTime>,
+    /// True once a frame of this feed has arrived.
+    is_heard: bool,
+    /// True once no further frames follow.
+    is_ended: bool,
     failures: u64,
     prefixes: HashMap<Arc<str>, PrefixInbox>,
 }
@@ -119,11 +125,14 @@
 #[derive(Debug, Default)]
 pub struct FeedInbox {
     feed: Mutex<Option<OpenFeed>>,
+    /// Prefixes that rest after their first list, with the time of that list.
+    resting: Mutex<HashMap<Arc<str>, MonoTime>>,
     changed: Event,
 }
 
 impl FeedInbox {
-    /// Opens a feed that begins at these versions, in place of any other.
+    /// Opens a feed that begins at these versions, in place of any other. What a suspended feed has
+    /// confirmed stays valid for its time.
     pub fn open(&self, positions: &[(Arc<str>, StoreVersion)]) {
         let prefix_inbox = |(prefix, version): &(Arc<str>, StoreVersion)| {
             let inbox = PrefixInbox {
@@ -134,8 +143,13 @@
             };
             (Arc::clone(prefix), inbox)
         };
-        *self.lock() = Some(OpenFeed {
-            valid_until: None,
+        let mut feed = self.lock();
+        let suspended = feed.take().filter(|feed| feed.is_ended);
+        *feed = Some(OpenFeed {
+            valid_until: suspended.as_ref().and_then(|feed| feed.valid_until),
+            contact_at: suspended.as_ref().and_then(|feed| feed.contact_at),
+            is_heard: false,
+            is_ended: false,
             failures: 0,
             prefixes: positions.iter().map(prefix_inbox).collect(),
         });
@@ -147,9 +161,52 @@
         self.changed.notify(usize::MAX);
     }
 
+    /// Ends the feed, but relies on its last frame for as long as if the sender had fallen silent after
+    /// it, so that another feed can take its place before the store is watched.
+    pub fn suspend(&self) {
+        if let Some(feed) = self.lock().as_mut() {
+            feed.is_ended = true;
+        }
+        self.changed.notify(usize::MAX);
+    }
+
     /// True while a daemon's feed is followed, whether or not it can be relied on.
     pub fn is_open(&self) -> bool {
-        self.lock().is_some()
+        self.lock().as_ref().is_some_and(|feed| !feed.is_ended)
+    }
+
+    /// Records the list on which a resting prefix relies, or that it does not rest.
+    pub fn set_rest(&self, prefix: &Arc<str>, listed_at: Option<MonoTime>) {
+        let mut resting = self.resting.lock().expect("rest lock is never poisoned");
+        match listed_at {
+            Some(at) => resting.insert(Arc::clone(prefix), at),
+            None => resting.remove(prefix),
+        };
+    }
+
+    /// True while a prefix rests after its first list.
+    pub fn is_resting(&self, prefix: &str) -> bool {
+        let resting = self.resting.lock().expect("rest lock is never poisoned");
+        resting.contains_key(prefix)
+    }
+
+    /// Age of the contact with the store on which the least recently confirmed prefix rests; `None` if
+    /// this daemon watches the store itself.
+    pub fn contact_age(&self, now: MonoTime) -> Option<Duration> {
+        let resting = self.resting.lock().expect("rest lock is never poisoned");
+        let listed = resting.values().min().copied();
+        drop(resting);
+        let feed = self.lock();
+        let is_valid = |feed: &&OpenFeed| feed.valid_until.is_some_and(|until| now < until);
+        let fed = feed
+            .as_ref()
+            .filter(is_valid)
+            .and_then(|feed| feed.contact_at);
+        [listed, fed]
+            .into_iter()
+            .flatten()
+            .min()
+            .map(|at| now.since(at))
     }
 
     /// Records a frame that arrived at `now`.
@@ -169,7 +226,7 @@
         for part in frame.parts.into_iter().chain(packed.parts) {
             record_part(open, part)?;
         }
-        if open.valid_until.is_none() {
+        if !std::mem::replace(&mut open.is_heard, true) {
             open.failures = frame.failures;
             for inbox in open.prefixes.values_mut() {
                 inbox.failures = frame.failures;
@@ -179,6 +236,7 @@
         let age = Duration::from_millis(frame.age_ms);
         let left = MAX_CONTACT_AGE.saturating_sub(age);
         open.valid_until = Some(now.after(left.min(MAX_SILENCE)));
+        open.contact_at = Some(MonoTime(now.0.saturating_sub(age.as_micros() as u64)));
         drop(feed);
         self.changed.notify(usize::MAX);
         Ok(())
--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -13,6 +13,7 @@
 mod message;
 mod packing;
 mod readers;
+mod rest;
 mod serve;
 mod subscribe;
 
@@ -22,6 +23,9 @@
 pub use inbox::{FeedError, FeedInbox, FeedStep};
 pub(crate) use listen::serve_copies;
 pub use message::{FeedChange, FeedFrame, FeedPart, FeedParts};
-pub use readers::{READERS_PER_DOMAIN, ReadingRole, count_readers, is_first_reader, reading_role};
+pub use readers::{
+    READERS_PER_DOMAIN, ReadingRole, count_readers, is_first_reader, reading_role, saving_role,
+};
+pub use rest::{LIST_REST, ListRest, PRESENCE_REST, RestSpec};
 pub(crate) use serve::FeedSource;
 pub(crate) use subscribe::{SubscriberPorts, subscribe_feeds};
--- a/src/feed/readers.rs
+++ b/src/feed/readers.rs
@@ -13,6 +13,9 @@
 pub enum ReadingRole {
     /// It reads the store itself, and others follow it.
     Reader,
+    /// It serves feeds as a reader does, and follows one of these readers, the preferred one first. While
+    /// it has no feed that it can rely on, it reads the store itself.
+    Standby(Vec<PresenceRow>),
     /// It reads the store itself because it is not listed: it has just started, or its lease has run out.
     Unlisted,
     /// It follows one of these daemons, the preferred one first.
@@ -31,6 +34,29 @@
     readers.sum()
 }
 
+/// Decides as [`reading_role`] does, but only the first reader of a failure domain reads the store all the
+/// time. The others stand by.
+pub fn saving_role<'a>(
+    rows: impl Iterator<Item = &'a PresenceRow> + Clone,
+    instance: &InstanceId,
+    domain: &DomainId,
+) -> ReadingRole {
+    let role = reading_role(rows.clone(), instance, domain);
+    if role != ReadingRole::Reader {
+        return role;
+    }
+    let mut ranked: Vec<&PresenceRow> = rows.filter(|row| row.domain == *domain).collect();
+    ranked.sort_by_key(|row| reader_order(row));
+    let earlier = ranked
+        .into_iter()
+        .take_while(|row| row.instance != *instance);
+    let earlier: Vec<PresenceRow> = earlier.cloned().collect();
+    match earlier.is_empty() {
+        true => ReadingRole::Reader,
+        false => ReadingRole::Standby(earlier),
+    }
+}
+
 fn reader_order(row: &PresenceRow) -> u64 {
     stable_hash(&[b"store reader", row.instance.as_str().as_bytes()])
 }
--- a/src/feed/serve.rs
+++ b/src/feed/serve.rs
@@ -1,6 +1,7 @@
 //! Serves a feed to a daemon of the same failure domain.
 
 use crate::feed::contact::StoreContactCell;
+use crate::feed::inbox::FeedInbox;
 use crate::feed::message::{FeedFrame, FeedPart, FeedParts};
 use crate::feed::packing::PackedCache;
 use crate::feed::readers::ReadingRole;
@@ -26,6 +27,11 @@
 const COLLECT_DELAY: Duration = Duration::from_millis(20);
 /// Time limit for sending a frame; of the largest ones to many followers on a slow link, too.
 const SEND_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time for which a daemon that asks for a feed may not be listed yet: less than it waits for a frame, and
+/// more than the collecting of presence changes takes.
+const LISTING_WAIT: Duration = Duration::from_millis(900);
+/// Period of checking whether it is listed.
+const LISTING_POLL: Duration = Duration::from_millis(50);
 /// Most feeds that a daemon serves at the same time.
 const MAX_FEEDS: usize = 128;
 /// Most prefixes of one feed.
@@ -38,6 +44,8 @@
     pub(crate) mirrors: MirrorSet,
     /// This daemon's contact with the store.
     pub(crate) contact: Arc<StoreContactCell>,
+    /// Feed that this daemon follows while it stands by for a reader; `None` where none does.
+    pub(crate) upstream: Option<Arc<FeedInbox>>,
     /// Clock of this process.
     pub(crate) clock: MonoClock,
     /// How this daemon learns of changes at present.
@@ -57,6 +65,32 @@
 }
 
 impl FeedSource {
+    /// Age of the contact with the store that confirms the mirrors. Renewals of the lease confirm nothing
+    /// while another daemon's feed or a list takes the place of watches.
+    fn contact_age(&self) -> Option<Duration> {
+        let now = self.clock.now();
+        let upstream = self.upstream.as_ref();
+        let handed_on = upstream.and_then(|inbox| inbox.contact_age(now));
+        handed_on.or_else(|| self.contact.age(now))
+    }
+
+    /// True once the request is of a listed daemon. Where daemons ask as soon as they have written their
+    /// entry, this one may not have read it yet.
+    async fn wait_listed(&self, request: &FeedRequest) -> bool {
+        let limit = match self.upstream {
+            Some(_) => LISTING_WAIT,
+            None => Duration::ZERO,
+        };
+        let started = self.clock.now();
+        while !(self.is_listed)(request) {
+            if self.clock.now().since(started) >= limit {
+                return false;
+            }
+            Timer::after(LISTING_POLL).await;
+        }
+        true
+    }
+
     /// The next frame of a feed that has told everything up to `positions`, which are moved on. `None`
     /// when this daemon cannot serve the feed.
     fn next_frame(
@@ -68,7 +102,7 @@
         if matches!((self.role)(), ReadingRole::Follower(_)) {
             return None;
         }
-        let age = self.contact.age(self.clock.now())?;
+        let age = self.contact_age()?;
         let failures = self.contact.failures();
         let mut parts = FeedParts::default();
         let mut range = Vec::new();
@@ -128,8 +162,8 @@
     let may_pack = request.reads_packed;
     let request = request.feed.unwrap_or_default();
     let served = ServedFeed::begin(&source.served);
-    let is_welcome = (source.is_listed)(&request) && request.positions.len() <= MAX_PREFIXES;
-    if served.is_none() || !is_welcome {
+    let has_place = served.is_some() && request.positions.len() <= MAX_PREFIXES;
+    if !has_place || !source.wait_listed(&request).await {
         return send_frame(frames, &FeedFrame::default()).await;
     }
     let positions = request.positions.iter();
--- a/src/feed/subscribe.rs
+++ b/src/feed/subscribe.rs
@@ -54,6 +54,8 @@
     pub(crate) identity: (InstanceId, Arc<str>),
     /// How this daemon learns of changes at present.
     pub(crate) role: Arc<dyn Fn() -> ReadingRole + Send + Sync>,
+    /// True to rely on the last frame of a feed that has ended for as long as if it were silent.
+    pub(crate) keeps_ended: bool,
     /// Structured log.
     pub(crate) events: EventLog,
     /// Feeds that began, ended or were malformed.
@@ -83,6 +85,16 @@
     RoleChanged,
 }
 
+impl LinkError {
+    /// True if the frames that have arrived are as good as those of a daemon that has fallen silent.
+    fn leaves_frames_valid(&self) -> bool {
+        match self {
+            Self::Connection(_) | Self::Silent | Self::Rejected(FeedError::Refused) => true,
+            Self::Outdated | Self::Malformed(_) | Self::Rejected(_) | Self::RoleChanged => false,
+        }
+    }
+}
+
 impl fmt::Display for LinkError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -118,8 +130,11 @@
             continue;
         };
         let ended = follow_feed(&ports, &sender, &positions).await;
-        ports.inbox.close();
         let mut avoid_time = AVOID_TIME;
+        match &ended {
+            Err(cause) if ports.keeps_ended && cause.leaves_frames_valid() => ports.inbox.suspend(),
+            _ => ports.inbox.close(),
+        }
         if let Err(cause) = ended {
             let is_refused = matches!(cause, LinkError::Rejected(FeedError::Refused));
             // A daemon that all readers refuse asks them every second.
@@ -141,7 +156,7 @@
 ) -> Option<PresenceRow> {
     match role {
         ReadingRole::Reader | ReadingRole::Unlisted => None,
-        ReadingRole::Follower(readers) => readers
+        ReadingRole::Follower(readers) | ReadingRole::Standby(readers) => readers
             .into_iter()
             .find(|row| !avoided.contains_key(&row.instance)),
     }
@@ -176,7 +191,15 @@
         if has_contact && now.since(contact_at) > MAX_OUTDATED_TIME {
             return Err(LinkError::Outdated);
         }
-        if (ports.role)() == ReadingRole::Reader {
+        let may_follow = match (ports.role)() {
+            ReadingRole::Reader => false,
+            // Two that stand by must not follow each other.
+            ReadingRole::Standby(earlier) => {
+                earlier.iter().any(|row| row.instance == sender.instance)
+            }
+            ReadingRole::Unlisted | ReadingRole::Follower(_) => true,
+        };
+        if !may_follow {
             return Err(LinkError::RoleChanged);
         }
     }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -5,6 +5,7 @@
     ChangeSource, FollowNotice, FollowSpec, SnapshotSource, count_readers, follow_prefix,
 };
 use crate::gateway::crashes::apply_crash_change;
+use crate::gateway::feeding::list_rest;
 use crate::gateway::run::GatewayState;
 use crate::gateway::targets::TargetNotice;
 use crate::mirror::{ExpiryHold, MirrorChange, RemovalStep, StoreItem};
@@ -44,6 +45,7 @@
             batch_delay(delay, count_readers(rows.values()))
         }),
         inbox: Arc::clone(&state.inbox),
+        rest: list_rest(state, prefix),
         clock: state.context.clock,
     }
 }
@@ -92,7 +94,8 @@
         snapshot_source(&state),
         |notice| match notice {
             FollowNotice::Failed(cause) => contact.on_failure(&state, cause),
-            FollowNotice::Restored | FollowNotice::FeedFailed => {}
+            FollowNotice::FeedFailed => pass_on_failure(&state),
+            FollowNotice::Restored => {}
             FollowNotice::PeerSnapshot(changes) => {
                 contact.on_snapshot(&state, changes);
                 adopt(changes);
@@ -149,7 +152,10 @@
                 contact.on_failure(&state, cause);
                 record_target_failure(&state);
             }
-            FollowNotice::FeedFailed => record_target_failure(&state),
+            FollowNotice::FeedFailed => {
+                pass_on_failure(&state);
+                record_target_failure(&state);
+            }
             // Nothing is ordered until the servers have had time to write again.
             FollowNotice::Restored => state.record_target_sync(false),
             // The list does not count as in sync: the leader must not place orders by a snapshot, which
@@ -168,6 +174,13 @@
     .await;
 }
 
+/// Tells the followers of a daemon that stands by what its reader has told of the store.
+fn pass_on_failure(state: &GatewayState) {
+    if state.context.settings.store.save_calls {
+        state.contact.on_failure();
+    }
+}
+
 /// Records that the store does not answer: the list is out of sync, and entries may lapse.
 fn record_target_failure(state: &GatewayState) {
     state.record_target_sync(false);
@@ -263,7 +276,10 @@
                 contact.on_failure(&state, cause);
                 hold.on_failure(now);
             }
-            FollowNotice::FeedFailed => hold.on_failure(now),
+            FollowNotice::FeedFailed => {
+                pass_on_failure(&state);
+                hold.on_failure(now);
+            }
             FollowNotice::Restored => {}
             FollowNotice::PeerSnapshot(changes) => {
                 contact.on_snapshot(&state, changes);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 
 mod addresses;
 mod crashes;
+mod feeding;
 mod follow;
 mod leader;
 mod ports;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -1,10 +1,8 @@
 //! Start and graceful shutdown of the relaying daemon.
 
-use crate::feed::{
-    FeedInbox, FeedSource, ReadingRole, StoreContactCell, SubscriberPorts, reading_role,
-    serve_copies, subscribe_feeds,
-};
+use crate::feed::{FeedInbox, StoreContactCell};
 use crate::gateway::crashes::{CrashStoreDelay, sync_crashes};
+use crate::gateway::feeding::{follow_feeds, share_copies};
 use crate::gateway::follow::{
     follow_config, follow_presence, follow_targets, log_target_notices, publish_targets,
 };
@@ -209,17 +207,6 @@
         self.session.leads(now)
     }
 
-    /// How this daemon learns of changes of the store. A leader reads the store itself, as its orders
-    /// depend on it.
-    pub fn reading_role(&self) -> ReadingRole {
-        if self.leads(self.context.clock.now()) {
-            return ReadingRole::Reader;
-        }
-        let settings = &self.context.settings;
-        let rows = self.context.presence.rows();
-        reading_role(rows.values(), &settings.instance, &settings.failure_domain)
-    }
-
     /// True while the feed of another daemon continues all mirrors.
     pub fn is_fed(&self) -> bool {
         let now = self.context.clock.now();
@@ -334,44 +321,6 @@
     }
 }
 
-async fn share_copies(state: Arc<GatewayState>) {
-    let listen = state.context.settings.listen.peers;
-    let (reading, listed) = (Arc::clone(&state), Arc::clone(&state));
-    let source = FeedSource {
-        mirrors: state.mirrors.clone(),
-        contact: Arc::clone(&state.contact),
-        clock: state.context.clock,
-        role: Arc::new(move || reading.reading_role()),
-        is_listed: Arc::new(move |request| {
-            let presence = &listed.context.presence;
-            presence.knows_run(&request.sender, &request.token)
-        }),
-        packed: Arc::default(),
-        served: Arc::default(),
-    };
-    if let Err(cause) = serve_copies(listen, source).await {
-        log::error!("cannot serve snapshots on {listen}: {cause}");
-    }
-}
-
-async fn follow_feeds(state: Arc<GatewayState>) {
-    let deciding = Arc::clone(&state);
-    let ports = SubscriberPorts {
-        clock: state.context.clock,
-        mirrors: state.mirrors.clone(),
-        contact: Arc::clone(&state.contact),
-        inbox: Arc::clone(&state.inbox),
-        identity: (
-            state.context.settings.instance.clone(),
-            Arc::clone(&state.context.relay_token),
-        ),
-        role: Arc::new(move || deciding.reading_role()),
-        events: state.context.events.clone(),
-        counts: state.context.metrics.feeds.clone(),
-    };
-    subscribe_feeds(ports).await;
-}
-
 fn start_timers(state: &Arc<GatewayState>) {
     let timers = TimerService::new(state.context.clock);
     let renewing = Arc::clone(state);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -79,9 +79,9 @@
     OrderReply, PipelineWork, StagePhase, StageProgress, StreamRecord,
 };
 pub use feed::{
-    FeedChange, FeedError, FeedFrame, FeedInbox, FeedPart, FeedParts, FeedStep, READERS_PER_DOMAIN,
-    ReadingRole, StoreContactCell, count_readers, is_first_reader, next_snapshot_delay,
-    reading_role,
+    FeedChange, FeedError, FeedFrame, FeedInbox, FeedPart, FeedParts, FeedStep, LIST_REST,
+    ListRest, READERS_PER_DOMAIN, ReadingRole, StoreContactCell, count_readers, is_first_reader,
+    next_snapshot_delay, reading_role, saving_role,
 };
 pub use gateway::{
     AddressReply, GatewayError, GatewayHandle, GatewayPorts, GatewayState, LayerOrder,
--- a/src/presence/session.rs
+++ b/src/presence/session.rs
@@ -120,6 +120,11 @@
         }
     }
 
+    /// Entry of this daemon in the store.
+    pub fn row(&self) -> &PresenceRow {
+        &self.row
+    }
+
     /// True when this daemon is the leader and its lease is valid. It may still have to wait before
     /// it sends orders, see [`Self::fence`].
     pub fn leads(&self, now: MonoTime) -> bool {
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -60,6 +60,10 @@
     /// at least as long.
     #[serde(default = "default_lease_floor")]
     pub lease_floor_ms: u64,
+    /// True to make fewer calls: one daemon of each failure domain watches the store, two stand by, and
+    /// a daemon that starts or loses its feed waits a bounded time for a feed before it watches.
+    #[serde(default)]
+    pub save_calls: bool,
 }
 
 /// Shortest lease when the settings name none, in milliseconds.
@@ -126,6 +130,7 @@
 const STORE_TABLE: &[FieldRule] = &[
     FieldRule::required("address", FieldKind::Address),
     FieldRule::optional("lease_floor_ms", FieldKind::Integer(0, 600_000)),
+    FieldRule::optional("save_calls", FieldKind::Boolean),
 ];
 
 const BOUNDS_TABLE: &[FieldRule] = &[
--- a/tests/platform_feeds.rs
+++ b/tests/platform_feeds.rs
@@ -60,9 +60,10 @@
 }
 
 /// Site whose readers use address 1 of the store, so that it can fail for them alone.
-fn fed_site() -> SiteFleet {
+fn fed_site(saves_calls: bool) -> SiteFleet {
     let mut site = SiteFleet::without_daemons(SiteSpec {
         models_per_domain: 0,
+        saves_calls,
         ..SiteSpec::default()
     });
     let names = names();
@@ -116,7 +117,7 @@
 /// Guards against a store that is called by each daemon at each change.
 #[test]
 fn change_costs_one_watch_for_each_reader() {
-    let site = fed_site();
+    let site = fed_site(false);
     let all: Vec<&SiteDaemon> = site.daemons.iter().collect();
     let before = site.store.watches();
 
@@ -131,11 +132,14 @@
 
 /// The store turns the readers away, or cuts them off, and serves the others: these are in touch and have
 /// to follow the configuration within its bound.
-#[test_case(StoreFault::Busy)]
-#[test_case(StoreFault::Reset)]
-#[test_case(StoreFault::RepliesLost)]
-fn followers_of_readers_that_lose_the_store_keep_the_bound(fault: StoreFault) {
-    let site = fed_site();
+#[test_case(StoreFault::Busy, false)]
+#[test_case(StoreFault::Reset, false)]
+#[test_case(StoreFault::RepliesLost, false)]
+#[test_case(StoreFault::Busy, true; "busy with readers that stand by")]
+#[test_case(StoreFault::Reset, true; "reset with readers that stand by")]
+#[test_case(StoreFault::RepliesLost, true; "replies lost with readers that stand by")]
+fn followers_of_readers_that_lose_the_store_keep_the_bound(fault: StoreFault, saves_calls: bool) {
+    let site = fed_site(saves_calls);
     site.store.set_fault(1, fault);
 
     let followers = followers(&site);
@@ -151,7 +155,7 @@
 /// A key is taken away just when the readers lose the store.
 #[test]
 fn key_taken_away_while_the_readers_are_cut_off_stops_working() {
-    let site = fed_site();
+    let site = fed_site(false);
     let followers = followers(&site);
     site.store.set_fault(1, StoreFault::RepliesLost);
     let mut config = sample_config(2);
@@ -170,7 +174,7 @@
 /// lease runs out: the feed is then all that they have.
 #[test]
 fn followers_that_lose_the_store_still_learn_of_changes() {
-    let site = fed_site();
+    let site = fed_site(false);
     site.store.set_fault(0, StoreFault::Reset);
     thread::sleep(LEASE_TIME + Duration::from_secs(1));
 
@@ -184,9 +188,10 @@
 }
 
 /// After the readers have the store again, feeds resume and nobody lists everything again and again.
-#[test]
-fn feeds_resume_after_an_outage_of_the_store() {
-    let site = fed_site();
+#[test_case(false; "all readers watch")]
+#[test_case(true; "one reader watches")]
+fn feeds_resume_after_an_outage_of_the_store(saves_calls: bool) {
+    let site = fed_site(saves_calls);
     for index in [0, 1] {
         site.store.set_fault(index, StoreFault::Busy);
     }
@@ -201,9 +206,10 @@
 }
 
 /// Readers are shut down one after the other while the configuration changes.
-#[test]
-fn readers_that_shut_down_are_replaced() {
-    let mut site = fed_site();
+#[test_case(false; "all readers watch")]
+#[test_case(true; "one reader watches")]
+fn readers_that_shut_down_are_replaced(saves_calls: bool) {
+    let mut site = fed_site(saves_calls);
     let names = names();
     let mut wanted = 1;
     let numbers = (0..DAEMONS).rev();
