--- a/src/feed/readers.rs
+++ b/src/feed/readers.rs
@@ -22,6 +22,18 @@
     Follower(Vec<PresenceRow>),
 }
 
+impl ReadingRole {
+    /// Name in log lines.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Reader => "reader",
+            Self::Standby(_) => "standby",
+            Self::Unlisted => "unlisted",
+            Self::Follower(_) => "follower",
+        }
+    }
+}
+
 /// Number of daemons that read the store among the listed ones.
 pub fn count_readers<'a>(rows: impl Iterator<Item = &'a PresenceRow>) -> usize {
     let mut daemons: HashMap<&DomainId, usize> = HashMap::new();
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -295,7 +295,11 @@
                 }
                 let leader = mirror.items().find(|item| item.key == leader_key());
                 state.session.observe_leader(leader);
-                state.record_leader(leader.is_some());
+                // A resting list may be from before the election: all daemons of a fleet that starts would
+                // campaign by it. This daemon's own entry ends the watch after the rest.
+                if leader.is_some() || !state.inbox.is_resting(PRESENCE_PREFIX) {
+                    state.record_leader(leader.is_some());
+                }
                 if !rows.contains_key(&state.presence_key) {
                     state.session.mark_missing(mirror.version());
                 }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -366,6 +366,7 @@
 fn log_store_calls(state: &GatewayState) {
     let requests = &state.context.metrics.store_requests;
     let line = EventLine::new("store_calls").with("is_fed", state.is_fed());
+    let line = line.with("role", state.reading_role().name());
     let line = CALL_KINDS.iter().fold(line, |line, kind| {
         line.with(kind, requests.with_label_values(&[kind]).get())
     });
