Hand out capacity of model services by priority and team

Cause: under overload, a free place went to whichever request polled first, so the most urgent requests were served worst. Change: one queue for each service and daemon, by priority and then fair between teams; lower priorities leave headroom for what arrives of higher ones at the daemons of the domain; refused callers return by priority. In force where requests to a service differ in priority, or where the settings ask for fair teams.

--- a/rig/src/site/fleet.rs
+++ b/rig/src/site/fleet.rs
@@ -7,8 +7,8 @@
 use crate::site::plain::PlainServer;
 use crate::site::store::SiteStore;
 use arbutusmount::{
-    EventLog, GatewayBounds, GatewayHandle, GatewayListen, GatewaySettings, GatewayState,
-    GatewayStore, MetricSet, start_gateway,
+    EventLog, GatewayAdmission, GatewayBounds, GatewayHandle, GatewayListen, GatewaySettings,
+    GatewayState, GatewayStore, MetricSet, start_gateway,
 };
 use arbutusmount_platform::platform_ports;
 use async_std::task;
@@ -202,6 +202,7 @@
                 metrics: None,
                 relay: Some(free_address()),
             },
+            admission: GatewayAdmission::default(),
             store: GatewayStore {
                 address: store,
                 lease_floor_ms: 1_000,
--- a/src/admission/queue.rs
+++ b/src/admission/queue.rs
@@ -1,6 +1,7 @@
 //! Fair queue of one model: strict priority classes, start-time fair queueing between the teams of
 //! a class by cost and weight, and immediate refusal of requests that cannot start in time.
 
+use crate::admission::order::{AdmissionTicket, FairOrder, QueueOrder};
 use crate::ids::TeamId;
 use crate::units::MonoTime;
 use std::collections::{BTreeSet, HashMap, HashSet};
@@ -15,10 +16,6 @@
     pub max_entries: usize,
 }
 
-/// Number of a request in its queue, in order of arrival.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct AdmissionTicket(pub u64);
-
 /// Request that asks to start.
 #[derive(Debug, Clone, PartialEq)]
 pub struct QueueRequest {
@@ -50,23 +47,11 @@
     Refuse(Duration),
 }
 
-/// Order of the waiting requests: priority class, then start tag, then arrival.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct QueueOrder {
-    priority: u8,
-    start_tag: u64,
-    ticket: AdmissionTicket,
-}
-
-/// Units of a tag per token and unit of weight.
-const TAG_SCALE: f64 = 1_000.0;
 /// Weight of the newest sample in the moving average of the service time.
 const SERVICE_TIME_GAIN: f64 = 0.1;
 /// Shortest and longest Retry-After time.
 const RETRY_AFTER_BOUNDS: (Duration, Duration) =
     (Duration::from_millis(200), Duration::from_secs(30));
-/// Number of teams with a finish tag from which on idle teams are removed.
-const MAX_FINISH_TAGS: usize = 4_096;
 
 /// Divisor of the limit that gives the reserve, which is the number of places above the limit for
 /// teams without a request in progress.
@@ -78,11 +63,7 @@
     settings: QueueSettings,
     limit: usize,
     in_use: usize,
-    next_ticket: u64,
-    /// Highest start tag of a request that has started.
-    virtual_time: u64,
-    /// Finish tag of each team's last request.
-    finish_tags: HashMap<TeamId, u64>,
+    order: FairOrder<TeamId>,
     /// Requests in progress of each team.
     running: HashMap<TeamId, usize>,
     /// Teams whose only request in progress was started above the limit, in the reserve.
@@ -119,9 +100,7 @@
             settings,
             limit,
             in_use: 0,
-            next_ticket: 0,
-            virtual_time: 0,
-            finish_tags: HashMap::new(),
+            order: FairOrder::default(),
             running: HashMap::new(),
             reserved: HashSet::new(),
             waiting: BTreeSet::new(),
@@ -154,7 +133,7 @@
             self.start(order, &request.team);
             return AdmissionDecision::Start(order.ticket);
         }
-        let start_tag = self.start_tag(&request.team);
+        let start_tag = self.order.start_tag(&request.team);
         let ahead = self.count_ahead(request.priority, start_tag);
         let wait = self.expected_time(ahead + 1);
         if wait.is_some_and(|wait| wait > self.settings.max_wait) {
@@ -250,35 +229,17 @@
         }
         self.in_use += 1;
         *self.running.entry(team.clone()).or_default() += 1;
-        self.virtual_time = self.virtual_time.max(order.start_tag);
+        self.order.on_start(order);
     }
 
-    fn start_tag(&self, team: &TeamId) -> u64 {
-        let finish = self.finish_tags.get(team).copied().unwrap_or(0);
-        finish.max(self.virtual_time)
-    }
-
-    /// Gives a request its place in the order and charges its cost to the team's finish tag.
     fn assign_order(&mut self, request: &QueueRequest) -> QueueOrder {
-        let start_tag = self.start_tag(&request.team);
-        let tag_length = (request.cost * TAG_SCALE / f64::from(request.weight.max(1))) as u64;
-        self.remove_idle_teams();
-        self.finish_tags
-            .insert(request.team.clone(), start_tag + tag_length);
-        let ticket = AdmissionTicket(self.next_ticket);
-        self.next_ticket += 1;
-        QueueOrder {
-            priority: request.priority,
-            start_tag,
-            ticket,
-        }
-    }
-
-    fn remove_idle_teams(&mut self) {
-        if self.finish_tags.len() >= MAX_FINISH_TAGS {
-            let now = self.virtual_time;
-            self.finish_tags.retain(|_team, finish| *finish > now);
-        }
+        let QueueRequest {
+            team,
+            priority,
+            weight,
+            cost,
+        } = request;
+        self.order.assign(team, *priority, *cost, *weight)
     }
 
     fn count_ahead(&self, priority: u8, start_tag: u64) -> usize {
--- a/src/catalog/version.rs
+++ b/src/catalog/version.rs
@@ -3,7 +3,7 @@
 use crate::catalog::route::{ModelShape, RouteEntry};
 use crate::ids::{ServiceId, TeamId};
 use arc_swap::ArcSwapOption;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -71,6 +71,8 @@
     routes: HashMap<Arc<str>, HashMap<Arc<str>, Arc<RouteEntry>>>,
     keys: HashMap<Arc<str>, Arc<TeamEntry>>,
     requires_key: bool,
+    /// Services whose requests differ in priority.
+    prioritized: HashSet<ServiceId>,
 }
 
 impl RoutingCatalog {
@@ -82,6 +84,8 @@
         services: Vec<ServiceEntry>,
         keys: Option<Vec<(Arc<str>, Arc<TeamEntry>)>>,
     ) -> Self {
+        let teams = keys.iter().flatten().map(|(_, team)| team.as_ref());
+        let prioritized = find_prioritized(&routes, teams);
         let mut by_host: HashMap<Arc<str>, HashMap<Arc<str>, Arc<RouteEntry>>> = HashMap::new();
         for route in routes {
             let prefixes = by_host.entry(Arc::clone(&route.host)).or_default();
@@ -95,6 +99,7 @@
                 .map(|service| (service.name.clone(), Arc::new(service)))
                 .collect(),
             routes: by_host,
+            prioritized,
             requires_key: keys.is_some(),
             keys: keys.unwrap_or_default().into_iter().collect(),
         }
@@ -123,6 +128,18 @@
         }
     }
 
+    /// True when requests to the service differ in priority, by their routes or teams.
+    pub fn has_priorities(&self, service: &ServiceId) -> bool {
+        self.prioritized.contains(service)
+    }
+
+    /// Names of the services whose requests differ in priority, separated by commas.
+    pub fn prioritized_services(&self) -> String {
+        let mut names: Vec<&str> = self.prioritized.iter().map(ServiceId::as_str).collect();
+        names.sort_unstable();
+        names.join(",")
+    }
+
     /// Returns the service with this name.
     pub fn service(&self, name: &ServiceId) -> Option<&Arc<ServiceEntry>> {
         self.services.get(name)
@@ -170,3 +187,23 @@
         is_newer(&before)
     }
 }
+
+/// Services whose requests may have more than one priority. A team's priority overrides that of a route.
+fn find_prioritized<'a>(
+    routes: &[RouteEntry],
+    teams: impl Iterator<Item = &'a TeamEntry>,
+) -> HashSet<ServiceId> {
+    let overrides: BTreeSet<Option<u8>> = teams.map(|team| team.priority).collect();
+    let mut priorities: HashMap<&ServiceId, BTreeSet<u8>> = HashMap::new();
+    for route in routes {
+        let uses_own = route.public || overrides.is_empty() || overrides.contains(&None);
+        let own = uses_own.then_some(route.priority);
+        for share in &route.shares {
+            let known = priorities.entry(&share.service).or_default();
+            known.extend(own);
+            known.extend(overrides.iter().flatten());
+        }
+    }
+    let differing = priorities.into_iter().filter(|(_, known)| known.len() > 1);
+    differing.map(|(service, _)| service.clone()).collect()
+}
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -120,11 +120,13 @@
     };
     let version = catalog.version;
     let routes = catalog.route_count();
+    let by_priority = catalog.prioritized_services();
     let adopted = context.catalog.adopt(catalog);
     let outcome = if adopted { "in_force" } else { "older" };
     context.events.emit(
         line.with("version", version)
             .with("routes", routes)
+            .with("by_priority", by_priority)
             .with("outcome", outcome),
     );
     if adopted {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,8 +42,9 @@
 
 pub use admission::{
     AdmissionDecision, AdmissionGate, AdmissionPermit, AdmissionRequest, AdmissionSettings,
-    AdmissionTicket, BucketOutcome, ConcurrencyLimit, DemandReport, DemandRow, DemandTable,
-    FairQueue, LimitSettings, QueueRequest, QueueSettings, TokenBucket,
+    AdmissionTicket, BucketOutcome, CapacityQueue, CapacityRequest, CapacityStep, ConcurrencyLimit,
+    DemandReport, DemandRow, DemandTable, FairOrder, FairQueue, LimitSettings, PriorityDemand,
+    QueueBacklog, QueueOrder, QueueRequest, QueueSettings, TokenBucket, priority_headroom,
 };
 pub use api::{
     AddressResponse, AddressRow, ChatChoice, ChatMessage, ChatRequest, ChatResponse, ChatUsage,
@@ -110,7 +111,8 @@
     PermitReply, TakeOutcome, choose_keeper,
 };
 pub use loads::{
-    LoadTable, PeerGroups, PeerOrigin, ReservationDigest, ReservationRow, target_hash,
+    DemandTotals, LoadTable, PeerGroups, PeerOrigin, PriorityDemandRow, ReservationDigest,
+    ReservationRow, demand_rows, service_hash, target_hash,
 };
 pub use membership::{
     AddressPlan, CallNumber, IncarnationNumber, LeavingMarks, LeavingTarget, MarkRecord,
@@ -149,11 +151,11 @@
     DrainTable, LeaderElection, LeaderLease, ObservedEngine, OrderPlan, PlannedOrder, plan_orders,
 };
 pub use relay::{
-    BudgetLimits, ChainRequirement, DispatchMetadata, GatewayBounds, GatewayListen,
-    GatewaySettings, GatewayStore, LocalReply, PeerDispatch, RefusalCause, RefusalPressure,
-    RelayCodec, RelayContext, RelayFailure, RelayMetrics, ReplyMetadata, RequestMetadata,
-    RetryBudget, RetryState, RetryStep, StallDetector, StallStep, TargetNotices, pick_chain,
-    pick_target, return_delay,
+    BudgetLimits, ChainRequirement, DispatchMetadata, FullStep, GatewayAdmission, GatewayBounds,
+    GatewayListen, GatewaySettings, GatewayStore, LocalReply, MAX_RESERVED_SHARE, PeerDispatch,
+    RefusalCause, RefusalPressure, RelayCodec, RelayContext, RelayFailure, RelayMetrics,
+    ReplyMetadata, RequestMetadata, RetryBudget, RetryState, RetryStep, StallDetector, StallStep,
+    TargetNotices, pick_chain, pick_target, return_delay,
 };
 pub use routing::{
     AnswerEvent, AnswerStream, AttemptEvent, AttemptFailure, AttemptLimits, AttemptMachine,
--- a/src/loads/digest.rs
+++ b/src/loads/digest.rs
@@ -5,6 +5,7 @@
 use crate::ids::InstanceId;
 use crate::lending::{RetryAsk, RetryLoan};
 use crate::limits::{LimitRow, PermitAsk, PermitReply};
+use crate::loads::demand::PriorityDemandRow;
 use crate::poison::PoisonRow;
 use crate::reach::ReachStatement;
 use prost::Message;
@@ -48,6 +49,9 @@
     /// Reply to such a question of the receiver.
     #[prost(message, optional, tag = "11")]
     pub retry_loan: Option<RetryLoan>,
+    /// Demand for services whose requests differ in priority.
+    #[prost(message, repeated, tag = "12")]
+    pub demand: Vec<PriorityDemandRow>,
 }
 
 impl ReservationDigest {
--- a/src/loads/exchange.rs
+++ b/src/loads/exchange.rs
@@ -9,6 +9,8 @@
     RelayContext, answer_ask, answer_retry_ask, count_crashes, known_limits, leaving_runs,
     merge_leaving_runs, merge_limits, merge_peer_crashes, unstored_crashes,
 };
+use crate::targets::TargetEntry;
+use crate::units::MonoTime;
 use async_io::{Async, Timer};
 use futures_lite::future::or;
 use prost::Message;
@@ -77,12 +79,14 @@
             Ok(None) => {
                 peers = peer_groups(&context);
                 apply_totals(&context, &table, peers.remote_count());
+                apply_demand(&context, &table, &peers);
                 digest.sequence += 1;
                 digest.rows = local_rows(&context);
                 count_crashes(&context);
                 digest.crashes = unstored_crashes(&context);
                 digest.limits = known_limits(&context, digest.sequence);
                 digest.leaving = leaving_runs(&context);
+                digest.demand = context.capacity.demand_rows(clock.now());
                 let statement = context.reach.statement();
                 let is_news = digest.reach.replace(statement) != Some(statement);
                 send_digest(&socket, &digest, &peers).await;
@@ -146,12 +150,20 @@
         tokens: target.stats.reserved_tokens() as u32,
         requests: target.stats.in_progress(),
         unreachable: target.stats.is_unreachable(),
-        failing: target.stats.is_ejected(now) && !target.stats.is_replaced(),
+        failing: is_failing(target, now),
     });
     rows.filter(|row| row.requests > 0 || row.unreachable || row.failing)
         .collect()
 }
 
+/// True while this daemon gives the target nothing because its last requests there have failed, or because
+/// it turned requests away as a part of a chain.
+fn is_failing(target: &TargetEntry, now: MonoTime) -> bool {
+    let stats = &target.stats;
+    let is_saturated = target.card.is_some() && stats.shedding().is_shedding(now);
+    (stats.is_ejected(now) || is_saturated) && !stats.is_replaced()
+}
+
 fn apply_totals(context: &RelayContext, table: &LoadTable, remote_daemons: usize) {
     let totals = table.totals(remote_daemons, context.clock.now());
     for target in context.targets.load().targets() {
@@ -166,6 +178,27 @@
     }
 }
 
+/// Publishes the demand of the other daemons and lets waiting requests look for capacity again.
+fn apply_demand(context: &RelayContext, table: &LoadTable, peers: &PeerGroups) {
+    let now = context.clock.now();
+    let age = SEND_PERIOD * peers.local_interval();
+    context.capacity.set_peer_demand(table.demand(now), age);
+    context.capacity.notify();
+    update_gauges(context);
+}
+
+fn update_gauges(context: &RelayContext) {
+    let gauges = &context.metrics.capacity_waiting;
+    for (service, counts) in context.capacity.waiting_counts() {
+        for (priority, count) in counts {
+            let priority = priority.to_string();
+            gauges
+                .with_label_values(&[service.as_str(), priority.as_str()])
+                .set(i64::try_from(count).unwrap_or(i64::MAX));
+        }
+    }
+}
+
 async fn send_digest(socket: &Async<UdpSocket>, digest: &ReservationDigest, peers: &PeerGroups) {
     let bytes = digest.encode_to_vec();
     for address in peers.recipients(digest.sequence) {
--- a/src/loads/fanout.rs
+++ b/src/loads/fanout.rs
@@ -66,6 +66,11 @@
         self.local.iter().chain(&self.remote).copied()
     }
 
+    /// Number of consecutive digests of which each other daemon of the failure domain gets at least one.
+    pub fn local_interval(&self) -> u32 {
+        self.local.len().div_ceil(LOCAL_FAN_OUT).max(1) as u32
+    }
+
     /// Number of daemons of other failure domains.
     pub fn remote_count(&self) -> usize {
         self.remote.len()
--- a/src/loads/mod.rs
+++ b/src/loads/mod.rs
@@ -3,11 +3,13 @@
 //! too slow and too expensive for figures that change with every request. The same messages carry
 //! crashes under requests until the store has them.
 
+mod demand;
 mod digest;
 mod exchange;
 mod fanout;
 mod table;
 
+pub use demand::{DemandCell, DemandTotals, PriorityDemandRow, demand_rows, service_hash};
 pub use digest::{ReservationDigest, ReservationRow, target_hash};
 pub use exchange::exchange_loads;
 pub use fanout::{PeerGroups, PeerOrigin};
--- a/src/loads/table.rs
+++ b/src/loads/table.rs
@@ -3,6 +3,7 @@
 //! The daemons of the same failure domain are all heard within a second. Of the others, only some are
 //! heard in that time, in turn, and what these have reserved is taken as a sample of them all.
 
+use crate::loads::demand::DemandTotals;
 use crate::loads::digest::ReservationDigest;
 use crate::loads::fanout::PeerOrigin;
 use crate::units::MonoTime;
@@ -57,6 +58,19 @@
         }
     }
 
+    /// Sums the demand of the other daemons of this failure domain, which share its targets.
+    pub fn demand(&self, now: MonoTime) -> DemandTotals {
+        let is_counted = |origin: PeerOrigin, at: MonoTime| {
+            origin == PeerOrigin::Local && now.since(at) <= MAX_DIGEST_AGE
+        };
+        let mut totals = DemandTotals::default();
+        let digests = self.digests.values();
+        for (digest, _, _) in digests.filter(|(_, origin, at)| is_counted(*origin, *at)) {
+            digest.demand.iter().for_each(|row| totals.add(row));
+        }
+        totals
+    }
+
     /// Sums the unexpired digests, by the hash of the target. Those of other failure domains count for
     /// all `remote_daemons` that are listed there.
     pub fn totals(&self, remote_daemons: usize, now: MonoTime) -> HashMap<u64, PeerLoad> {
--- a/src/relay/choice.rs
+++ b/src/relay/choice.rs
@@ -16,7 +16,7 @@
 const REMOTE_DOMAIN_LOAD: f64 = 0.25;
 /// Share of a chain's token capacity that may be reserved. The rest absorbs wrong estimates: a
 /// chain that runs out of memory preempts requests in the middle of their responses.
-const MAX_RESERVED_SHARE: f64 = 0.93;
+pub const MAX_RESERVED_SHARE: f64 = 0.93;
 /// The same limit for resumed streams, above the whole capacity: their tokens were already admitted
 /// at the chain that failed.
 const MAX_RESUMED_SHARE: f64 = 1.03;
@@ -39,6 +39,21 @@
     /// True for a resumed stream, which may use more of a chain: its tokens were already admitted
     /// at the chain that failed.
     pub is_resumed: bool,
+    /// Share of a chain's token capacity up to which a new request may fill it. Resumed streams have a
+    /// limit of their own.
+    pub max_share: f64,
+    /// What to do while all healthy chains are full.
+    pub when_full: FullStep,
+}
+
+/// What a request does while all healthy chains are full.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FullStep {
+    /// It uses a degraded chain.
+    UseDegraded,
+    /// It waits for a healthy chain. While a service is overloaded, a degraded chain looks like the
+    /// only one with capacity, and attempts there only use up the retry budget.
+    Wait,
 }
 
 /// Selects the least loaded ready target that is not in `tried`, preferring the local failure
@@ -124,7 +139,11 @@
             least_cost(&costs, rng)
         }
     };
-    choose(&healthy).or_else(|| choose(&degraded))
+    let chosen = choose(&healthy);
+    if !healthy.is_empty() && requirement.when_full == FullStep::Wait {
+        return chosen;
+    }
+    chosen.or_else(|| choose(&degraded))
 }
 
 /// Costs of the chains with capacity for the request.
@@ -136,7 +155,7 @@
     let limit = if requirement.is_resumed {
         MAX_RESUMED_SHARE
     } else {
-        MAX_RESERVED_SHARE
+        requirement.max_share
     };
     let cost = |chain: &&'a Arc<LayerChain>| {
         let load = chain.reserved_share(model) + requirement.tokens / chain.token_capacity.max(1.0);
--- a/src/relay/context.rs
+++ b/src/relay/context.rs
@@ -11,6 +11,7 @@
 use crate::presence::{PresenceRow, PresenceTable};
 use crate::reach::{PeerReach, ReachCell};
 use crate::relay::budget::RetryBudget;
+use crate::relay::capacity::CapacityTable;
 use crate::relay::metadata::RelayCodec;
 use crate::relay::metrics::RelayMetrics;
 use crate::relay::refusals::RefusalLog;
@@ -64,6 +65,8 @@
     pub outbox: CrashOutbox,
     /// Parts of prompts that are known not to crash targets.
     pub harmless: HarmlessParts,
+    /// Queues for capacity of the services that hand it out by priority.
+    pub capacity: CapacityTable,
     /// Share of refused requests.
     pub pressure: RefusalPressure,
     /// Refusals that have been logged.
@@ -220,6 +223,7 @@
             poison: PoisonTable::default(),
             outbox: CrashOutbox::default(),
             harmless: HarmlessParts::default(),
+            capacity: CapacityTable::default(),
             pressure: RefusalPressure::default(),
             refusals: RefusalLog::default(),
             suspicions: SuspicionList::default(),
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -58,6 +58,8 @@
     pub service: Arc<ServiceEntry>,
     /// Team of the API key, if the request has one.
     pub team: Option<Arc<TeamEntry>>,
+    /// True when capacity of the service is handed out by priority and team.
+    pub by_priority: bool,
     /// Time at which the head arrived.
     pub arrived: MonoTime,
     /// Time by which the response must be complete.
@@ -365,7 +367,11 @@
             .on_request(&request.service.name, context.clock.now());
     }
     if request.route.retry_rule.is_stream() || request.service.model.is_some() {
-        streaming::relay_stream(request).await
+        let end = streaming::relay_stream(request).await;
+        if request.by_priority {
+            context.capacity.notify();
+        }
+        end
     } else {
         plain::relay_plain(request).await
     }
--- a/src/relay/forwarding.rs
+++ b/src/relay/forwarding.rs
@@ -15,6 +15,7 @@
 use crate::targets::{LayerChain, ReservationGuard};
 use crate::wire::{BodyEnd, BodyStep, EventSplitter, StreamError};
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Longest event, and longest part of a body that holds none.
 const MAX_EVENT_BYTES: usize = 512 * 1024;
@@ -320,10 +321,25 @@
             self.suspicion.on_event();
             if let Some(elapsed) = self.detector.on_event(now) {
                 self.chain.head().stats.observe_first_event(elapsed);
+                self.note_first_event(elapsed);
             }
         }
     }
 
+    /// The first event shows that every part of the chain takes requests again.
+    fn note_first_event(&self, elapsed: Duration) {
+        let request = self.forwarder.request;
+        if request.by_priority {
+            let parts = self.chain.parts.iter();
+            parts.for_each(|part| part.target.stats.shedding().on_response());
+            let service = &request.service.name;
+            request
+                .context
+                .capacity
+                .observe_first_event(service, elapsed);
+        }
+    }
+
     /// Number of events that were new to the caller.
     pub(super) fn events(&self) -> u64 {
         self.forwarder.events()
--- a/src/relay/listener.rs
+++ b/src/relay/listener.rs
@@ -258,6 +258,11 @@
         head: &head,
         body: &body,
         deadline: compute_deadline(arrived, &matched.metadata, &matched.route),
+        by_priority: matched.service.model.is_some()
+            && catalog.as_deref().is_some_and(|catalog| {
+                context.settings.admission.fair_teams
+                    || catalog.has_priorities(&matched.service.name)
+            }),
         metadata: matched.metadata,
         route: matched.route,
         service: matched.service,
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -39,6 +39,13 @@
     pub feeds: IntCounterVec,
     /// Restores of the store from an older copy, by whether this daemon's entries are back.
     pub store_restores: IntCounterVec,
+    /// Requests refused for lack of capacity where it is handed out by priority, by cause
+    /// (`line_too_long`, `wait_expired`) and priority.
+    pub capacity_refusals: IntCounterVec,
+    /// Requests that wait for such capacity, by service and priority.
+    pub capacity_waiting: IntGaugeVec,
+    /// Parts of chains that turned a request away at once and are avoided for a moment.
+    pub saturated_parts: IntCounterVec,
     /// Seconds of work that is done apart from the threads that serve requests, by kind. The only kind
     /// is `plan`, the placement of a model's layers.
     pub work: HistogramVec,
@@ -119,6 +126,21 @@
                 "Restores of the store from an older copy, by outcome for this daemon",
                 &["outcome"],
             )?,
+            capacity_refusals: metrics.counter(
+                "relay_capacity_refusals_total",
+                "Requests refused for lack of capacity, by cause and priority",
+                &["cause", "priority"],
+            )?,
+            capacity_waiting: metrics.gauge(
+                "relay_capacity_waiting",
+                "Requests that wait for capacity, by service and priority",
+                &["service", "priority"],
+            )?,
+            saturated_parts: metrics.counter(
+                "relay_saturated_parts_total",
+                "Parts of chains that turned a request away at once",
+                &["service"],
+            )?,
             work: metrics.latency_histogram(
                 "work_seconds",
                 "Seconds of work apart from the threads that serve requests",
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod budget;
 mod caller_stream;
+mod capacity;
 mod choice;
 mod closed_heads;
 mod context;
@@ -33,7 +34,7 @@
 mod via_peer;
 
 pub use budget::{BudgetLimits, RetryBudget};
-pub use choice::{ChainRequirement, pick_chain, pick_target};
+pub use choice::{ChainRequirement, FullStep, MAX_RESERVED_SHARE, pick_chain, pick_target};
 pub use context::RelayContext;
 pub(crate) use crashes::{CRASH_RETENTION, merge_peer_crashes, unstored_crashes};
 pub(crate) use lending::answer_retry_ask;
@@ -46,7 +47,7 @@
 pub(crate) use path::{PATH_WATCH_PERIOD, watch_path};
 pub use retry::{RelayFailure, RetryState, RetryStep};
 pub use return_time::{RefusalPressure, return_delay};
-pub use settings::{GatewayBounds, GatewayListen, GatewaySettings, GatewayStore};
+pub use settings::{GatewayAdmission, GatewayBounds, GatewayListen, GatewaySettings, GatewayStore};
 pub use stall::{StallDetector, StallStep};
 pub(crate) use suspicion::count_crashes;
 pub use via_peer::PeerDispatch;
--- a/src/relay/request_refusal.rs
+++ b/src/relay/request_refusal.rs
@@ -1,5 +1,6 @@
 //! Refuses a request: the local reply, and when its caller should return.
 
+use crate::relay::capacity::book_return;
 use crate::relay::exchange::{ActiveRequest, DEFAULT_TIMEOUT, ExchangeEnd};
 use crate::relay::local_reply::{LocalReply, RefusalCause};
 use crate::relay::notices::rest_left;
@@ -75,8 +76,11 @@
         self.context.pressure.on_refusal(service, now);
         let share = self.context.pressure.share(service, now);
         let base = self.retry_delay(RefusalCause::NoTarget);
-        let time_left = self.deadline.since(now);
-        return_delay(base, time_left.mul_f64(MAX_RETURN_SHARE), share, rng)
+        let limit = self.deadline.since(now).mul_f64(MAX_RETURN_SHARE);
+        if self.by_priority {
+            return book_return(self, limit, rng);
+        }
+        return_delay(base, limit, share, rng)
     }
 
     /// For the log: the fingerprints for which a request is refused with this cause, separated by
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -28,6 +28,18 @@
     /// Time limits and retry limits, reloaded while the daemon runs.
     #[serde(default)]
     pub bounds: GatewayBounds,
+    /// How capacity of model services is handed out.
+    #[serde(default)]
+    pub admission: GatewayAdmission,
+}
+
+/// How capacity of model services is handed out.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(default)]
+pub struct GatewayAdmission {
+    /// Shares capacity fairly between teams also where all requests of a service have the same priority.
+    pub fair_teams: bool,
 }
 
 /// Listening addresses.
@@ -136,6 +148,8 @@
     FieldRule::optional("retry_window_s", FieldKind::NonNegative),
 ];
 
+const ADMISSION_TABLE: &[FieldRule] = &[FieldRule::optional("fair_teams", FieldKind::Boolean)];
+
 const GATEWAY_TABLE: &[FieldRule] = &[
     FieldRule::required("instance", FieldKind::Id),
     FieldRule::required("failure_domain", FieldKind::Id),
@@ -143,6 +157,7 @@
     FieldRule::required("store", FieldKind::Object(STORE_TABLE)),
     FieldRule::optional("first_peers", FieldKind::List(&FieldKind::Address)),
     FieldRule::optional("bounds", FieldKind::Object(BOUNDS_TABLE)),
+    FieldRule::optional("admission", FieldKind::Object(ADMISSION_TABLE)),
 ];
 
 impl GatewaySettings {
--- a/src/relay/stream_chain.rs
+++ b/src/relay/stream_chain.rs
@@ -1,8 +1,12 @@
 //! Selects the chain of the next attempt of a stream.
 
+use crate::admission::QueueOrder;
 use crate::catalog::ModelShape;
 use crate::ids::InstanceId;
-use crate::relay::choice::{ChainRequirement, pick_chain};
+use crate::relay::capacity::{
+    QueueExit, QueuePlace, describe_exit, max_share, others_wait, wait_limit,
+};
+use crate::relay::choice::{ChainRequirement, FullStep, pick_chain};
 use crate::relay::closed_heads::ClosedHeads;
 use crate::relay::event_progress::DeliveryProgress;
 use crate::relay::exchange::ActiveRequest;
@@ -32,6 +36,7 @@
     state: &mut RetryState,
     closed_heads: &ClosedHeads,
     delivered: &DeliveryProgress,
+    queue_order: &mut Option<QueueOrder>,
     detail: &mut String,
 ) -> std::result::Result<Arc<LayerChain>, RetryStep> {
     let context = request.context;
@@ -48,7 +53,15 @@
     if allowed != RetryStep::TryNext {
         return Err(allowed);
     }
-    let chain = find_chain(request, model, state, delivered).await;
+    let chain = if request.by_priority && !delivered.head_sent {
+        let found = find_chain_in_order(request, model, state, delivered, queue_order).await;
+        if let Err(Some(exit)) = found {
+            *detail = describe_exit(request, exit);
+        }
+        found.ok()
+    } else {
+        find_chain(request, model, state, delivered).await
+    };
     if chain.is_none() && is_held_back(request) {
         *detail = String::from(held_back_detail(request));
     }
@@ -103,6 +116,10 @@
     if state.next_step(context.clock.now()) != RetryStep::TryNext {
         return Err(ClaimFailure::AttemptsSpent);
     }
+    if !delivered.head_sent && others_wait(request) {
+        // Capacity goes to requests that have no attempt yet.
+        return Err(ClaimFailure::NoChain);
+    }
     // A retry is borrowed only when there is a use for it.
     let model = request.service.model.as_ref();
     let chain = model.and_then(|model| choose_chain(request, model, state, delivered));
@@ -183,12 +200,18 @@
     // expected tokens.
     let tokens =
         f64::from(request.metadata.expected_tokens()) + delivered.last_id.unwrap_or(0) as f64;
+    let view = context.targets.load();
     let requirement = ChainRequirement {
         domain: &context.settings.failure_domain,
         tokens,
         is_resumed: delivered.head_sent,
+        max_share: max_share(request, model, &view),
+        when_full: if request.by_priority {
+            FullStep::Wait
+        } else {
+            FullStep::UseDegraded
+        },
     };
-    let view = context.targets.load();
     let chains = view.chains(&request.service.name);
     let now = context.clock.now();
     let mut rng = fastrand::Rng::new();
@@ -229,6 +252,41 @@
     }
 }
 
+/// Selects a chain for a stream that has not begun, once no other request takes capacity first. Waits up to
+/// the latency goal of the route. `queue_order` is the place in the queue that the request had before its
+/// last attempt. The error is `None` when waiting is of no use.
+async fn find_chain_in_order(
+    request: &ActiveRequest<'_>,
+    model: &ModelShape,
+    state: &RetryState,
+    delivered: &DeliveryProgress,
+    queue_order: &mut Option<QueueOrder>,
+) -> std::result::Result<Arc<LayerChain>, Option<QueueExit>> {
+    let context = request.context;
+    let place = QueuePlace::enter(request, *queue_order).map_err(Some)?;
+    *queue_order = Some(place.order());
+    let expires = request.arrived.after(wait_limit(request));
+    loop {
+        if place.may_take()
+            && let Some(chain) = choose_chain(request, model, state, delivered)
+        {
+            if acquire_permit(context, chain.head()).await == PermitOutcome::Granted {
+                place.start();
+                return Ok(chain);
+            }
+            continue;
+        }
+        if rest_left(request).is_some() {
+            return Err(None);
+        }
+        let now = context.clock.now();
+        if now >= expires || state.time_left(now) <= CAPACITY_POLL {
+            return Err(Some(place.give_up()));
+        }
+        place.wait().await;
+    }
+}
+
 /// Counts the request and reserves its tokens at every target of the chain.
 pub(super) fn reserve(chain: &LayerChain, tokens: u32) -> Vec<ReservationGuard> {
     chain
--- a/src/relay/stream_failure.rs
+++ b/src/relay/stream_failure.rs
@@ -10,8 +10,13 @@
 use crate::relay::retry::RelayFailure;
 use crate::targets::{LayerChain, TargetEntry};
 use crate::telemetry::EventLine;
+use crate::units::MonoTime;
 use async_std::task;
 use std::sync::Arc;
+use std::time::Duration;
+
+/// Time within which a part that has no capacity is refused. One that does not respond is given up later.
+const SATURATED_REFUSAL_TIME: Duration = Duration::from_millis(250);
 
 /// Logs a failed attempt and updates the statistics of the target that caused it: the one that the
 /// response names, or else the first target of the chain. Returns this target.
@@ -20,9 +25,12 @@
     chain: &LayerChain,
     failed: &FailedAttempt,
     delivered: &DeliveryProgress,
+    started: Option<MonoTime>,
 ) -> Arc<TargetEntry> {
     let context = request.context;
     let now = context.clock.now();
+    let refused_at_once =
+        started.is_some_and(|started| now.since(started) <= SATURATED_REFUSAL_TIME);
     let faulty_address = failed.metadata.faulty_address;
     let faulty_part = chain
         .parts
@@ -30,6 +38,14 @@
         .find(|part| Some(part.target.address) == faulty_address);
     let target = faulty_part.map_or(chain.head(), |part| &part.target);
     match failed.failure {
+        RelayFailure::NotExecuted
+            if request.by_priority && faulty_part.is_some() && refused_at_once =>
+        {
+            target.stats.shedding().on_refusal(now);
+            let service = request.service.name.as_str();
+            let saturated = &context.metrics.saturated_parts;
+            saturated.with_label_values(&[service]).inc();
+        }
         _ if failed.kind == FailureKind::HeldBack || context.is_cut_off() => {}
         RelayFailure::NotExecuted
             if failed.kind == FailureKind::Misdirected && faulty_part.is_none() =>
--- a/src/relay/streaming.rs
+++ b/src/relay/streaming.rs
@@ -4,6 +4,7 @@
 //! for a while. Whichever attempt brings the next event serves the caller from then on, and all others
 //! end: each run generates its own text, so no event of one may follow those of a run that came after it.
 
+use crate::admission::QueueOrder;
 use crate::catalog::ModelShape;
 use crate::ids::InstanceId;
 use crate::relay::attempt::{FailedAttempt, FailureKind};
@@ -68,6 +69,8 @@
     closed_heads: ClosedHeads,
     /// First target and start of each attempt.
     starts: Vec<(InstanceId, MonoTime)>,
+    /// Place in the queue for capacity that the request had before its last attempt.
+    queue_order: Option<QueueOrder>,
     /// Detail of a local reply.
     detail: String,
     /// Attempt that serves the caller.
@@ -104,6 +107,7 @@
             },
             closed_heads: ClosedHeads::default(),
             starts: Vec::new(),
+            queue_order: None,
             detail: String::from("no chain has room"),
             current: None,
             left: Vec::new(),
@@ -170,6 +174,7 @@
             &mut self.state,
             &self.closed_heads,
             &self.delivered,
+            &mut self.queue_order,
             &mut self.detail,
         );
         let step = match found.await {
@@ -300,7 +305,8 @@
     async fn on_failure(&mut self, chain: &LayerChain, failed: &FailedAttempt) {
         let head = &chain.head().id;
         self.detail = format!("{} at {head}", failed.cause);
-        let target = record_failure(self.request, chain, failed, &self.delivered);
+        let started = self.start_of(head);
+        let target = record_failure(self.request, chain, failed, &self.delivered, started);
         check_for_crash(self.request, &target, failed).await;
         if failed.kind == FailureKind::Disconnected {
             self.note_closed_head(chain.head());
@@ -311,12 +317,18 @@
     }
 
     fn note_closed_head(&mut self, head: &Arc<TargetEntry>) {
-        let mut starts = self.starts.iter().rev();
-        if let Some((_, started)) = starts.find(|(id, _)| *id == head.id) {
-            self.closed_heads.add(head, *started);
+        if let Some(started) = self.start_of(&head.id) {
+            self.closed_heads.add(head, started);
         }
     }
 
+    /// Start of the last attempt at this first target.
+    fn start_of(&self, head: &InstanceId) -> Option<MonoTime> {
+        let mut starts = self.starts.iter().rev();
+        let (_, started) = starts.find(|(id, _)| id == head)?;
+        Some(*started)
+    }
+
     /// Ends all attempts when the deadline has passed; else looks for another chain if the newest
     /// attempt has stalled.
     async fn on_timer(&mut self) {
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -5,9 +5,10 @@
 mod shapes;
 
 use arbutusmount::{
-    BudgetLimits, ChainPart, ChainRequirement, DomainId, InstanceId, LayerChain, LayerRange,
-    ModelShape, MonoTime, RefusalCause, RelayFailure, RetryBudget, RetryRule, RetryState,
-    RetryStep, ServiceId, StallDetector, StallStep, TargetEntry, pick_chain, pick_target,
+    BudgetLimits, ChainPart, ChainRequirement, DomainId, FullStep, InstanceId, LayerChain,
+    LayerRange, MAX_RESERVED_SHARE, ModelShape, MonoTime, RefusalCause, RelayFailure, RetryBudget,
+    RetryRule, RetryState, RetryStep, ServiceId, StallDetector, StallStep, TargetEntry, pick_chain,
+    pick_target,
 };
 use shapes::{model_on, ready_target};
 use std::collections::BTreeMap;
@@ -282,6 +283,8 @@
         domain: &local,
         tokens,
         is_resumed: false,
+        max_share: MAX_RESERVED_SHARE,
+        when_full: FullStep::UseDegraded,
     };
     let mut rng = fastrand::Rng::with_seed(7);
     let chosen = pick_chain(chains, &model(), requirement, &[], at(1_000), &mut rng);
@@ -328,6 +331,8 @@
         domain: &local,
         tokens: 10.0,
         is_resumed: false,
+        max_share: MAX_RESERVED_SHARE,
+        when_full: FullStep::UseDegraded,
     };
     let mut rng = fastrand::Rng::with_seed(7);
     let later = pick_chain(&chains, &model(), requirement, &[], at(1_400), &mut rng);
@@ -385,6 +390,8 @@
         domain: &local,
         tokens: 10.0,
         is_resumed: false,
+        max_share: MAX_RESERVED_SHARE,
+        when_full: FullStep::UseDegraded,
     };
     let mut rng = fastrand::Rng::with_seed(7);
     let mut choose = |tried: &[InstanceId]| {
@@ -449,6 +456,8 @@
         domain: &local,
         tokens: 10.0,
         is_resumed: true,
+        max_share: MAX_RESERVED_SHARE,
+        when_full: FullStep::UseDegraded,
     };
 
     // Act
@@ -479,6 +488,8 @@
             domain: &local,
             tokens: 980.0,
             is_resumed,
+            max_share: MAX_RESERVED_SHARE,
+            when_full: FullStep::UseDegraded,
         };
         pick_chain(&chains, &model(), requirement, &[], at(0), &mut rng).is_some()
     };
