Let the route's priority decide between teams of the same priority

Cause: all teams but one have the same priority, which takes precedence, so that requests to routes of different priority counted as equal. Change: requests are ordered by the priority of the team, then by that of the route. Targets are told the number of the class.

--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -5,5 +5,6 @@
 
 pub use route::{CardKind, ModelShape, RetryRule, RouteEntry, RouteShare};
 pub use version::{
-    AccessOutcome, CallerLimits, CatalogCell, RoutingCatalog, ServiceEntry, TeamEntry,
+    AccessOutcome, CallerLimits, CatalogCell, PriorityClass, RoutingCatalog, ServiceEntry,
+    TeamEntry,
 };
--- a/src/catalog/version.rs
+++ b/src/catalog/version.rs
@@ -3,10 +3,13 @@
 use crate::catalog::route::{ModelShape, RouteEntry};
 use crate::ids::{ServiceId, TeamId};
 use arc_swap::ArcSwapOption;
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Lowest priority that is told apart from others.
+const MAX_PRIORITY: u8 = 9;
+
 /// Service that routes can send requests to.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ServiceEntry {
@@ -27,6 +30,25 @@
     pub priority: Option<u8>,
 }
 
+/// Priority of a request among those to the same service. A team's priority takes precedence over the
+/// route's, which decides between requests of teams with the same priority.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PriorityClass(u8);
+
+impl PriorityClass {
+    /// Class of a request to a route of this priority, from a team with this one, if any.
+    pub fn new(route: u8, team: Option<u8>) -> Self {
+        let route = route.min(MAX_PRIORITY);
+        let team = team.unwrap_or(route).min(MAX_PRIORITY);
+        Self(team * (MAX_PRIORITY + 1) + route)
+    }
+
+    /// Value that orders the classes; 0 is the most important one.
+    pub fn value(self) -> u8 {
+        self.0
+    }
+}
+
 /// Limits on the requests and connections of callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CallerLimits {
@@ -71,8 +93,8 @@
     routes: HashMap<Arc<str>, HashMap<Arc<str>, Arc<RouteEntry>>>,
     keys: HashMap<Arc<str>, Arc<TeamEntry>>,
     requires_key: bool,
-    /// Services whose requests differ in priority.
-    prioritized: HashSet<ServiceId>,
+    /// Priority classes of the services whose routes differ in priority.
+    classes: HashMap<ServiceId, Vec<PriorityClass>>,
 }
 
 impl RoutingCatalog {
@@ -85,7 +107,7 @@
         keys: Option<Vec<(Arc<str>, Arc<TeamEntry>)>>,
     ) -> Self {
         let teams = keys.iter().flatten().map(|(_, team)| team.as_ref());
-        let prioritized = find_prioritized(&routes, teams);
+        let classes = find_classes(&routes, teams);
         let mut by_host: HashMap<Arc<str>, HashMap<Arc<str>, Arc<RouteEntry>>> = HashMap::new();
         for route in routes {
             let prefixes = by_host.entry(Arc::clone(&route.host)).or_default();
@@ -99,7 +121,7 @@
                 .map(|service| (service.name.clone(), Arc::new(service)))
                 .collect(),
             routes: by_host,
-            prioritized,
+            classes,
             requires_key: keys.is_some(),
             keys: keys.unwrap_or_default().into_iter().collect(),
         }
@@ -128,14 +150,21 @@
         }
     }
 
-    /// True when requests to the service differ in priority, by their routes or teams.
+    /// True when the routes of the service differ in priority.
     pub fn has_priorities(&self, service: &ServiceId) -> bool {
-        self.prioritized.contains(service)
+        self.classes.contains_key(service)
+    }
+
+    /// Number of the class among those of its service, from 0 for the most important one.
+    pub fn class_rank(&self, service: &ServiceId, class: PriorityClass) -> u8 {
+        let classes = self.classes.get(service).map_or(&[][..], Vec::as_slice);
+        let higher = classes.partition_point(|known| *known < class);
+        u8::try_from(higher).unwrap_or(u8::MAX)
     }
 
-    /// Names of the services whose requests differ in priority, separated by commas.
+    /// Names of the services whose routes differ in priority, separated by commas.
     pub fn prioritized_services(&self) -> String {
-        let mut names: Vec<&str> = self.prioritized.iter().map(ServiceId::as_str).collect();
+        let mut names: Vec<&str> = self.classes.keys().map(ServiceId::as_str).collect();
         names.sort_unstable();
         names.join(",")
     }
@@ -188,22 +217,31 @@
     }
 }
 
-/// Services whose requests may have more than one priority. A team's priority overrides that of a route.
-fn find_prioritized<'a>(
+/// Priority classes of the services whose routes differ in priority, the most important one first.
+fn find_classes<'a>(
     routes: &[RouteEntry],
     teams: impl Iterator<Item = &'a TeamEntry>,
-) -> HashSet<ServiceId> {
+) -> HashMap<ServiceId, Vec<PriorityClass>> {
     let overrides: BTreeSet<Option<u8>> = teams.map(|team| team.priority).collect();
     let mut priorities: HashMap<&ServiceId, BTreeSet<u8>> = HashMap::new();
     for route in routes {
-        let uses_own = route.public || overrides.is_empty() || overrides.contains(&None);
-        let own = uses_own.then_some(route.priority);
         for share in &route.shares {
             let known = priorities.entry(&share.service).or_default();
-            known.extend(own);
-            known.extend(overrides.iter().flatten());
+            known.insert(route.priority);
         }
     }
+    let classes = |known: BTreeSet<u8>| {
+        let of_route = |route: &u8| {
+            let unset = std::iter::once(&None);
+            let teams = unset.chain(&overrides);
+            let classes = teams.map(|team| PriorityClass::new(*route, *team));
+            classes.collect::<Vec<_>>()
+        };
+        let sorted: BTreeSet<PriorityClass> = known.iter().flat_map(of_route).collect();
+        sorted.into_iter().collect()
+    };
     let differing = priorities.into_iter().filter(|(_, known)| known.len() > 1);
-    differing.map(|(service, _)| service.clone()).collect()
+    differing
+        .map(|(service, known)| (service.clone(), classes(known)))
+        .collect()
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -52,8 +52,8 @@
     StreamOptions,
 };
 pub use catalog::{
-    AccessOutcome, CallerLimits, CardKind, CatalogCell, ModelShape, RetryRule, RouteEntry,
-    RouteShare, RoutingCatalog, ServiceEntry, TeamEntry,
+    AccessOutcome, CallerLimits, CardKind, CatalogCell, ModelShape, PriorityClass, RetryRule,
+    RouteEntry, RouteShare, RoutingCatalog, ServiceEntry, TeamEntry,
 };
 pub use check::{CheckError, CheckFault, FieldKind, FieldRule, check_document, parse_json};
 pub use claims::{
--- a/src/relay/capacity.rs
+++ b/src/relay/capacity.rs
@@ -133,7 +133,7 @@
 
 /// Share of a chain's capacity up to which this request may fill it.
 pub(super) fn max_share(request: &ActiveRequest<'_>, model: &ModelShape, view: &TargetView) -> f64 {
-    if !request.by_priority {
+    if !request.is_by_priority() {
         return MAX_RESERVED_SHARE;
     }
     let context = request.context;
@@ -142,7 +142,7 @@
     let demand = table.demand(service, context.clock.now());
     let domain = &context.settings.failure_domain;
     let capacity = domain_capacity(view.service_targets(service), domain, model);
-    let headroom = priority_headroom(&demand, request.priority(), table.peer_age(), capacity);
+    let headroom = priority_headroom(&demand, queue_priority(request), table.peer_age(), capacity);
     MAX_RESERVED_SHARE * (1.0 - headroom)
 }
 
@@ -208,7 +208,7 @@
             }
             let waiting = CapacityRequest {
                 team: request.team.as_ref().map(|team| team.name.clone()),
-                priority: request.priority(),
+                priority: queue_priority(request),
                 tokens,
             };
             entry.queue.enter(&waiting, wait_limit, now)
@@ -285,13 +285,13 @@
 /// Counts a request that leaves the queue without capacity; returns the detail of its refusal.
 pub(super) fn describe_exit(request: &ActiveRequest<'_>, exit: QueueExit) -> String {
     let metrics = &request.context.metrics.capacity_refusals;
-    let priority = request.priority().to_string();
+    let priority = queue_priority(request).to_string();
     metrics
         .with_label_values(&[exit.name(), priority.as_str()])
         .inc();
     let backlog = exit.backlog();
     format!(
-        "{}: priority {priority}, {:.0} tokens ahead, {:.0} tokens start in a second, wait limit {} ms",
+        "{}: class {priority}, {:.0} tokens ahead, {:.0} tokens start in a second, wait limit {} ms",
         exit.name(),
         backlog.tokens_ahead,
         backlog.tokens_per_second,
@@ -299,11 +299,17 @@
     )
 }
 
+/// Priority of the request in the queue.
+fn queue_priority(request: &ActiveRequest<'_>) -> u8 {
+    let class = request.class.as_ref();
+    class.map_or(u8::MAX, |class| class.class.value())
+}
+
 /// True when a request of the same priority or a higher one waits for capacity.
 pub(super) fn others_wait(request: &ActiveRequest<'_>) -> bool {
     let service = &request.service.name;
-    let priority = request.priority();
-    request.by_priority
+    let priority = queue_priority(request);
+    request.is_by_priority()
         && request
             .context
             .capacity
@@ -321,6 +327,6 @@
     let service = &request.service.name;
     request.context.capacity.with(service, |entry| {
         let queue = &mut entry.queue;
-        queue.book_return(request.priority(), tokens, limit, now, rng)
+        queue.book_return(queue_priority(request), tokens, limit, now, rng)
     })
 }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -1,6 +1,8 @@
 //! One request from its head to its final response.
 
-use crate::catalog::{AccessOutcome, RouteEntry, RoutingCatalog, ServiceEntry, TeamEntry};
+use crate::catalog::{
+    AccessOutcome, PriorityClass, RouteEntry, RoutingCatalog, ServiceEntry, TeamEntry,
+};
 use crate::hash::stable_hash;
 use crate::poison::PoisonFingerprint;
 use crate::reach::PathLoss;
@@ -58,8 +60,8 @@
     pub service: Arc<ServiceEntry>,
     /// Team of the API key, if the request has one.
     pub team: Option<Arc<TeamEntry>>,
-    /// True when capacity of the service is handed out by priority and team.
-    pub by_priority: bool,
+    /// Set if capacity of the service is handed out by priority and team.
+    pub class: Option<RequestClass>,
     /// Time at which the head arrived.
     pub arrived: MonoTime,
     /// Time by which the response must be complete.
@@ -112,8 +114,16 @@
         self.context.reach.loss() == Some(PathLoss::Silent)
     }
 
-    /// Priority, 0 is the highest. A team's priority overrides the route's.
+    /// True when capacity of the service is handed out by priority and team.
+    pub(super) fn is_by_priority(&self) -> bool {
+        self.class.is_some()
+    }
+
+    /// Priority that targets are told, 0 is the highest. A team's priority overrides the route's.
     pub(super) fn priority(&self) -> u8 {
+        if let Some(class) = &self.class {
+            return class.rank;
+        }
         let team = self.team.as_ref().and_then(|team| team.priority);
         team.unwrap_or(self.route.priority)
     }
@@ -291,6 +301,38 @@
     }
 }
 
+/// Priority class of a request, where it decides who gets capacity.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct RequestClass {
+    /// The class.
+    pub class: PriorityClass,
+    /// Priority that targets are told: the number of the class among those of the service, 0 for the most
+    /// important one.
+    pub rank: u8,
+}
+
+/// Class of a request to a model service, if its capacity is handed out by priority: where the routes of
+/// the service differ in priority, or where teams are to get fair shares of it.
+pub(super) fn classify(
+    catalog: &RoutingCatalog,
+    matched: &MatchedRoute,
+    fair_teams: bool,
+) -> Option<RequestClass> {
+    let service = &matched.service;
+    let is_ranked = catalog.has_priorities(&service.name);
+    if service.model.is_none() || !(is_ranked || fair_teams) {
+        return None;
+    }
+    let team = matched.team.as_ref().and_then(|team| team.priority);
+    let class = PriorityClass::new(matched.route.priority, team);
+    let rank = if is_ranked {
+        catalog.class_rank(&service.name, class)
+    } else {
+        team.unwrap_or(matched.route.priority)
+    };
+    Some(RequestClass { class, rank })
+}
+
 /// Route and service that the configuration in force gives a request.
 pub(super) struct MatchedRoute {
     /// Metadata parsed from the head.
@@ -368,7 +410,7 @@
     }
     if request.route.retry_rule.is_stream() || request.service.model.is_some() {
         let end = streaming::relay_stream(request).await;
-        if request.by_priority {
+        if request.is_by_priority() {
             context.capacity.notify();
         }
         end
--- a/src/relay/listener.rs
+++ b/src/relay/listener.rs
@@ -3,7 +3,8 @@
 use crate::catalog::RoutingCatalog;
 use crate::relay::context::RelayContext;
 use crate::relay::exchange::{
-    ActiveRequest, ExchangeEnd, RoutingDecision, compute_deadline, relay_request, route_request,
+    ActiveRequest, ExchangeEnd, RoutingDecision, classify, compute_deadline, relay_request,
+    route_request,
 };
 use crate::relay::local_reply::{LocalReply, RefusalCause};
 use crate::relay::request_refusal::RETRY_AFTER_SHARE;
@@ -250,6 +251,10 @@
         }
         RoutingDecision::Refuse(cause) => return refuse(context, stream, cause, asker).await,
     };
+    let fair_teams = context.settings.admission.fair_teams;
+    let class = catalog
+        .as_deref()
+        .and_then(|catalog| classify(catalog, &matched, fair_teams));
     let draining = context.lifecycle.phase() == crate::kernel::DaemonPhase::Draining;
     let (socket, input) = stream.socket_and_input();
     let request = ActiveRequest {
@@ -258,11 +263,7 @@
         head: &head,
         body: &body,
         deadline: compute_deadline(arrived, &matched.metadata, &matched.route),
-        by_priority: matched.service.model.is_some()
-            && catalog.as_deref().is_some_and(|catalog| {
-                context.settings.admission.fair_teams
-                    || catalog.has_priorities(&matched.service.name)
-            }),
+        class,
         metadata: matched.metadata,
         route: matched.route,
         service: matched.service,
--- a/src/relay/request_refusal.rs
+++ b/src/relay/request_refusal.rs
@@ -77,7 +77,7 @@
         let share = self.context.pressure.share(service, now);
         let base = self.retry_delay(RefusalCause::NoTarget);
         let limit = self.deadline.since(now).mul_f64(MAX_RETURN_SHARE);
-        if self.by_priority {
+        if self.is_by_priority() {
             return book_return(self, limit, rng);
         }
         return_delay(base, limit, share, rng)
--- a/src/relay/stream_chain.rs
+++ b/src/relay/stream_chain.rs
@@ -53,7 +53,7 @@
     if allowed != RetryStep::TryNext {
         return Err(allowed);
     }
-    let chain = if request.by_priority && !delivered.head_sent {
+    let chain = if request.is_by_priority() && !delivered.head_sent {
         let found = find_chain_in_order(request, model, state, delivered, queue_order).await;
         if let Err(Some(exit)) = found {
             *detail = describe_exit(request, exit);
@@ -206,7 +206,7 @@
         tokens,
         is_resumed: delivered.head_sent,
         max_share: max_share(request, model, &view),
-        when_full: if request.by_priority {
+        when_full: if request.is_by_priority() {
             FullStep::Wait
         } else {
             FullStep::UseDegraded
--- a/src/relay/stream_failure.rs
+++ b/src/relay/stream_failure.rs
@@ -39,7 +39,7 @@
     let target = faulty_part.map_or(chain.head(), |part| &part.target);
     match failed.failure {
         RelayFailure::NotExecuted
-            if request.by_priority && faulty_part.is_some() && refused_at_once =>
+            if request.is_by_priority() && faulty_part.is_some() && refused_at_once =>
         {
             target.stats.shedding().on_refusal(now);
             let service = request.service.name.as_str();
--- a/src/relay/stream_opening.rs
+++ b/src/relay/stream_opening.rs
@@ -115,7 +115,7 @@
     mut delivered: DeliveryProgress,
 ) -> OpeningResult<'a> {
     let reserved = reserve(&chain, request.metadata.expected_tokens());
-    if request.by_priority {
+    if request.is_by_priority() {
         let now = request.context.clock.now();
         let parts = chain.parts.iter();
         parts.for_each(|part| part.target.stats.shedding().on_send(now));
