Tell full parts of a chain from crashed ones

Cause: a part that turned requests away was avoided by all daemons for up to 3 s, which took capacity from the service while it was scarce. Change: a part that turns a request away at once and is mostly reserved gets nothing for 250 ms, from this daemon only; any other one is ejected as before. A request is refused at once only when its turn is far beyond its limit.

--- a/src/admission/capacity.rs
+++ b/src/admission/capacity.rs
@@ -14,6 +14,9 @@
 
 /// Weight of each team; the configuration names none.
 const TEAM_WEIGHT: u32 = 1;
+/// Multiple of its wait limit that a request may be expected to wait before it is refused at once: the rate
+/// at which requests start is estimated from few of them.
+const ESTIMATE_TOLERANCE: f64 = 2.0;
 /// Shortest time after which a refused caller is asked to return. Most streams hold their capacity for
 /// longer, so that little has become free before.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(400);
@@ -111,7 +114,8 @@
         let backlog = self.backlog(*priority, self.order.start_tag(team), now);
         let is_empty = backlog.tokens_ahead <= 0.0;
         let expected = backlog.expected_wait();
-        if !is_empty && expected.is_some_and(|wait| wait > wait_limit) {
+        let longest = wait_limit.mul_f64(ESTIMATE_TOLERANCE);
+        if !is_empty && expected.is_some_and(|wait| wait > longest) {
             return CapacityStep::Refuse(backlog);
         }
         let order = self.order.assign(team, *priority, *tokens, TEAM_WEIGHT);
--- a/src/loads/exchange.rs
+++ b/src/loads/exchange.rs
@@ -9,8 +9,6 @@
     RelayContext, answer_ask, answer_retry_ask, count_crashes, known_limits, leaving_runs,
     merge_leaving_runs, merge_limits, merge_peer_crashes, unstored_crashes,
 };
-use crate::targets::TargetEntry;
-use crate::units::MonoTime;
 use async_io::{Async, Timer};
 use futures_lite::future::or;
 use prost::Message;
@@ -150,20 +148,12 @@
         tokens: target.stats.reserved_tokens() as u32,
         requests: target.stats.in_progress(),
         unreachable: target.stats.is_unreachable(),
-        failing: is_failing(target, now),
+        failing: target.stats.is_ejected(now) && !target.stats.is_replaced(),
     });
     rows.filter(|row| row.requests > 0 || row.unreachable || row.failing)
         .collect()
 }
 
-/// True while this daemon gives the target nothing because its last requests there have failed, or because
-/// it turned requests away as a part of a chain.
-fn is_failing(target: &TargetEntry, now: MonoTime) -> bool {
-    let stats = &target.stats;
-    let is_saturated = target.card.is_some() && stats.shedding().is_shedding(now);
-    (stats.is_ejected(now) || is_saturated) && !stats.is_replaced()
-}
-
 fn apply_totals(context: &RelayContext, table: &LoadTable, remote_daemons: usize) {
     let totals = table.totals(remote_daemons, context.clock.now());
     for target in context.targets.load().targets() {
--- a/src/relay/choice.rs
+++ b/src/relay/choice.rs
@@ -125,6 +125,7 @@
             && !chain.head().stats.limit().is_held_back(now)
             && !chain.rests(now)
             && !chain.leaves()
+            && !chain.is_saturated(now)
             && !tried.contains(&chain.head().id)
     };
     let (degraded, healthy): (Vec<_>, Vec<_>) = chains
--- a/src/relay/forwarding.rs
+++ b/src/relay/forwarding.rs
@@ -326,12 +326,9 @@
         }
     }
 
-    /// The first event shows that every part of the chain takes requests again.
     fn note_first_event(&self, elapsed: Duration) {
         let request = self.forwarder.request;
         if request.is_by_priority() {
-            let parts = self.chain.parts.iter();
-            parts.for_each(|part| part.target.stats.shedding().on_response());
             let service = &request.service.name;
             request
                 .context
--- a/src/relay/stream_failure.rs
+++ b/src/relay/stream_failure.rs
@@ -8,15 +8,19 @@
 use crate::relay::notices::observe_call;
 use crate::relay::path::probe_target;
 use crate::relay::retry::RelayFailure;
-use crate::targets::{LayerChain, TargetEntry};
+use crate::targets::{ChainPart, LayerChain, TargetEntry};
 use crate::telemetry::EventLine;
 use crate::units::MonoTime;
 use async_std::task;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Time within which a part that has no capacity is refused. One that does not respond is given up later.
+/// Time within which a part that has no capacity turns a request away. One that does not respond is given up
+/// later.
 const SATURATED_REFUSAL_TIME: Duration = Duration::from_millis(250);
+/// Reserved share from which a part that turns a request away at once counts as full. One that has crashed
+/// also does so, but its requests have ended.
+const SATURATED_SHARE: f64 = 0.7;
 
 /// Logs a failed attempt and updates the statistics of the target that caused it: the one that the
 /// response names, or else the first target of the chain. Returns this target.
@@ -38,10 +42,8 @@
         .find(|part| Some(part.target.address) == faulty_address);
     let target = faulty_part.map_or(chain.head(), |part| &part.target);
     match failed.failure {
-        RelayFailure::NotExecuted
-            if request.is_by_priority() && faulty_part.is_some() && refused_at_once =>
-        {
-            target.stats.shedding().on_refusal(now);
+        RelayFailure::NotExecuted if refused_at_once && is_full(request, faulty_part) => {
+            target.stats.record_saturation(now);
             let service = request.service.name.as_str();
             let saturated = &context.metrics.saturated_parts;
             saturated.with_label_values(&[service]).inc();
@@ -66,6 +68,15 @@
     Arc::clone(target)
 }
 
+/// True when a part of a chain that has turned a request away has no capacity left, rather than being
+/// unable to serve.
+fn is_full(request: &ActiveRequest<'_>, part: Option<&ChainPart>) -> bool {
+    let (Some(part), Some(model)) = (part, &request.service.model) else {
+        return false;
+    };
+    request.is_by_priority() && part.reserved_share(model) >= SATURATED_SHARE
+}
+
 /// Logs and counts a failed attempt.
 pub(super) fn log_failure(
     request: &ActiveRequest<'_>,
--- a/src/relay/stream_opening.rs
+++ b/src/relay/stream_opening.rs
@@ -115,11 +115,6 @@
     mut delivered: DeliveryProgress,
 ) -> OpeningResult<'a> {
     let reserved = reserve(&chain, request.metadata.expected_tokens());
-    if request.is_by_priority() {
-        let now = request.context.clock.now();
-        let parts = chain.parts.iter();
-        parts.for_each(|part| part.target.stats.shedding().on_send(now));
-    }
     let first_target = chain.head();
     let dispatch = request.dispatch(time_left, first_target, Some(&chain), delivered.last_id);
     let may_reexecute = request.route.retry_rule.allows_reexecution();
--- a/src/targets/chain.rs
+++ b/src/targets/chain.rs
@@ -57,6 +57,12 @@
         parts.any(|part| part.target.stats.is_leaving())
     }
 
+    /// True while the target of a part has no capacity, as it has just turned a request away.
+    pub fn is_saturated(&self, now: MonoTime) -> bool {
+        let mut parts = self.parts.iter();
+        parts.any(|part| part.target.stats.is_saturated(now))
+    }
+
     /// True while the target of a part rests.
     pub fn rests(&self, now: MonoTime) -> bool {
         let mut parts = self.parts.iter();
@@ -73,18 +79,20 @@
     /// Share of a part's token capacity that requests of all daemons have reserved, for the fullest
     /// part.
     pub fn reserved_share(&self, model: &ModelShape) -> f64 {
-        let shares = self.parts.iter().map(|part| part_share(part, model));
+        let shares = self.parts.iter().map(|part| part.reserved_share(model));
         shares.fold(0.0, f64::max)
     }
 }
 
-/// Share of a part's token capacity that requests of all daemons have reserved.
-fn part_share(part: &ChainPart, model: &ModelShape) -> f64 {
-    let card = part.target.card.as_ref().and_then(|name| model.card(name));
-    let capacity = card.map_or(0.0, |card| {
-        model.token_capacity(card, held_layers(&part.target))
-    });
-    part.target.stats.total_tokens() / capacity.max(1.0)
+impl ChainPart {
+    /// Share of the part's token capacity that requests of all daemons have reserved.
+    pub fn reserved_share(&self, model: &ModelShape) -> f64 {
+        let card = self.target.card.as_ref().and_then(|name| model.card(name));
+        let capacity = card.map_or(0.0, |card| {
+            model.token_capacity(card, held_layers(&self.target))
+        });
+        self.target.stats.total_tokens() / capacity.max(1.0)
+    }
 }
 
 fn held_layers(target: &TargetEntry) -> u32 {
--- a/src/targets/stats.rs
+++ b/src/targets/stats.rs
@@ -13,6 +13,8 @@
 const BASE_EJECTION_TIME: Duration = Duration::from_millis(400);
 /// Time that a target counts as degraded after an incorrect response.
 const DEGRADED_TIME: Duration = Duration::from_millis(300);
+/// Time for which a full target gets nothing: by then, other daemons have announced what they reserved.
+const SATURATION_TIME: Duration = Duration::from_millis(250);
 /// Consecutive failed connects after which this daemon reports the target to others as unreachable.
 const UNREACHABLE_THRESHOLD: u32 = 2;
 /// Consecutive failed connects after which the target counts as lost whatever other daemons report.
@@ -39,6 +41,7 @@
     failures: AtomicU32,
     ejected_until: AtomicU64,
     degraded_until: AtomicU64,
+    saturated_until: AtomicU64,
     replaced: AtomicBool,
     leaving: AtomicBool,
     first_event: Mutex<GapEstimate>,
@@ -237,6 +240,18 @@
             .store(now.after(DEGRADED_TIME).0, Ordering::Relaxed);
     }
 
+    /// Records that the target has turned a request away because it is full. It gets nothing more from this
+    /// daemon for a moment.
+    pub fn record_saturation(&self, now: MonoTime) {
+        let until = now.after(SATURATION_TIME).0;
+        self.saturated_until.store(until, Ordering::Relaxed);
+    }
+
+    /// True shortly after the target has turned a request away because it is full.
+    pub fn is_saturated(&self, now: MonoTime) -> bool {
+        now.0 < self.saturated_until.load(Ordering::Relaxed)
+    }
+
     /// True while the target is degraded, sheds load or fails requests of other daemons, that is, used only
     /// where no other is left.
     pub fn is_degraded(&self, now: MonoTime) -> bool {
