Use degraded chains again while others are full, and fill chains for the first class

Change: no difference in the choice among degraded chains. Requests that leave no headroom to others may use the margin that others keep for wrong estimates. Log lines of refusals say what kept a request from the chains.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -151,7 +151,7 @@
     DrainTable, LeaderElection, LeaderLease, ObservedEngine, OrderPlan, PlannedOrder, plan_orders,
 };
 pub use relay::{
-    BudgetLimits, ChainRequirement, DispatchMetadata, FullStep, GatewayAdmission, GatewayBounds,
+    BudgetLimits, ChainRequirement, DispatchMetadata, GatewayAdmission, GatewayBounds,
     GatewayListen, GatewaySettings, GatewayStore, LocalReply, MAX_RESERVED_SHARE, PeerDispatch,
     RefusalCause, RefusalPressure, RelayCodec, RelayContext, RelayFailure, RelayMetrics,
     ReplyMetadata, RequestMetadata, RetryBudget, RetryState, RetryStep, StallDetector, StallStep,
--- a/src/relay/capacity.rs
+++ b/src/relay/capacity.rs
@@ -19,10 +19,14 @@
 use event_listener::Event;
 use futures_lite::future::or;
 use std::collections::{BTreeMap, HashMap};
+use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+/// Share of a chain's capacity up to which requests may fill it that leave no headroom, as none of a higher
+/// priority arrive. The margin for wrong estimates that others leave is theirs.
+const MAX_FIRST_SHARE: f64 = 0.98;
 /// Interval at which a waiting request looks for capacity if nothing wakes it before.
 const CAPACITY_POLL: Duration = Duration::from_millis(25);
 /// Shortest and longest time that a request waits for capacity.
@@ -143,7 +147,10 @@
     let domain = &context.settings.failure_domain;
     let capacity = domain_capacity(view.service_targets(service), domain, model);
     let headroom = priority_headroom(&demand, queue_priority(request), table.peer_age(), capacity);
-    MAX_RESERVED_SHARE * (1.0 - headroom)
+    if headroom <= 0.0 {
+        return MAX_FIRST_SHARE;
+    }
+    (MAX_FIRST_SHARE * (1.0 - headroom)).min(MAX_RESERVED_SHARE)
 }
 
 /// Context tokens that the targets of a failure domain have capacity for, over all layers.
@@ -290,8 +297,9 @@
         .with_label_values(&[exit.name(), priority.as_str()])
         .inc();
     let backlog = exit.backlog();
+    let chains = ChainCounts::of(request);
     format!(
-        "{}: class {priority}, {:.0} tokens ahead, {:.0} tokens start in a second, wait limit {} ms",
+        "{}: class {priority}, {:.0} tokens ahead, {:.0} tokens start in a second, wait limit {} ms; chains: {chains}",
         exit.name(),
         backlog.tokens_ahead,
         backlog.tokens_per_second,
@@ -299,6 +307,61 @@
     )
 }
 
+/// Numbers of the chains of a service by what keeps a new request from them, for the log.
+#[derive(Debug, Default)]
+struct ChainCounts {
+    listed: usize,
+    ejected: usize,
+    degraded: usize,
+    saturated: usize,
+    /// Lowest reserved share of the others, in percent.
+    least_reserved: Option<u32>,
+}
+
+impl ChainCounts {
+    fn of(request: &ActiveRequest<'_>) -> Self {
+        let context = request.context;
+        let now = context.clock.now();
+        let view = context.targets.load();
+        let mut counts = Self::default();
+        for chain in view.chains(&request.service.name) {
+            counts.listed += 1;
+            if chain.is_ejected(now) || chain.leaves() {
+                counts.ejected += 1;
+            } else if chain.is_saturated(now) {
+                counts.saturated += 1;
+            } else if chain.is_degraded(now) {
+                counts.degraded += 1;
+            } else if let Some(model) = &request.service.model {
+                let percent = (chain.reserved_share(model) * 100.0) as u32;
+                let least = counts.least_reserved.unwrap_or(percent);
+                counts.least_reserved = Some(least.min(percent));
+            }
+        }
+        counts
+    }
+}
+
+impl fmt::Display for ChainCounts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            listed,
+            ejected,
+            degraded,
+            saturated,
+            least_reserved,
+        } = self;
+        write!(
+            f,
+            "{listed} listed, {ejected} ejected, {degraded} degraded, {saturated} saturated"
+        )?;
+        match least_reserved {
+            Some(percent) => write!(f, ", others from {percent} % reserved"),
+            None => Ok(()),
+        }
+    }
+}
+
 /// Priority of the request in the queue.
 fn queue_priority(request: &ActiveRequest<'_>) -> u8 {
     let class = request.class.as_ref();
--- a/src/relay/choice.rs
+++ b/src/relay/choice.rs
@@ -42,18 +42,6 @@
     /// Share of a chain's token capacity up to which a new request may fill it. Resumed streams have a
     /// limit of their own.
     pub max_share: f64,
-    /// What to do while all healthy chains are full.
-    pub when_full: FullStep,
-}
-
-/// What a request does while all healthy chains are full.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum FullStep {
-    /// It uses a degraded chain.
-    UseDegraded,
-    /// It waits for a healthy chain. While a service is overloaded, a degraded chain looks like the
-    /// only one with capacity, and attempts there only use up the retry budget.
-    Wait,
 }
 
 /// Selects the least loaded ready target that is not in `tried`, preferring the local failure
@@ -140,11 +128,7 @@
             least_cost(&costs, rng)
         }
     };
-    let chosen = choose(&healthy);
-    if !healthy.is_empty() && requirement.when_full == FullStep::Wait {
-        return chosen;
-    }
-    chosen.or_else(|| choose(&degraded))
+    choose(&healthy).or_else(|| choose(&degraded))
 }
 
 /// Costs of the chains with capacity for the request.
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -34,7 +34,7 @@
 mod via_peer;
 
 pub use budget::{BudgetLimits, RetryBudget};
-pub use choice::{ChainRequirement, FullStep, MAX_RESERVED_SHARE, pick_chain, pick_target};
+pub use choice::{ChainRequirement, MAX_RESERVED_SHARE, pick_chain, pick_target};
 pub use context::RelayContext;
 pub(crate) use crashes::{CRASH_RETENTION, merge_peer_crashes, unstored_crashes};
 pub(crate) use lending::answer_retry_ask;
--- a/src/relay/stream_chain.rs
+++ b/src/relay/stream_chain.rs
@@ -6,7 +6,7 @@
 use crate::relay::capacity::{
     QueueExit, QueuePlace, describe_exit, max_share, others_wait, wait_limit,
 };
-use crate::relay::choice::{ChainRequirement, FullStep, pick_chain};
+use crate::relay::choice::{ChainRequirement, pick_chain};
 use crate::relay::closed_heads::ClosedHeads;
 use crate::relay::event_progress::DeliveryProgress;
 use crate::relay::exchange::ActiveRequest;
@@ -206,11 +206,6 @@
         tokens,
         is_resumed: delivered.head_sent,
         max_share: max_share(request, model, &view),
-        when_full: if request.is_by_priority() {
-            FullStep::Wait
-        } else {
-            FullStep::UseDegraded
-        },
     };
     let chains = view.chains(&request.service.name);
     let now = context.clock.now();
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -5,9 +5,9 @@
 mod shapes;
 
 use arbutusmount::{
-    BudgetLimits, ChainPart, ChainRequirement, DomainId, FullStep, InstanceId, LayerChain,
-    LayerRange, MAX_RESERVED_SHARE, ModelShape, MonoTime, RefusalCause, RelayFailure, RetryBudget,
-    RetryRule, RetryState, RetryStep, ServiceId, StallDetector, StallStep, TargetEntry, pick_chain,
+    BudgetLimits, ChainPart, ChainRequirement, DomainId, InstanceId, LayerChain, LayerRange,
+    MAX_RESERVED_SHARE, ModelShape, MonoTime, RefusalCause, RelayFailure, RetryBudget, RetryRule,
+    RetryState, RetryStep, ServiceId, StallDetector, StallStep, TargetEntry, pick_chain,
     pick_target,
 };
 use shapes::{model_on, ready_target};
@@ -284,7 +284,6 @@
         tokens,
         is_resumed: false,
         max_share: MAX_RESERVED_SHARE,
-        when_full: FullStep::UseDegraded,
     };
     let mut rng = fastrand::Rng::with_seed(7);
     let chosen = pick_chain(chains, &model(), requirement, &[], at(1_000), &mut rng);
@@ -332,7 +331,6 @@
         tokens: 10.0,
         is_resumed: false,
         max_share: MAX_RESERVED_SHARE,
-        when_full: FullStep::UseDegraded,
     };
     let mut rng = fastrand::Rng::with_seed(7);
     let later = pick_chain(&chains, &model(), requirement, &[], at(1_400), &mut rng);
@@ -391,7 +389,6 @@
         tokens: 10.0,
         is_resumed: false,
         max_share: MAX_RESERVED_SHARE,
-        when_full: FullStep::UseDegraded,
     };
     let mut rng = fastrand::Rng::with_seed(7);
     let mut choose = |tried: &[InstanceId]| {
@@ -457,7 +454,6 @@
         tokens: 10.0,
         is_resumed: true,
         max_share: MAX_RESERVED_SHARE,
-        when_full: FullStep::UseDegraded,
     };
 
     // Act
@@ -489,7 +485,6 @@
             tokens: 980.0,
             is_resumed,
             max_share: MAX_RESERVED_SHARE,
-            when_full: FullStep::UseDegraded,
         };
         pick_chain(&chains, &model(), requirement, &[], at(0), &mut rng).is_some()
     };
