--- a/src/loads/exchange.rs
+++ b/src/loads/exchange.rs
@@ -77,12 +77,14 @@
             Ok(None) => {
                 peers = peer_groups(&context);
                 apply_totals(&context, &table, peers.remote_count());
+                apply_demand(&context, &table, &peers);
                 digest.sequence += 1;
                 digest.rows = local_rows(&context);
                 count_crashes(&context);
                 digest.crashes = unstored_crashes(&context);
                 digest.limits = known_limits(&context, digest.sequence);
                 digest.leaving = leaving_runs(&context);
+                digest.demand = context.capacity.demand_rows(clock.now());
                 let statement = context.reach.statement();
                 let is_news = digest.reach.replace(statement) != Some(statement);
                 send_digest(&socket, &digest, &peers).await;
@@ -166,6 +168,27 @@
     }
 }
 
+/// Publishes the demand of the other daemons and lets waiting requests look for capacity again.
+fn apply_demand(context: &RelayContext, table: &LoadTable, peers: &PeerGroups) {
+    let now = context.clock.now();
+    let age = SEND_PERIOD * peers.local_interval();
+    context.capacity.set_peer_demand(table.demand(now), age);
+    context.capacity.notify();
+    update_gauges(context);
+}
+
+fn update_gauges(context: &RelayContext) {
+    let gauges = &context.metrics.capacity_waiting;
+    for (service, counts) in context.capacity.waiting_counts() {
+        for (priority, count) in counts {
+            let priority = priority.to_string();
+            gauges
+                .with_label_values(&[service.as_str(), priority.as_str()])
+                .set(i64::try_from(count).unwrap_or(i64::MAX));
+        }
+    }
+}
+
 async fn send_digest(socket: &Async<UdpSocket>, digest: &ReservationDigest, peers: &PeerGroups) {
     let bytes = digest.encode_to_vec();
     for address in peers.recipients(digest.sequence) {
--- a/src/relay/choice.rs
+++ b/src/relay/choice.rs
@@ -16,7 +16,7 @@
 const REMOTE_DOMAIN_LOAD: f64 = 0.25;
 /// Share of a chain's token capacity that may be reserved. The rest absorbs wrong estimates: a
 /// chain that runs out of memory preempts requests in the middle of their responses.
-const MAX_RESERVED_SHARE: f64 = 0.93;
+pub const MAX_RESERVED_SHARE: f64 = 0.93;
 /// The same limit for resumed streams, above the whole capacity: their tokens were already admitted
 /// at the chain that failed.
 const MAX_RESUMED_SHARE: f64 = 1.03;
@@ -39,6 +39,9 @@
     /// True for a resumed stream, which may use more of a chain: its tokens were already admitted
     /// at the chain that failed.
     pub is_resumed: bool,
+    /// Share of a chain's token capacity up to which a new request may fill it. Resumed streams have a
+    /// limit of their own.
+    pub max_share: f64,
 }
 
 /// Selects the least loaded ready target that is not in `tried`, preferring the local failure
@@ -110,6 +113,7 @@
             && !chain.head().stats.limit().is_held_back(now)
             && !chain.rests(now)
             && !chain.leaves()
+            && !chain.is_saturated(now)
             && !tried.contains(&chain.head().id)
     };
     let (degraded, healthy): (Vec<_>, Vec<_>) = chains
@@ -136,7 +140,7 @@
     let limit = if requirement.is_resumed {
         MAX_RESUMED_SHARE
     } else {
-        MAX_RESERVED_SHARE
+        requirement.max_share
     };
     let cost = |chain: &&'a Arc<LayerChain>| {
         let load = chain.reserved_share(model) + requirement.tokens / chain.token_capacity.max(1.0);
