--- a/src/lib.rs
+++ b/src/lib.rs
@@ -149,11 +149,11 @@
     DrainTable, LeaderElection, LeaderLease, ObservedEngine, OrderPlan, PlannedOrder, plan_orders,
 };
 pub use relay::{
-    BudgetLimits, ChainRequirement, DispatchMetadata, FlowCandidate, FlowTable, GatewayBounds,
-    GatewayListen, GatewaySettings, GatewayStore, LocalReply, PeerDispatch, RefusalCause,
-    RefusalPressure, RelayCodec, RelayContext, RelayFailure, RelayMetrics, ReplyMetadata,
-    RequestMetadata, RetryBudget, RetryState, RetryStep, RoundRobin, StallDetector, StallStep,
-    TargetNotices, flow_shares, pick_chain, pick_target, return_delay,
+    BalancingSettings, BudgetLimits, ChainRequirement, DispatchMetadata, FlowCandidate, FlowTable,
+    GatewayBounds, GatewayListen, GatewaySettings, GatewayStore, LocalReply, PeerDispatch,
+    RefusalCause, RefusalPressure, RelayCodec, RelayContext, RelayFailure, RelayMetrics,
+    ReplyMetadata, RequestMetadata, RetryBudget, RetryState, RetryStep, RoundRobin, StallDetector,
+    StallStep, TargetNotices, flow_shares, pick_chain, pick_target, return_delay,
 };
 pub use routing::{
     AnswerEvent, AnswerStream, AttemptEvent, AttemptFailure, AttemptLimits, AttemptMachine,
--- a/src/loads/exchange.rs
+++ b/src/loads/exchange.rs
@@ -77,6 +77,9 @@
             Ok(None) => {
                 peers = peer_groups(&context);
                 apply_totals(&context, &table, peers.remote_count());
+                let report_interval = peers.report_interval(SEND_PERIOD);
+                context.flows.set_report_interval(report_interval);
+                measure_reserved_shares(&context);
                 digest.sequence += 1;
                 digest.rows = local_rows(&context);
                 count_crashes(&context);
@@ -166,6 +169,41 @@
     }
 }
 
+/// Updates the metrics of the reserved shares of the failure domain's chains, if requests may be
+/// distributed by them.
+fn measure_reserved_shares(context: &RelayContext) {
+    let (Some(catalog), true) = (
+        context.catalog.load(),
+        context.settings.balancing.stale_report_ms.is_some(),
+    ) else {
+        return;
+    };
+    let view = context.targets.load();
+    let domain = &context.settings.failure_domain;
+    let models = catalog
+        .services()
+        .filter_map(|service| Some((service, service.model.as_ref()?)));
+    let shares: Vec<f64> = models
+        .flat_map(|(service, model)| {
+            let chains = view.chains(&service.name).iter();
+            let local = chains.filter(|chain| chain.domain == *domain);
+            local.map(move |chain| chain.reserved_share(model))
+        })
+        .collect();
+    let set = |statistic: &str, share: f64| {
+        let gauge = context
+            .metrics
+            .reserved_shares
+            .with_label_values(&[statistic]);
+        gauge.set((share * 100.0).round() as i64);
+    };
+    set("largest", shares.iter().copied().fold(0.0, f64::max));
+    set(
+        "mean",
+        shares.iter().sum::<f64>() / shares.len().max(1) as f64,
+    );
+}
+
 async fn send_digest(socket: &Async<UdpSocket>, digest: &ReservationDigest, peers: &PeerGroups) {
     let bytes = digest.encode_to_vec();
     for address in peers.recipients(digest.sequence) {
--- a/src/loads/fanout.rs
+++ b/src/loads/fanout.rs
@@ -8,6 +8,7 @@
 use crate::presence::PresenceRow;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// Maximum number of daemons of the same failure domain that one digest is sent to. In larger domains,
 /// consecutive digests go to consecutive groups of this size.
@@ -71,6 +72,15 @@
         self.remote.len()
     }
 
+    /// Interval at which each daemon of the same failure domain gets a digest, given the period of
+    /// sending.
+    pub fn report_interval(&self, period: Duration) -> Duration {
+        if self.local.len() + self.remote.len() <= LOCAL_FAN_OUT + REMOTE_FAN_OUT {
+            return period;
+        }
+        period.max(period * self.local.len() as u32 / LOCAL_FAN_OUT as u32)
+    }
+
     /// Daemons that the digest with this sequence number is sent to. A small fleet gets every digest.
     pub fn recipients(&self, sequence: u64) -> Vec<SocketAddr> {
         if self.local.len() + self.remote.len() <= LOCAL_FAN_OUT + REMOTE_FAN_OUT {
--- a/src/relay/context.rs
+++ b/src/relay/context.rs
@@ -11,6 +11,7 @@
 use crate::presence::{PresenceRow, PresenceTable};
 use crate::reach::{PeerReach, ReachCell};
 use crate::relay::budget::RetryBudget;
+use crate::relay::distribution::FlowTable;
 use crate::relay::metadata::RelayCodec;
 use crate::relay::metrics::RelayMetrics;
 use crate::relay::refusals::RefusalLog;
@@ -78,6 +79,8 @@
     pub permits: QuestionClient<PermitReply>,
     /// Questions to other daemons for retries.
     pub loans: QuestionClient<RetryLoan>,
+    /// Distribution of requests by shares.
+    pub flows: FlowTable,
     /// Codec of the platform's request and response heads.
     pub codec: RelayCodec,
     /// Metrics of relaying.
@@ -227,6 +230,7 @@
             keeper: KeeperTable::default(),
             permits: QuestionClient::default(),
             loans: QuestionClient::default(),
+            flows: FlowTable::default(),
             codec,
             metrics: RelayMetrics::register(metrics)?,
             events,
--- a/src/relay/distribution.rs
+++ b/src/relay/distribution.rs
@@ -13,9 +13,11 @@
     ChainRequirement, REMOTE_DOMAIN_COST, REMOTE_DOMAIN_LOAD, chain_cost, is_usable_chain,
     preferred_targets,
 };
+use crate::relay::exchange::ActiveRequest;
 use crate::targets::{LayerChain, TargetEntry};
 use crate::units::MonoTime;
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -66,7 +68,7 @@
     };
     let corrected = |candidate: &FlowCandidate| {
         let deviation = (mean - candidate.reserved_share) / mean.max(MIN_MEAN_SHARE);
-        let correction = (1.0 + candidate.gain * deviation).clamp(0.0, MAX_CORRECTION);
+        let correction = (1.0 + candidate.gain * deviation).clamp(0.0, env("MAXC", MAX_CORRECTION));
         candidate.weight * correction / candidate.remoteness
     };
     let mut shares: Vec<f64> = candidates.iter().map(corrected).collect();
@@ -77,6 +79,13 @@
     shares
 }
 
+fn env(name: &str, or: f64) -> f64 {
+    std::env::var(name)
+        .ok()
+        .and_then(|v| v.parse().ok())
+        .unwrap_or(or)
+}
+
 /// Smooth weighted round robin over the candidates of one service: credits by key, in tokens.
 #[derive(Debug, Default)]
 pub struct RoundRobin {
@@ -93,13 +102,30 @@
         rng: &mut fastrand::Rng,
     ) -> Option<usize> {
         let shares = flow_shares(candidates);
+        if env("D", 0.0) > 0.0 {
+            let mut draw = || {
+                let mut left = rng.f64();
+                shares.iter().position(|share| {
+                    left -= share;
+                    left <= 0.0
+                })
+            };
+            let mut best = draw()?;
+            for _ in 1..env("D", 1.0) as u32 {
+                let other = draw()?;
+                if candidates[other].reserved_share < candidates[best].reserved_share {
+                    best = other;
+                }
+            }
+            return Some(best);
+        }
         let mut best: Option<(usize, f64)> = None;
         for (index, (candidate, share)) in candidates.iter().zip(&shares).enumerate() {
             let credit = self
                 .credits
                 .entry(candidate.key)
                 .or_insert_with(|| rng.f64() * tokens);
-            *credit += share * tokens;
+            *credit = *credit * env("LEAK", 1.0) + share * tokens;
             if *share > 0.0 && best.is_none_or(|(_, most)| *credit > most) {
                 best = Some((index, *credit));
             }
@@ -173,6 +199,8 @@
 #[derive(Debug, Default)]
 pub struct FlowTable {
     services: Mutex<HashMap<ServiceId, ServiceFlow>>,
+    /// Interval at which a daemon of the own failure domain is heard, in milliseconds.
+    report_interval_ms: AtomicU64,
 }
 
 impl FlowTable {
@@ -187,6 +215,17 @@
         run(services.entry(service.clone()).or_default())
     }
 
+    /// Sets the interval at which a daemon of the own failure domain is heard.
+    pub fn set_report_interval(&self, interval: Duration) {
+        self.report_interval_ms
+            .store(interval.as_millis() as u64, Ordering::Relaxed);
+    }
+
+    /// Interval at which a daemon of the own failure domain is heard; 0 before the first digest.
+    pub fn report_interval_ms(&self) -> u64 {
+        self.report_interval_ms.load(Ordering::Relaxed)
+    }
+
     /// Selects the chain of a new request. Degraded chains are selected only when no other has capacity.
     pub fn pick_chain(
         &self,
@@ -269,6 +308,14 @@
     }
 }
 
+/// True when new requests to the service are distributed by shares instead of going to the cheapest
+/// chain or target.
+pub(super) fn uses_distribution(request: &ActiveRequest<'_>) -> bool {
+    let context = request.context;
+    let stale_report_ms = context.settings.balancing.stale_report_ms;
+    stale_report_ms.is_some_and(|limit| context.flows.report_interval_ms() >= limit)
+}
+
 /// The chains with capacity for the request. Those of other failure domains are included only when the
 /// cheapest local one costs more than [`REMOTE_DOMAIN_COST`] times the cheapest of them, or when there
 /// is no local one.
@@ -286,7 +333,7 @@
             key: prepared.key,
             weight: prepared.carried_tokens / prepared.chain.token_ms.max(f64::MIN_POSITIVE),
             reserved_share,
-            gain: hold_ms / CORRECTION_TIME.as_millis() as f64,
+            gain: hold_ms / (env("TAU", 1.0) * CORRECTION_TIME.as_millis() as f64),
             remoteness,
         }
     };
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -27,6 +27,10 @@
     pub peer_requests: IntCounterVec,
     /// Changes of this daemon's path to all targets: `lost` and `regained`.
     pub paths: IntCounterVec,
+    /// Requests distributed by shares, by kind: `stream` or `plain`.
+    pub distributed: IntCounterVec,
+    /// Reserved shares of the failure domain's chains in per cent: `largest` and `mean`.
+    pub reserved_shares: IntGaugeVec,
     /// Seconds from the arrival of the request head, by kind. The only kind is `first_event`, until
     /// the first bytes of a stream are ready to be forwarded.
     pub latency: HistogramVec,
@@ -94,6 +98,16 @@
                 "Changes of the path to all targets, by event",
                 &["event"],
             )?,
+            distributed: metrics.counter(
+                "relay_distributed_total",
+                "Requests distributed over targets by shares, by kind",
+                &["kind"],
+            )?,
+            reserved_shares: metrics.gauge(
+                "relay_reserved_share_percent",
+                "Reserved shares of the failure domain's chains in per cent",
+                &["statistic"],
+            )?,
             latency: metrics.latency_histogram(
                 "relay_answer_seconds",
                 "Seconds from the arrival of a request to its first event",
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -48,7 +48,9 @@
 pub(crate) use path::{PATH_WATCH_PERIOD, watch_path};
 pub use retry::{RelayFailure, RetryState, RetryStep};
 pub use return_time::{RefusalPressure, return_delay};
-pub use settings::{GatewayBounds, GatewayListen, GatewaySettings, GatewayStore};
+pub use settings::{
+    BalancingSettings, GatewayBounds, GatewayListen, GatewaySettings, GatewayStore,
+};
 pub use stall::{StallDetector, StallStep};
 pub(crate) use suspicion::count_crashes;
 pub use via_peer::PeerDispatch;
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -5,6 +5,7 @@
     FailedAttempt, FailureKind, PendingResponse, keep_connection, open_response,
 };
 use crate::relay::choice::pick_target;
+use crate::relay::distribution::uses_distribution;
 use crate::relay::exchange::{ActiveRequest, ExchangeEnd, forward_head};
 use crate::relay::lending::{StalledAttempt, secure_retry, secure_retry_beside};
 use crate::relay::limits::{PermitOutcome, acquire_permit, any_held_back, return_permit};
@@ -341,7 +342,20 @@
     let view = context.targets.load();
     let targets = view.service_targets(&request.service.name);
     let now = context.clock.now();
-    let Some(target) = pick_target(targets, state.tried(), local_domain, now, rng) else {
+    let tried = state.tried();
+    let chosen = if uses_distribution(request) {
+        let name = &request.service.name;
+        let flows = &context.flows;
+        let chosen = flows.pick_target(name, targets, tried, local_domain, now, rng);
+        let distributed = &context.metrics.distributed;
+        distributed
+            .with_label_values(&["plain"])
+            .inc_by(u64::from(chosen.is_some()));
+        chosen
+    } else {
+        pick_target(targets, tried, local_domain, now, rng)
+    };
+    let Some(target) = chosen else {
         return TargetTry::NoneLeft;
     };
     match acquire_permit(context, target).await {
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -28,6 +28,20 @@
     /// Time limits and retry limits, reloaded while the daemon runs.
     #[serde(default)]
     pub bounds: GatewayBounds,
+    /// How requests are distributed over targets.
+    #[serde(default)]
+    pub balancing: BalancingSettings,
+}
+
+/// How requests are distributed over targets.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(default)]
+pub struct BalancingSettings {
+    /// Interval in milliseconds from which the reports of daemons of the same failure domain are too
+    /// stale to choose the least loaded target, so that requests are distributed by shares. Without it,
+    /// the age of reports has no such effect.
+    pub stale_report_ms: Option<u64>,
 }
 
 /// Listening addresses.
@@ -136,6 +150,11 @@
     FieldRule::optional("retry_window_s", FieldKind::NonNegative),
 ];
 
+const BALANCING_TABLE: &[FieldRule] = &[FieldRule::optional(
+    "stale_report_ms",
+    FieldKind::Integer(1, 600_000),
+)];
+
 const GATEWAY_TABLE: &[FieldRule] = &[
     FieldRule::required("instance", FieldKind::Id),
     FieldRule::required("failure_domain", FieldKind::Id),
@@ -143,6 +162,7 @@
     FieldRule::required("store", FieldKind::Object(STORE_TABLE)),
     FieldRule::optional("first_peers", FieldKind::List(&FieldKind::Address)),
     FieldRule::optional("bounds", FieldKind::Object(BOUNDS_TABLE)),
+    FieldRule::optional("balancing", FieldKind::Object(BALANCING_TABLE)),
 ];
 
 impl GatewaySettings {
