--- a/src/feed/readers.rs
+++ b/src/feed/readers.rs
@@ -63,9 +63,10 @@
         .into_iter()
         .take_while(|row| row.instance != *instance);
     let earlier: Vec<PresenceRow> = earlier.cloned().collect();
-    match earlier.is_empty() {
-        true => ReadingRole::Reader,
-        false => ReadingRole::Standby(earlier),
+    if earlier.is_empty() {
+        ReadingRole::Reader
+    } else {
+        ReadingRole::Standby(earlier)
     }
 }
 
--- a/src/feed/rest.rs
+++ b/src/feed/rest.rs
@@ -11,7 +11,7 @@
 pub const LIST_REST: Duration = Duration::from_millis(1_600);
 /// The same for the presence of daemons, from which a daemon learns whose feed it can follow. Shorter, so
 /// that a feed can begin while the other prefixes rest.
-pub const PRESENCE_REST: Duration = Duration::from_millis(1_000);
+pub const PRESENCE_REST: Duration = Duration::from_secs(1);
 /// Longest time between two checks whether a prefix may still rest: a leader has to watch at once.
 const REST_CHECK_PERIOD: Duration = Duration::from_millis(100);
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -151,11 +151,12 @@
     DrainTable, LeaderElection, LeaderLease, ObservedEngine, OrderPlan, PlannedOrder, plan_orders,
 };
 pub use relay::{
-    BudgetLimits, ChainRequirement, DispatchMetadata, GatewayAdmission, GatewayBounds,
-    GatewayListen, GatewaySettings, GatewayStore, LocalReply, MAX_RESERVED_SHARE, PeerDispatch,
-    RefusalCause, RefusalPressure, RelayCodec, RelayContext, RelayFailure, RelayMetrics,
-    ReplyMetadata, RequestMetadata, RetryBudget, RetryState, RetryStep, StallDetector, StallStep,
-    TargetNotices, pick_chain, pick_target, return_delay,
+    BalancingSettings, BudgetLimits, ChainRequirement, DispatchMetadata, FlowCandidate, FlowTable,
+    GatewayAdmission, GatewayBounds, GatewayListen, GatewaySettings, GatewayStore, LoadMetrics,
+    LocalReply, MAX_RESERVED_SHARE, PeerDispatch, RefusalCause, RefusalPressure, RelayCodec,
+    RelayContext, RelayFailure, RelayMetrics, ReplyMetadata, RequestMetadata, RetryBudget,
+    RetryState, RetryStep, RoundRobin, StallDetector, StallStep, TargetNotices, flow_shares,
+    pick_chain, pick_target, return_delay,
 };
 pub use routing::{
     AnswerEvent, AnswerStream, AttemptEvent, AttemptFailure, AttemptLimits, AttemptMachine,
--- a/src/relay/capacity.rs
+++ b/src/relay/capacity.rs
@@ -291,7 +291,7 @@
 
 /// Counts a request that leaves the queue without capacity; returns the detail of its refusal.
 pub(super) fn describe_exit(request: &ActiveRequest<'_>, exit: QueueExit) -> String {
-    let metrics = &request.context.metrics.capacity_refusals;
+    let metrics = &request.context.metrics.load.capacity_refusals;
     let priority = queue_priority(request).to_string();
     metrics
         .with_label_values(&[exit.name(), priority.as_str()])
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -31,6 +31,9 @@
     /// How capacity of model services is handed out.
     #[serde(default)]
     pub admission: GatewayAdmission,
+    /// How requests are distributed over targets.
+    #[serde(default)]
+    pub balancing: BalancingSettings,
 }
 
 /// How capacity of model services is handed out.
@@ -42,6 +45,17 @@
     pub fair_teams: bool,
 }
 
+/// How requests are distributed over targets.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(default)]
+pub struct BalancingSettings {
+    /// Interval in milliseconds from which the reports of daemons of the same failure domain are too
+    /// stale to choose the least loaded target, so that requests are distributed by shares. Without it,
+    /// the age of reports has no such effect.
+    pub stale_report_ms: Option<u64>,
+}
+
 /// Listening addresses.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -154,6 +168,10 @@
 ];
 
 const ADMISSION_TABLE: &[FieldRule] = &[FieldRule::optional("fair_teams", FieldKind::Boolean)];
+const BALANCING_TABLE: &[FieldRule] = &[FieldRule::optional(
+    "stale_report_ms",
+    FieldKind::Integer(1, 600_000),
+)];
 
 const GATEWAY_TABLE: &[FieldRule] = &[
     FieldRule::required("instance", FieldKind::Id),
@@ -163,6 +181,7 @@
     FieldRule::optional("first_peers", FieldKind::List(&FieldKind::Address)),
     FieldRule::optional("bounds", FieldKind::Object(BOUNDS_TABLE)),
     FieldRule::optional("admission", FieldKind::Object(ADMISSION_TABLE)),
+    FieldRule::optional("balancing", FieldKind::Object(BALANCING_TABLE)),
 ];
 
 impl GatewaySettings {
--- a/src/relay/stream_failure.rs
+++ b/src/relay/stream_failure.rs
@@ -45,7 +45,7 @@
         RelayFailure::NotExecuted if refused_at_once && is_full(request, faulty_part) => {
             target.stats.record_saturation(now);
             let service = request.service.name.as_str();
-            let saturated = &context.metrics.saturated_parts;
+            let saturated = &context.metrics.load.saturated_parts;
             saturated.with_label_values(&[service]).inc();
         }
         _ if failed.kind == FailureKind::HeldBack || context.is_cut_off() => {}
--- a/src/targets/chain.rs
+++ b/src/targets/chain.rs
@@ -25,6 +25,22 @@
     pub layers: LayerRange,
 }
 
+impl ChainPart {
+    /// Context tokens that the target has capacity for beside all layers that it holds; 0 when its
+    /// accelerator kind is unknown.
+    pub fn token_capacity(&self, model: &ModelShape) -> f64 {
+        let card = self.target.card.as_ref().and_then(|name| model.card(name));
+        card.map_or(0.0, |card| {
+            model.token_capacity(card, held_layers(&self.target))
+        })
+    }
+
+    /// Share of the part's token capacity that requests of all daemons have reserved.
+    pub fn reserved_share(&self, model: &ModelShape) -> f64 {
+        self.target.stats.total_tokens() / self.token_capacity(model).max(1.0)
+    }
+}
+
 /// A chain of targets that runs all layers of a model.
 #[derive(Debug, Clone)]
 pub struct LayerChain {
@@ -84,17 +100,6 @@
     }
 }
 
-impl ChainPart {
-    /// Share of the part's token capacity that requests of all daemons have reserved.
-    pub fn reserved_share(&self, model: &ModelShape) -> f64 {
-        let card = self.target.card.as_ref().and_then(|name| model.card(name));
-        let capacity = card.map_or(0.0, |card| {
-            model.token_capacity(card, held_layers(&self.target))
-        });
-        self.target.stats.total_tokens() / capacity.max(1.0)
-    }
-}
-
 fn held_layers(target: &TargetEntry) -> u32 {
     target.layers.map_or(0, LayerRange::len)
 }
--- a/tests/priority_demand.rs
+++ b/tests/priority_demand.rs
@@ -238,7 +238,7 @@
 }
 
 /// Guards against headroom for too short a time: from 8 to 430 daemons, each other daemon of the failure
-/// domain gets a digest in any `local_interval` consecutive ones.
+/// domain gets a digest in any `report_interval`.
 #[test_case(8, 3)]
 #[test_case(71, 3)]
 #[test_case(126, 3)]
@@ -264,7 +264,12 @@
     let listed: HashSet<SocketAddr> = peers.all().filter(is_local).collect();
 
     for first in 0..50 {
-        let sequences = first..first + u64::from(peers.local_interval());
+        let sequences = first
+            ..first
+                + peers
+                    .report_interval(PERIOD)
+                    .as_millis()
+                    .div_ceil(PERIOD.as_millis()) as u64;
         let told = sequences.flat_map(|sequence| peers.recipients(sequence));
         let told: HashSet<SocketAddr> = told.filter(is_local).collect();
         assert_eq!(told, listed);
