Bound the memory of request bodies and the connections of callers

Bodies were buffered up to the size limit before the route and the key were checked, and nothing bounded their total. Bodies and heads now share a quarter of the memory of the process, and callers' connections half of its descriptors (settings limits.memory_mb, limits.descriptors). Uploads without progress for the longest time are ended with 503 when others need memory, and idle connections are closed when others need descriptors.

--- a/rig/src/site/fleet.rs
+++ b/rig/src/site/fleet.rs
@@ -8,7 +8,7 @@
 use crate::site::store::SiteStore;
 use arbutusmount::{
     EventLog, GatewayBounds, GatewayHandle, GatewayListen, GatewaySettings, GatewayState,
-    GatewayStore, MetricSet, start_gateway,
+    GatewayStore, MetricSet, ProcessLimits, start_gateway,
 };
 use arbutusmount_platform::platform_ports;
 use async_std::task;
@@ -208,6 +208,7 @@
             },
             first_peers: self.daemons.iter().map(SiteDaemon::peer_address).collect(),
             bounds: GatewayBounds::default(),
+            limits: ProcessLimits::default(),
         };
         let address = settings.listen.callers;
         let ports = platform_ports(settings.store.address);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -150,10 +150,10 @@
 };
 pub use relay::{
     BudgetLimits, ChainRequirement, DispatchMetadata, GatewayBounds, GatewayListen,
-    GatewaySettings, GatewayStore, LocalReply, PeerDispatch, RefusalCause, RefusalPressure,
-    RelayCodec, RelayContext, RelayFailure, RelayMetrics, ReplyMetadata, RequestMetadata,
-    RetryBudget, RetryState, RetryStep, StallDetector, StallStep, TargetNotices, pick_chain,
-    pick_target, return_delay,
+    GatewaySettings, GatewayStore, LocalReply, PeerDispatch, ProcessLimits, RefusalCause,
+    RefusalPressure, RelayCodec, RelayContext, RelayFailure, RelayMetrics, ReplyMetadata,
+    RequestMetadata, RetryBudget, RetryState, RetryStep, StallDetector, StallStep, TargetNotices,
+    pick_chain, pick_target, return_delay,
 };
 pub use routing::{
     AnswerEvent, AnswerStream, AttemptEvent, AttemptFailure, AttemptLimits, AttemptMachine,
@@ -190,7 +190,7 @@
 pub use units::{ByteSize, LayerRange, MonoTime, RequestRate, TokenRate, UnitError};
 pub use wire::{
     BodyDecoder, BodyError, BodyFraming, BodyStep, CallError, CompleteEvent, EventSplitter,
-    HeadBuilder, HeadError, HeadLimits, HeadOutcome, HeadStep, ReadError, StreamError, StreamPool,
-    WireCall, WireClient, WireHead, WireResponse, WireStream, parse_request, parse_response,
-    read_request_head,
+    HeadBuilder, HeadError, HeadLimits, HeadOutcome, HeadStep, HoldStep, ReadError, SeatPhase,
+    StreamError, StreamPool, UploadLimits, UploadTable, WireCall, WireClient, WireHead,
+    WireResponse, WireStream, parse_request, parse_response, read_request_head,
 };
--- a/src/relay/context.rs
+++ b/src/relay/context.rs
@@ -1,6 +1,6 @@
 //! State shared by all requests of a relaying daemon.
 
-use crate::catalog::{CatalogCell, RetryRule};
+use crate::catalog::{CallerLimits, CatalogCell, RetryRule};
 use crate::gateway::TargetPort;
 use crate::ids::InstanceId;
 use crate::kernel::{LifecycleCell, MonoClock};
@@ -21,7 +21,7 @@
 use crate::targets::ViewCell;
 use crate::telemetry::{EventLog, MetricSet};
 use crate::units::MonoTime;
-use crate::wire::StreamPool;
+use crate::wire::{SeatSet, StreamPool, UploadLimits};
 use arc_swap::ArcSwap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -80,6 +80,10 @@
     pub loans: QuestionClient<RetryLoan>,
     /// Codec of the platform's request and response heads.
     pub codec: RelayCodec,
+    /// Connections of callers and peers with the memory that they hold.
+    pub seats: SeatSet,
+    /// Time of the last log line on connections that were ended, in microseconds of the clock.
+    pub(super) ending_logged_at: AtomicU64,
     /// Metrics of relaying.
     pub metrics: RelayMetrics,
     /// Structured log.
@@ -103,6 +107,12 @@
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
 
 impl RelayContext {
+    /// Limits on requests in force.
+    pub(super) fn request_limits(&self) -> CallerLimits {
+        let catalog = self.catalog.load();
+        catalog.map(|catalog| catalog.limits).unwrap_or_default()
+    }
+
     /// Bounds in force.
     pub fn bounds(&self) -> Arc<GatewayBounds> {
         self.bounds.load_full()
@@ -204,8 +214,13 @@
         events: EventLog,
         target_port: TargetPort,
     ) -> prometheus::Result<Arc<Self>> {
+        let clock = MonoClock::start();
+        let limits = settings.limits;
+        let limits = UploadLimits::of_process(limits.memory_mb, limits.descriptors);
         Ok(Arc::new(Self {
-            clock: MonoClock::start(),
+            clock,
+            seats: SeatSet::new(limits, clock),
+            ending_logged_at: AtomicU64::new(0),
             lifecycle: Arc::default(),
             catalog: CatalogCell::default(),
             targets: ViewCell::default(),
--- a/src/relay/listener.rs
+++ b/src/relay/listener.rs
@@ -1,18 +1,21 @@
 //! Accepts callers' connections and serves the requests on them.
 
-use crate::catalog::RoutingCatalog;
+use crate::catalog::{CallerLimits, RoutingCatalog};
 use crate::relay::context::RelayContext;
 use crate::relay::exchange::{
     ActiveRequest, ExchangeEnd, RoutingDecision, compute_deadline, relay_request, route_request,
 };
 use crate::relay::local_reply::{LocalReply, RefusalCause};
+use crate::relay::metadata::RequestMetadata;
 use crate::relay::request_refusal::RETRY_AFTER_SHARE;
+use crate::relay::uploads::{EndCause, publish_usage, record_ending};
 use crate::relay::via_peer::{PEER_FIELD, PeerDispatch};
 use crate::telemetry::EventLine;
 use crate::units::MonoTime;
 use crate::wire::{
-    HeadError, HeadLimits, HeadOutcome, ReadError, WireHead, WireServer, WireStream,
-    pause_after_read, read_request_body, read_request_head, read_some,
+    BodyUse, HeadError, HeadLimits, HeadOutcome, HoldError, ReadError, Seat, SeatPhase,
+    UploadBounds, UploadError, WireHead, WireServer, WireStream, close_after_reading,
+    pause_after_read, read_head_within, read_some, read_upload, wait_for_request,
 };
 use async_io::Async;
 use async_std::task;
@@ -32,6 +35,11 @@
 /// Base of `Retry-After` without a configuration; the value sent is between it and twice as much.
 const CONFIGURATION_RETRY_AFTER: Duration = Duration::from_millis(800);
 
+/// Base of `Retry-After` for want of memory; the value sent is between it and twice as much.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(800);
+/// Longest wait for a caller to close its side of a connection that is closed for want of memory.
+const CLOSE_LINGER: Duration = Duration::from_millis(500);
+
 /// Whether a connection stays open.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ConnectionStep {
@@ -78,8 +86,10 @@
 
 async fn accept_all(context: Arc<RelayContext>, server: WireServer, source: RequestSource) {
     loop {
-        let stream = server.accept().await;
-        task::spawn(serve_connection(Arc::clone(&context), stream, source));
+        let stream = server.accept(|| context.seats.end_longest_idle()).await;
+        let seat = context.seats.open(source == RequestSource::Callers);
+        publish_usage(&context);
+        task::spawn(serve_connection(Arc::clone(&context), stream, source, seat));
     }
 }
 
@@ -87,40 +97,49 @@
     context: Arc<RelayContext>,
     mut stream: WireStream,
     source: RequestSource,
+    seat: Seat,
 ) {
     loop {
-        let limits = context
-            .catalog
-            .load()
-            .map(|catalog| catalog.limits)
-            .unwrap_or_default();
-        let head_limits = HeadLimits {
-            max_bytes: limits.max_head_bytes,
+        let limits = context.request_limits();
+        seat.release_to(0);
+        if !seat.enter(SeatPhase::Idle) {
+            return record_ending(&context, EndCause::Idle);
+        }
+        let ended = async {
+            seat.ended().await;
+            None
         };
-        let outcome = read_request_head(
-            &mut stream,
-            head_limits,
-            limits.idle_timeout,
-            limits.head_timeout,
-        )
-        .await;
+        let started = async { Some(wait_for_request(&mut stream, limits.idle_timeout).await) };
+        match or(ended, started).await {
+            None => return record_ending(&context, EndCause::Idle),
+            Some(false) => return,
+            Some(true) => {}
+        }
+        let outcome = read_held_head(&mut stream, &seat, &limits).await;
         let arrived = context.clock.now();
+        let asker = ReplyAsker::unknown(source);
         let step = match outcome {
-            HeadOutcome::Request(head) => {
-                serve_request(&context, &mut stream, head, arrived, source).await
+            Err(cause) => {
+                let end = match cause {
+                    HoldError::Ended => EndCause::Head,
+                    HoldError::NoMemory => EndCause::NoMemory,
+                };
+                refuse_for_memory(&context, &mut stream, &seat, end, None, asker).await
+            }
+            Ok(HeadOutcome::Request(head)) => {
+                serve_request(&context, &mut stream, head, arrived, source, &seat).await
             }
-            HeadOutcome::Invalid(cause) => {
+            Ok(HeadOutcome::Invalid(cause)) => {
                 let cause = match cause {
                     HeadError::TooLong => RefusalCause::HeadTooLong,
                     _ => RefusalCause::Malformed,
                 };
-                refuse(&context, &stream, cause, ReplyAsker::unknown(source)).await
+                refuse(&context, &stream, cause, asker).await
             }
-            HeadOutcome::TimedOut => {
-                let asker = ReplyAsker::unknown(source);
+            Ok(HeadOutcome::TimedOut) => {
                 refuse(&context, &stream, RefusalCause::HeadTimeout, asker).await
             }
-            HeadOutcome::Idle | HeadOutcome::ConnectionLost => return,
+            Ok(HeadOutcome::Idle | HeadOutcome::ConnectionLost) => return,
         };
         if step == ConnectionStep::Close {
             return;
@@ -128,6 +147,37 @@
     }
 }
 
+/// Size limits of one request.
+fn upload_bounds(limits: &CallerLimits) -> UploadBounds {
+    UploadBounds {
+        head_bytes: limits.max_head_bytes,
+        body_bytes: limits.max_body_bytes,
+    }
+}
+
+/// Reads the rest of a head within the memory that all connections share.
+async fn read_held_head(
+    stream: &mut WireStream,
+    seat: &Seat,
+    limits: &CallerLimits,
+) -> Result<HeadOutcome, HoldError> {
+    let bounds = upload_bounds(limits);
+    if !seat.enter(SeatPhase::Head) {
+        return Err(HoldError::Ended);
+    }
+    seat.hold(bounds.head_memory(), bounds.one_request())
+        .await?;
+    let head_limits = HeadLimits {
+        max_bytes: limits.max_head_bytes,
+    };
+    let ended = async {
+        seat.ended().await;
+        Err(HoldError::Ended)
+    };
+    let read = async { Ok(read_head_within(stream, head_limits, limits.head_timeout).await) };
+    or(ended, read).await
+}
+
 /// Waits for a configuration for a short time: a daemon that has just started reads it at once.
 async fn wait_configuration(context: &RelayContext) -> Option<Arc<RoutingCatalog>> {
     let started = context.clock.now();
@@ -166,6 +216,30 @@
     refuse_with(context, stream, reply, asker).await
 }
 
+/// Refuses a request for want of memory and closes its connection. It was not executed. Its caller is asked
+/// to return once other uploads have ended, if that is in time.
+async fn refuse_for_memory(
+    context: &RelayContext,
+    stream: &mut WireStream,
+    seat: &Seat,
+    end: EndCause,
+    time_left: Option<Duration>,
+    asker: ReplyAsker,
+) -> ConnectionStep {
+    stream.input = BytesMut::new();
+    seat.release_to(0);
+    record_ending(context, end);
+    publish_usage(context);
+    let delay = time_left.map_or(MEMORY_RETRY_AFTER, |time_left| {
+        MEMORY_RETRY_AFTER.min(time_left.mul_f64(RETRY_AFTER_SHARE))
+    });
+    let reply =
+        LocalReply::new(RefusalCause::NoMemory).with_retry_after(delay, &mut fastrand::Rng::new());
+    refuse_with(context, stream, reply, asker).await;
+    close_after_reading(stream.socket(), CLOSE_LINGER).await;
+    ConnectionStep::Close
+}
+
 async fn refuse_with(
     context: &RelayContext,
     stream: &WireStream,
@@ -198,6 +272,7 @@
     head: WireHead,
     arrived: MonoTime,
     source: RequestSource,
+    seat: &Seat,
 ) -> ConnectionStep {
     let _in_flight = context.lifecycle.start_request();
     let asker = ReplyAsker {
@@ -212,38 +287,74 @@
             return ConnectionStep::Close;
         }
     };
-    if head.has_token("expect", "100-continue") {
-        let sent = stream.send(b"HTTP/1.1 100 Continue\r\n\r\n").await;
-        if sent.is_err() {
-            return ConnectionStep::Close;
-        }
+    let limits = context.request_limits();
+    let is_awaiting = head.has_token("expect", "100-continue");
+    let is_announced_too_long = head
+        .content_length()
+        .is_some_and(|length| length > limits.max_body_bytes as u64);
+    if is_announced_too_long {
+        return refuse(context, stream, RefusalCause::BodyTooLong, asker).await;
     }
-    let catalog = context.catalog.load();
-    let limits = catalog.map(|catalog| catalog.limits).unwrap_or_default();
-    let body = match read_request_body(stream, &head, limits.max_body_bytes).await {
+    let head = if origin.is_some() {
+        head.without(PEER_FIELD)
+    } else {
+        head
+    };
+    let catalog = wait_configuration(context).await;
+    let mut decision = decide(context, catalog.as_deref(), &head, origin.as_ref());
+    let body_use = body_use(&decision);
+    if is_awaiting && body_use == BodyUse::Discard {
+        // The caller may send its body or not after the final response.
+        refuse_decided(context, stream, decision, asker).await;
+        return ConnectionStep::Close;
+    }
+    if is_awaiting && stream.send(b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err() {
+        return ConnectionStep::Close;
+    }
+    let time_left = read_metadata(context, &head, origin.as_ref()).time_left;
+    let bounds = upload_bounds(&limits);
+    let read = if seat.enter(SeatPhase::Body) {
+        read_upload(stream, &head, bounds, seat, body_use).await
+    } else {
+        Err(UploadError::Memory(HoldError::Ended))
+    };
+    let read = read.and_then(|body| {
+        let goes_on = seat.enter(SeatPhase::Serving);
+        goes_on
+            .then_some(body)
+            .ok_or(UploadError::Memory(HoldError::Ended))
+    });
+    let body = match read {
         Ok(body) => body,
-        Err(ReadError::BodyTooLong) => {
+        Err(UploadError::Memory(cause)) => {
+            let end = match cause {
+                HoldError::Ended => EndCause::UploadForOthers,
+                HoldError::NoMemory => EndCause::NoMemory,
+            };
+            return refuse_for_memory(context, stream, seat, end, time_left, asker).await;
+        }
+        Err(UploadError::Read(ReadError::BodyTooLong)) => {
             return refuse(context, stream, RefusalCause::BodyTooLong, asker).await;
         }
-        Err(ReadError::Body(_)) => {
+        Err(UploadError::Read(ReadError::Body(_))) => {
             return refuse(context, stream, RefusalCause::Malformed, asker).await;
         }
-        Err(_) => return ConnectionStep::Close,
+        Err(UploadError::Read(_)) => return ConnectionStep::Close,
     };
+    if stream.input.is_empty() {
+        stream.input = BytesMut::new();
+    }
+    seat.release_to(body.capacity() + stream.input.capacity());
     // The configuration may have arrived or changed while the body was read.
-    let catalog = wait_configuration(context).await;
-    let head = if origin.is_some() {
-        head.without(PEER_FIELD)
-    } else {
-        head
-    };
-    let mut metadata = (context.codec.read_request)(&head);
-    if let Some(origin) = &origin {
-        metadata.time_left = Some(origin.time_left);
-        metadata.resume_after = origin.resume_after.or(metadata.resume_after);
+    let current = wait_configuration(context).await;
+    if current.as_ref().map(|c| c.version) != catalog.as_ref().map(|c| c.version) {
+        decision = decide(context, current.as_deref(), &head, origin.as_ref());
+        if body_use == BodyUse::Discard && matches!(decision, RoutingDecision::Relay(_)) {
+            // The body that the new route needs is gone; the caller is to send it again.
+            decision = RoutingDecision::Refuse(RefusalCause::NoConfiguration);
+        }
     }
-    let time_left = metadata.time_left;
-    let matched = match route_request(catalog.as_deref(), &head, metadata) {
+    let matched = match decision {
         RoutingDecision::Relay(matched) => *matched,
         RoutingDecision::Refuse(RefusalCause::NoConfiguration) => {
             return refuse_unconfigured(context, stream, time_left, asker).await;
@@ -269,7 +380,7 @@
         fingerprint_cell: OnceLock::new(),
     };
     let watch = async {
-        wait_for_close(socket, input).await;
+        wait_for_close(socket, input, seat, request.body.len()).await;
         None
     };
     let end = or(async { Some(relay_request(&request).await) }, watch).await;
@@ -283,6 +394,51 @@
     }
 }
 
+/// Metadata of a request, with what the daemon that passes it on says about it.
+fn read_metadata(
+    context: &RelayContext,
+    head: &WireHead,
+    origin: Option<&PeerDispatch>,
+) -> RequestMetadata {
+    let mut metadata = (context.codec.read_request)(head);
+    if let Some(origin) = origin {
+        metadata.time_left = Some(origin.time_left);
+        metadata.resume_after = origin.resume_after.or(metadata.resume_after);
+    }
+    metadata
+}
+
+fn decide(
+    context: &RelayContext,
+    catalog: Option<&RoutingCatalog>,
+    head: &WireHead,
+    origin: Option<&PeerDispatch>,
+) -> RoutingDecision {
+    route_request(catalog, head, read_metadata(context, head, origin))
+}
+
+/// A body is stored if its request may be served: also without a configuration, which may arrive meanwhile.
+fn body_use(decision: &RoutingDecision) -> BodyUse {
+    match decision {
+        RoutingDecision::Relay(_) | RoutingDecision::Refuse(RefusalCause::NoConfiguration) => {
+            BodyUse::Store
+        }
+        RoutingDecision::Refuse(_) => BodyUse::Discard,
+    }
+}
+
+/// Refuses a request whose body is not awaited.
+async fn refuse_decided(
+    context: &RelayContext,
+    stream: &WireStream,
+    decision: RoutingDecision,
+    asker: ReplyAsker,
+) {
+    if let RoutingDecision::Refuse(cause) = decision {
+        refuse(context, stream, cause, asker).await;
+    }
+}
+
 /// What the daemon that passes a request on says about it; `None` for a request of a caller. One of an
 /// unknown daemon is refused.
 fn read_origin(
@@ -324,8 +480,16 @@
 
 /// Returns when the caller has closed its connection. Bytes that it sends meanwhile are kept in
 /// `input`; never returns once there are [`MAX_PIPELINED_BYTES`].
-async fn wait_for_close(socket: &Async<TcpStream>, input: &mut BytesMut) {
-    while input.len() < MAX_PIPELINED_BYTES {
+async fn wait_for_close(
+    socket: &Async<TcpStream>,
+    input: &mut BytesMut,
+    seat: &Seat,
+    body_bytes: usize,
+) {
+    // One read adds less than the smallest buffer; the input buffer doubles when it is full.
+    while input.len() < MAX_PIPELINED_BYTES
+        && (input.is_empty() || seat.try_hold(body_bytes + 2 * input.capacity()))
+    {
         match read_some(socket, input).await {
             Ok(count) => pause_after_read(count).await,
             Err(_) => return,
--- a/src/relay/local_reply.rs
+++ b/src/relay/local_reply.rs
@@ -31,6 +31,8 @@
     NotExecuted,
     /// The request claims to come from another daemon, but that one is not known.
     UnknownPeer,
+    /// There is no memory for the request's head or body.
+    NoMemory,
     /// A target may have executed the request, but there is no response to forward.
     Failed,
     /// The deadline passed, and no target executed the request, whether or not one was tried.
@@ -56,6 +58,7 @@
             | Self::Expired
             | Self::Draining
             | Self::UnknownPeer
+            | Self::NoMemory
             | Self::Poison => 503,
             Self::NoRoute => 404,
             Self::UnknownKey => 401,
@@ -93,6 +96,7 @@
             Self::HeadTimeout => "slow",
             Self::NoTarget => "no_target",
             Self::NotExecuted => "not_run",
+            Self::NoMemory => "no_memory",
             Self::Failed => "failed",
             Self::Expired => "expired",
             Self::Draining => "draining",
@@ -110,6 +114,7 @@
             Self::HeadTooLong,
             Self::BodyTooLong,
             Self::HeadTimeout,
+            Self::NoMemory,
             Self::Draining,
         ];
         closing.contains(&self)
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -25,6 +25,11 @@
     /// Requests between daemons: `passed_on` to another one, `failed` there, and `taken` from another
     /// one.
     pub peer_requests: IntCounterVec,
+    /// Connections that were ended for want of memory or descriptors, by cause: `idle`, `head`,
+    /// `upload_for_others`, and `no_memory` for a request that waited for memory in vain.
+    pub ended_connections: IntCounterVec,
+    /// Bytes held for heads and bodies (`bytes`) and connections of callers (`connections`).
+    pub uploads: IntGaugeVec,
     /// Changes of this daemon's path to all targets: `lost` and `regained`.
     pub paths: IntCounterVec,
     /// Seconds from the arrival of the request head, by kind. The only kind is `first_event`, until
@@ -89,6 +94,16 @@
                 "Requests that daemons pass on to each other, by event",
                 &["event"],
             )?,
+            ended_connections: metrics.counter(
+                "relay_ended_connections_total",
+                "Connections ended for want of memory or descriptors, by cause",
+                &["cause"],
+            )?,
+            uploads: metrics.gauge(
+                "relay_uploads",
+                "Bytes held for heads and bodies of requests, and connections of callers",
+                &["figure"],
+            )?,
             paths: metrics.counter(
                 "relay_paths_total",
                 "Changes of the path to all targets, by event",
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -30,6 +30,7 @@
 mod stream_opening;
 mod streaming;
 mod suspicion;
+mod uploads;
 mod via_peer;
 
 pub use budget::{BudgetLimits, RetryBudget};
@@ -46,7 +47,7 @@
 pub(crate) use path::{PATH_WATCH_PERIOD, watch_path};
 pub use retry::{RelayFailure, RetryState, RetryStep};
 pub use return_time::{RefusalPressure, return_delay};
-pub use settings::{GatewayBounds, GatewayListen, GatewaySettings, GatewayStore};
+pub use settings::{GatewayBounds, GatewayListen, GatewaySettings, GatewayStore, ProcessLimits};
 pub use stall::{StallDetector, StallStep};
 pub(crate) use suspicion::count_crashes;
 pub use via_peer::PeerDispatch;
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -28,6 +28,20 @@
     /// Time limits and retry limits, reloaded while the daemon runs.
     #[serde(default)]
     pub bounds: GatewayBounds,
+    /// Memory and descriptors of the process.
+    #[serde(default)]
+    pub limits: ProcessLimits,
+}
+
+/// Memory and descriptors of the process, as the platform limits them.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(default)]
+pub struct ProcessLimits {
+    /// Memory in MiB.
+    pub memory_mb: Option<u64>,
+    /// Open descriptors, with those that the platform reserves for files.
+    pub descriptors: Option<u64>,
 }
 
 /// Listening addresses.
@@ -136,6 +150,11 @@
     FieldRule::optional("retry_window_s", FieldKind::NonNegative),
 ];
 
+const LIMITS_TABLE: &[FieldRule] = &[
+    FieldRule::optional("memory_mb", FieldKind::Integer(1, 1 << 20)),
+    FieldRule::optional("descriptors", FieldKind::Integer(1, 1 << 24)),
+];
+
 const GATEWAY_TABLE: &[FieldRule] = &[
     FieldRule::required("instance", FieldKind::Id),
     FieldRule::required("failure_domain", FieldKind::Id),
@@ -143,6 +162,7 @@
     FieldRule::required("store", FieldKind::Object(STORE_TABLE)),
     FieldRule::optional("first_peers", FieldKind::List(&FieldKind::Address)),
     FieldRule::optional("bounds", FieldKind::Object(BOUNDS_TABLE)),
+    FieldRule::optional("limits", FieldKind::Object(LIMITS_TABLE)),
 ];
 
 impl GatewaySettings {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -7,8 +7,11 @@
 mod head;
 mod pool;
 mod reading;
+mod seats;
 mod server;
 mod stream;
+mod upload;
+mod upload_table;
 
 pub use body::{
     BodyDecoder, BodyError, BodyFraming, BodyStep, LAST_CHUNK, encode_chunk, is_bodiless,
@@ -20,5 +23,11 @@
 };
 pub use pool::StreamPool;
 pub use reading::{BodyEnd, ReadError, read_body, read_final_head};
-pub use server::{HeadOutcome, WireServer, read_request_body, read_request_head};
-pub use stream::{StreamError, WireStream, pause_after_read, read_some, reset_on_close, write_all};
+pub use seats::{HoldError, Seat, SeatSet};
+pub use server::{HeadOutcome, WireServer, read_head_within, read_request_head, wait_for_request};
+pub use stream::{
+    StreamError, WireStream, close_after_reading, pause_after_read, read_some, reset_on_close,
+    write_all,
+};
+pub use upload::{BodyUse, UploadBounds, UploadError, read_upload};
+pub use upload_table::{HoldStep, SeatPhase, UploadLimits, UploadTable};
--- a/src/wire/server.rs
+++ b/src/wire/server.rs
@@ -1,8 +1,6 @@
 //! Accepts connections and reads the requests of callers.
 
-use crate::wire::body::{BodyDecoder, BodyFraming};
 use crate::wire::head::{HeadError, HeadLimits, HeadStep, WireHead, parse_request};
-use crate::wire::reading::{ReadError, read_body};
 use crate::wire::stream::{WireStream, pause_after_read};
 use async_io::{Async, Timer};
 use async_std::future::timeout;
@@ -45,13 +43,15 @@
         Ok(Self { listener })
     }
 
-    /// Waits for the next connection.
-    pub async fn accept(&self) -> WireStream {
+    /// Waits for the next connection. `on_failure` is called when one cannot be accepted, for instance to
+    /// close connections that are not in use.
+    pub async fn accept(&self, on_failure: impl Fn()) -> WireStream {
         loop {
             match self.listener.accept().await {
                 Ok((socket, _peer)) => return WireStream::new(socket),
                 Err(cause) => {
                     log::warn!("cannot accept a connection: {cause}");
+                    on_failure();
                     Timer::after(ACCEPT_RETRY_DELAY).await;
                 }
             }
@@ -59,6 +59,28 @@
     }
 }
 
+/// Waits for the first byte of the next request; false when the caller closes the connection or
+/// `idle_timeout` passes.
+pub async fn wait_for_request(stream: &mut WireStream, idle_timeout: Duration) -> bool {
+    if !stream.input.is_empty() {
+        return true;
+    }
+    // Frees the buffer, so that idle connections hold none.
+    stream.input = bytes::BytesMut::new();
+    let filled = timeout(idle_timeout, stream.fill()).await;
+    matches!(filled, Ok(Ok(_)))
+}
+
+/// Reads the rest of a request head within `head_timeout`.
+pub async fn read_head_within(
+    stream: &mut WireStream,
+    limits: HeadLimits,
+    head_timeout: Duration,
+) -> HeadOutcome {
+    let read = timeout(head_timeout, read_head(stream, limits)).await;
+    read.unwrap_or(HeadOutcome::TimedOut)
+}
+
 /// Reads the next request head. `idle_timeout` applies to its first byte, `head_timeout` to the
 /// rest.
 pub async fn read_request_head(
@@ -67,16 +89,10 @@
     idle_timeout: Duration,
     head_timeout: Duration,
 ) -> HeadOutcome {
-    if stream.input.is_empty() {
-        // Frees the buffer, so that idle connections hold none.
-        stream.input = bytes::BytesMut::new();
-        let filled = timeout(idle_timeout, stream.fill()).await;
-        if !matches!(filled, Ok(Ok(_))) {
-            return HeadOutcome::Idle;
-        }
+    if !wait_for_request(stream, idle_timeout).await {
+        return HeadOutcome::Idle;
     }
-    let read = timeout(head_timeout, read_head(stream, limits)).await;
-    read.unwrap_or(HeadOutcome::TimedOut)
+    read_head_within(stream, limits, head_timeout).await
 }
 
 async fn read_head(stream: &mut WireStream, limits: HeadLimits) -> HeadOutcome {
@@ -98,21 +114,3 @@
         }
     }
 }
-
-/// Reads the body of the request with this head. A declared length above `limit` is rejected before
-/// anything is read.
-///
-/// # Errors
-/// As for [`read_body`].
-pub async fn read_request_body(
-    stream: &mut WireStream,
-    head: &WireHead,
-    limit: usize,
-) -> Result<Vec<u8>, ReadError> {
-    let framing = BodyFraming::for_request(head);
-    if matches!(framing, BodyFraming::Sized(length) if length > limit as u64) {
-        return Err(ReadError::BodyTooLong);
-    }
-    let read = read_body(stream, &mut BodyDecoder::new(framing), limit).await;
-    read.map(|(body, _end)| body)
-}
--- a/src/wire/stream.rs
+++ b/src/wire/stream.rs
@@ -7,7 +7,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use std::fmt;
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::time::Duration;
 
 /// Result of an operation on a connection.
@@ -143,6 +143,26 @@
     }
 }
 
+/// Closes the sending side, and discards what arrives until the peer closes its side or `limit` passes. A
+/// connection that is closed with unread input is reset, which may discard a response on its way.
+pub async fn close_after_reading(socket: &Async<TcpStream>, limit: Duration) {
+    if socket.get_ref().shutdown(Shutdown::Write).is_err() {
+        return;
+    }
+    let rest = async {
+        loop {
+            let read = socket.read_with(|mut stream| stream.read(&mut [0; READ_BUFFER_BYTES]));
+            match read.await {
+                Ok(0) | Err(_) => return,
+                Ok(count) => pause_after_read(count).await,
+            }
+        }
+    };
+    if timeout(limit, rest).await.is_err() {
+        log::debug!("a peer keeps sending on a connection that is closed");
+    }
+}
+
 /// Writes all bytes.
 ///
 /// # Errors
