--- a/src/relay/listener.rs
+++ b/src/relay/listener.rs
@@ -1,21 +1,23 @@
 //! Accepts callers' connections and serves the requests on them.
 
-use crate::catalog::{CallerLimits, RoutingCatalog};
+use crate::catalog::RoutingCatalog;
 use crate::relay::context::RelayContext;
 use crate::relay::exchange::{
-    ActiveRequest, ExchangeEnd, RoutingDecision, compute_deadline, relay_request, route_request,
+    ActiveRequest, ExchangeEnd, RoutingDecision, compute_deadline, relay_request,
 };
 use crate::relay::local_reply::{LocalReply, RefusalCause};
-use crate::relay::metadata::RequestMetadata;
 use crate::relay::request_refusal::RETRY_AFTER_SHARE;
-use crate::relay::uploads::{EndCause, publish_usage, record_ending};
+use crate::relay::uploads::{
+    EndCause, after_change, body_use, decide, publish_usage, read_held_head, read_metadata,
+    receive_body, record_ending, upload_bounds,
+};
 use crate::relay::via_peer::{PEER_FIELD, PeerDispatch};
 use crate::telemetry::EventLine;
 use crate::units::MonoTime;
 use crate::wire::{
-    BodyUse, HeadError, HeadLimits, HeadOutcome, HoldError, ReadError, Seat, SeatPhase,
-    UploadBounds, UploadError, WireHead, WireServer, WireStream, close_after_reading,
-    pause_after_read, read_head_within, read_some, read_upload, wait_for_request,
+    BodyUse, HeadError, HeadOutcome, HoldError, ReadError, Seat, SeatPhase, UploadError, WireHead,
+    WireServer, WireStream, close_after_reading, is_announced_too_long, pause_after_read,
+    read_some, wait_for_request,
 };
 use async_io::Async;
 use async_std::task;
@@ -147,37 +149,6 @@
     }
 }
 
-/// Size limits of one request.
-fn upload_bounds(limits: &CallerLimits) -> UploadBounds {
-    UploadBounds {
-        head_bytes: limits.max_head_bytes,
-        body_bytes: limits.max_body_bytes,
-    }
-}
-
-/// Reads the rest of a head within the memory that all connections share.
-async fn read_held_head(
-    stream: &mut WireStream,
-    seat: &Seat,
-    limits: &CallerLimits,
-) -> Result<HeadOutcome, HoldError> {
-    let bounds = upload_bounds(limits);
-    if !seat.enter(SeatPhase::Head) {
-        return Err(HoldError::Ended);
-    }
-    seat.hold(bounds.head_memory(), bounds.one_request())
-        .await?;
-    let head_limits = HeadLimits {
-        max_bytes: limits.max_head_bytes,
-    };
-    let ended = async {
-        seat.ended().await;
-        Err(HoldError::Ended)
-    };
-    let read = async { Ok(read_head_within(stream, head_limits, limits.head_timeout).await) };
-    or(ended, read).await
-}
-
 /// Waits for a configuration for a short time: a daemon that has just started reads it at once.
 async fn wait_configuration(context: &RelayContext) -> Option<Arc<RoutingCatalog>> {
     let started = context.clock.now();
@@ -289,10 +260,7 @@
     };
     let limits = context.request_limits();
     let is_awaiting = head.has_token("expect", "100-continue");
-    let is_announced_too_long = head
-        .content_length()
-        .is_some_and(|length| length > limits.max_body_bytes as u64);
-    if is_announced_too_long {
+    if is_announced_too_long(&head, limits.max_body_bytes) {
         return refuse(context, stream, RefusalCause::BodyTooLong, asker).await;
     }
     let head = if origin.is_some() {
@@ -313,18 +281,7 @@
     }
     let time_left = read_metadata(context, &head, origin.as_ref()).time_left;
     let bounds = upload_bounds(&limits);
-    let read = if seat.enter(SeatPhase::Body) {
-        read_upload(stream, &head, bounds, seat, body_use).await
-    } else {
-        Err(UploadError::Memory(HoldError::Ended))
-    };
-    let read = read.and_then(|body| {
-        let goes_on = seat.enter(SeatPhase::Serving);
-        goes_on
-            .then_some(body)
-            .ok_or(UploadError::Memory(HoldError::Ended))
-    });
-    let body = match read {
+    let body = match receive_body(stream, &head, bounds, seat, body_use).await {
         Ok(body) => body,
         Err(UploadError::Memory(cause)) => {
             let end = match cause {
@@ -341,18 +298,11 @@
         }
         Err(UploadError::Read(_)) => return ConnectionStep::Close,
     };
-    if stream.input.is_empty() {
-        stream.input = BytesMut::new();
-    }
-    seat.release_to(body.capacity() + stream.input.capacity());
     // The configuration may have arrived or changed while the body was read.
     let current = wait_configuration(context).await;
     if current.as_ref().map(|c| c.version) != catalog.as_ref().map(|c| c.version) {
-        decision = decide(context, current.as_deref(), &head, origin.as_ref());
-        if body_use == BodyUse::Discard && matches!(decision, RoutingDecision::Relay(_)) {
-            // The body that the new route needs is gone; the caller is to send it again.
-            decision = RoutingDecision::Refuse(RefusalCause::NoConfiguration);
-        }
+        let renewed = decide(context, current.as_deref(), &head, origin.as_ref());
+        decision = after_change(renewed, body_use);
     }
     let matched = match decision {
         RoutingDecision::Relay(matched) => *matched,
@@ -394,39 +344,6 @@
     }
 }
 
-/// Metadata of a request, with what the daemon that passes it on says about it.
-fn read_metadata(
-    context: &RelayContext,
-    head: &WireHead,
-    origin: Option<&PeerDispatch>,
-) -> RequestMetadata {
-    let mut metadata = (context.codec.read_request)(head);
-    if let Some(origin) = origin {
-        metadata.time_left = Some(origin.time_left);
-        metadata.resume_after = origin.resume_after.or(metadata.resume_after);
-    }
-    metadata
-}
-
-fn decide(
-    context: &RelayContext,
-    catalog: Option<&RoutingCatalog>,
-    head: &WireHead,
-    origin: Option<&PeerDispatch>,
-) -> RoutingDecision {
-    route_request(catalog, head, read_metadata(context, head, origin))
-}
-
-/// A body is stored if its request may be served: also without a configuration, which may arrive meanwhile.
-fn body_use(decision: &RoutingDecision) -> BodyUse {
-    match decision {
-        RoutingDecision::Relay(_) | RoutingDecision::Refuse(RefusalCause::NoConfiguration) => {
-            BodyUse::Store
-        }
-        RoutingDecision::Refuse(_) => BodyUse::Discard,
-    }
-}
-
 /// Refuses a request whose body is not awaited.
 async fn refuse_decided(
     context: &RelayContext,
--- a/src/relay/uploads.rs
+++ b/src/relay/uploads.rs
@@ -1,7 +1,19 @@
-//! Connections that are ended for want of memory or descriptors: counters and log lines.
+//! Reads heads and bodies within the memory that all connections share, and records connections that are ended
+//! for want of memory or descriptors.
 
+use crate::catalog::{CallerLimits, RoutingCatalog};
 use crate::relay::context::RelayContext;
+use crate::relay::exchange::{RoutingDecision, route_request};
+use crate::relay::local_reply::RefusalCause;
+use crate::relay::metadata::RequestMetadata;
+use crate::relay::via_peer::PeerDispatch;
 use crate::telemetry::EventLine;
+use crate::wire::{
+    BodyUse, HeadLimits, HeadOutcome, HoldError, Seat, SeatPhase, UploadBounds, UploadError,
+    WireHead, WireStream, read_head_within, read_upload,
+};
+use bytes::BytesMut;
+use futures_lite::future::or;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -56,6 +68,109 @@
 pub(super) fn publish_usage(context: &RelayContext) {
     let (held, open) = context.seats.usage();
     let uploads = &context.metrics.uploads;
-    uploads.with_label_values(&["bytes"]).set(held as i64);
-    uploads.with_label_values(&["connections"]).set(open as i64);
+    uploads
+        .with_label_values(&["bytes"])
+        .set(i64::try_from(held).unwrap_or(i64::MAX));
+    uploads
+        .with_label_values(&["connections"])
+        .set(i64::try_from(open).unwrap_or(i64::MAX));
+}
+
+/// Size limits of one request.
+pub(super) fn upload_bounds(limits: &CallerLimits) -> UploadBounds {
+    UploadBounds {
+        head_bytes: limits.max_head_bytes,
+        body_bytes: limits.max_body_bytes,
+    }
+}
+
+/// Reads the rest of a head within the memory that all connections share.
+pub(super) async fn read_held_head(
+    stream: &mut WireStream,
+    seat: &Seat,
+    limits: &CallerLimits,
+) -> Result<HeadOutcome, HoldError> {
+    let bounds = upload_bounds(limits);
+    if !seat.enter(SeatPhase::Head) {
+        return Err(HoldError::Ended);
+    }
+    seat.hold(bounds.head_memory(), bounds.one_request())
+        .await?;
+    let head_limits = HeadLimits {
+        max_bytes: limits.max_head_bytes,
+    };
+    let ended = async {
+        seat.ended().await;
+        Err(HoldError::Ended)
+    };
+    let read = async { Ok(read_head_within(stream, head_limits, limits.head_timeout).await) };
+    or(ended, read).await
+}
+
+/// Metadata of a request, with what the daemon that passes it on says about it.
+pub(super) fn read_metadata(
+    context: &RelayContext,
+    head: &WireHead,
+    origin: Option<&PeerDispatch>,
+) -> RequestMetadata {
+    let mut metadata = (context.codec.read_request)(head);
+    if let Some(origin) = origin {
+        metadata.time_left = Some(origin.time_left);
+        metadata.resume_after = origin.resume_after.or(metadata.resume_after);
+    }
+    metadata
+}
+
+/// Route of a request with its metadata, or why it is refused.
+pub(super) fn decide(
+    context: &RelayContext,
+    catalog: Option<&RoutingCatalog>,
+    head: &WireHead,
+    origin: Option<&PeerDispatch>,
+) -> RoutingDecision {
+    route_request(catalog, head, read_metadata(context, head, origin))
+}
+
+/// A body is stored if its request may be served: also without a configuration, which may arrive meanwhile.
+pub(super) fn body_use(decision: &RoutingDecision) -> BodyUse {
+    match decision {
+        RoutingDecision::Relay(_) | RoutingDecision::Refuse(RefusalCause::NoConfiguration) => {
+            BodyUse::Store
+        }
+        RoutingDecision::Refuse(_) => BodyUse::Discard,
+    }
+}
+
+/// Decision under a configuration that arrived while the body was read. If the body was discarded and the
+/// request has a route now, the caller is to send it again.
+pub(super) fn after_change(decision: RoutingDecision, body_use: BodyUse) -> RoutingDecision {
+    match (decision, body_use) {
+        (RoutingDecision::Relay(_), BodyUse::Discard) => {
+            RoutingDecision::Refuse(RefusalCause::NoConfiguration)
+        }
+        (decision, _) => decision,
+    }
+}
+
+/// Reads a body. From its end on the connection is not ended for another one, and holds only the body.
+pub(super) async fn receive_body(
+    stream: &mut WireStream,
+    head: &WireHead,
+    bounds: UploadBounds,
+    seat: &Seat,
+    body_use: BodyUse,
+) -> Result<Vec<u8>, UploadError> {
+    let ended = UploadError::Memory(HoldError::Ended);
+    if !seat.enter(SeatPhase::Body) {
+        return Err(ended);
+    }
+    let body = read_upload(stream, head, bounds, seat, body_use).await?;
+    if !seat.enter(SeatPhase::Serving) {
+        return Err(ended);
+    }
+    if stream.input.is_empty() {
+        stream.input = BytesMut::new();
+    }
+    seat.release_to(body.capacity() + stream.input.capacity());
+    Ok(body)
 }
--- a/src/wire/seats.rs
+++ b/src/wire/seats.rs
@@ -12,7 +12,7 @@
 
 /// Longest wait of an upload for memory. The connections that are ended for it release theirs within
 /// milliseconds; only bodies of running requests take longer.
-const MEMORY_WAIT: Duration = Duration::from_millis(1_000);
+const MEMORY_WAIT: Duration = Duration::from_secs(1);
 
 /// Why a connection may not hold more memory.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/wire/upload.rs
+++ b/src/wire/upload.rs
@@ -54,7 +54,8 @@
 }
 
 /// True when the head announces a body longer than `limit`.
-fn is_announced_too_long(framing: BodyFraming, limit: usize) -> bool {
+pub fn is_announced_too_long(head: &WireHead, limit: usize) -> bool {
+    let framing = BodyFraming::for_request(head);
     matches!(framing, BodyFraming::Sized(length) if length > limit as u64)
 }
 
@@ -70,10 +71,10 @@
     seat: &Seat,
     body_use: BodyUse,
 ) -> Result<Vec<u8>, UploadError> {
-    let framing = BodyFraming::for_request(head);
-    if is_announced_too_long(framing, bounds.body_bytes) {
+    if is_announced_too_long(head, bounds.body_bytes) {
         return Err(UploadError::Read(ReadError::BodyTooLong));
     }
+    let framing = BodyFraming::for_request(head);
     let mut decoder = BodyDecoder::new(framing);
     let longest = match framing {
         BodyFraming::Sized(length) => length as usize,
