--- a/src/lib.rs
+++ b/src/lib.rs
@@ -153,10 +153,10 @@
 pub use relay::{
     BalancingSettings, BudgetLimits, ChainRequirement, DispatchMetadata, FlowCandidate, FlowTable,
     GatewayAdmission, GatewayBounds, GatewayListen, GatewaySettings, GatewayStore, LoadMetrics,
-    LocalReply, MAX_RESERVED_SHARE, PeerDispatch, RefusalCause, RefusalPressure, RelayCodec,
-    RelayContext, RelayFailure, RelayMetrics, ReplyMetadata, RequestMetadata, RetryBudget,
-    RetryState, RetryStep, RoundRobin, StallDetector, StallStep, TargetNotices, flow_shares,
-    pick_chain, pick_target, return_delay,
+    LocalReply, MAX_RESERVED_SHARE, PeerDispatch, ProcessLimits, RefusalCause, RefusalPressure,
+    RelayCodec, RelayContext, RelayFailure, RelayMetrics, ReplyMetadata, RequestMetadata,
+    RetryBudget, RetryState, RetryStep, RoundRobin, StallDetector, StallStep, TargetNotices,
+    flow_shares, pick_chain, pick_target, return_delay,
 };
 pub use routing::{
     AnswerEvent, AnswerStream, AttemptEvent, AttemptFailure, AttemptLimits, AttemptMachine,
@@ -193,7 +193,7 @@
 pub use units::{ByteSize, LayerRange, MonoTime, RequestRate, TokenRate, UnitError};
 pub use wire::{
     BodyDecoder, BodyError, BodyFraming, BodyStep, CallError, CompleteEvent, EventSplitter,
-    HeadBuilder, HeadError, HeadLimits, HeadOutcome, HeadStep, ReadError, StreamError, StreamPool,
-    WireCall, WireClient, WireHead, WireResponse, WireStream, parse_request, parse_response,
-    read_request_head,
+    HeadBuilder, HeadError, HeadLimits, HeadOutcome, HeadStep, HoldStep, ReadError, SeatPhase,
+    StreamError, StreamPool, UploadLimits, UploadTable, WireCall, WireClient, WireHead,
+    WireResponse, WireStream, parse_request, parse_response, read_request_head,
 };
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -33,6 +33,7 @@
 mod stream_opening;
 mod streaming;
 mod suspicion;
+mod uploads;
 mod via_peer;
 
 pub use budget::{BudgetLimits, RetryBudget};
@@ -53,7 +54,7 @@
 pub use return_time::{RefusalPressure, return_delay};
 pub use settings::{
     BalancingSettings, GatewayAdmission, GatewayBounds, GatewayListen, GatewaySettings,
-    GatewayStore,
+    GatewayStore, ProcessLimits,
 };
 pub use stall::{StallDetector, StallStep};
 pub(crate) use suspicion::count_crashes;
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -34,6 +34,9 @@
     /// How requests are distributed over targets.
     #[serde(default)]
     pub balancing: BalancingSettings,
+    /// Memory and descriptors of the process.
+    #[serde(default)]
+    pub limits: ProcessLimits,
 }
 
 /// How capacity of model services is handed out.
@@ -56,6 +59,17 @@
     pub stale_report_ms: Option<u64>,
 }
 
+/// Memory and descriptors of the process, as the platform limits them.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(default)]
+pub struct ProcessLimits {
+    /// Memory in MiB.
+    pub memory_mb: Option<u64>,
+    /// Open descriptors, with those that the platform reserves for files.
+    pub descriptors: Option<u64>,
+}
+
 /// Listening addresses.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -172,6 +186,10 @@
     "stale_report_ms",
     FieldKind::Integer(1, 600_000),
 )];
+const LIMITS_TABLE: &[FieldRule] = &[
+    FieldRule::optional("memory_mb", FieldKind::Integer(1, 1 << 20)),
+    FieldRule::optional("descriptors", FieldKind::Integer(1, 1 << 24)),
+];
 
 const GATEWAY_TABLE: &[FieldRule] = &[
     FieldRule::required("instance", FieldKind::Id),
@@ -182,6 +200,7 @@
     FieldRule::optional("bounds", FieldKind::Object(BOUNDS_TABLE)),
     FieldRule::optional("admission", FieldKind::Object(ADMISSION_TABLE)),
     FieldRule::optional("balancing", FieldKind::Object(BALANCING_TABLE)),
+    FieldRule::optional("limits", FieldKind::Object(LIMITS_TABLE)),
 ];
 
 impl GatewaySettings {
