--- a/tests/capacity_queue.rs
+++ b/tests/capacity_queue.rs
@@ -349,3 +349,19 @@
     let most = windows.values().max().copied().unwrap_or_default();
     assert!(most <= 30, "{most} of 300 return within 50 ms");
 }
+
+/// A few calls at the same moment after a quiet time, in which the observed rate of starts has faded. Guards
+/// against refusals while the whole capacity is free.
+#[test]
+fn calls_after_a_quiet_time_are_not_refused_at_once() {
+    let mut queue = busy_queue();
+    for priority in [0, 1, 1, 2] {
+        let call = Call {
+            team: 1,
+            priority,
+            is_retry: false,
+        };
+        let step = queue.enter(&call.request(), WAIT_LIMIT, at(30_000));
+        assert!(matches!(step, CapacityStep::Wait(_)), "{step:?}");
+    }
+}
