--- a/tests/capacity_queue.rs
+++ b/tests/capacity_queue.rs
@@ -102,7 +102,9 @@
             }
             let is_due = |(due, _): &mut (u64, Call)| *due <= now;
             let due: Vec<_> = self.returns.extract_if(.., is_due).collect();
-            due.into_iter().for_each(|(_, call)| self.arrive(call, now));
+            for (_, call) in due {
+                self.arrive(call, now);
+            }
             (0..self.daemons.len()).for_each(|index| self.serve(index, now));
         }
     }
@@ -121,7 +123,9 @@
             for (other, (demand, running)) in others {
                 daemon.others_running += running;
                 if other >= self.silent {
-                    demand.iter().for_each(|row| daemon.announced.add(row));
+                    for row in demand {
+                        daemon.announced.add(row);
+                    }
                 }
             }
         }
@@ -275,7 +279,7 @@
     let (large, all) = (shares[0], fleet.served(|_, _| true));
     let others = fleet.served(|_, team| team > 0);
     shares.sort_by(f64::total_cmp);
-    let worst = (shares[0] + shares[1]) / 2.0;
+    let worst = f64::midpoint(shares[0], shares[1]);
     assert!(worst >= all / 2.0, "{worst} of {all}");
     assert!(others >= large, "{others} beside {large}");
 }
@@ -349,3 +353,19 @@
     let most = windows.values().max().copied().unwrap_or_default();
     assert!(most <= 30, "{most} of 300 return within 50 ms");
 }
+
+/// A few calls at the same moment after a quiet time, in which the observed rate of starts has faded. Guards
+/// against refusals while the whole capacity is free.
+#[test]
+fn calls_after_a_quiet_time_are_not_refused_at_once() {
+    let mut queue = busy_queue();
+    for priority in [0, 1, 1, 2] {
+        let call = Call {
+            team: 1,
+            priority,
+            is_retry: false,
+        };
+        let step = queue.enter(&call.request(), WAIT_LIMIT, at(30_000));
+        assert!(matches!(step, CapacityStep::Wait(_)), "{step:?}");
+    }
+}
