Give refused callers ranges of return times by priority, and refund requests that have not started

Cause: a review and its tests: random parts made a higher priority return later than a lower one, callers that were refused while nothing started returned together, a quiet time had requests refused at once, attempts that were refused counted as starts, and requests that left the queue were still charged to their team.

--- a/src/admission/capacity.rs
+++ b/src/admission/capacity.rs
@@ -20,8 +20,12 @@
 /// Shortest time after which a refused caller is asked to return. Most streams hold their capacity for
 /// longer, so that little has become free before.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(400);
-/// Random part of that time, as a share of it.
-const RETRY_JITTER: f64 = 0.25;
+/// Factor between the shortest and the longest delay that callers of one priority get at the same moment,
+/// and between those of two neighbouring priorities.
+const RETRY_SPREAD: f64 = 1.25;
+/// Time for which requests have to wait without a break until the rate at which they start tells when
+/// further ones will: after a quiet time it says nothing about the capacity.
+const MIN_BUSY_TIME: Duration = Duration::from_secs(1);
 /// Most refused callers whose return is remembered.
 const MAX_BOOKED: usize = 1_024;
 
@@ -71,8 +75,9 @@
     pub waiting_tokens: f64,
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct WaitingRequest {
+    team: Option<TeamId>,
     tokens: f64,
     /// True when an attempt has failed before, so that fewer chains are left for the request than for
     /// others.
@@ -95,6 +100,8 @@
     arrived: BTreeMap<u8, TokenRate>,
     started: BTreeMap<u8, TokenRate>,
     booked: VecDeque<BookedReturn>,
+    /// Time from which requests have waited without a break.
+    busy_since: Option<MonoTime>,
 }
 
 impl CapacityQueue {
@@ -112,36 +119,42 @@
         } = request;
         record(&mut self.arrived, *priority, *tokens, now);
         let backlog = self.backlog(*priority, self.order.start_tag(team), now);
-        let is_empty = backlog.tokens_ahead <= 0.0;
+        let is_known = self
+            .busy_since
+            .is_some_and(|since| now.since(since) >= MIN_BUSY_TIME);
         let expected = backlog.expected_wait();
         let longest = wait_limit.mul_f64(ESTIMATE_TOLERANCE);
-        if !is_empty && expected.is_some_and(|wait| wait > longest) {
+        if is_known && expected.is_some_and(|wait| wait > longest) {
             return CapacityStep::Refuse(backlog);
         }
         let order = self.order.assign(team, *priority, *tokens, TEAM_WEIGHT);
         let waiting = WaitingRequest {
+            team: team.clone(),
             tokens: *tokens,
             is_retry: false,
         };
         self.waiting.insert(order, waiting);
+        self.busy_since.get_or_insert(now);
         CapacityStep::Wait(order)
     }
 
     /// Puts a request whose attempt was refused by its target back to its place.
     pub fn reenter(&mut self, order: QueueOrder, tokens: f64) {
         let waiting = WaitingRequest {
+            team: None,
             tokens,
             is_retry: true,
         };
         self.waiting.insert(order, waiting);
     }
 
-    /// True when the request may take capacity: no other one waits ahead of it. A retry, which may use
-    /// only some of the chains, neither waits for other requests nor blocks them.
+    /// True when the request may take capacity: no other one waits ahead of it. A retry may use only some of
+    /// the chains, so it blocks no other request, and waits only for those of higher priorities.
     pub fn may_take(&self, order: QueueOrder) -> bool {
         let is_retry = self.waiting.get(&order).is_some_and(|own| own.is_retry);
+        let is_passed = |other: &QueueOrder| is_retry && other.priority == order.priority;
         let mut ahead = self.waiting.range(..order);
-        is_retry || ahead.all(|(_, other)| other.is_retry)
+        ahead.all(|(place, other)| other.is_retry || is_passed(place))
     }
 
     /// True when a request of this priority or a higher one waits.
@@ -152,15 +165,31 @@
 
     /// Records that the request at this place has started.
     pub fn start(&mut self, order: QueueOrder, now: MonoTime) {
-        if let Some(waiting) = self.waiting.remove(&order) {
-            self.order.on_start(order);
+        let Some(waiting) = self.remove(order) else {
+            return;
+        };
+        self.order.on_start(order);
+        if !waiting.is_retry {
             record(&mut self.started, order.priority, waiting.tokens, now);
         }
     }
 
-    /// Removes a request that no longer waits.
+    /// Removes a request that has not started. Its team gets back what it was charged.
     pub fn leave(&mut self, order: QueueOrder) {
-        self.waiting.remove(&order);
+        if let Some(waiting) = self.remove(order)
+            && !waiting.is_retry
+        {
+            self.order
+                .refund(&waiting.team, waiting.tokens, TEAM_WEIGHT);
+        }
+    }
+
+    fn remove(&mut self, order: QueueOrder) -> Option<WaitingRequest> {
+        let removed = self.waiting.remove(&order);
+        if self.waiting.is_empty() {
+            self.busy_since = None;
+        }
+        removed
     }
 
     /// What is ahead of the request at this place.
@@ -180,12 +209,9 @@
         rng: &mut fastrand::Rng,
     ) -> Duration {
         self.booked.retain(|booked| booked.at > now);
-        let delays = std::iter::once(&priority)
-            .chain(self.arrived.range(priority + 1..).map(|(lower, _)| lower))
-            .map(|lower| self.return_delay(*lower, tokens, limit, now));
-        let delay = delays.min().unwrap_or(limit);
-        let jitter = 1.0 + RETRY_JITTER * (rng.f64() * 2.0 - 1.0);
-        let delay = delay.max(MIN_RETRY_DELAY).mul_f64(jitter).min(limit);
+        let delay = self.shortest_return(priority, tokens, limit, now);
+        let spread = 1.0 + (RETRY_SPREAD - 1.0) * rng.f64();
+        let delay = delay.mul_f64(spread).min(limit);
         if self.booked.len() >= MAX_BOOKED {
             self.booked.pop_front();
         }
@@ -228,6 +254,30 @@
         }
     }
 
+    /// Shortest time that the caller is told. Each priority has a range of its own, which ends where that of
+    /// the next lower one begins, and the lowest one ends at `limit`.
+    fn shortest_return(
+        &self,
+        priority: u8,
+        tokens: f64,
+        limit: Duration,
+        now: MonoTime,
+    ) -> Duration {
+        let higher = self.arrived.range(..priority).count() as i32;
+        let below = self.arrived.keys().filter(|known| **known > priority);
+        let known: Vec<u8> = std::iter::once(priority).chain(below.copied()).collect();
+        let count = known.len() as i32;
+        let step = |(index, lower): (usize, &u8)| {
+            let index = index as i32;
+            let least = MIN_RETRY_DELAY.mul_f64(RETRY_SPREAD.powi(higher + index));
+            let most = limit.div_f64(RETRY_SPREAD.powi(count - index));
+            let delay = self.return_delay(*lower, tokens, limit, now);
+            delay.max(least).min(most).div_f64(RETRY_SPREAD.powi(index))
+        };
+        let delays = known.iter().enumerate().map(step);
+        delays.min().unwrap_or(limit)
+    }
+
     fn return_delay(&self, priority: u8, tokens: f64, limit: Duration, now: MonoTime) -> Duration {
         let booked = self.booked.iter();
         let ahead: f64 = booked
--- a/src/admission/order.rs
+++ b/src/admission/order.rs
@@ -54,10 +54,9 @@
     /// Gives a request its place and charges its cost in tokens to the team's finish tag.
     pub fn assign(&mut self, team: &K, priority: u8, cost: f64, weight: u32) -> QueueOrder {
         let start_tag = self.start_tag(team);
-        let tag_length = (cost * TAG_SCALE / f64::from(weight.max(1))) as u64;
         self.remove_idle_teams();
         self.finish_tags
-            .insert(team.clone(), start_tag + tag_length);
+            .insert(team.clone(), start_tag + tag_length(cost, weight));
         let ticket = AdmissionTicket(self.next_ticket);
         self.next_ticket += 1;
         QueueOrder {
@@ -67,6 +66,13 @@
         }
     }
 
+    /// Gives back what was charged for a request that has not started.
+    pub fn refund(&mut self, team: &K, cost: f64, weight: u32) {
+        if let Some(finish) = self.finish_tags.get_mut(team) {
+            *finish = finish.saturating_sub(tag_length(cost, weight));
+        }
+    }
+
     /// Records that the request at this place has started.
     pub fn on_start(&mut self, order: QueueOrder) {
         self.virtual_time = self.virtual_time.max(order.start_tag);
@@ -79,3 +85,7 @@
         }
     }
 }
+
+fn tag_length(cost: f64, weight: u32) -> u64 {
+    (cost * TAG_SCALE / f64::from(weight.max(1))) as u64
+}
--- a/src/relay/capacity.rs
+++ b/src/relay/capacity.rs
@@ -24,9 +24,6 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-/// Share of a chain's capacity up to which requests may fill it that leave no headroom, as none of a higher
-/// priority arrive. The margin for wrong estimates that others leave is theirs.
-const MAX_FIRST_SHARE: f64 = 0.98;
 /// Interval at which a waiting request looks for capacity if nothing wakes it before.
 const CAPACITY_POLL: Duration = Duration::from_millis(25);
 /// Shortest and longest time that a request waits for capacity.
@@ -147,10 +144,12 @@
     let domain = &context.settings.failure_domain;
     let capacity = domain_capacity(view.service_targets(service), domain, model);
     let headroom = priority_headroom(&demand, queue_priority(request), table.peer_age(), capacity);
-    if headroom <= 0.0 {
-        return MAX_FIRST_SHARE;
-    }
-    (MAX_FIRST_SHARE * (1.0 - headroom)).min(MAX_RESERVED_SHARE)
+    let priority = queue_priority(request).to_string();
+    let gauge = &context.metrics.load.headroom;
+    gauge
+        .with_label_values(&[service.as_str(), priority.as_str()])
+        .set((headroom * 100.0).round() as i64);
+    MAX_RESERVED_SHARE * (1.0 - headroom)
 }
 
 /// Context tokens that the targets of a failure domain have capacity for, over all layers.
@@ -254,6 +253,8 @@
         let now = self.request.context.clock.now();
         self.is_waiting = false;
         self.with(|entry| entry.queue.start(self.order, now));
+        // There may be capacity for the next one, too.
+        self.request.context.capacity.notify();
     }
 
     /// Leaves the queue without capacity.
--- a/src/relay/load_metrics.rs
+++ b/src/relay/load_metrics.rs
@@ -13,6 +13,8 @@
     /// Requests refused for lack of capacity where it is handed out by priority, by cause
     /// (`line_too_long`, `wait_expired`) and priority.
     pub capacity_refusals: IntCounterVec,
+    /// Share of the capacity that requests leave to higher priorities, in per cent, by service and priority.
+    pub headroom: IntGaugeVec,
     /// Requests that wait for such capacity, by service and priority.
     pub capacity_waiting: IntGaugeVec,
     /// Parts of chains that turned a request away at once and are avoided for a moment.
@@ -41,6 +43,11 @@
                 "Requests refused for lack of capacity, by cause and priority",
                 &["cause", "priority"],
             )?,
+            headroom: metrics.gauge(
+                "relay_headroom_percent",
+                "Share of the capacity left to higher priorities in per cent, by service and priority",
+                &["service", "priority"],
+            )?,
             capacity_waiting: metrics.gauge(
                 "relay_capacity_waiting",
                 "Requests that wait for capacity, by service and priority",
--- a/src/relay/stream_failure.rs
+++ b/src/relay/stream_failure.rs
@@ -20,7 +20,7 @@
 const SATURATED_REFUSAL_TIME: Duration = Duration::from_millis(250);
 /// Reserved share from which a part that turns a request away at once counts as full. One that has crashed
 /// also does so, but its requests have ended.
-const SATURATED_SHARE: f64 = 0.7;
+const FULL_PART_SHARE: f64 = 0.7;
 
 /// Logs a failed attempt and updates the statistics of the target that caused it: the one that the
 /// response names, or else the first target of the chain. Returns this target.
@@ -74,7 +74,7 @@
     let (Some(part), Some(model)) = (part, &request.service.model) else {
         return false;
     };
-    request.is_by_priority() && part.reserved_share(model) >= SATURATED_SHARE
+    request.is_by_priority() && part.reserved_share(model) >= FULL_PART_SHARE
 }
 
 /// Logs and counts a failed attempt.
