--- a/src/lib.rs
+++ b/src/lib.rs
@@ -152,8 +152,8 @@
     BalancingSettings, BudgetLimits, ChainRequirement, DispatchMetadata, FlowCandidate, FlowTable,
     GatewayBounds, GatewayListen, GatewaySettings, GatewayStore, LocalReply, PeerDispatch,
     RefusalCause, RefusalPressure, RelayCodec, RelayContext, RelayFailure, RelayMetrics,
-    ReplyMetadata, RequestMetadata, RetryBudget, RetryState, RetryStep, RoundRobin, StallDetector,
-    StallStep, TargetNotices, flow_shares, pick_chain, pick_target, return_delay,
+    ReplyMetadata, RequestMetadata, RetryBudget, RetryState, RetryStep, RoundRobin, ServiceChains,
+    StallDetector, StallStep, TargetNotices, flow_shares, pick_chain, pick_target, return_delay,
 };
 pub use routing::{
     AnswerEvent, AnswerStream, AttemptEvent, AttemptFailure, AttemptLimits, AttemptMachine,
--- a/src/relay/distribution.rs
+++ b/src/relay/distribution.rs
@@ -8,7 +8,7 @@
 
 use crate::catalog::ModelShape;
 use crate::hash::stable_hash;
-use crate::ids::{InstanceId, ServiceId};
+use crate::ids::{DomainId, InstanceId, ServiceId};
 use crate::relay::choice::{
     ChainRequirement, REMOTE_DOMAIN_COST, REMOTE_DOMAIN_LOAD, chain_cost, is_usable_chain,
     preferred_targets,
@@ -22,8 +22,9 @@
 use std::time::Duration;
 
 /// Time over which a deviation from the mean reserved share is corrected. It exceeds the age of reports,
-/// so that all daemons together do not overshoot.
-const CORRECTION_TIME: Duration = Duration::from_millis(1_000);
+/// so that all daemons together do not overshoot. With 1 s, 42 daemons that choose 1.4 times a second each
+/// overshot: a changed share takes some requests of a daemon to take effect.
+const CORRECTION_TIME: Duration = Duration::from_secs(3);
 /// Mean reserved share below which deviations are not corrected in full, as they are single requests.
 const MIN_MEAN_SHARE: f64 = 0.05;
 /// Largest factor by which a share is corrected. It lets a server that has just joined fill up without
@@ -68,24 +69,19 @@
     };
     let corrected = |candidate: &FlowCandidate| {
         let deviation = (mean - candidate.reserved_share) / mean.max(MIN_MEAN_SHARE);
-        let correction = (1.0 + candidate.gain * deviation).clamp(0.0, env("MAXC", MAX_CORRECTION));
+        let correction = (1.0 + candidate.gain * deviation).clamp(0.0, MAX_CORRECTION);
         candidate.weight * correction / candidate.remoteness
     };
     let mut shares: Vec<f64> = candidates.iter().map(corrected).collect();
     let total: f64 = shares.iter().sum();
     if total > 0.0 {
-        shares.iter_mut().for_each(|share| *share /= total);
+        for share in &mut shares {
+            *share /= total;
+        }
     }
     shares
 }
 
-fn env(name: &str, or: f64) -> f64 {
-    std::env::var(name)
-        .ok()
-        .and_then(|v| v.parse().ok())
-        .unwrap_or(or)
-}
-
 /// Smooth weighted round robin over the candidates of one service: credits by key, in tokens.
 #[derive(Debug, Default)]
 pub struct RoundRobin {
@@ -102,30 +98,13 @@
         rng: &mut fastrand::Rng,
     ) -> Option<usize> {
         let shares = flow_shares(candidates);
-        if env("D", 0.0) > 0.0 {
-            let mut draw = || {
-                let mut left = rng.f64();
-                shares.iter().position(|share| {
-                    left -= share;
-                    left <= 0.0
-                })
-            };
-            let mut best = draw()?;
-            for _ in 1..env("D", 1.0) as u32 {
-                let other = draw()?;
-                if candidates[other].reserved_share < candidates[best].reserved_share {
-                    best = other;
-                }
-            }
-            return Some(best);
-        }
         let mut best: Option<(usize, f64)> = None;
         for (index, (candidate, share)) in candidates.iter().zip(&shares).enumerate() {
             let credit = self
                 .credits
                 .entry(candidate.key)
                 .or_insert_with(|| rng.f64() * tokens);
-            *credit = *credit * env("LEAK", 1.0) + share * tokens;
+            *credit += share * tokens;
             if *share > 0.0 && best.is_none_or(|(_, most)| *credit > most) {
                 best = Some((index, *credit));
             }
@@ -195,6 +174,17 @@
     }
 }
 
+/// A model service and its chains.
+#[derive(Debug, Clone, Copy)]
+pub struct ServiceChains<'a> {
+    /// Name of the service.
+    pub name: &'a ServiceId,
+    /// Its chains in the latest snapshot.
+    pub chains: &'a [Arc<LayerChain>],
+    /// Its model.
+    pub model: &'a ModelShape,
+}
+
 /// Distribution of the requests of all services of a daemon.
 #[derive(Debug, Default)]
 pub struct FlowTable {
@@ -229,16 +219,15 @@
     /// Selects the chain of a new request. Degraded chains are selected only when no other has capacity.
     pub fn pick_chain(
         &self,
-        service: &ServiceId,
-        chains: &[Arc<LayerChain>],
-        model: &ModelShape,
+        service: ServiceChains<'_>,
         requirement: ChainRequirement<'_>,
         tried: &[InstanceId],
         now: MonoTime,
         rng: &mut fastrand::Rng,
     ) -> Option<Arc<LayerChain>> {
-        self.with_service(service, |flow| {
-            flow.update(chains, model);
+        let model = service.model;
+        self.with_service(service.name, |flow| {
+            flow.update(service.chains, model);
             let usable = flow
                 .prepared
                 .iter()
@@ -262,7 +251,7 @@
         service: &ServiceId,
         targets: &'a [Arc<TargetEntry>],
         tried: &[InstanceId],
-        domain: &crate::ids::DomainId,
+        domain: &DomainId,
         now: MonoTime,
         rng: &mut fastrand::Rng,
     ) -> Option<&'a Arc<TargetEntry>> {
@@ -333,7 +322,7 @@
             key: prepared.key,
             weight: prepared.carried_tokens / prepared.chain.token_ms.max(f64::MIN_POSITIVE),
             reserved_share,
-            gain: hold_ms / (env("TAU", 1.0) * CORRECTION_TIME.as_millis() as f64),
+            gain: hold_ms / CORRECTION_TIME.as_millis() as f64,
             remoteness,
         }
     };
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -37,7 +37,7 @@
 pub use choice::{ChainRequirement, pick_chain, pick_target};
 pub use context::RelayContext;
 pub(crate) use crashes::{CRASH_RETENTION, merge_peer_crashes, unstored_crashes};
-pub use distribution::{FlowCandidate, FlowTable, RoundRobin, flow_shares};
+pub use distribution::{FlowCandidate, FlowTable, RoundRobin, ServiceChains, flow_shares};
 pub(crate) use lending::answer_retry_ask;
 pub(crate) use limits::{answer_ask, is_resting, known_limits, merge_limits};
 pub use listener::{serve_callers, serve_peer_requests};
--- a/src/relay/stream_chain.rs
+++ b/src/relay/stream_chain.rs
@@ -4,7 +4,7 @@
 use crate::ids::InstanceId;
 use crate::relay::choice::{ChainRequirement, pick_chain};
 use crate::relay::closed_heads::ClosedHeads;
-use crate::relay::distribution::uses_distribution;
+use crate::relay::distribution::{ServiceChains, uses_distribution};
 use crate::relay::event_progress::DeliveryProgress;
 use crate::relay::exchange::ActiveRequest;
 use crate::relay::lending::{StalledAttempt, secure_retry, secure_retry_beside};
@@ -197,9 +197,14 @@
     if delivered.head_sent || !uses_distribution(request) {
         return pick_chain(chains, model, requirement, tried, now, &mut rng).cloned();
     }
-    let name = &request.service.name;
-    let flows = &context.flows;
-    let chosen = flows.pick_chain(name, chains, model, requirement, tried, now, &mut rng);
+    let service = ServiceChains {
+        name: &request.service.name,
+        chains,
+        model,
+    };
+    let chosen = context
+        .flows
+        .pick_chain(service, requirement, tried, now, &mut rng);
     if chosen.is_some() {
         let distributed = &context.metrics.distributed;
         distributed.with_label_values(&["stream"]).inc();
--- a/tests/even_load.rs
+++ b/tests/even_load.rs
@@ -11,7 +11,7 @@
 use arbutusmount::{
     ChainRequirement, DomainId, FlowTable, InstanceId, LayerChain, LayerRange, LoadTable,
     ModelShape, MonoTime, PeerGroups, PeerOrigin, PresenceRow, ReservationDigest, ReservationRow,
-    TargetEntry, find_chains, pick_chain, target_hash,
+    TargetEntry, find_chains, target_hash,
 };
 use shapes::{model_on, ready_target};
 use std::cmp::Reverse;
@@ -225,12 +225,12 @@
             tokens: f64::from(tokens),
             is_resumed: false,
         };
-        if std::env::var("TODAY").is_ok() {
-            return pick_chain(&self.chains, model, requirement, &[], now, rng).cloned();
-        }
-        let service = self.targets[0].service.clone();
-        self.flows
-            .pick_chain(&service, &self.chains, model, requirement, &[], now, rng)
+        let service = ServiceChains {
+            name: &self.targets[0].service,
+            chains: &self.chains,
+            model,
+        };
+        self.flows.pick_chain(service, requirement, &[], now, rng)
     }
 }
 
@@ -377,7 +377,10 @@
 fn highest_occupancy_stays_near_the_mean(load: Load) {
     let found = play(&load);
 
-    println!("seed {}: {found:?}", load.seed);
+    println!(
+        "seed {}: highest over mean {:.3} at the median, {:.3} at the 95th percentile; late {:.4}; mean {:.3}",
+        load.seed, found.median, found.p95, found.late, found.mean_occupancy
+    );
     assert!(found.p95 <= MAX_RATIO, "seed {}: {found:?}", load.seed);
     assert!(found.late <= 0.05, "seed {}: {found:?}", load.seed);
 }
