--- a/src/admission/capacity.rs
+++ b/src/admission/capacity.rs
@@ -263,16 +263,15 @@
         limit: Duration,
         now: MonoTime,
     ) -> Duration {
-        let higher = self.arrived.range(..priority).count() as i32;
+        let higher = self.arrived.range(..priority).count();
         let below = self.arrived.keys().filter(|known| **known > priority);
         let known: Vec<u8> = std::iter::once(priority).chain(below.copied()).collect();
-        let count = known.len() as i32;
+        let count = known.len();
         let step = |(index, lower): (usize, &u8)| {
-            let index = index as i32;
-            let least = MIN_RETRY_DELAY.mul_f64(RETRY_SPREAD.powi(higher + index));
-            let most = limit.div_f64(RETRY_SPREAD.powi(count - index));
+            let least = MIN_RETRY_DELAY.mul_f64(spread_over(higher + index));
+            let most = limit.div_f64(spread_over(count - index));
             let delay = self.return_delay(*lower, tokens, limit, now);
-            delay.max(least).min(most).div_f64(RETRY_SPREAD.powi(index))
+            delay.max(least).min(most).div_f64(spread_over(index))
         };
         let delays = known.iter().enumerate().map(step);
         delays.min().unwrap_or(limit)
@@ -290,6 +289,11 @@
     }
 }
 
+/// Factor between the return times of priorities that are this many apart.
+fn spread_over(priorities: usize) -> f64 {
+    RETRY_SPREAD.powf(priorities as f64)
+}
+
 fn record(rates: &mut BTreeMap<u8, TokenRate>, priority: u8, tokens: f64, now: MonoTime) {
     rates.entry(priority).or_default().record(tokens, now);
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -155,8 +155,8 @@
     GatewayAdmission, GatewayBounds, GatewayListen, GatewaySettings, GatewayStore, LoadMetrics,
     LocalReply, MAX_RESERVED_SHARE, PeerDispatch, ProcessLimits, RefusalCause, RefusalPressure,
     RelayCodec, RelayContext, RelayFailure, RelayMetrics, ReplyMetadata, RequestMetadata,
-    RetryBudget, RetryState, RetryStep, RoundRobin, StallDetector, StallStep, TargetNotices,
-    flow_shares, pick_chain, pick_target, return_delay,
+    RetryBudget, RetryState, RetryStep, RoundRobin, ServiceChains, StallDetector, StallStep,
+    TargetNotices, flow_shares, pick_chain, pick_target, return_delay,
 };
 pub use routing::{
     AnswerEvent, AnswerStream, AttemptEvent, AttemptFailure, AttemptLimits, AttemptMachine,
