--- a/tests/even_load.rs
+++ b/tests/even_load.rs
@@ -11,7 +11,7 @@
 use arbutusmount::{
     ChainRequirement, DomainId, FlowTable, InstanceId, LayerChain, LayerRange, LoadTable,
     ModelShape, MonoTime, PeerGroups, PeerOrigin, PresenceRow, ReservationDigest, ReservationRow,
-    TargetEntry, find_chains, target_hash,
+    ServiceChains, TargetEntry, find_chains, target_hash,
 };
 use shapes::{model_on, ready_target};
 use std::cmp::Reverse;
