--- a/tests/even_load.rs
+++ b/tests/even_load.rs
@@ -10,7 +10,7 @@
 
 use arbutusmount::{
     ChainRequirement, DomainId, FlowTable, InstanceId, LayerChain, LayerRange, LoadTable,
-    ModelShape, MonoTime, PeerGroups, PeerOrigin, PresenceRow, ReservationDigest, ReservationRow,
+    ModelShape, MonoTime, PeerGroups, PresenceRow, ReservationDigest, ReservationRow,
     ServiceChains, TargetEntry, find_chains, target_hash,
 };
 use shapes::{model_on, ready_target};
@@ -238,6 +238,7 @@
 type Waiting = Reverse<(u64, usize, u64, u32, u32)>;
 
 /// Plays one failure domain of the fleet.
+#[expect(clippy::too_many_lines, reason = "one loop over the events of a run")]
 fn play(load: &Load) -> Evenness {
     let mut rng = fastrand::Rng::with_seed(load.seed);
     let model = model_for(load);
@@ -346,7 +347,7 @@
             for peer in daemons[index].peers.recipients(digest.sequence) {
                 if let Some(receiver) = listed.get(&peer) {
                     let receiver = &mut daemons[*receiver];
-                    let origin: PeerOrigin = receiver.peers.origin(from);
+                    let origin = receiver.peers.origin(from);
                     receiver.table.record(digest.clone(), origin, now);
                 }
             }
