--- a/tests/platform_limits.rs
+++ b/tests/platform_limits.rs
@@ -48,6 +48,7 @@
         models_per_domain: 0,
         domains: 1,
         is_linked: false,
+        ..SiteSpec::default()
     })
 }
 
@@ -59,6 +60,7 @@
         models_per_domain: 2,
         domains: 3,
         is_linked: false,
+        ..SiteSpec::default()
     })
 }
 
--- a/tests/platform_passed_on.rs
+++ b/tests/platform_passed_on.rs
@@ -28,6 +28,7 @@
         models_per_domain,
         domains: 1,
         is_linked: true,
+        ..SiteSpec::default()
     });
     until("the daemons to know each other", || {
         let mut daemons = site.daemons.iter();
--- a/tests/platform_poison.rs
+++ b/tests/platform_poison.rs
@@ -40,6 +40,7 @@
         models_per_domain: 4,
         domains: 3,
         is_linked: false,
+        ..SiteSpec::default()
     })
 }
 
--- a/tests/platform_poison_blame.rs
+++ b/tests/platform_poison_blame.rs
@@ -93,6 +93,7 @@
         models_per_domain: 4,
         domains: 3,
         is_linked: false,
+        ..SiteSpec::default()
     });
     for server in &site.model_servers {
         server.set_knobs(ModelKnobs {
--- a/tests/platform_poison_parts.rs
+++ b/tests/platform_poison_parts.rs
@@ -89,6 +89,7 @@
         models_per_domain,
         domains: 3,
         is_linked: false,
+        ..SiteSpec::default()
     });
     site.crashes.spare_every(case.spare_every);
     let parts = case.bad_parts.iter().map(|id| BadPart {
--- a/tests/platform_unreachable.rs
+++ b/tests/platform_unreachable.rs
@@ -41,6 +41,7 @@
         models_per_domain,
         domains: 2,
         is_linked: true,
+        ..SiteSpec::default()
     });
     until("the daemons to know each other", || {
         let mut daemons = site.daemons.iter();
--- a/tests/platform_unreachable_addresses.rs
+++ b/tests/platform_unreachable_addresses.rs
@@ -23,6 +23,7 @@
         models_per_domain: 0,
         domains: 2,
         is_linked: true,
+        ..SiteSpec::default()
     })
 }
 
