--- a/tests/priority_demand.rs
+++ b/tests/priority_demand.rs
@@ -19,6 +19,9 @@
 use std::time::Duration;
 use test_case::test_case;
 
+/// Period of sending digests.
+const PERIOD: Duration = Duration::from_millis(200);
+
 fn at(millis: u64) -> MonoTime {
     MonoTime(millis * 1_000)
 }
@@ -270,12 +273,9 @@
     let listed: HashSet<SocketAddr> = peers.all().filter(is_local).collect();
 
     for first in 0..50 {
-        let sequences = first
-            ..first
-                + peers
-                    .report_interval(PERIOD)
-                    .as_millis()
-                    .div_ceil(PERIOD.as_millis()) as u64;
+        let interval = peers.report_interval(PERIOD).as_millis();
+        let digests = interval.div_ceil(PERIOD.as_millis()) as u64;
+        let sequences = first..first + digests;
         let told = sequences.flat_map(|sequence| peers.recipients(sequence));
         let told: HashSet<SocketAddr> = told.filter(is_local).collect();
         assert_eq!(told, listed);
