--- a/src/feed/follow.rs
+++ b/src/feed/follow.rs
@@ -184,7 +184,7 @@
             }
         };
         retry_delay = FIRST_RETRY_DELAY;
-        if is_list && changes.contains(&MirrorChange::Synced) {
+        if is_list && spec.rest.is_some() && changes.contains(&MirrorChange::Synced) {
             rest.on_listed(sent);
             spec.inbox.set_rest(&spec.prefix, rest.listed_at());
         }
--- a/src/relay/distribution.rs
+++ b/src/relay/distribution.rs
@@ -302,8 +302,7 @@
 pub(super) fn uses_distribution(request: &ActiveRequest<'_>) -> bool {
     let context = request.context;
     let stale_report_ms = context.settings.balancing.stale_report_ms;
-    request.is_by_priority()
-        || stale_report_ms.is_some_and(|limit| context.flows.report_interval_ms() >= limit)
+    stale_report_ms.is_some_and(|limit| context.flows.report_interval_ms() >= limit)
 }
 
 /// The chains with capacity for the request. Those of other failure domains are included only when the
