Bound body memory and callers' connections of the own interface

Unfinished bodies of 120 connections took 134384 KiB, and 400 idle connections took 420 descriptors of a daemon. Bodies share bounds.body_total_bytes, and connections are bounded by bounds.connections, with the decisions of UploadTable.

--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -1,7 +1,8 @@
 //! Accept loop: serves a `tide` application over `async-h1` with one task per connection.
 
 use crate::http::problem::{ProblemKind, ProblemResponse};
-use crate::http::tracking::{ConnectionCount, TrackedStream};
+use crate::http::tracking::{CallerSeat, ConnectionCount, TrackedStream};
+use crate::wire::{HoldError, SeatPhase, UploadBounds, grow_body};
 use async_h1::server::ConnectionStatus;
 use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
@@ -18,6 +19,15 @@
 /// Maximum time to wait for a caller to close its side of a closed connection.
 const CLOSE_LINGER: Duration = Duration::from_secs(1);
 
+/// Longest head that `async-h1` reads.
+const HEAD_BYTES: usize = 8 * 1024;
+/// Bytes of a body that are read at once.
+const READ_BYTES: usize = 16 * 1024;
+/// Retry-After of a body for which there is no memory.
+const MEMORY_RETRY_DELAY: Duration = Duration::from_secs(1);
+/// Time for the refusal of an upload that is ended to be written. `async-h1` would then read the rest of the body.
+const REFUSAL_TIME: Duration = Duration::from_millis(100);
+
 /// Watches the caller's connection while its request is served.
 #[derive(Debug, Clone)]
 pub struct CallerWatch(TcpStream);
@@ -55,64 +65,129 @@
             Some(Ok((stream, _address))) => {
                 task::spawn(serve_connection(stream, app.clone(), count.clone()));
             }
-            Some(Err(_cause)) => task::sleep(ACCEPT_PAUSE).await,
+            Some(Err(_cause)) => {
+                count.free_descriptor();
+                task::sleep(ACCEPT_PAUSE).await;
+            }
             None => return Ok(()),
         }
     }
 }
 
-/// Reads the body of a request, up to `limit` bytes.
+/// Reads the body of a request, up to `limit` bytes, within the memory that all connections share.
 ///
 /// # Errors
-/// `BodyTooLarge` beyond the limit, `BadRequest` if the body cannot be read to its end.
+/// `BodyTooLarge` beyond the limit, `BadRequest` if the body cannot be read to its end, `Overloaded` if there is
+/// no memory for it.
 pub async fn read_body<S>(
     request: &mut tide::Request<S>,
     limit: usize,
 ) -> Result<Vec<u8>, ProblemResponse> {
+    let seat = request.ext::<CallerSeat>().cloned();
+    let seat = seat.unwrap_or_else(|| ConnectionCount::default().open_seat());
     let declared = request.len();
-    let mut body = Vec::new();
-    let mut reader = request.take_body().into_reader().take(limit as u64 + 1);
-    let read = reader.read_to_end(&mut body).await;
-    read.map_err(|cause| {
-        ProblemResponse::not_executed(
-            ProblemKind::BadRequest,
-            format!("body is incomplete: {cause}"),
-        )
-    })?;
-    if body.len() > limit {
-        let detail = format!("the body must be at most {limit} bytes");
-        return Err(ProblemResponse::not_executed(
-            ProblemKind::BodyTooLarge,
-            detail,
-        ));
+    if declared.is_some_and(|length| length > limit) {
+        seat.count_end("too_large");
+        return Err(too_large(limit));
     }
+    if !seat.seat.enter(SeatPhase::Body) {
+        return Err(no_memory(&seat, HoldError::Ended));
+    }
+    let body = read_within(request, limit, declared, &seat).await?;
     // The reader ends without an error when the connection ends before the declared length.
     match declared {
         Some(length) if length != body.len() => Err(ProblemResponse::not_executed(
             ProblemKind::BadRequest,
             format!("body is incomplete: {} of {length} bytes", body.len()),
         )),
+        _ if !seat.seat.enter(SeatPhase::Serving) => Err(no_memory(&seat, HoldError::Ended)),
         _ => Ok(body),
     }
 }
 
+async fn read_within<S>(
+    request: &mut tide::Request<S>,
+    limit: usize,
+    declared: Option<usize>,
+    seat: &CallerSeat,
+) -> Result<Vec<u8>, ProblemResponse> {
+    let bounds = UploadBounds {
+        head_bytes: HEAD_BYTES,
+        body_bytes: limit,
+    };
+    let held = seat.seat.hold(READ_BYTES, bounds.one_request()).await;
+    held.map_err(|cause| no_memory(seat, cause))?;
+    let mut input = vec![0; READ_BYTES];
+    let mut body = Vec::new();
+    let mut reader = request.take_body().into_reader();
+    loop {
+        let ended = async {
+            seat.seat.ended().await;
+            Err(no_memory(seat, HoldError::Ended))
+        };
+        let filled = async {
+            reader.read(&mut input).await.map_err(|cause| {
+                ProblemResponse::not_executed(
+                    ProblemKind::BadRequest,
+                    format!("body is incomplete: {cause}"),
+                )
+            })
+        };
+        let count = futures_lite::future::or(ended, filled).await?;
+        if count == 0 {
+            return Ok(body);
+        }
+        if body.len() + count > limit {
+            seat.count_end("too_large");
+            return Err(too_large(limit));
+        }
+        seat.seat.on_progress();
+        let longest = declared.unwrap_or(limit);
+        let grown = grow_body(&mut body, count, longest, bounds, &seat.seat).await;
+        grown.map_err(|cause| no_memory(seat, cause))?;
+        body.extend_from_slice(&input[..count]);
+    }
+}
+
+fn too_large(limit: usize) -> ProblemResponse {
+    let detail = format!("the body must be at most {limit} bytes");
+    ProblemResponse::not_executed(ProblemKind::BodyTooLarge, detail)
+}
+
+/// The refusal of a body for which there is no memory; the connection holds none from now on.
+fn no_memory(seat: &CallerSeat, cause: HoldError) -> ProblemResponse {
+    seat.seat.release_to(0);
+    seat.count_end(match cause {
+        HoldError::Ended => "upload",
+        HoldError::NoMemory => "memory_wait",
+    });
+    ProblemResponse::not_executed(ProblemKind::Overloaded, "no memory for the body")
+        .retry_after(MEMORY_RETRY_DELAY)
+}
+
 async fn serve_connection<S: Clone + Send + Sync + 'static>(
     stream: TcpStream,
     app: tide::Server<S>,
     count: ConnectionCount,
 ) {
     let _open = count.track_open();
+    let seat = count.open_seat();
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let tracked = TrackedStream::new(stream.clone(), &count);
+    let tracked = TrackedStream::new(stream.clone(), &count, seat.clone());
     let watch = CallerWatch(stream.clone());
     let endpoint = |mut request: Request| {
         let (app, count) = (app.clone(), count.clone());
+        let (seat, tracked) = (seat.clone(), tracked.clone());
         request.ext_mut().insert(watch.clone());
+        request.ext_mut().insert(seat.clone());
         async move {
+            seat.seat.enter(SeatPhase::Serving);
             let mut response: Response = app.respond(request).await?;
-            if count.is_draining() {
+            let is_staying = seat.seat.enter(SeatPhase::Serving);
+            tracked.set_answered();
+            if count.is_draining() || !is_staying {
                 response.insert_header("connection", "close");
             }
             Ok(response)
@@ -125,7 +200,17 @@
             wait_until_closable(&tracked, &count).await;
             None
         };
-        let status = futures_lite::future::or(served, closed_idle).await;
+        let ended = async {
+            seat.seat.ended().await;
+            if tracked.is_busy() {
+                task::sleep(REFUSAL_TIME).await;
+            } else {
+                seat.count_end("idle");
+            }
+            None
+        };
+        let closing = futures_lite::future::or(closed_idle, ended);
+        let status = futures_lite::future::or(served, closing).await;
         tracked.end_request();
         if status != Some(ConnectionStatus::KeepAlive) {
             break;
--- a/src/http/tracking.rs
+++ b/src/http/tracking.rs
@@ -1,9 +1,12 @@
 //! Tracks the connections of a listener, so that it can be closed without cutting off a request.
 
+use crate::kernel::MonoClock;
+use crate::wire::{Seat, SeatPhase, SeatSet, UploadLimits};
 use async_std::channel::{Receiver, Sender, bounded};
 use async_std::net::TcpStream;
 use futures_lite::future::poll_once;
 use futures_lite::{AsyncRead, AsyncWrite};
+use prometheus::{IntCounterVec, Opts};
 use std::fmt;
 use std::io;
 use std::pin::Pin;
@@ -15,6 +18,8 @@
     open: AtomicUsize,
     busy: AtomicUsize,
     draining: AtomicBool,
+    seats: SeatSet,
+    ended: IntCounterVec,
     close_sender: Sender<()>,
     close_receiver: Receiver<()>,
 }
@@ -25,15 +30,15 @@
 pub struct ConnectionCount(Arc<CountState>);
 
 impl Default for ConnectionCount {
+    /// Without limits.
     fn default() -> Self {
-        let (close_sender, close_receiver) = bounded(1);
-        Self(Arc::new(CountState {
-            open: AtomicUsize::new(0),
-            busy: AtomicUsize::new(0),
-            draining: AtomicBool::new(false),
-            close_sender,
-            close_receiver,
-        }))
+        let limits = UploadLimits {
+            memory_bytes: usize::MAX,
+            connections: usize::MAX,
+        };
+        let opts = Opts::new("callers_ended_total", "Not registered.");
+        let ended = IntCounterVec::new(opts, &["cause"]).expect("the name is valid");
+        Self::new(limits, MonoClock::start(), ended)
     }
 }
 
@@ -47,6 +52,33 @@
 }
 
 impl ConnectionCount {
+    /// Counts connections within `limits`; `ended` counts by cause those that are ended or refused.
+    pub fn new(limits: UploadLimits, clock: MonoClock, ended: IntCounterVec) -> Self {
+        let (close_sender, close_receiver) = bounded(1);
+        Self(Arc::new(CountState {
+            open: AtomicUsize::new(0),
+            busy: AtomicUsize::new(0),
+            draining: AtomicBool::new(false),
+            seats: SeatSet::new(limits, clock),
+            ended,
+            close_sender,
+            close_receiver,
+        }))
+    }
+
+    /// Adds a connection to the shared limits; the one idle longest is ended if there are too many.
+    pub(super) fn open_seat(&self) -> CallerSeat {
+        CallerSeat {
+            seat: Arc::new(self.0.seats.open(true)),
+            ended: self.0.ended.clone(),
+        }
+    }
+
+    /// Ends the connection that is idle longest, as no descriptor is free.
+    pub(super) fn free_descriptor(&self) {
+        self.0.seats.end_longest_idle();
+    }
+
     /// Number of open connections.
     pub fn open_count(&self) -> usize {
         self.0.open.load(Ordering::Acquire)
@@ -101,9 +133,26 @@
     }
 }
 
+/// Share of one connection in the limits. Clones share it; it is released with the last one.
+#[derive(Debug, Clone)]
+pub(super) struct CallerSeat {
+    pub(super) seat: Arc<Seat>,
+    ended: IntCounterVec,
+}
+
+impl CallerSeat {
+    /// Counts an end or a refusal with its cause.
+    pub(super) fn count_end(&self, cause: &str) {
+        self.ended.with_label_values(&[cause]).inc();
+    }
+}
+
 struct StreamState {
     count: ConnectionCount,
+    seat: CallerSeat,
     busy: AtomicBool,
+    /// True once the response is known: what is read then is the rest of a body, to be discarded.
+    is_answered: AtomicBool,
 }
 
 impl StreamState {
@@ -134,10 +183,12 @@
 }
 
 impl TrackedStream {
-    pub(super) fn new(stream: TcpStream, count: &ConnectionCount) -> Self {
+    pub(super) fn new(stream: TcpStream, count: &ConnectionCount, seat: CallerSeat) -> Self {
         let inner = StreamState {
             count: count.clone(),
+            seat,
             busy: AtomicBool::new(false),
+            is_answered: AtomicBool::new(false),
         };
         Self {
             stream,
@@ -152,9 +203,17 @@
 
     /// Marks the connection as idle after a response has been written.
     pub(super) fn end_request(&self) {
+        self.inner.is_answered.store(false, Ordering::Release);
+        self.inner.seat.seat.release_to(0);
+        self.inner.seat.seat.enter(SeatPhase::Idle);
         self.inner.set_busy(false);
     }
 
+    /// Records that the response to the request is known.
+    pub(super) fn set_answered(&self) {
+        self.inner.is_answered.store(true, Ordering::Release);
+    }
+
     /// True if bytes have arrived that are not read yet.
     pub(super) async fn has_unread_bytes(&self) -> bool {
         let mut byte = [0; 1];
@@ -168,8 +227,14 @@
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
+        if self.inner.is_answered.swap(false, Ordering::AcqRel) {
+            self.inner.seat.seat.enter(SeatPhase::Body);
+        }
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
         if matches!(read, Poll::Ready(Ok(1..))) {
+            if !self.is_busy() {
+                self.inner.seat.seat.enter(SeatPhase::Head);
+            }
             self.inner.set_busy(true);
         }
         read
--- a/src/kernel/daemon.rs
+++ b/src/kernel/daemon.rs
@@ -4,6 +4,7 @@
 use crate::kernel::{KernelContext, PluginError, PluginHost};
 use crate::peer::serve_peers;
 use crate::settings::DaemonSettings;
+use crate::wire::UploadLimits;
 use async_std::future::timeout;
 use async_std::net::TcpListener;
 use async_std::task::{self, JoinHandle};
@@ -110,7 +111,16 @@
     let mut host = PluginHost::new(Arc::clone(&context));
     host.install_all().map_err(DaemonError::Plugin)?;
     let PluginHost { app, handlers, .. } = host;
-    let connections = ConnectionCount::default();
+    let help = "Callers' connections and bodies ended or refused for lack of room, by cause.";
+    let ended = context
+        .metrics
+        .counter("callers_ended_total", help, &["cause"])
+        .map_err(|cause| DaemonError::Plugin(cause.into()))?;
+    let limits = UploadLimits {
+        memory_bytes: context.settings.bounds.body_total_bytes,
+        connections: context.settings.bounds.connections,
+    };
+    let connections = ConnectionCount::new(limits, context.clock, ended);
     let count = connections.clone();
     let http = task::spawn(async move {
         if let Err(cause) = serve_http(listener, app, count).await {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -147,6 +147,10 @@
 pub struct BoundSettings {
     /// Size of the largest request body accepted, in bytes.
     pub body_bytes: usize,
+    /// Most bytes that the request bodies of all callers may hold together.
+    pub body_total_bytes: usize,
+    /// Most open connections of callers.
+    pub connections: usize,
     /// Most requests in progress at the same time.
     pub requests: usize,
     /// Events buffered for a slow caller before back-pressure slows its stream.
@@ -159,6 +163,8 @@
     fn default() -> Self {
         Self {
             body_bytes: 1 << 20,
+            body_total_bytes: 256 << 20,
+            connections: 16_384,
             requests: 4_096,
             stream_events: 64,
             idle_connections: 64,
@@ -216,6 +222,8 @@
 
 const BOUND_TABLE: &[FieldRule] = &[
     FieldRule::optional("body_bytes", FieldKind::Integer(1_024, 1 << 26)),
+    FieldRule::optional("body_total_bytes", FieldKind::Integer(1_024, 1 << 40)),
+    FieldRule::optional("connections", FieldKind::Integer(1, 1 << 20)),
     FieldRule::optional("requests", FieldKind::Integer(1, 1 << 20)),
     FieldRule::optional("stream_events", FieldKind::Integer(1, 1 << 16)),
     FieldRule::optional("idle_connections", FieldKind::Integer(0, 1 << 12)),
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -29,5 +29,7 @@
     StreamError, WireStream, close_after_reading, pause_after_read, read_some, reset_on_close,
     write_all,
 };
-pub use upload::{BodyUse, UploadBounds, UploadError, is_announced_too_long, read_upload};
+pub use upload::{
+    BodyUse, UploadBounds, UploadError, grow_body, is_announced_too_long, read_upload,
+};
 pub use upload_table::{HoldStep, SeatPhase, UploadLimits, UploadTable};
--- a/src/wire/upload.rs
+++ b/src/wire/upload.rs
@@ -84,7 +84,8 @@
     let mut discarded = 0;
     let mut count = 0;
     loop {
-        grow_body(&mut body, stream.input.len(), longest, bounds, seat).await?;
+        let grown = grow_body(&mut body, stream.input.len(), longest, bounds, seat);
+        grown.await.map_err(UploadError::Memory)?;
         let step = decoder.advance(&mut stream.input, &mut body);
         let step = step.map_err(|cause| UploadError::Read(ReadError::Body(cause)))?;
         let is_long = discarded + body.len() > bounds.body_bytes;
@@ -113,13 +114,16 @@
 }
 
 /// Makes room for `input` more bytes, of at most `longest` in total, once the memory for them is granted.
-async fn grow_body(
+///
+/// # Errors
+/// [`HoldError`] when the memory is not granted.
+pub async fn grow_body(
     body: &mut Vec<u8>,
     input: usize,
     longest: usize,
     bounds: UploadBounds,
     seat: &Seat,
-) -> Result<(), UploadError> {
+) -> Result<(), HoldError> {
     let needed = (body.len() + input).min(longest);
     if needed <= body.capacity() {
         return Ok(());
@@ -127,7 +131,7 @@
     let step = body.capacity().clamp(MIN_STEP_BYTES, MAX_STEP_BYTES);
     let capacity = needed.max(body.capacity() + step).min(longest);
     let held = seat.hold(INPUT_BYTES + capacity, bounds.one_request());
-    held.await.map_err(UploadError::Memory)?;
+    held.await?;
     body.reserve_exact(capacity - body.len());
     Ok(())
 }
