Close connections that are ended while idle at once

An idle connection that is ended kept its descriptor for up to a second, to let the caller read a response that was never sent.

--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -204,13 +204,16 @@
             seat.seat.ended().await;
             if tracked.is_busy() {
                 task::sleep(REFUSAL_TIME).await;
-            } else {
-                seat.count_end("idle");
             }
             None
         };
         let closing = futures_lite::future::or(closed_idle, ended);
         let status = futures_lite::future::or(served, closing).await;
+        if status.is_none() && !tracked.is_busy() && !seat.seat.enter(SeatPhase::Idle) {
+            // Ended for another connection: nothing was sent that the caller must have time to read.
+            seat.count_end("idle");
+            return;
+        }
         tracked.end_request();
         if status != Some(ConnectionStatus::KeepAlive) {
             break;
