--- a/tests/upload_memory.rs
+++ b/tests/upload_memory.rs
@@ -3,10 +3,10 @@
 
 mod support;
 
+use async_std::sync::Mutex;
 use rig::{FleetSpec, HEAD_OFFICE_TOKEN, ProcessFleet};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::Mutex;
 use std::thread;
 use std::time::Duration;
 use support::ready_fleet;
@@ -91,9 +91,7 @@
 
 #[async_std::test]
 async fn unfinished_bodies_stay_within_memory() {
-    let _turn = TURN
-        .lock()
-        .unwrap_or_else(std::sync::PoisonError::into_inner);
+    let _turn = TURN.lock().await;
     let mut fleet = start().await;
     let address = fleet.daemons[0].addresses.listen;
 
@@ -117,9 +115,7 @@
 
 #[async_std::test]
 async fn idle_connections_stay_within_descriptors() {
-    let _turn = TURN
-        .lock()
-        .unwrap_or_else(std::sync::PoisonError::into_inner);
+    let _turn = TURN.lock().await;
     let mut fleet = start().await;
     let address = fleet.daemons[0].addresses.listen;
 
