--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -1,8 +1,8 @@
 //! Accept loop: serves a `tide` application over `async-h1` with one task per connection.
 
 use crate::http::problem::{ProblemKind, ProblemResponse};
-use crate::http::tracking::{CallerSeat, ConnectionCount, TrackedStream};
-use crate::wire::{HoldError, SeatPhase, UploadBounds, grow_body};
+use crate::http::tracking::{CallerHold, ConnectionCount, TrackedStream};
+use crate::wire::{ConnectionPhase, HoldError, UploadBounds, grow_body};
 use async_h1::server::ConnectionStatus;
 use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
@@ -83,24 +83,26 @@
     request: &mut tide::Request<S>,
     limit: usize,
 ) -> Result<Vec<u8>, ProblemResponse> {
-    let seat = request.ext::<CallerSeat>().cloned();
-    let seat = seat.unwrap_or_else(|| ConnectionCount::default().open_seat());
+    let held = request.ext::<CallerHold>().cloned();
+    let held = held.unwrap_or_else(|| ConnectionCount::default().open_hold());
     let declared = request.len();
     if declared.is_some_and(|length| length > limit) {
-        seat.count_end("too_large");
+        held.count_end("too_large");
         return Err(too_large(limit));
     }
-    if !seat.seat.enter(SeatPhase::Body) {
-        return Err(no_memory(&seat, HoldError::Ended));
+    if !held.budget.enter(ConnectionPhase::Body) {
+        return Err(no_memory(&held, HoldError::Ended));
     }
-    let body = read_within(request, limit, declared, &seat).await?;
+    let body = read_within(request, limit, declared, &held).await?;
     // The reader ends without an error when the connection ends before the declared length.
     match declared {
         Some(length) if length != body.len() => Err(ProblemResponse::not_executed(
             ProblemKind::BadRequest,
             format!("body is incomplete: {} of {length} bytes", body.len()),
         )),
-        _ if !seat.seat.enter(SeatPhase::Serving) => Err(no_memory(&seat, HoldError::Ended)),
+        _ if !held.budget.enter(ConnectionPhase::Serving) => {
+            Err(no_memory(&held, HoldError::Ended))
+        }
         _ => Ok(body),
     }
 }
@@ -109,21 +111,21 @@
     request: &mut tide::Request<S>,
     limit: usize,
     declared: Option<usize>,
-    seat: &CallerSeat,
+    held: &CallerHold,
 ) -> Result<Vec<u8>, ProblemResponse> {
     let bounds = UploadBounds {
         head_bytes: HEAD_BYTES,
         body_bytes: limit,
     };
-    let held = seat.seat.hold(READ_BYTES, bounds.one_request()).await;
-    held.map_err(|cause| no_memory(seat, cause))?;
+    let granted = held.budget.hold(READ_BYTES, bounds.one_request()).await;
+    granted.map_err(|cause| no_memory(held, cause))?;
     let mut input = vec![0; READ_BYTES];
     let mut body = Vec::new();
     let mut reader = request.take_body().into_reader();
     loop {
         let ended = async {
-            seat.seat.ended().await;
-            Err(no_memory(seat, HoldError::Ended))
+            held.budget.ended().await;
+            Err(no_memory(held, HoldError::Ended))
         };
         let filled = async {
             reader.read(&mut input).await.map_err(|cause| {
@@ -138,13 +140,13 @@
             return Ok(body);
         }
         if body.len() + count > limit {
-            seat.count_end("too_large");
+            held.count_end("too_large");
             return Err(too_large(limit));
         }
-        seat.seat.on_progress();
+        held.budget.on_progress();
         let longest = declared.unwrap_or(limit);
-        let grown = grow_body(&mut body, count, longest, bounds, &seat.seat).await;
-        grown.map_err(|cause| no_memory(seat, cause))?;
+        let grown = grow_body(&mut body, count, longest, bounds, &held.budget).await;
+        grown.map_err(|cause| no_memory(held, cause))?;
         body.extend_from_slice(&input[..count]);
     }
 }
@@ -155,9 +157,9 @@
 }
 
 /// The refusal of a body for which there is no memory; the connection holds none from now on.
-fn no_memory(seat: &CallerSeat, cause: HoldError) -> ProblemResponse {
-    seat.seat.release_to(0);
-    seat.count_end(match cause {
+fn no_memory(held: &CallerHold, cause: HoldError) -> ProblemResponse {
+    held.budget.release_to(0);
+    held.count_end(match cause {
         HoldError::Ended => "upload",
         HoldError::NoMemory => "memory_wait",
     });
@@ -171,21 +173,21 @@
     count: ConnectionCount,
 ) {
     let _open = count.track_open();
-    let seat = count.open_seat();
+    let held = count.open_hold();
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let tracked = TrackedStream::new(stream.clone(), &count, seat.clone());
+    let tracked = TrackedStream::new(stream.clone(), &count, held.clone());
     let watch = CallerWatch(stream.clone());
     let endpoint = |mut request: Request| {
         let (app, count) = (app.clone(), count.clone());
-        let (seat, tracked) = (seat.clone(), tracked.clone());
+        let (held, tracked) = (held.clone(), tracked.clone());
         request.ext_mut().insert(watch.clone());
-        request.ext_mut().insert(seat.clone());
+        request.ext_mut().insert(held.clone());
         async move {
-            seat.seat.enter(SeatPhase::Serving);
+            held.budget.enter(ConnectionPhase::Serving);
             let mut response: Response = app.respond(request).await?;
-            let is_staying = seat.seat.enter(SeatPhase::Serving);
+            let is_staying = held.budget.enter(ConnectionPhase::Serving);
             tracked.set_answered();
             if count.is_draining() || !is_staying {
                 response.insert_header("connection", "close");
@@ -201,7 +203,7 @@
             None
         };
         let ended = async {
-            seat.seat.ended().await;
+            held.budget.ended().await;
             if tracked.is_busy() {
                 task::sleep(REFUSAL_TIME).await;
             }
@@ -209,9 +211,9 @@
         };
         let closing = futures_lite::future::or(closed_idle, ended);
         let status = futures_lite::future::or(served, closing).await;
-        if status.is_none() && !tracked.is_busy() && !seat.seat.enter(SeatPhase::Idle) {
+        if status.is_none() && !tracked.is_busy() && !held.budget.enter(ConnectionPhase::Idle) {
             // Ended for another connection: nothing was sent that the caller must have time to read.
-            seat.count_end("idle");
+            held.count_end("idle");
             return;
         }
         tracked.end_request();
--- a/src/http/tracking.rs
+++ b/src/http/tracking.rs
@@ -1,7 +1,7 @@
 //! Tracks the connections of a listener, so that it can be closed without cutting off a request.
 
 use crate::kernel::MonoClock;
-use crate::wire::{Seat, SeatPhase, SeatSet, UploadLimits};
+use crate::wire::{ConnectionBudget, ConnectionHold, ConnectionPhase, UploadLimits};
 use async_std::channel::{Receiver, Sender, bounded};
 use async_std::net::TcpStream;
 use futures_lite::future::poll_once;
@@ -18,7 +18,7 @@
     open: AtomicUsize,
     busy: AtomicUsize,
     draining: AtomicBool,
-    seats: SeatSet,
+    connection_budget: ConnectionBudget,
     ended: IntCounterVec,
     close_sender: Sender<()>,
     close_receiver: Receiver<()>,
@@ -59,7 +59,7 @@
             open: AtomicUsize::new(0),
             busy: AtomicUsize::new(0),
             draining: AtomicBool::new(false),
-            seats: SeatSet::new(limits, clock),
+            connection_budget: ConnectionBudget::new(limits, clock),
             ended,
             close_sender,
             close_receiver,
@@ -67,16 +67,16 @@
     }
 
     /// Adds a connection to the shared limits; the one idle longest is ended if there are too many.
-    pub(super) fn open_seat(&self) -> CallerSeat {
-        CallerSeat {
-            seat: Arc::new(self.0.seats.open(true)),
+    pub(super) fn open_hold(&self) -> CallerHold {
+        CallerHold {
+            budget: Arc::new(self.0.connection_budget.open(true)),
             ended: self.0.ended.clone(),
         }
     }
 
     /// Ends the connection that is idle longest, as no descriptor is free.
     pub(super) fn free_descriptor(&self) {
-        self.0.seats.end_longest_idle();
+        self.0.connection_budget.end_longest_idle();
     }
 
     /// Number of open connections.
@@ -135,12 +135,12 @@
 
 /// Share of one connection in the limits. Clones share it; it is released with the last one.
 #[derive(Debug, Clone)]
-pub(super) struct CallerSeat {
-    pub(super) seat: Arc<Seat>,
+pub(super) struct CallerHold {
+    pub(super) budget: Arc<ConnectionHold>,
     ended: IntCounterVec,
 }
 
-impl CallerSeat {
+impl CallerHold {
     /// Counts an end or a refusal with its cause.
     pub(super) fn count_end(&self, cause: &str) {
         self.ended.with_label_values(&[cause]).inc();
@@ -149,7 +149,7 @@
 
 struct StreamState {
     count: ConnectionCount,
-    seat: CallerSeat,
+    held: CallerHold,
     busy: AtomicBool,
     /// True once the response is known: what is read then is the rest of a body, to be discarded.
     is_answered: AtomicBool,
@@ -183,10 +183,10 @@
 }
 
 impl TrackedStream {
-    pub(super) fn new(stream: TcpStream, count: &ConnectionCount, seat: CallerSeat) -> Self {
+    pub(super) fn new(stream: TcpStream, count: &ConnectionCount, held: CallerHold) -> Self {
         let inner = StreamState {
             count: count.clone(),
-            seat,
+            held,
             busy: AtomicBool::new(false),
             is_answered: AtomicBool::new(false),
         };
@@ -204,8 +204,8 @@
     /// Marks the connection as idle after a response has been written.
     pub(super) fn end_request(&self) {
         self.inner.is_answered.store(false, Ordering::Release);
-        self.inner.seat.seat.release_to(0);
-        self.inner.seat.seat.enter(SeatPhase::Idle);
+        self.inner.held.budget.release_to(0);
+        self.inner.held.budget.enter(ConnectionPhase::Idle);
         self.inner.set_busy(false);
     }
 
@@ -228,12 +228,12 @@
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
         if self.inner.is_answered.swap(false, Ordering::AcqRel) {
-            self.inner.seat.seat.enter(SeatPhase::Body);
+            self.inner.held.budget.enter(ConnectionPhase::Body);
         }
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
         if matches!(read, Poll::Ready(Ok(1..))) {
             if !self.is_busy() {
-                self.inner.seat.seat.enter(SeatPhase::Head);
+                self.inner.held.budget.enter(ConnectionPhase::Head);
             }
             self.inner.set_busy(true);
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -192,8 +192,8 @@
 };
 pub use units::{ByteSize, LayerRange, MonoTime, RequestRate, TokenRate, UnitError};
 pub use wire::{
-    BodyDecoder, BodyError, BodyFraming, BodyStep, CallError, CompleteEvent, EventSplitter,
-    HeadBuilder, HeadError, HeadLimits, HeadOutcome, HeadStep, HoldStep, ReadError, SeatPhase,
+    BodyDecoder, BodyError, BodyFraming, BodyStep, CallError, CompleteEvent, ConnectionPhase,
+    EventSplitter, HeadBuilder, HeadError, HeadLimits, HeadOutcome, HeadStep, HoldStep, ReadError,
     StreamError, StreamPool, UploadLimits, UploadTable, WireCall, WireClient, WireHead,
     WireResponse, WireStream, parse_request, parse_response, read_request_head,
 };
--- a/src/relay/context.rs
+++ b/src/relay/context.rs
@@ -23,7 +23,7 @@
 use crate::targets::ViewCell;
 use crate::telemetry::{EventLog, MetricSet};
 use crate::units::MonoTime;
-use crate::wire::{SeatSet, StreamPool, UploadLimits};
+use crate::wire::{ConnectionBudget, StreamPool, UploadLimits};
 use arc_swap::ArcSwap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -87,7 +87,7 @@
     /// Codec of the platform's request and response heads.
     pub codec: RelayCodec,
     /// Connections of callers and peers with the memory that they hold.
-    pub seats: SeatSet,
+    pub connection_budget: ConnectionBudget,
     /// Time of the last log line on connections that were ended, in microseconds of the clock.
     pub(super) ending_logged_at: AtomicU64,
     /// Metrics of relaying.
@@ -225,7 +225,7 @@
         let limits = UploadLimits::of_process(limits.memory_mb, limits.descriptors);
         Ok(Arc::new(Self {
             clock,
-            seats: SeatSet::new(limits, clock),
+            connection_budget: ConnectionBudget::new(limits, clock),
             ending_logged_at: AtomicU64::new(0),
             lifecycle: Arc::default(),
             catalog: CatalogCell::default(),
--- a/src/relay/listener.rs
+++ b/src/relay/listener.rs
@@ -15,9 +15,9 @@
 use crate::telemetry::EventLine;
 use crate::units::MonoTime;
 use crate::wire::{
-    BodyUse, HeadError, HeadOutcome, HoldError, ReadError, Seat, SeatPhase, UploadError, WireHead,
-    WireServer, WireStream, close_after_reading, is_announced_too_long, pause_after_read,
-    read_some, wait_for_request,
+    BodyUse, ConnectionHold, ConnectionPhase, HeadError, HeadOutcome, HoldError, ReadError,
+    UploadError, WireHead, WireServer, WireStream, close_after_reading, is_announced_too_long,
+    pause_after_read, read_some, wait_for_request,
 };
 use async_io::Async;
 use async_std::task;
@@ -88,10 +88,14 @@
 
 async fn accept_all(context: Arc<RelayContext>, server: WireServer, source: RequestSource) {
     loop {
-        let stream = server.accept(|| context.seats.end_longest_idle()).await;
-        let seat = context.seats.open(source == RequestSource::Callers);
+        let stream = server
+            .accept(|| context.connection_budget.end_longest_idle())
+            .await;
+        let held = context
+            .connection_budget
+            .open(source == RequestSource::Callers);
         publish_usage(&context);
-        task::spawn(serve_connection(Arc::clone(&context), stream, source, seat));
+        task::spawn(serve_connection(Arc::clone(&context), stream, source, held));
     }
 }
 
@@ -99,16 +103,16 @@
     context: Arc<RelayContext>,
     mut stream: WireStream,
     source: RequestSource,
-    seat: Seat,
+    held: ConnectionHold,
 ) {
     loop {
         let limits = context.request_limits();
-        seat.release_to(0);
-        if !seat.enter(SeatPhase::Idle) {
+        held.release_to(0);
+        if !held.enter(ConnectionPhase::Idle) {
             return record_ending(&context, EndCause::Idle);
         }
         let ended = async {
-            seat.ended().await;
+            held.ended().await;
             None
         };
         let started = async { Some(wait_for_request(&mut stream, limits.idle_timeout).await) };
@@ -117,7 +121,7 @@
             Some(false) => return,
             Some(true) => {}
         }
-        let outcome = read_held_head(&mut stream, &seat, &limits).await;
+        let outcome = read_held_head(&mut stream, &held, &limits).await;
         let arrived = context.clock.now();
         let asker = ReplyAsker::unknown(source);
         let step = match outcome {
@@ -126,10 +130,10 @@
                     HoldError::Ended => EndCause::Head,
                     HoldError::NoMemory => EndCause::NoMemory,
                 };
-                refuse_for_memory(&context, &mut stream, &seat, end, None, asker).await
+                refuse_for_memory(&context, &mut stream, &held, end, None, asker).await
             }
             Ok(HeadOutcome::Request(head)) => {
-                serve_request(&context, &mut stream, head, arrived, source, &seat).await
+                serve_request(&context, &mut stream, head, arrived, source, &held).await
             }
             Ok(HeadOutcome::Invalid(cause)) => {
                 let cause = match cause {
@@ -192,13 +196,13 @@
 async fn refuse_for_memory(
     context: &RelayContext,
     stream: &mut WireStream,
-    seat: &Seat,
+    held: &ConnectionHold,
     end: EndCause,
     time_left: Option<Duration>,
     asker: ReplyAsker,
 ) -> ConnectionStep {
     stream.input = BytesMut::new();
-    seat.release_to(0);
+    held.release_to(0);
     record_ending(context, end);
     publish_usage(context);
     let delay = time_left.map_or(MEMORY_RETRY_AFTER, |time_left| {
@@ -243,7 +247,7 @@
     head: WireHead,
     arrived: MonoTime,
     source: RequestSource,
-    seat: &Seat,
+    held: &ConnectionHold,
 ) -> ConnectionStep {
     let _in_flight = context.lifecycle.start_request();
     let asker = ReplyAsker {
@@ -281,14 +285,14 @@
     }
     let time_left = read_metadata(context, &head, origin.as_ref()).time_left;
     let bounds = upload_bounds(&limits);
-    let body = match receive_body(stream, &head, bounds, seat, body_use).await {
+    let body = match receive_body(stream, &head, bounds, held, body_use).await {
         Ok(body) => body,
         Err(UploadError::Memory(cause)) => {
             let end = match cause {
                 HoldError::Ended => EndCause::UploadForOthers,
                 HoldError::NoMemory => EndCause::NoMemory,
             };
-            return refuse_for_memory(context, stream, seat, end, time_left, asker).await;
+            return refuse_for_memory(context, stream, held, end, time_left, asker).await;
         }
         Err(UploadError::Read(ReadError::BodyTooLong)) => {
             return refuse(context, stream, RefusalCause::BodyTooLong, asker).await;
@@ -335,7 +339,7 @@
         fingerprint_cell: OnceLock::new(),
     };
     let watch = async {
-        wait_for_close(socket, input, seat, request.body.len()).await;
+        wait_for_close(socket, input, held, request.body.len()).await;
         None
     };
     let end = or(async { Some(relay_request(&request).await) }, watch).await;
@@ -405,12 +409,12 @@
 async fn wait_for_close(
     socket: &Async<TcpStream>,
     input: &mut BytesMut,
-    seat: &Seat,
+    held: &ConnectionHold,
     body_bytes: usize,
 ) {
     // One read adds less than the smallest buffer; the input buffer doubles when it is full.
     while input.len() < MAX_PIPELINED_BYTES
-        && (input.is_empty() || seat.try_hold(body_bytes + 2 * input.capacity()))
+        && (input.is_empty() || held.try_hold(body_bytes + 2 * input.capacity()))
     {
         match read_some(socket, input).await {
             Ok(count) => pause_after_read(count).await,
--- a/src/relay/uploads.rs
+++ b/src/relay/uploads.rs
@@ -9,8 +9,8 @@
 use crate::relay::via_peer::PeerDispatch;
 use crate::telemetry::EventLine;
 use crate::wire::{
-    BodyUse, HeadLimits, HeadOutcome, HoldError, Seat, SeatPhase, UploadBounds, UploadError,
-    WireHead, WireStream, read_head_within, read_upload,
+    BodyUse, ConnectionHold, ConnectionPhase, HeadLimits, HeadOutcome, HoldError, UploadBounds,
+    UploadError, WireHead, WireStream, read_head_within, read_upload,
 };
 use bytes::BytesMut;
 use futures_lite::future::or;
@@ -56,7 +56,7 @@
     context
         .ending_logged_at
         .store(now.max(1), Ordering::Relaxed);
-    let (held, open) = context.seats.usage();
+    let (held, open) = context.connection_budget.usage();
     let line = EventLine::new("connection_ended")
         .with("cause", cause.name())
         .with("held_bytes", held)
@@ -66,7 +66,7 @@
 
 /// Sets the figures of memory and connections.
 pub(super) fn publish_usage(context: &RelayContext) {
-    let (held, open) = context.seats.usage();
+    let (held, open) = context.connection_budget.usage();
     let uploads = &context.metrics.uploads;
     uploads
         .with_label_values(&["bytes"])
@@ -87,20 +87,20 @@
 /// Reads the rest of a head within the memory that all connections share.
 pub(super) async fn read_held_head(
     stream: &mut WireStream,
-    seat: &Seat,
+    held: &ConnectionHold,
     limits: &CallerLimits,
 ) -> Result<HeadOutcome, HoldError> {
     let bounds = upload_bounds(limits);
-    if !seat.enter(SeatPhase::Head) {
+    if !held.enter(ConnectionPhase::Head) {
         return Err(HoldError::Ended);
     }
-    seat.hold(bounds.head_memory(), bounds.one_request())
+    held.hold(bounds.head_memory(), bounds.one_request())
         .await?;
     let head_limits = HeadLimits {
         max_bytes: limits.max_head_bytes,
     };
     let ended = async {
-        seat.ended().await;
+        held.ended().await;
         Err(HoldError::Ended)
     };
     let read = async { Ok(read_head_within(stream, head_limits, limits.head_timeout).await) };
@@ -157,20 +157,20 @@
     stream: &mut WireStream,
     head: &WireHead,
     bounds: UploadBounds,
-    seat: &Seat,
+    held: &ConnectionHold,
     body_use: BodyUse,
 ) -> Result<Vec<u8>, UploadError> {
     let ended = UploadError::Memory(HoldError::Ended);
-    if !seat.enter(SeatPhase::Body) {
+    if !held.enter(ConnectionPhase::Body) {
         return Err(ended);
     }
-    let body = read_upload(stream, head, bounds, seat, body_use).await?;
-    if !seat.enter(SeatPhase::Serving) {
+    let body = read_upload(stream, head, bounds, held, body_use).await?;
+    if !held.enter(ConnectionPhase::Serving) {
         return Err(ended);
     }
     if stream.input.is_empty() {
         stream.input = BytesMut::new();
     }
-    seat.release_to(body.capacity() + stream.input.capacity());
+    held.release_to(body.capacity() + stream.input.capacity());
     Ok(body)
 }
--- a/src/wire/seats.rs
+++ b/src/wire/connection_budget.rs
@@ -1,7 +1,9 @@
 //! Connections that hold memory for heads and bodies: applies the decisions of [`UploadTable`].
 
 use crate::kernel::MonoClock;
-use crate::wire::upload_table::{HoldStep, SeatId, SeatPhase, UploadLimits, UploadTable};
+use crate::wire::upload_table::{
+    ConnectionId, ConnectionPhase, HoldStep, UploadLimits, UploadTable,
+};
 use async_std::future::timeout;
 use event_listener::{Event, listener};
 use futures_lite::future::or;
@@ -30,23 +32,23 @@
 }
 
 #[derive(Debug)]
-struct SeatState {
+struct BudgetState {
     table: UploadTable,
-    signals: HashMap<SeatId, Arc<EndSignal>>,
+    signals: HashMap<ConnectionId, Arc<EndSignal>>,
 }
 
 /// All connections of a process. Clones share the state.
 #[derive(Debug, Clone)]
-pub struct SeatSet {
-    state: Arc<Mutex<SeatState>>,
+pub struct ConnectionBudget {
+    state: Arc<Mutex<BudgetState>>,
     released: Arc<Event>,
     clock: MonoClock,
 }
 
-impl SeatSet {
+impl ConnectionBudget {
     /// Creates a set without connections.
     pub fn new(limits: UploadLimits, clock: MonoClock) -> Self {
-        let state = SeatState {
+        let state = BudgetState {
             table: UploadTable::new(limits),
             signals: HashMap::new(),
         };
@@ -58,7 +60,7 @@
     }
 
     /// Adds a connection, and ends another one for it if there are too many; see [`UploadTable::open`].
-    pub fn open(&self, is_counted: bool) -> Seat {
+    pub fn open(&self, is_counted: bool) -> ConnectionHold {
         let signal = Arc::new(EndSignal::default());
         let mut state = self.lock();
         let (id, victim) = state.table.open(is_counted, self.clock.now());
@@ -67,7 +69,7 @@
             state.end(victim);
         }
         drop(state);
-        Seat {
+        ConnectionHold {
             set: self.clone(),
             id,
             signal,
@@ -88,13 +90,13 @@
         (state.table.held(), state.table.open_count())
     }
 
-    fn lock(&self) -> MutexGuard<'_, SeatState> {
+    fn lock(&self) -> MutexGuard<'_, BudgetState> {
         self.state.lock().expect("the table is never poisoned")
     }
 }
 
-impl SeatState {
-    fn end(&self, id: SeatId) {
+impl BudgetState {
+    fn end(&self, id: ConnectionId) {
         if let Some(signal) = self.signals.get(&id) {
             signal.is_set.store(true, Ordering::Release);
             signal.event.notify(usize::MAX);
@@ -104,13 +106,13 @@
 
 /// One connection; releases what it holds when dropped.
 #[derive(Debug)]
-pub struct Seat {
-    set: SeatSet,
-    id: SeatId,
+pub struct ConnectionHold {
+    set: ConnectionBudget,
+    id: ConnectionId,
     signal: Arc<EndSignal>,
 }
 
-impl Seat {
+impl ConnectionHold {
     /// Returns once the connection is to be ended.
     pub async fn ended(&self) {
         loop {
@@ -123,7 +125,7 @@
     }
 
     /// Records what the connection is doing; false when it is to be ended.
-    pub fn enter(&self, phase: SeatPhase) -> bool {
+    pub fn enter(&self, phase: ConnectionPhase) -> bool {
         let now = self.set.clock.now();
         self.set.lock().table.enter(self.id, phase, now)
     }
@@ -175,7 +177,7 @@
     }
 }
 
-impl Drop for Seat {
+impl Drop for ConnectionHold {
     fn drop(&mut self) {
         let mut state = self.set.lock();
         state.table.close(self.id);
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -3,11 +3,11 @@
 
 mod body;
 mod client;
+mod connection_budget;
 mod events;
 mod head;
 mod pool;
 mod reading;
-mod seats;
 mod server;
 mod stream;
 mod upload;
@@ -17,13 +17,13 @@
     BodyDecoder, BodyError, BodyFraming, BodyStep, LAST_CHUNK, encode_chunk, is_bodiless,
 };
 pub use client::{CallError, WireCall, WireClient, WireResponse};
+pub use connection_budget::{ConnectionBudget, ConnectionHold, HoldError};
 pub use events::{CompleteEvent, EventSplitter};
 pub use head::{
     HeadBuilder, HeadError, HeadLimits, HeadStep, WireHead, parse_request, parse_response,
 };
 pub use pool::StreamPool;
 pub use reading::{BodyEnd, ReadError, read_body, read_final_head};
-pub use seats::{HoldError, Seat, SeatSet};
 pub use server::{HeadOutcome, WireServer, read_head_within, read_request_head, wait_for_request};
 pub use stream::{
     StreamError, WireStream, close_after_reading, pause_after_read, read_some, reset_on_close,
@@ -32,4 +32,4 @@
 pub use upload::{
     BodyUse, UploadBounds, UploadError, grow_body, is_announced_too_long, read_upload,
 };
-pub use upload_table::{HoldStep, SeatPhase, UploadLimits, UploadTable};
+pub use upload_table::{ConnectionPhase, HoldStep, UploadLimits, UploadTable};
--- a/src/wire/upload.rs
+++ b/src/wire/upload.rs
@@ -1,9 +1,9 @@
 //! Reads request bodies within the memory that all connections share.
 
 use crate::wire::body::{BodyDecoder, BodyFraming, BodyStep};
+use crate::wire::connection_budget::{ConnectionHold, HoldError};
 use crate::wire::head::WireHead;
 use crate::wire::reading::ReadError;
-use crate::wire::seats::{HoldError, Seat};
 use crate::wire::stream::{WireStream, pause_after_read};
 use futures_lite::future::or;
 
@@ -68,7 +68,7 @@
     stream: &mut WireStream,
     head: &WireHead,
     bounds: UploadBounds,
-    seat: &Seat,
+    held: &ConnectionHold,
     body_use: BodyUse,
 ) -> Result<Vec<u8>, UploadError> {
     if is_announced_too_long(head, bounds.body_bytes) {
@@ -84,7 +84,7 @@
     let mut discarded = 0;
     let mut count = 0;
     loop {
-        let grown = grow_body(&mut body, stream.input.len(), longest, bounds, seat);
+        let grown = grow_body(&mut body, stream.input.len(), longest, bounds, held);
         grown.await.map_err(UploadError::Memory)?;
         let step = decoder.advance(&mut stream.input, &mut body);
         let step = step.map_err(|cause| UploadError::Read(ReadError::Body(cause)))?;
@@ -101,7 +101,7 @@
             BodyStep::Incomplete => pause_after_read(count).await,
         }
         let ended = async {
-            seat.ended().await;
+            held.ended().await;
             Err(UploadError::Memory(HoldError::Ended))
         };
         let filled = async {
@@ -109,7 +109,7 @@
             read.map_err(|cause| UploadError::Read(ReadError::Stream(cause)))
         };
         count = or(ended, filled).await?;
-        seat.on_progress();
+        held.on_progress();
     }
 }
 
@@ -122,7 +122,7 @@
     input: usize,
     longest: usize,
     bounds: UploadBounds,
-    seat: &Seat,
+    held: &ConnectionHold,
 ) -> Result<(), HoldError> {
     let needed = (body.len() + input).min(longest);
     if needed <= body.capacity() {
@@ -130,7 +130,7 @@
     }
     let step = body.capacity().clamp(MIN_STEP_BYTES, MAX_STEP_BYTES);
     let capacity = needed.max(body.capacity() + step).min(longest);
-    let held = seat.hold(INPUT_BYTES + capacity, bounds.one_request());
+    let held = held.hold(INPUT_BYTES + capacity, bounds.one_request());
     held.await?;
     body.reserve_exact(capacity - body.len());
     Ok(())
--- a/src/wire/upload_table.rs
+++ b/src/wire/upload_table.rs
@@ -5,7 +5,7 @@
 use std::collections::HashMap;
 
 /// Identifies a connection in an [`UploadTable`].
-pub type SeatId = u64;
+pub type ConnectionId = u64;
 
 /// Limits of an [`UploadTable`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -43,7 +43,7 @@
 
 /// What a connection is doing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum SeatPhase {
+pub enum ConnectionPhase {
     /// It waits for the first byte of a request.
     Idle,
     /// A part of a head has arrived.
@@ -61,12 +61,12 @@
     Granted,
     /// Nothing is counted: these connections are to be ended, and the memory asked for again when one
     /// releases its own. The list is empty when none is left to end or enough are ending.
-    Wait(Vec<SeatId>),
+    Wait(Vec<ConnectionId>),
 }
 
 #[derive(Debug, Clone, Copy)]
-struct Seat {
-    phase: SeatPhase,
+struct ConnectionHold {
+    phase: ConnectionPhase,
     held: usize,
     progress_at: MonoTime,
     is_ending: bool,
@@ -77,8 +77,8 @@
 #[derive(Debug)]
 pub struct UploadTable {
     limits: UploadLimits,
-    seats: HashMap<SeatId, Seat>,
-    next_id: SeatId,
+    connection_budget: HashMap<ConnectionId, ConnectionHold>,
+    next_id: ConnectionId,
     held: usize,
     open: usize,
 }
@@ -88,7 +88,7 @@
     pub fn new(limits: UploadLimits) -> Self {
         Self {
             limits,
-            seats: HashMap::new(),
+            connection_budget: HashMap::new(),
             next_id: 0,
             held: 0,
             open: 0,
@@ -107,86 +107,93 @@
 
     /// Adds a connection; `is_counted` is false for one that does not count towards their limit. Returns its
     /// id and the connection to end for it, if there are too many: the new one itself if no other may be ended.
-    pub fn open(&mut self, is_counted: bool, now: MonoTime) -> (SeatId, Option<SeatId>) {
+    pub fn open(
+        &mut self,
+        is_counted: bool,
+        now: MonoTime,
+    ) -> (ConnectionId, Option<ConnectionId>) {
         let id = self.next_id;
         self.next_id += 1;
-        let ending = self.seats.values().filter(|s| s.is_counted && s.is_ending);
+        let ending = self
+            .connection_budget
+            .values()
+            .filter(|s| s.is_counted && s.is_ending);
         let staying = self.open - ending.count();
         let victim = (is_counted && staying >= self.limits.connections)
             .then(|| self.end_longest_idle().unwrap_or(id));
-        let seat = Seat {
-            phase: SeatPhase::Idle,
+        let held = ConnectionHold {
+            phase: ConnectionPhase::Idle,
             held: 0,
             progress_at: now,
             is_ending: victim == Some(id),
             is_counted,
         };
-        self.seats.insert(id, seat);
+        self.connection_budget.insert(id, held);
         self.open += usize::from(is_counted);
         (id, victim)
     }
 
     /// Marks the connection as ending that waits longest for a request, for lack of one the connection with
     /// the longest pause in a head or body. `None` when all are serving.
-    pub fn end_longest_idle(&mut self) -> Option<SeatId> {
-        let candidates = self.seats.iter().filter(|(_, seat)| {
-            seat.is_counted && !seat.is_ending && seat.phase != SeatPhase::Serving
+    pub fn end_longest_idle(&mut self) -> Option<ConnectionId> {
+        let candidates = self.connection_budget.iter().filter(|(_, held)| {
+            held.is_counted && !held.is_ending && held.phase != ConnectionPhase::Serving
         });
         let found = candidates
-            .min_by_key(|(id, seat)| (seat.phase > SeatPhase::Idle, seat.progress_at, **id));
+            .min_by_key(|(id, held)| (held.phase > ConnectionPhase::Idle, held.progress_at, **id));
         let id = *found?.0;
         self.mark_ending(id);
         Some(id)
     }
 
     /// Removes a connection with all that it holds.
-    pub fn close(&mut self, id: SeatId) {
-        if let Some(seat) = self.seats.remove(&id) {
-            self.held -= seat.held;
-            self.open -= usize::from(seat.is_counted);
+    pub fn close(&mut self, id: ConnectionId) {
+        if let Some(held) = self.connection_budget.remove(&id) {
+            self.held -= held.held;
+            self.open -= usize::from(held.is_counted);
         }
     }
 
     /// Records what a connection is doing, which counts as progress. False when it is to be ended, so that it
     /// must not go on.
-    pub fn enter(&mut self, id: SeatId, phase: SeatPhase, now: MonoTime) -> bool {
-        let Some(seat) = self.seats.get_mut(&id) else {
+    pub fn enter(&mut self, id: ConnectionId, phase: ConnectionPhase, now: MonoTime) -> bool {
+        let Some(held) = self.connection_budget.get_mut(&id) else {
             return false;
         };
-        if !seat.is_ending {
-            seat.phase = phase;
-            seat.progress_at = now;
+        if !held.is_ending {
+            held.phase = phase;
+            held.progress_at = now;
         }
-        !seat.is_ending
+        !held.is_ending
     }
 
     /// Records that bytes have arrived.
-    pub fn on_progress(&mut self, id: SeatId, now: MonoTime) {
-        if let Some(seat) = self.seats.get_mut(&id) {
-            seat.progress_at = now;
+    pub fn on_progress(&mut self, id: ConnectionId, now: MonoTime) {
+        if let Some(held) = self.connection_budget.get_mut(&id) {
+            held.progress_at = now;
         }
     }
 
     /// Asks that a connection may hold `bytes` in total. `one_request` is the size of one body of the size
     /// limit and a head: the table has room for one, whatever its limits.
-    pub fn hold(&mut self, id: SeatId, bytes: usize, one_request: usize) -> HoldStep {
-        let Some(seat) = self.seats.get_mut(&id) else {
+    pub fn hold(&mut self, id: ConnectionId, bytes: usize, one_request: usize) -> HoldStep {
+        let Some(held) = self.connection_budget.get_mut(&id) else {
             return HoldStep::Wait(Vec::new());
         };
-        let growth = bytes.saturating_sub(seat.held);
+        let growth = bytes.saturating_sub(held.held);
         let capacity = self.limits.memory_bytes.max(one_request);
         let needed = (self.held + growth).saturating_sub(capacity);
         if growth == 0 || needed == 0 {
-            self.held = self.held - seat.held + bytes;
-            seat.held = bytes;
+            self.held = self.held - held.held + bytes;
+            held.held = bytes;
             return HoldStep::Granted;
         }
         HoldStep::Wait(self.end_uploads(id, needed))
     }
 
     /// Does the same as [`Self::hold`] when there is room, and nothing else; true when granted.
-    pub fn try_hold(&mut self, id: SeatId, bytes: usize) -> bool {
-        let held = self.seats.get(&id).map_or(0, |seat| seat.held);
+    pub fn try_hold(&mut self, id: ConnectionId, bytes: usize) -> bool {
+        let held = self.connection_budget.get(&id).map_or(0, |held| held.held);
         let growth = bytes.saturating_sub(held);
         self.held + growth <= self.limits.memory_bytes
             && self.hold(id, bytes, 0) == HoldStep::Granted
@@ -194,18 +201,21 @@
 
     /// Marks uploads as ending, those without progress for the longest time first, until `needed` bytes are
     /// about to be released.
-    fn end_uploads(&mut self, for_id: SeatId, needed: usize) -> Vec<SeatId> {
-        let ending = self.seats.values().filter(|seat| seat.is_ending);
-        let mut released: usize = ending.map(|seat| seat.held).sum();
+    fn end_uploads(&mut self, for_id: ConnectionId, needed: usize) -> Vec<ConnectionId> {
+        let ending = self
+            .connection_budget
+            .values()
+            .filter(|held| held.is_ending);
+        let mut released: usize = ending.map(|held| held.held).sum();
         if released >= needed {
             return Vec::new();
         }
-        let uploads = self.seats.iter().filter(|(id, seat)| {
-            let is_upload = matches!(seat.phase, SeatPhase::Head | SeatPhase::Body);
-            is_upload && !seat.is_ending && seat.held > 0 && **id != for_id
+        let uploads = self.connection_budget.iter().filter(|(id, held)| {
+            let is_upload = matches!(held.phase, ConnectionPhase::Head | ConnectionPhase::Body);
+            is_upload && !held.is_ending && held.held > 0 && **id != for_id
         });
         let mut order: Vec<_> = uploads
-            .map(|(id, seat)| (seat.progress_at, *id, seat.held))
+            .map(|(id, held)| (held.progress_at, *id, held.held))
             .collect();
         order.sort_unstable();
         let mut victims = Vec::new();
@@ -222,9 +232,9 @@
         victims
     }
 
-    fn mark_ending(&mut self, id: SeatId) {
-        if let Some(seat) = self.seats.get_mut(&id) {
-            seat.is_ending = true;
+    fn mark_ending(&mut self, id: ConnectionId) {
+        if let Some(held) = self.connection_budget.get_mut(&id) {
+            held.is_ending = true;
         }
     }
 }
--- a/tests/upload_table.rs
+++ b/tests/upload_table.rs
@@ -1,6 +1,6 @@
 //! Memory and descriptors of connections under uncontrolled clients: which connection is ended for another one.
 
-use arbutusmount::{HoldStep, MonoTime, SeatPhase, UploadLimits, UploadTable};
+use arbutusmount::{ConnectionPhase, HoldStep, MonoTime, UploadLimits, UploadTable};
 
 const ONE_REQUEST: usize = 100;
 
@@ -14,7 +14,7 @@
 /// Opens a connection that holds `bytes` of a body and made progress at `at`.
 fn upload(table: &mut UploadTable, bytes: usize, at: u64) -> u64 {
     let (id, _) = table.open(true, MonoTime(at));
-    table.enter(id, SeatPhase::Body, MonoTime(at));
+    table.enter(id, ConnectionPhase::Body, MonoTime(at));
     assert_eq!(table.hold(id, bytes, ONE_REQUEST), HoldStep::Granted);
     id
 }
@@ -28,17 +28,17 @@
     upload(&mut table, 100, 3);
     table.on_progress(first, MonoTime(4));
     let (new, _) = table.open(true, MonoTime(5));
-    table.enter(new, SeatPhase::Body, MonoTime(5));
+    table.enter(new, ConnectionPhase::Body, MonoTime(5));
 
     let step = table.hold(new, 100, ONE_REQUEST);
     let again = table.hold(new, 100, ONE_REQUEST);
-    let goes_on = table.enter(second, SeatPhase::Serving, MonoTime(6));
+    let is_kept = table.enter(second, ConnectionPhase::Serving, MonoTime(6));
     table.close(second);
     let after = table.hold(new, 100, ONE_REQUEST);
 
     assert_eq!(step, HoldStep::Wait(vec![second]));
     assert_eq!(again, HoldStep::Wait(Vec::new()), "one is ending already");
-    assert!(!goes_on, "an upload that is being ended was served");
+    assert!(!is_kept, "an upload that is being ended was served");
     assert_eq!(after, HoldStep::Granted);
     assert_eq!(table.held(), 300);
 }
@@ -48,7 +48,7 @@
 fn running_request_is_never_ended() {
     let mut table = table(100, 10);
     let running = upload(&mut table, 100, 1);
-    table.enter(running, SeatPhase::Serving, MonoTime(2));
+    table.enter(running, ConnectionPhase::Serving, MonoTime(2));
     let (new, _) = table.open(true, MonoTime(3));
 
     let step = table.hold(new, 50, ONE_REQUEST);
@@ -75,14 +75,14 @@
     let slow = upload(&mut table, 10, 1);
     let (idle, _) = table.open(true, MonoTime(2));
     let serving = upload(&mut table, 10, 3);
-    table.enter(serving, SeatPhase::Serving, MonoTime(3));
+    table.enter(serving, ConnectionPhase::Serving, MonoTime(3));
 
     let (fourth, for_fourth) = table.open(true, MonoTime(4));
     table.close(idle);
-    table.enter(fourth, SeatPhase::Serving, MonoTime(4));
+    table.enter(fourth, ConnectionPhase::Serving, MonoTime(4));
     let (fifth, for_fifth) = table.open(true, MonoTime(5));
     table.close(slow);
-    table.enter(fifth, SeatPhase::Serving, MonoTime(5));
+    table.enter(fifth, ConnectionPhase::Serving, MonoTime(5));
     let (sixth, for_sixth) = table.open(true, MonoTime(6));
     let (_, for_peer) = table.open(false, MonoTime(6));
 
