--- a/src/admission/capacity.rs
+++ b/src/admission/capacity.rs
@@ -254,7 +254,7 @@
         }
     }
 
-    /// Shortest time that the caller is told. Each priority has a range of its own, which ends where that of
+    /// Shortest time that the caller is told. Each priority has its own range, which ends where that of
     /// the next lower one begins, and the lowest one ends at `limit`.
     fn shortest_return(
         &self,
--- a/tests/capacity_queue.rs
+++ b/tests/capacity_queue.rs
@@ -239,7 +239,7 @@
 }
 
 /// A group of servers crashes, and half of the capacity is gone for 5 s, with the requests that ran
-/// there. Guards against a queue that goes on as if the former rate held, and against one that stays
+/// there. Guards against a queue that continues as if the former rate held, and against one that stays
 /// blocked when the capacity is back.
 #[test]
 fn half_of_the_capacity_is_handed_out_by_priority() {
--- a/tests/even_load.rs
+++ b/tests/even_load.rs
@@ -23,7 +23,7 @@
 
 /// Period of sending digests, and of the samples.
 const PERIOD_MS: u64 = 200;
-/// Length of a run, and the part of it that is not measured, as the servers fill up.
+/// Length of a run, and its first part, which is not sampled because the servers still fill up.
 const RUN_MS: u64 = 60_000;
 const WARM_UP_MS: u64 = 15_000;
 /// Stated target: highest over mean occupancy of the servers at the 95th percentile.
