Do not take a response that ends during the upload for a whole one

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection; the caller got that part as a complete answer.

Cause: the reset is reported once, to the write of the request, whose failure was ignored; the read then saw an orderly end, which completes a body without a length. The same without a race: a server that closes while a part of the request is still in the sender's buffer.

Change: a body that ends with its connection is complete only if the request was written, no error is pending on the socket, and the peer has acknowledged all of it (SIOCOUTQ; what it had received is acknowledged with its close). fill_body decides this for plain responses, streams, other daemons, reports, orders and the store.

--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -48,10 +48,10 @@
 pub use site::{
     BadArrival, BadPart, CrashManner, CrashRegistry, CrashRun, CutEnd, CutScope, EndlessPart,
     LimitLedger, LinkState, LostWrite, ModelKnobs, ModelServer, NoticeLedger, PLAIN_BODY,
-    PlainFault, PlainRun, PlainServer, ServerLinks, SiteDaemon, SiteFleet, SiteRequest,
-    SiteResponse, SiteSpec, SiteStore, StoreFault, StoreRestore, StreamCut, StreamFraming,
-    event_text, leave_site_request, plain_server_entry, read_site_response, sample_config,
-    send_endless, send_site_request, serve_once,
+    PlainFault, PlainRun, PlainServer, ReplyEnd, ReplyMoment, ScriptedReply, ServerLinks,
+    SiteDaemon, SiteFleet, SiteRequest, SiteResponse, SiteSpec, SiteStore, StoreFault,
+    StoreRestore, StreamCut, StreamFraming, event_text, leave_site_request, plain_server_entry,
+    read_site_response, sample_config, send_endless, send_site_request, serve_once,
 };
 pub use soak::{
     ConfigState, ExchangeEnd, FAULT_TABLE, FaultPair, FaultScope, FaultSpan, FaultSubject,
--- a/rig/src/site/fleet.rs
+++ b/rig/src/site/fleet.rs
@@ -232,7 +232,11 @@
         }
     }
 
-    fn wait_ready(&self, spec: SiteSpec) {
+    /// Waits until its daemons are ready and its chains complete.
+    ///
+    /// # Panics
+    /// When that takes longer than 20 s.
+    pub fn wait_ready(&self, spec: SiteSpec) {
         let is_ready = || {
             let are_placed = spec.models_per_domain < 2
                 || self
--- a/rig/src/site/http.rs
+++ b/rig/src/site/http.rs
@@ -1,5 +1,6 @@
 //! Blocking HTTP server of the stand-ins.
 
+use crate::site::script::{ReplyMoment, ReplyScript};
 use arbutusmount::{HeadLimits, HeadStep, WireHead, parse_request};
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -115,20 +116,25 @@
 /// Listens on a free loopback port and serves every request with `handler`, one thread per
 /// connection.
 pub(super) fn serve(handler: Handler) -> SocketAddr {
-    serve_closable(handler).address()
+    serve_scripted(handler, Arc::default()).address()
 }
 
-/// Does the same as [`serve`] and returns what closes the listener.
-pub(super) fn serve_closable(handler: Handler) -> ListenerSwitch {
+/// Does the same as [`serve`], with scripted replies, and returns what closes the listener.
+pub(super) fn serve_scripted(handler: Handler, script: Arc<ReplyScript>) -> ListenerSwitch {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
     let address = listener.local_addr().expect("a listener has an address");
     let streams = Arc::new(Mutex::new(Some(Vec::new())));
     let switch = ListenerSwitch { address, streams };
-    accept_streams(listener, &switch, handler);
+    accept_streams(listener, &switch, handler, script);
     switch
 }
 
-fn accept_streams(listener: TcpListener, switch: &ListenerSwitch, handler: Handler) {
+fn accept_streams(
+    listener: TcpListener,
+    switch: &ListenerSwitch,
+    handler: Handler,
+    script: Arc<ReplyScript>,
+) {
     let switch = switch.clone();
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
@@ -136,22 +142,23 @@
                 return;
             }
             let (handler, switch) = (Arc::clone(&handler), switch.clone());
+            let script = Arc::clone(&script);
             thread::spawn(move || {
                 let peer = stream.peer_addr().ok();
-                serve_connection(stream, &handler);
+                serve_connection(stream, &handler, &script);
                 switch.forget(peer);
             });
         }
     });
 }
 
-fn serve_connection(mut stream: TcpStream, handler: &Handler) {
+fn serve_connection(mut stream: TcpStream, handler: &Handler, script: &ReplyScript) {
     // Otherwise, small writes wait for the acknowledgement of earlier ones, and a reset discards
     // them. The peer may have closed the connection already.
     let _ = stream.set_nodelay(true);
     let mut input = Vec::new();
-    while let Some(request) = read_request(&mut stream, &mut input) {
-        match handler(&request, &mut stream) {
+    while let Some(after) = serve_request(&mut stream, &mut input, handler, script) {
+        match after {
             AfterReply::Keep => {}
             AfterReply::Close => return,
             AfterReply::Reset => {
@@ -164,21 +171,41 @@
     }
 }
 
-fn read_request(stream: &mut TcpStream, input: &mut Vec<u8>) -> Option<ReceivedRequest> {
+/// Reads one request and replies to it; `None` when the connection has ended.
+fn serve_request(
+    stream: &mut TcpStream,
+    input: &mut Vec<u8>,
+    handler: &Handler,
+    script: &ReplyScript,
+) -> Option<AfterReply> {
+    let head = read_head(stream, input)?;
+    let early = script.send(ReplyMoment::AfterHead, &head, stream);
+    if let Some(after @ (AfterReply::Close | AfterReply::Reset)) = early {
+        return Some(after);
+    }
+    let body = read_body(stream, input, &head)?;
+    let scripted = early.or_else(|| script.send(ReplyMoment::AfterRequest, &head, stream));
+    Some(scripted.unwrap_or_else(|| handler(&ReceivedRequest { head, body }, stream)))
+}
+
+fn read_head(stream: &mut TcpStream, input: &mut Vec<u8>) -> Option<WireHead> {
     loop {
         if let HeadStep::Complete(head, length) = parse_request(input, HEAD_LIMITS).ok()? {
             input.drain(..length);
-            let size = head.content_length().unwrap_or(0) as usize;
-            while input.len() < size {
-                read_more(stream, input)?;
-            }
-            let body = input.drain(..size).collect();
-            return Some(ReceivedRequest { head, body });
+            return Some(head);
         }
         read_more(stream, input)?;
     }
 }
 
+fn read_body(stream: &mut TcpStream, input: &mut Vec<u8>, head: &WireHead) -> Option<Vec<u8>> {
+    let size = head.content_length().unwrap_or(0) as usize;
+    while input.len() < size {
+        read_more(stream, input)?;
+    }
+    Some(input.drain(..size).collect())
+}
+
 fn read_more(stream: &mut TcpStream, input: &mut Vec<u8>) -> Option<()> {
     let mut buffer = [0; 16 * 1024];
     match stream.read(&mut buffer) {
--- a/rig/src/site/mod.rs
+++ b/rig/src/site/mod.rs
@@ -15,6 +15,7 @@
 mod notice;
 mod plain;
 mod restore;
+mod script;
 mod store;
 
 pub use caller::{
@@ -31,4 +32,5 @@
 pub use notice::NoticeLedger;
 pub use plain::{PLAIN_BODY, PlainFault, PlainRun, PlainServer};
 pub use restore::{LostWrite, StoreRestore};
+pub use script::{ReplyEnd, ReplyMoment, ScriptedReply};
 pub use store::{SiteStore, StoreFault};
--- a/rig/src/site/model.rs
+++ b/rig/src/site/model.rs
@@ -3,11 +3,12 @@
 
 use crate::site::crash::{BEGUN_EVENTS, BEGUN_TIME, CrashPlace, CrashRegistry, StartServer};
 use crate::site::endless::{EndlessPart, send_endless};
-use crate::site::http::{AfterReply, Handler, ReceivedRequest, reply, serve_closable, unix_ms};
+use crate::site::http::{AfterReply, Handler, ReceivedRequest, reply, serve_scripted, unix_ms};
 use crate::site::limit::{LIMIT_FIELD, LimitLedger};
 use crate::site::model_stream::{StreamCut, StreamFraming, send_beginning, send_stream};
 use crate::site::notice::{NoticeLedger, REST_FIELD};
 use crate::site::plain::leaving_field;
+use crate::site::script::{ReplyScript, ScriptedReply};
 use crate::site::store::SiteStore;
 use serde_json::{Value, json};
 use std::io::Write;
@@ -104,6 +105,7 @@
     state: Arc<Mutex<ModelState>>,
     limits: Arc<LimitLedger>,
     notices: Arc<NoticeLedger>,
+    script: Arc<ReplyScript>,
 }
 
 impl ModelServer {
@@ -137,7 +139,8 @@
                 None => AfterReply::Close,
             }
         });
-        let switch = serve_closable(handler);
+        let script = Arc::default();
+        let switch = serve_scripted(handler, Arc::clone(&script));
         let server = Self {
             id: Arc::from(id),
             zone: Arc::from(zone),
@@ -148,6 +151,7 @@
             state,
             limits: Arc::default(),
             notices: Arc::default(),
+            script,
         };
         let (next_store, next) = (store.clone(), server.clone());
         let start_again: StartServer = Arc::new(move |id: &str| {
@@ -178,6 +182,16 @@
         self.with_state(|state| state.knobs = knobs);
     }
 
+    /// Sets the reply to requests for streams; `None` ends it.
+    pub fn set_reply(&self, reply: Option<ScriptedReply>) {
+        self.script.set(reply);
+    }
+
+    /// Number of scripted replies.
+    pub fn scripted_replies(&self) -> usize {
+        self.script.sent()
+    }
+
     /// Layers that it holds: the first one and the one after the last.
     pub fn layers(&self) -> Option<(u64, u64)> {
         self.with_state(|state| state.layers)
--- a/rig/src/site/plain.rs
+++ b/rig/src/site/plain.rs
@@ -3,9 +3,10 @@
 use crate::site::crash::{CrashManner, CrashPlace, CrashRegistry, StartServer};
 use crate::site::endless::{EndlessPart, send_endless};
 use crate::site::fleet::plain_server_entry;
-use crate::site::http::{AfterReply, Handler, ReceivedRequest, reply, serve_closable, unix_ms};
+use crate::site::http::{AfterReply, Handler, ReceivedRequest, reply, serve_scripted, unix_ms};
 use crate::site::limit::{LIMIT_FIELD, LimitLedger};
 use crate::site::notice::{LEAVING_FIELD, NoticeLedger, REST_FIELD};
+use crate::site::script::{ReplyScript, ScriptedReply};
 use crate::site::store::SiteStore;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
@@ -75,6 +76,7 @@
     runs: Mutex<Vec<PlainRun>>,
     limits: LimitLedger,
     notices: NoticeLedger,
+    script: Arc<ReplyScript>,
     /// True to name the request in the body of each complete response.
     names_requests: AtomicBool,
     /// Bytes that peers have taken of responses without end, before they closed the connection.
@@ -113,7 +115,7 @@
                 HandlerEnd::Crash(path) => crash(&handler_crashes, &path, request, stream),
             }
         });
-        let switch = serve_closable(handler);
+        let switch = serve_scripted(handler, Arc::clone(&state.script));
         let server = Self {
             id,
             address: switch.address(),
@@ -153,6 +155,16 @@
         *self.state.fault.lock().expect("fault is never poisoned") = fault;
     }
 
+    /// Sets the reply to all requests, also of later runs; `None` ends it.
+    pub fn set_reply(&self, reply: Option<ScriptedReply>) {
+        self.state.script.set(reply);
+    }
+
+    /// Number of scripted replies, also of later runs.
+    pub fn scripted_replies(&self) -> usize {
+        self.state.script.sent()
+    }
+
     /// Sets the time that a request takes, also in later runs.
     pub fn set_work_time(&self, time: Duration) {
         *self.state.work_time.lock().expect("time is never poisoned") = time;
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -52,8 +52,6 @@
     pub metadata: ReplyMetadata,
     /// Decoder of the response body.
     pub decoder: BodyDecoder,
-    /// True when the request was written completely; otherwise the connection cannot be reused.
-    pub written: bool,
 }
 
 /// How an attempt failed.
@@ -207,12 +205,12 @@
     limit: Duration,
     check: IdentityCheck,
 ) -> Result<PendingResponse, FailedAttempt> {
-    let mut written = false;
+    let mut is_sent = false;
     let (socket, input) = stream.socket_and_input();
     let write = async {
         // When writing fails, the target may already have sent a response that refuses the request.
         // So this future never completes, and only the read or the timeout ends the attempt.
-        written = write_all(socket, bytes).await.is_ok();
+        is_sent = write_all(socket, bytes).await.is_ok();
         std::future::pending().await
     };
     let read = async {
@@ -235,13 +233,13 @@
             "timeout while waiting for the response head",
         ))
     })?;
+    stream.set_sent(is_sent);
     let frame = BodyFraming::for_response(&head, request.head.method());
     Ok(PendingResponse {
         stream,
         decoder: BodyDecoder::new(frame),
         head,
         metadata,
-        written,
     })
 }
 
@@ -282,10 +280,9 @@
     peer: &InstanceId,
     response: PendingResponse,
 ) {
-    let reusable =
-        response.written && !response.head.closes_connection() && response.stream.input.is_empty();
-    if reusable && response.stream.is_idle() {
-        pool.put(peer, response.stream, idle_time(&response.head));
+    let PendingResponse { stream, head, .. } = response;
+    if stream.is_sent() && !head.closes_connection() && stream.is_idle() {
+        pool.put(peer, stream, idle_time(&head));
     }
 }
 
--- a/src/relay/forwarding.rs
+++ b/src/relay/forwarding.rs
@@ -13,7 +13,7 @@
 use crate::relay::stall::StallDetector;
 use crate::relay::suspicion::AttemptSuspicion;
 use crate::targets::{LayerChain, ReservationGuard};
-use crate::wire::{BodyEnd, BodyStep, EventSplitter, StreamError};
+use crate::wire::{BodyEnd, BodyInput, BodyStep, EventSplitter, StreamError, fill_body};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -120,11 +120,12 @@
 
     /// Waits for bytes from the target. Nothing is lost when the future is dropped.
     pub(super) async fn read(&mut self) -> ReadOutcome {
-        match self.response.stream.fill().await {
-            Ok(count) => ReadOutcome::Bytes(count),
-            Err(StreamError::Closed) if self.response.decoder.complete_at_close() => {
-                ReadOutcome::End
-            }
+        let PendingResponse {
+            stream, decoder, ..
+        } = &mut self.response;
+        match fill_body(stream, decoder).await {
+            Ok(BodyInput::Bytes(count)) => ReadOutcome::Bytes(count),
+            Ok(BodyInput::End) => ReadOutcome::End,
             Err(cause) => ReadOutcome::Lost(cause),
         }
     }
@@ -144,8 +145,6 @@
     }
 
     fn end_by_close(&mut self, delivered: &DeliveryProgress) -> ForwardStep {
-        // The target has closed the connection, so it cannot be reused.
-        self.response.written = false;
         self.record_end(BodyEnd::Closed, delivered);
         if is_cut_off(&self.response.head, &self.splitter) {
             let cause = "connection closed inside an event";
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -23,7 +23,7 @@
     HeadBuilder, HeadError, HeadLimits, HeadStep, WireHead, parse_request, parse_response,
 };
 pub use pool::StreamPool;
-pub use reading::{BodyEnd, ReadError, read_body, read_final_head};
+pub use reading::{BodyEnd, BodyInput, ReadError, fill_body, read_body, read_final_head};
 pub use server::{HeadOutcome, WireServer, read_head_within, read_request_head, wait_for_request};
 pub use stream::{
     StreamError, WireStream, close_after_reading, pause_after_read, read_some, reset_on_close,
--- a/src/wire/reading.rs
+++ b/src/wire/reading.rs
@@ -52,6 +52,15 @@
     Closed,
 }
 
+/// Outcome of waiting for more bytes of a body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyInput {
+    /// So many bytes have arrived.
+    Bytes(usize),
+    /// The peer has closed the connection, which completes the body.
+    End,
+}
+
 /// Reads the head of the next response, which may be an interim one (1xx).
 ///
 /// # Errors
@@ -115,12 +124,37 @@
             BodyStep::Incomplete if body.len() > limit => return Err(ReadError::BodyTooLong),
             BodyStep::Incomplete => pause_after_read(count).await,
         }
-        match stream.fill().await {
-            Ok(read) => count = read,
-            Err(StreamError::Closed) if decoder.complete_at_close() => {
-                return Ok((body, BodyEnd::Closed));
+        match fill_body(stream, decoder)
+            .await
+            .map_err(ReadError::Stream)?
+        {
+            BodyInput::Bytes(read) => count = read,
+            BodyInput::End => return Ok((body, BodyEnd::Closed)),
+        }
+    }
+}
+
+/// Waits for more bytes of a response body. A body that ends with its connection is complete only if the
+/// server has received the whole request: one that answers earlier shows the end of its body by a length or
+/// by chunks, since a connection that is closed on unread bytes is reset. Nothing is lost when the future is
+/// dropped.
+///
+/// # Errors
+/// [`StreamError::Closed`], [`StreamError::ClosedEarly`] or [`StreamError::Broken`], when the body is not
+/// complete.
+pub async fn fill_body(
+    stream: &mut WireStream,
+    decoder: &BodyDecoder,
+) -> std::result::Result<BodyInput, StreamError> {
+    match stream.fill().await {
+        Ok(count) => Ok(BodyInput::Bytes(count)),
+        Err(StreamError::Closed) if decoder.complete_at_close() => {
+            if stream.has_peer_received() {
+                Ok(BodyInput::End)
+            } else {
+                Err(StreamError::ClosedEarly)
             }
-            Err(cause) => return Err(ReadError::Stream(cause)),
         }
+        Err(cause) => Err(cause),
     }
 }
--- a/src/wire/stream.rs
+++ b/src/wire/stream.rs
@@ -4,6 +4,7 @@
 use async_std::future::timeout;
 use bytes::BytesMut;
 use futures_lite::future::yield_now;
+use rustix::ioctl::{Getter, Opcode, ioctl};
 use socket2::{SockRef, TcpKeepalive};
 use std::fmt;
 use std::io::{self, Read, Write};
@@ -24,6 +25,8 @@
 /// Time after which a connection with unacknowledged sent bytes counts as lost
 /// (`TCP_USER_TIMEOUT`).
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
+/// `SIOCOUTQ` of `linux/sockios.h`: number of sent bytes that the peer has not acknowledged.
+const SIOCOUTQ: Opcode = 0x5411;
 
 /// Why a connection cannot be used any further.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -32,6 +35,8 @@
     NotConnected(io::ErrorKind),
     /// The peer closed its side of the connection cleanly.
     Closed,
+    /// The peer closed its side of the connection before it had received all that was sent to it.
+    ClosedEarly,
     /// The connection was reset or timed out.
     Broken(io::ErrorKind),
 }
@@ -41,6 +46,9 @@
         match self {
             Self::NotConnected(kind) => write!(f, "cannot connect: {kind}"),
             Self::Closed => f.write_str("connection closed by the peer"),
+            Self::ClosedEarly => f.write_str(
+                "connection closed by the peer before it had received the whole request",
+            ),
             Self::Broken(kind) => write!(f, "connection lost: {kind}"),
         }
     }
@@ -54,6 +62,7 @@
     socket: Async<TcpStream>,
     /// Bytes that have been read but not consumed.
     pub input: BytesMut,
+    is_sent: bool,
 }
 
 impl WireStream {
@@ -63,6 +72,7 @@
         Self {
             socket,
             input: BytesMut::new(),
+            is_sent: true,
         }
     }
 
@@ -106,6 +116,26 @@
         write_all(&self.socket, bytes).await
     }
 
+    /// Records whether the last message was written completely.
+    pub fn set_sent(&mut self, is_sent: bool) {
+        self.is_sent = is_sent;
+    }
+
+    /// False when a message was not written completely, so that no other one can follow it.
+    pub fn is_sent(&self) -> bool {
+        self.is_sent
+    }
+
+    /// True when the peer has received all that was sent to it, as far as is known. To be asked once it has
+    /// closed its side: what it had received by then is acknowledged, and it resets the connection if it gets
+    /// more or has left some of it unread. A write may have failed with that reset, so that reads no longer
+    /// report it.
+    pub fn has_peer_received(&self) -> bool {
+        let socket = self.socket.get_ref();
+        let pending_error = socket.take_error().unwrap_or_else(Some);
+        self.is_sent && pending_error.is_none() && unacknowledged_bytes(socket) == 0
+    }
+
     /// True when the connection is open and there is no unread input.
     pub fn is_idle(&self) -> bool {
         let mut byte = [0];
@@ -188,6 +218,16 @@
     }
 }
 
+/// Number of sent bytes that the peer has not acknowledged; 0 where the operating system does not tell.
+fn unacknowledged_bytes(socket: &TcpStream) -> i32 {
+    // SAFETY: `SIOCOUTQ` writes one `int` and has no other effect.
+    let count = unsafe { ioctl(socket, Getter::<SIOCOUTQ, i32>::new()) };
+    count.unwrap_or_else(|cause| {
+        log::debug!("cannot read the unacknowledged bytes of a connection: {cause}");
+        0
+    })
+}
+
 fn set_options(socket: &Async<TcpStream>) {
     let options = SockRef::from(socket.get_ref());
     let keepalive = TcpKeepalive::new()
--- /dev/null
+++ b/tests/platform_broken_answers.rs
@@ -0,0 +1,206 @@
+//! Broken answers of servers over the platform's protocol: none reaches a caller as an answer, and sound ones
+//! that look alike do.
+
+#[path = "support/site.rs"]
+mod site;
+
+use rig::{
+    PLAIN_BODY, ReplyEnd, ReplyMoment, ScriptedReply, SiteFleet, SiteRequest, SiteResponse,
+    SiteSpec,
+};
+use site::{allow_uploads, call, model_site, stream_call};
+use std::time::{Duration, Instant};
+use test_case::test_case;
+
+/// Size of an upload that does not fit into the buffers of the sockets.
+const LONG_UPLOAD_BYTES: usize = 3 << 20;
+/// Size of an upload that fits into the buffer of the sender, and not into that of the receiver.
+const BUFFERED_UPLOAD_BYTES: usize = 1 << 20;
+/// Exchanges of a case that a race decides.
+const EXCHANGES: usize = 20;
+/// Longest time for [`EXCHANGES`] or for one exchange with each server.
+const EXCHANGE_LIMIT: Duration = Duration::from_secs(20);
+/// Time before the next request when no server is left for one.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(50);
+
+const STAMP_FIELDS: &str = "X-Server-Stamp: s\r\nX-Attempt-Id: {id}\r\n";
+const TWO_EVENTS: &str = "id: 0\ndata: token 0\n\nid: 1\ndata: token 1\n\n";
+
+/// A head with this status line, the fields of a server and others, without the empty line.
+fn head(status_line: &str, fields: &str) -> String {
+    format!("{status_line}\r\n{STAMP_FIELDS}{fields}")
+}
+
+fn reply(moment: ReplyMoment, text: String, end: ReplyEnd) -> ScriptedReply {
+    ScriptedReply { moment, text, end }
+}
+
+/// A site with one plain server for each reply.
+fn scripted_site(replies: &[ScriptedReply]) -> SiteFleet {
+    let site = SiteFleet::start(SiteSpec {
+        plain_servers: replies.len(),
+        models_per_domain: 0,
+        ..SiteSpec::default()
+    });
+    allow_uploads(&site, LONG_UPLOAD_BYTES);
+    for (server, reply) in site.plain_servers.iter().zip(replies) {
+        server.set_reply(Some(reply.clone()));
+    }
+    site
+}
+
+/// A site with two model servers that reply in this way and hold a chain each.
+fn scripted_model_site(reply: &ScriptedReply) -> SiteFleet {
+    let site = model_site();
+    allow_uploads(&site, LONG_UPLOAD_BYTES);
+    for server in &site.model_servers {
+        server.set_reply(Some(reply.clone()));
+    }
+    site
+}
+
+fn scripted_replies(site: &SiteFleet) -> usize {
+    let plain = site
+        .plain_servers
+        .iter()
+        .map(rig::PlainServer::scripted_replies);
+    let models = site
+        .model_servers
+        .iter()
+        .map(rig::ModelServer::scripted_replies);
+    plain.chain(models).sum()
+}
+
+/// A request that may run once only.
+fn order(number: usize, body_bytes: usize) -> SiteRequest {
+    SiteRequest {
+        body: vec![b'x'; body_bytes],
+        ..SiteRequest::new("POST", "/post/x", &format!("a{number}"))
+    }
+}
+
+/// Sends requests that may run once only, one after the other, until `is_over`. Returns the responses to those
+/// that reached a server, each with the number of servers that it reached.
+fn send_orders(
+    site: &SiteFleet,
+    body_bytes: usize,
+    is_over: impl Fn(usize) -> bool,
+) -> Vec<(SiteResponse, usize)> {
+    let started = Instant::now();
+    let mut answers = Vec::new();
+    for number in 0.. {
+        let before = scripted_replies(site);
+        let answer = call(site, &order(number, body_bytes));
+        let reached = scripted_replies(site) - before;
+        if reached > 0 {
+            answers.push((answer, reached));
+        } else {
+            // Servers that have failed get no requests for a while.
+            assert_eq!(answer.status, 503, "{answer:?}");
+            std::thread::sleep(REFUSAL_PAUSE);
+        }
+        if is_over(answers.len()) {
+            return answers;
+        }
+        assert!(
+            started.elapsed() < EXCHANGE_LIMIT,
+            "{} exchanges",
+            answers.len()
+        );
+    }
+    answers
+}
+
+/// The server may have run the request, so its caller is told so and no other server gets it.
+fn assert_failed(answers: &[(SiteResponse, usize)]) {
+    for (answer, reached) in answers {
+        assert_eq!((answer.status, *reached), (502, 1), "{answer:?}");
+        assert_eq!(answer.field("x-server-stamp"), None, "{answer:?}");
+    }
+}
+
+/// A server that sends a part of a response without a length and is gone before it has received the request
+/// was taken for one that ends its response by closing the connection.
+#[test_case(LONG_UPLOAD_BYTES, ReplyEnd::Close; "reset while the request is written")]
+#[test_case(LONG_UPLOAD_BYTES, ReplyEnd::HalfClose; "closed while the request is written")]
+#[test_case(BUFFERED_UPLOAD_BYTES, ReplyEnd::Close; "reset with the rest of the request buffered")]
+#[test_case(BUFFERED_UPLOAD_BYTES, ReplyEnd::HalfClose; "closed with the rest of the request buffered")]
+#[test_case(LONG_UPLOAD_BYTES, ReplyEnd::Reset; "reset after the response was read")]
+fn unframed_response_to_half_an_upload_is_not_whole(body_bytes: usize, end: ReplyEnd) {
+    let text = head("HTTP/1.1 200 OK", "\r\na bo");
+    let replies = vec![reply(ReplyMoment::AfterHead, text, end); EXCHANGES];
+    let site = scripted_site(&replies);
+
+    let answers = send_orders(&site, body_bytes, |count| count >= EXCHANGES);
+
+    assert_failed(&answers);
+}
+
+/// The same for streams of events that end between two events.
+#[test_case(LONG_UPLOAD_BYTES, ReplyEnd::Close; "reset while the request is written")]
+#[test_case(LONG_UPLOAD_BYTES, ReplyEnd::HalfClose; "closed while the request is written")]
+#[test_case(BUFFERED_UPLOAD_BYTES, ReplyEnd::HalfClose; "closed with the rest of the request buffered")]
+fn unframed_stream_to_half_an_upload_is_not_whole(body_bytes: usize, end: ReplyEnd) {
+    let fields = format!("Content-Type: text/event-stream\r\n\r\n{TWO_EVENTS}");
+    let text = head("HTTP/1.1 200 OK", &fields);
+    let site = scripted_model_site(&reply(ReplyMoment::AfterHead, text, end));
+
+    let mut reached = 0;
+    let started = Instant::now();
+    for number in 0.. {
+        let request = SiteRequest {
+            body: vec![b'x'; body_bytes],
+            ..stream_call(&format!("a{number}"))
+        };
+        let answer = call(&site, &request);
+        let is_whole = answer.status == 200 && answer.complete;
+        assert!(!is_whole, "{answer:?}");
+        reached += usize::from(answer.status == 200);
+        if reached >= EXCHANGES / 2 || started.elapsed() > EXCHANGE_LIMIT {
+            break;
+        }
+        std::thread::sleep(REFUSAL_PAUSE);
+    }
+    assert!(reached > 0, "no stream began");
+}
+
+/// A server may answer before it has read the whole request if its response has a length or chunks, and one
+/// that has read it may end its response by closing the connection.
+#[test_case(ReplyMoment::AfterHead, ReplyEnd::Close, "413 Content Too Large", "Content-Length: 9\r\n\r\na booking"; "refused early and reset")]
+#[test_case(ReplyMoment::AfterHead, ReplyEnd::HalfClose, "413 Content Too Large", "Content-Length: 9\r\n\r\na booking"; "refused early and closed")]
+#[test_case(ReplyMoment::AfterHead, ReplyEnd::Keep, "413 Content Too Large", "Content-Length: 9\r\n\r\na booking"; "refused early with the rest read later")]
+#[test_case(ReplyMoment::AfterHead, ReplyEnd::Close, "200 OK", "Content-Length: 9\r\n\r\na booking"; "answered early and reset")]
+#[test_case(ReplyMoment::AfterHead, ReplyEnd::Keep, "200 OK", "Transfer-Encoding: chunked\r\n\r\n9\r\na booking\r\n0\r\n\r\n"; "answered early in chunks")]
+#[test_case(ReplyMoment::AfterRequest, ReplyEnd::Close, "200 OK", "\r\na booking"; "without a length and closed")]
+#[test_case(ReplyMoment::AfterRequest, ReplyEnd::HalfClose, "200 OK", "\r\na booking"; "without a length and closed by half")]
+#[test_case(ReplyMoment::AfterRequest, ReplyEnd::Keep, "200 OK", "Content-Length: 9\r\n\r\na booking"; "with a length")]
+#[test_case(ReplyMoment::AfterRequest, ReplyEnd::Keep, "200 OK", "Transfer-Encoding: chunked\r\n\r\n9\r\na booking\r\n0\r\nX-Sum: 1\r\n\r\n"; "in chunks with a trailer")]
+fn sound_response_to_an_upload_is_forwarded(
+    moment: ReplyMoment,
+    end: ReplyEnd,
+    status: &str,
+    rest: &str,
+) {
+    let text = head(&format!("HTTP/1.1 {status}"), rest);
+    let site = scripted_site(&[reply(moment, text, end)]);
+
+    let answers = send_orders(&site, LONG_UPLOAD_BYTES, |count| count >= EXCHANGES);
+
+    for (answer, reached) in answers {
+        assert!(status.starts_with(&answer.status.to_string()), "{answer:?}");
+        assert_eq!((&*answer.body, answer.complete), (PLAIN_BODY, true));
+        assert_eq!(answer.field("x-server-stamp"), Some("s"));
+        assert_eq!(reached, 1);
+    }
+}
+
+/// A refusal whose head is whole keeps its promise that the request has not run, even when its body is not.
+#[test]
+fn promise_of_a_whole_head_holds_although_the_body_is_broken() {
+    let text = head("HTTP/1.1 503 Status", "X-Not-Executed: 1\r\n\r\nful");
+    let site = scripted_site(&[reply(ReplyMoment::AfterHead, text, ReplyEnd::Close)]);
+
+    let answers = send_orders(&site, LONG_UPLOAD_BYTES, |count| count >= 1);
+
+    assert_eq!(answers[0].0.status, 503, "{answers:?}");
+}
--- a/tests/platform_passed_on.rs
+++ b/tests/platform_passed_on.rs
@@ -5,44 +5,19 @@
 
 use arbutusmount::PeerDispatch;
 use rig::{
-    LinkState, ModelKnobs, PLAIN_BODY, PlainRun, PlainServer, SiteFleet, SiteRequest, SiteSpec,
-    leave_site_request, read_site_response, send_site_request,
+    ModelKnobs, PLAIN_BODY, PlainRun, PlainServer, SiteFleet, SiteRequest, leave_site_request,
+    read_site_response, send_site_request,
 };
-use site::{stream_call, until};
+use site::{site_without_a_path, stream_call, until};
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::thread;
 use std::time::Duration;
 use test_case::test_case;
 
-/// Requests after which the first daemon knows that its path is lost.
-const WARM_UP: usize = 3;
 /// Time after which a caller leaves, and a daemon drains.
 const BEGUN_TIME: Duration = Duration::from_millis(250);
 
-/// A site of two daemons in one failure domain, of which the first has lost its path to the targets.
-fn site_without_a_path(models_per_domain: usize) -> SiteFleet {
-    let site = SiteFleet::start(SiteSpec {
-        daemons: 2,
-        plain_servers: 4,
-        models_per_domain,
-        domains: 1,
-        is_linked: true,
-        ..SiteSpec::default()
-    });
-    until("the daemons to know each other", || {
-        let mut daemons = site.daemons.iter();
-        daemons.all(|daemon| daemon.state.context.sound_peers().len() == 1)
-    });
-    site.daemons[0].links.set_state(LinkState::Silent);
-    for number in 0..WARM_UP {
-        let request = SiteRequest::new("POST", "/post/w", &format!("w{number}"));
-        send_site_request(site.daemons[0].address, &request);
-    }
-    assert!(site.daemons[0].state.context.is_cut_off());
-    site
-}
-
 fn run_of(site: &SiteFleet, attempt: &str) -> Vec<PlainRun> {
     let runs = site.plain_servers.iter().flat_map(PlainServer::runs);
     runs.filter(|run| run.attempt_id == attempt).collect()
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -4,11 +4,16 @@
 
 use arbutusmount::BudgetLimits;
 use async_std::task;
-use rig::{SiteFleet, SiteRequest, SiteResponse, SiteSpec, send_site_request, wait_until};
+use rig::{
+    LinkState, SiteFleet, SiteRequest, SiteResponse, SiteSpec, sample_config, send_site_request,
+    wait_until,
+};
 use std::time::Duration;
 
 /// Longest wait for a condition.
 const LIMIT: Duration = Duration::from_secs(10);
+/// Requests after which a daemon knows that its path to the targets is lost.
+const WARM_UP: usize = 3;
 
 /// Starts a site with two plain servers and no model.
 pub fn plain_site() -> SiteFleet {
@@ -27,6 +32,47 @@
     })
 }
 
+/// A site of two daemons in one failure domain, of which the first has lost its path to the targets.
+pub fn site_without_a_path(models_per_domain: usize) -> SiteFleet {
+    let spec = SiteSpec {
+        daemons: 2,
+        plain_servers: 4,
+        models_per_domain,
+        domains: 1,
+        ..SiteSpec::default()
+    };
+    let mut site = SiteFleet::without_daemons(spec);
+    site.daemons
+        .push(site.start_linked_daemon("router-0", "d0"));
+    site.daemons.push(site.start_daemon("router-1", "d0", 0));
+    site.wait_ready(spec);
+    until("the daemons to know each other", || {
+        let mut daemons = site.daemons.iter();
+        daemons.all(|daemon| daemon.state.context.sound_peers().len() == 1)
+    });
+    site.daemons[0].links.set_state(LinkState::Silent);
+    for number in 0..WARM_UP {
+        let request = SiteRequest::new("POST", "/post/w", &format!("w{number}"));
+        send_site_request(site.daemons[0].address, &request);
+    }
+    assert!(site.daemons[0].state.context.is_cut_off());
+    site
+}
+
+/// Allows request bodies of up to this many bytes; returns once all daemons know.
+pub fn allow_uploads(site: &SiteFleet, body_bytes: usize) {
+    let mut config = sample_config(2);
+    config["Limits"]["MaxBodyBytes"] = body_bytes.into();
+    site.store.put("op/config", &config);
+    until("the configuration to be in force", || {
+        let mut daemons = site.daemons.iter();
+        daemons.all(|daemon| {
+            let catalog = daemon.state.context.catalog.load();
+            catalog.is_some_and(|catalog| catalog.version == 2)
+        })
+    });
+}
+
 /// Allows the first daemon this number of retries in a window.
 pub fn allow_retries(site: &SiteFleet, retries: f64) {
     let limits = BudgetLimits {
