Refuse responses whose status code is not one of HTTP

What callers saw: a server sent a response with status 000 and a body that began like another response; the caller got what stood in the body as the server's answer. Statuses from 600 on were forwarded as they came.

Cause: every status below 200 counted as interim, so the head was skipped and the rest read as the next head.

Change: a status outside 100 to 599 fails the parsing of the head (HeadError::BadStatus), wherever responses are read by wire/. The attempt counts as one that may have run, and its log line names the status.

Evidence: platform_broken_answers.rs, 50 responses to plain requests with ten status lines, six to streams.

--- a/src/wire/head.rs
+++ b/src/wire/head.rs
@@ -1,11 +1,13 @@
 //! Heads of HTTP requests and responses: parsed strictly and kept byte for byte.
 
 use std::fmt;
-use std::ops::Range;
+use std::ops::{Range, RangeInclusive};
 
 /// Result of parsing a head.
 pub type Result<T> = std::result::Result<T, HeadError>;
 
+/// Status codes of responses (RFC 9110, section 15).
+const STATUS_CODES: RangeInclusive<u16> = 100..=599;
 /// Most header fields accepted in one head.
 const MAX_HEADER_FIELDS: usize = 100;
 
@@ -21,16 +23,19 @@
     AmbiguousLength,
     /// The `Host` field is missing, or there is more than one.
     BadHost,
+    /// The status code is not one of HTTP.
+    BadStatus(u16),
 }
 
 impl fmt::Display for HeadError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::Malformed => "malformed HTTP head",
-            Self::TooLong => "HTTP head is too long",
-            Self::AmbiguousLength => "ambiguous declaration of the body length",
-            Self::BadHost => "exactly one Host field is required",
-        })
+        match self {
+            Self::Malformed => f.write_str("malformed HTTP head"),
+            Self::TooLong => f.write_str("HTTP head is too long"),
+            Self::AmbiguousLength => f.write_str("ambiguous declaration of the body length"),
+            Self::BadHost => f.write_str("exactly one Host field is required"),
+            Self::BadStatus(code) => write!(f, "invalid HTTP status code {code:03}"),
+        }
     }
 }
 
@@ -234,6 +239,9 @@
         _ => return Err(HeadError::Malformed),
     }
     let status = response.code.unwrap_or_default();
+    if !STATUS_CODES.contains(&status) {
+        return Err(HeadError::BadStatus(status));
+    }
     let minor_version = response.version.unwrap_or_default();
     let fields = field_ranges(&raw, response.headers);
     let head = WireHead {
--- a/tests/platform_broken_answers.rs
+++ b/tests/platform_broken_answers.rs
@@ -35,6 +35,14 @@
     ScriptedReply { moment, text, end }
 }
 
+/// Replies of servers that have read the whole request and close the connection.
+fn closing_replies(texts: impl IntoIterator<Item = String>) -> Vec<ScriptedReply> {
+    let texts = texts.into_iter();
+    texts
+        .map(|text| reply(ReplyMoment::AfterRequest, text, ReplyEnd::Close))
+        .collect()
+}
+
 /// A site with one plain server for each reply.
 fn scripted_site(replies: &[ScriptedReply]) -> SiteFleet {
     let site = SiteFleet::start(SiteSpec {
@@ -111,6 +119,14 @@
     answers
 }
 
+/// Sends requests until each server has replied to one.
+fn send_order_to_each(site: &SiteFleet) -> Vec<(SiteResponse, usize)> {
+    send_orders(site, 0, |_| {
+        let mut servers = site.plain_servers.iter();
+        servers.all(|server| server.scripted_replies() > 0)
+    })
+}
+
 /// The server may have run the request, so its caller is told so and no other server gets it.
 fn assert_failed(answers: &[(SiteResponse, usize)]) {
     for (answer, reached) in answers {
@@ -204,3 +220,83 @@
 
     assert_eq!(answers[0].0.status, 503, "{answers:?}");
 }
+
+/// A whole response with a length.
+fn sound_response() -> String {
+    head("HTTP/1.1 200 OK", "Content-Length: 9\r\n\r\na booking")
+}
+
+/// Responses with this status line: with a length, without one, in chunks, and with a sound response behind
+/// them, as behind an interim one.
+fn responses_with(status_line: &str) -> Vec<String> {
+    let ends = [
+        "Content-Length: 9\r\n\r\na booking",
+        "\r\na booking",
+        "Transfer-Encoding: chunked\r\n\r\n9\r\na booking\r\n0\r\n\r\n",
+    ];
+    let mut texts: Vec<String> = ends.iter().map(|end| head(status_line, end)).collect();
+    texts.push(head(status_line, "\r\n") + &sound_response());
+    texts.push(format!("HTTP/1.1 100 Continue\r\n\r\n{}", texts[0]));
+    texts
+}
+
+/// A status below 100 was taken for that of an interim response, and the response behind it for the final one;
+/// one above 599 was forwarded.
+#[test_case("HTTP/1.1 000 Status"; "zero")]
+#[test_case("HTTP/1.1 000"; "zero without a reason")]
+#[test_case("HTTP/1.1 001 Status"; "one")]
+#[test_case("HTTP/1.1 099 Status"; "below the lowest")]
+#[test_case("HTTP/1.1 600 Status"; "above the highest")]
+#[test_case("HTTP/1.1 999 Status"; "far above the highest")]
+#[test_case("HTTP/1.1 20 Status"; "two digits")]
+#[test_case("HTTP/1.1 2000 Status"; "four digits")]
+#[test_case("HTTP/1.1 2x0 Status"; "no number")]
+#[test_case("HTTP/1.1 OK"; "no status")]
+fn response_with_an_invalid_status_is_not_forwarded(status_line: &str) {
+    let site = scripted_site(&closing_replies(responses_with(status_line)));
+
+    let answers = send_order_to_each(&site);
+
+    assert_failed(&answers);
+}
+
+/// The same for streams.
+#[test_case("HTTP/1.1 000 Status")]
+#[test_case("HTTP/1.1 099 Status")]
+#[test_case("HTTP/1.1 600 Status")]
+fn stream_with_an_invalid_status_is_not_forwarded(status_line: &str) {
+    let fields = format!("Content-Type: text/event-stream\r\n\r\n{TWO_EVENTS}");
+    let sound = head("HTTP/1.1 200 OK", &fields);
+    let texts = [
+        head(status_line, &fields),
+        head(status_line, "\r\n") + &sound,
+    ];
+    for text in texts {
+        let replies = closing_replies([text]);
+        let site = scripted_model_site(&replies[0]);
+
+        let answer = call(&site, &stream_call("a1"));
+
+        assert!(scripted_replies(&site) > 0, "{answer:?}");
+        assert_eq!(answer.status, 502, "{answer:?}");
+        assert_eq!(answer.field("x-server-stamp"), None, "{answer:?}");
+    }
+}
+
+/// Unusual responses that are sound.
+#[test_case("HTTP/1.1 200 OK", 200; "usual")]
+#[test_case("HTTP/1.1 200 ", 200; "without a reason")]
+#[test_case("HTTP/1.0 200 OK", 200; "of HTTP/1.0")]
+#[test_case("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK", 200; "after an interim response")]
+#[test_case("HTTP/1.1 299 Status", 299; "success without a standard name")]
+#[test_case("HTTP/1.1 599 Status", 599; "the highest status")]
+fn response_with_a_valid_status_is_forwarded(start: &str, status: u16) {
+    let text = head(start, "Content-Length: 9\r\n\r\na booking");
+    let site = scripted_site(&closing_replies([text]));
+
+    let answers = send_order_to_each(&site);
+
+    let (answer, reached) = &answers[0];
+    assert_eq!((answer.status, *reached), (status, 1), "{answer:?}");
+    assert_eq!((&*answer.body, answer.complete), (PLAIN_BODY, true));
+}
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -64,6 +64,17 @@
     assert_eq!(parse(text), Err(HeadError::Malformed));
 }
 
+#[test_case(0)]
+#[test_case(99)]
+#[test_case(600)]
+fn status_that_is_not_one_of_http_is_refused(status: u16) {
+    let text = format!("HTTP/1.1 {status:03} Status\r\nContent-Length: 0\r\n\r\n");
+
+    let parsed = parse_response(text.as_bytes(), LIMITS);
+
+    assert_eq!(parsed, Err(HeadError::BadStatus(status)));
+}
+
 #[test_case("GET / HTTP/1.1\r\n\r\n"; "no host")]
 #[test_case("GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n"; "two hosts")]
 fn exactly_one_host_is_required(text: &str) {
