--- a/tests/platform_broken_answers.rs
+++ b/tests/platform_broken_answers.rs
@@ -300,3 +300,119 @@
     assert_eq!((answer.status, *reached), (status, 1), "{answer:?}");
     assert_eq!((&*answer.body, answer.complete), (PLAIN_BODY, true));
 }
+
+/// Responses with this line in the head: first, last, and in the head of an interim response.
+fn responses_with_line(line: &str) -> Vec<String> {
+    let rest = "Content-Length: 9\r\n\r\na booking";
+    vec![
+        head(&format!("HTTP/1.1 200 OK\r\n{line}"), rest),
+        head(
+            "HTTP/1.1 200 OK",
+            &format!("Content-Length: 9\r\n{line}\r\n\r\na booking"),
+        ),
+        head("HTTP/1.1 200 OK", &format!("{line}\r\n\r\na booking")),
+        format!(
+            "HTTP/1.1 103 Early Hints\r\n{line}\r\n\r\n{}",
+            sound_response()
+        ),
+    ]
+}
+
+/// A response whose head has a line that is no field is not forwarded, with this line or without it.
+#[test_case("X Color: green"; "blank inside")]
+#[test_case("X-Color : green"; "blank before the colon")]
+#[test_case(" X-Color: green"; "blank first")]
+#[test_case("Content Length: 4"; "length with a blank")]
+#[test_case("Content-Length : 4"; "length with a blank before the colon")]
+#[test_case("Transfer-Encoding\t: chunked"; "coding with a tab before the colon")]
+#[test_case("X\tColor: green"; "tab inside")]
+#[test_case("\tX-Color: green"; "tab first")]
+#[test_case("X\u{1}Color: green"; "control byte inside")]
+#[test_case("\u{1f}X-Color: green"; "control byte first")]
+#[test_case("X-Color\u{7f}: green"; "delete at the end")]
+#[test_case("X\0Color: green"; "zero byte inside")]
+#[test_case("X\rColor: green"; "carriage return inside")]
+#[test_case("X\u{e9}Color: green"; "letter that is not ASCII")]
+#[test_case(": green"; "empty")]
+#[test_case("X-Color green"; "no colon")]
+fn response_with_an_invalid_field_is_not_forwarded(line: &str) {
+    let site = scripted_site(&closing_replies(responses_with_line(line)));
+
+    let answers = send_order_to_each(&site);
+
+    assert_failed(&answers);
+}
+
+/// The same for streams.
+#[test_case("X Color: green"; "blank inside")]
+#[test_case("X\u{1}Color: green"; "control byte inside")]
+fn stream_with_an_invalid_field_is_not_forwarded(line: &str) {
+    let fields = format!("{line}\r\nContent-Type: text/event-stream\r\n\r\n{TWO_EVENTS}");
+    let replies = closing_replies([head("HTTP/1.1 200 OK", &fields)]);
+    let site = scripted_model_site(&replies[0]);
+
+    let answer = call(&site, &stream_call("a1"));
+
+    assert!(scripted_replies(&site) > 0, "{answer:?}");
+    assert_eq!(answer.status, 502, "{answer:?}");
+}
+
+/// A request that may run again is served by a sound server.
+#[test_case("HTTP/1.1 000 Status"; "invalid status")]
+#[test_case("HTTP/1.1 200 OK\r\nX Color: green"; "invalid field")]
+fn repeatable_request_is_served_by_a_sound_server(start: &str) {
+    let text = head(start, "Content-Length: 9\r\n\r\na bo");
+    let site = scripted_site(&closing_replies(vec![text; 2]));
+    site.plain_servers[1].set_reply(None);
+
+    let mut number = 0;
+    while site.plain_servers[0].scripted_replies() == 0 {
+        number += 1;
+        let answer = call(
+            &site,
+            &SiteRequest::new("GET", "/get/x", &format!("a{number}")),
+        );
+        assert_eq!(
+            (answer.status, &*answer.body),
+            (200, PLAIN_BODY),
+            "{answer:?}"
+        );
+    }
+}
+
+/// A head that is cut at any byte is no head, however the connection ends.
+#[test_case(ReplyEnd::Close)]
+#[test_case(ReplyEnd::HalfClose)]
+#[test_case(ReplyEnd::Reset)]
+fn response_cut_in_its_head_is_not_forwarded(end: ReplyEnd) {
+    let whole = head("HTTP/1.1 200 OK", "Content-Length: 9\r\n\r\n");
+    let cuts = (1..whole.len())
+        .step_by(3)
+        .filter(|cut| whole.is_char_boundary(*cut));
+    let replies: Vec<ScriptedReply> = cuts
+        .map(|cut| reply(ReplyMoment::AfterRequest, whole[..cut].to_owned(), end))
+        .collect();
+    let site = scripted_site(&replies);
+
+    let answers = send_order_to_each(&site);
+
+    assert_failed(&answers);
+}
+
+/// The same with a long upload that is not read, and for streams.
+#[test_case(ReplyEnd::Close)]
+#[test_case(ReplyEnd::HalfClose)]
+fn response_to_half_an_upload_cut_in_its_head_is_not_forwarded(end: ReplyEnd) {
+    let whole = head("HTTP/1.1 200 OK", "Content-Length: 9\r\n\r\n");
+    let text = whole[..whole.len() - 2].to_owned();
+    let cut = reply(ReplyMoment::AfterHead, text, end);
+    let site = scripted_site(&vec![cut.clone(); EXCHANGES]);
+    let streams = scripted_model_site(&cut);
+
+    let answers = send_orders(&site, LONG_UPLOAD_BYTES, |count| count >= EXCHANGES);
+    let stream = call(&streams, &stream_call("a1"));
+
+    assert_failed(&answers);
+    assert!(scripted_replies(&streams) > 0, "{stream:?}");
+    assert_eq!(stream.status, 502, "{stream:?}");
+}
