Refuse chunked bodies with malformed trailers

What callers saw: a response whose server sent a line that is no header field after the last chunk, or the head of another response there, was forwarded as whole.

Cause: lines after the last chunk were dropped without being parsed.

Change: each must be a header field, by the parser that heads have (BodyError::MalformedTrailer). It holds for responses and for uploads in chunks.

--- a/src/wire/body.rs
+++ b/src/wire/body.rs
@@ -1,6 +1,6 @@
 //! Decoding of HTTP message bodies, without I/O.
 
-use crate::wire::head::WireHead;
+use crate::wire::head::{WireHead, is_field_line};
 use bytes::{Buf, BytesMut};
 use std::fmt;
 
@@ -21,6 +21,8 @@
 pub enum BodyError {
     /// A chunk-size line, or the end of a chunk or trailer line, is malformed.
     MalformedChunk,
+    /// A line of the trailers is no field.
+    MalformedTrailer,
     /// The trailers after the last chunk are too long.
     TrailersTooLong,
 }
@@ -29,6 +31,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::MalformedChunk => "malformed chunk in the body",
+            Self::MalformedTrailer => "malformed trailer of the body",
             Self::TrailersTooLong => "trailers of the body are too long",
         })
     }
@@ -183,7 +186,8 @@
         match (self.state, line.is_empty()) {
             (DecoderState::ChunkEnd, true) => Ok(DecoderState::ChunkSize),
             (DecoderState::Trailer, true) => Ok(DecoderState::Done),
-            (DecoderState::Trailer, false) => Ok(DecoderState::Trailer),
+            (DecoderState::Trailer, false) if is_field_line(line) => Ok(DecoderState::Trailer),
+            (DecoderState::Trailer, false) => Err(BodyError::MalformedTrailer),
             (DecoderState::ChunkSize, false) => match parse_chunk_size(line)? {
                 0 => Ok(DecoderState::Trailer),
                 size => Ok(DecoderState::ChunkData(size)),
--- a/src/wire/head.rs
+++ b/src/wire/head.rs
@@ -288,6 +288,13 @@
     Ok(None)
 }
 
+/// True when a line, without its CRLF, is a header field.
+pub(super) fn is_field_line(line: &[u8]) -> bool {
+    let section = [line, b"\r\n\r\n"].concat();
+    let mut storage = [httparse::EMPTY_HEADER];
+    httparse::parse_headers(&section, &mut storage).is_ok_and(|status| status.is_complete())
+}
+
 fn field_ranges(raw: &[u8], fields: &[httparse::Header<'_>]) -> Vec<(Range<usize>, Range<usize>)> {
     let ranges = fields.iter();
     ranges
--- a/tests/platform_broken_answers.rs
+++ b/tests/platform_broken_answers.rs
@@ -380,6 +380,24 @@
     }
 }
 
+/// A line after the last chunk that is no field was dropped, and the response forwarded as whole.
+#[test_case("X Sum: 1\r\n\r\n"; "blank inside")]
+#[test_case("X-Sum : 1\r\n\r\n"; "blank before the colon")]
+#[test_case(" X-Sum: 1\r\n\r\n"; "blank first")]
+#[test_case("X\u{1}Sum: 1\r\n\r\n"; "control byte inside")]
+#[test_case("X\0Sum: 1\r\n\r\n"; "zero byte inside")]
+#[test_case("X-Sum: 1\r2\r\n\r\n"; "carriage return in the value")]
+#[test_case(": 1\r\n\r\n"; "empty")]
+#[test_case("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"; "another response")]
+fn response_with_an_invalid_trailer_is_not_forwarded(trailers: &str) {
+    let rest = format!("Transfer-Encoding: chunked\r\n\r\n9\r\na booking\r\n0\r\n{trailers}");
+    let site = scripted_site(&closing_replies([head("HTTP/1.1 200 OK", &rest)]));
+
+    let answers = send_order_to_each(&site);
+
+    assert_failed(&answers);
+}
+
 /// A head that is cut at any byte is no head, however the connection ends.
 #[test_case(ReplyEnd::Close)]
 #[test_case(ReplyEnd::HalfClose)]
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -169,6 +169,15 @@
 /// Events with their ids, and the bytes of an incomplete event.
 type SplitEvents = (Vec<(Vec<u8>, Option<u64>)>, Vec<u8>);
 
+#[test_case(b"0\r\nX Sum: 1\r\n\r\n"; "blank in a name")]
+#[test_case(b"0\r\nX-Sum 1\r\n\r\n"; "no colon")]
+#[test_case(b"0\r\nX-Sum: 1\r\n 2\r\n\r\n"; "folded")]
+fn malformed_trailer_is_refused(text: &[u8]) {
+    let decoded = decode(BodyFraming::Chunked, text);
+
+    assert_eq!(decoded.err(), Some(BodyError::MalformedTrailer));
+}
+
 fn split(pieces: &[&[u8]]) -> SplitEvents {
     let mut splitter = EventSplitter::default();
     let mut events = Vec::new();
