Refuse responses with unclear framing on the own interface

What callers saw: an engine, a service or the store that answered with a transfer coding other than chunked, or with this name in another case, was taken to have sent an empty body; of two lengths the last one counted.

Cause: the check of the framing asked only whether such a field is there, while the HTTP library reads bodies with the one coding it knows.

Change: exactly one length or one coding "chunked", else the call fails.

--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -5,6 +5,7 @@
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use futures_lite::future::poll_once;
+use http_types::headers::HeaderValue;
 use http_types::{Method, Request, Response, StatusCode, Url};
 use std::collections::HashMap;
 use std::fmt;
@@ -273,20 +274,25 @@
     }
 }
 
-/// Refuses a response with neither a length nor chunks, whose body ends with its connection: the
-/// HTTP library takes such a body for an empty one.
+/// Refuses a response with neither one length nor chunks. The HTTP library takes a body that ends with
+/// its connection for an empty one, knows chunks by this name only, and uses the last of several lengths.
 fn check_framing(response: &Response, method: Method) -> Result<()> {
     let status = response.status();
     let is_bodiless = method == Method::Head
         || status.is_informational()
         || matches!(status, StatusCode::NoContent | StatusCode::NotModified);
-    let is_framed = response.header("content-length").is_some()
-        || response.header("transfer-encoding").is_some();
+    let is_framed = match response.header("transfer-encoding") {
+        Some(codings) => codings.iter().map(HeaderValue::as_str).eq(["chunked"]),
+        None => {
+            let lengths = response.header("content-length");
+            lengths.is_some_and(|lengths| lengths.iter().count() == 1)
+        }
+    };
     if is_bodiless || is_framed {
         return Ok(());
     }
     Err(SendError::Broken(
-        "response has neither a length nor chunks".to_owned(),
+        "response has neither one length nor chunks".to_owned(),
     ))
 }
 
--- a/tests/http_broken_answers.rs
+++ b/tests/http_broken_answers.rs
@@ -85,6 +85,32 @@
     assert_eq!(fetch(&text), None);
 }
 
+/// A response with an unknown coding was taken for an empty one, and of several lengths the last one counted.
+#[test_case("Transfer-Encoding: gzip\r\n")]
+#[test_case("Transfer-Encoding: identity\r\n")]
+#[test_case("Transfer-Encoding: chunked, gzip\r\n")]
+#[test_case("Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n")]
+#[test_case("Content-Length: 4\r\nContent-Length: 9\r\n")]
+#[test_case("Content-Length: 9\r\nContent-Length: 4\r\n")]
+#[test_case("Content-Length: 9\r\nTransfer-Encoding: chunked\r\n")]
+fn response_with_unclear_framing_is_refused(fields: &str) {
+    for body in ["a booking", "4\r\na bo\r\n0\r\n\r\n"] {
+        let text = format!("HTTP/1.1 200 OK\r\n{fields}\r\n{body}");
+        assert_eq!(fetch(&text), None, "{body}");
+    }
+}
+
+/// The name of a coding has no case. The HTTP library knows it in lower case only and took the body for an empty
+/// one.
+#[test]
+fn chunks_are_not_lost_whatever_the_case_of_their_name() {
+    let text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n9\r\na booking\r\n0\r\n\r\n";
+
+    let response = fetch(text);
+
+    assert!(response.is_none_or(|(_, body)| body == b"a booking"));
+}
+
 /// A response that ends with its connection is refused, also when the connection is reset in the upload.
 #[test]
 fn unframed_response_to_half_an_upload_is_refused() {
