Refuse responses with fields that are not ASCII on the own interface

Cause: the HTTP library panics when it copies such a field.

Change: the panic is caught where responses are read, and the response counts as malformed: the call may have been executed.

--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -1,6 +1,7 @@
 //! Response to a client call, which returns its connection to the pool.
 
 use crate::http::bounded::BoundedStream;
+use crate::http::library_panic::catch_panic;
 use crate::http::pool::{ConnectionPool, SendError};
 use futures_lite::{AsyncBufReadExt, AsyncReadExt};
 use http_types::Response;
@@ -72,7 +73,7 @@
     pub async fn read_line(&mut self) -> io::Result<Option<String>> {
         self.stream.allow(MAX_FRAMED_BYTES);
         let mut line = Vec::new();
-        let read = self.response.read_until(b'\n', &mut line).await?;
+        let read = catch_panic(self.response.read_until(b'\n', &mut line)).await??;
         self.body_bytes += read as u64;
         if read == 0 && !self.is_cut_off() {
             return Ok(None);
@@ -107,8 +108,9 @@
             .take_body()
             .into_reader()
             .take(MAX_RESPONSE_BYTES + 1);
-        let read = reader.read_to_end(&mut body).await;
-        read.map_err(|cause| SendError::Broken(cause.to_string()))?;
+        let read = catch_panic(reader.read_to_end(&mut body)).await;
+        read.flatten()
+            .map_err(|cause| SendError::Broken(cause.to_string()))?;
         if body.len() as u64 > MAX_RESPONSE_BYTES {
             return Err(SendError::BadResponse(
                 "body exceeds the limit of 16 MiB".to_owned(),
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -3,6 +3,7 @@
 mod bounded;
 mod connection;
 mod fallback;
+mod library_panic;
 mod pool;
 mod problem;
 mod server;
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -2,6 +2,7 @@
 
 use crate::http::bounded::BoundedStream;
 use crate::http::connection::{ConnectionReuse, HttpResponse};
+use crate::http::library_panic::catch_panic;
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use futures_lite::future::poll_once;
@@ -233,9 +234,11 @@
     ) -> Result<HttpResponse> {
         let request = call.to_request()?;
         let stream = BoundedStream::new(stream, MAX_HEAD_BYTES);
-        let exchange = timeout(call.timeout, async_h1::connect(stream.clone(), request)).await;
-        let response = exchange
+        let exchange = catch_panic(async_h1::connect(stream.clone(), request));
+        let response = timeout(call.timeout, exchange)
+            .await
             .map_err(|_elapsed| SendError::TimedOut)?
+            .map_err(|cause| SendError::BadResponse(cause.to_string()))?
             .map_err(|cause| SendError::Broken(cause.to_string()))?;
         check_framing(&response, call.method)?;
         Ok(HttpResponse::new(
--- a/tests/http_broken_answers.rs
+++ b/tests/http_broken_answers.rs
@@ -74,8 +74,18 @@
     }
 }
 
+/// The HTTP library panics at text that is not ASCII in a field, which ended the task that served the caller.
+#[test_case("X-Color: gr\u{fc}n\r\n"; "in a field")]
+#[test_case("X-Color: green\u{1}\r\n"; "control byte in a field")]
+fn response_with_an_invalid_value_is_refused(field: &str) {
+    let text = format!("HTTP/1.1 200 OK\r\n{field}{SIZED_BODY}");
+
+    assert_eq!(fetch(&text), None);
+}
+
 #[test_case("X Sum: 1"; "blank in a name")]
 #[test_case("X\u{1}Sum: 1"; "control byte in a name")]
+#[test_case("X-Sum: \u{fc}"; "value that is not ASCII")]
 #[test_case("X-Sum"; "no colon")]
 fn response_with_an_invalid_trailer_is_refused(trailer: &str) {
     let text = format!(
