--- a/tests/platform_draining.rs
+++ b/tests/platform_draining.rs
@@ -7,10 +7,12 @@
 use arbutusmount::{DaemonPhase, GatewayBounds, GatewaySettings, RetryRule};
 use async_std::task;
 use rig::{
-    PlainFault, PlainServer, SiteDaemon, SiteFleet, SiteRequest, SiteResponse, sample_config,
-    send_site_request,
+    ModelKnobs, ModelServer, PlainFault, PlainServer, SiteDaemon, SiteFleet, SiteRequest,
+    SiteResponse, SiteSpec, read_site_response, sample_config, send_site_request,
 };
-use site::{plain_site, until};
+use site::{plain_site, stream_call, until};
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
@@ -30,6 +32,11 @@
 /// A site whose routes allow [`LONG_TIMEOUT_MS`].
 fn long_site() -> SiteFleet {
     let site = plain_site();
+    allow_long_requests(&site);
+    site
+}
+
+fn allow_long_requests(site: &SiteFleet) {
     let mut config = sample_config(2);
     let routes = config["Routes"].as_array_mut().expect("routes");
     for route in routes {
@@ -41,7 +48,6 @@
         let catalog = context.catalog.load();
         catalog.is_some_and(|catalog| catalog.version == 2)
     });
-    site
 }
 
 fn long_request(method: &'static str, target: &str) -> SiteRequest {
@@ -181,3 +187,116 @@
 
     context.accepts_request(rule, Duration::from_millis(timeout_ms))
 }
+
+/// Times after the signal at which late requests arrive.
+const LATE_TIMES: [Duration; 4] = [
+    Duration::from_millis(3_200),
+    Duration::from_millis(4_400),
+    Duration::from_millis(5_400),
+    Duration::from_millis(6_400),
+];
+/// Time that servers take for a request during the drain.
+const LATE_WORK_TIME: Duration = Duration::from_millis(2_500);
+
+/// A connection that has served a request.
+fn used_connection(address: SocketAddr, attempt: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(address).expect("the daemon accepts connections");
+    let answer = exchange(&mut stream, &SiteRequest::new("GET", "/get/x", attempt));
+    assert_eq!(answer.status, 200, "{answer:?}");
+    stream
+}
+
+fn exchange(stream: &mut TcpStream, request: &SiteRequest) -> SiteResponse {
+    stream
+        .write_all(&request.encode())
+        .expect("the daemon reads the request");
+    read_site_response(stream)
+}
+
+/// Late requests on connections in use, one of each kind at each time. A stream keeps the daemon from exiting
+/// earlier.
+fn late_requests(
+    address: SocketAddr,
+    signalled: Instant,
+) -> Vec<thread::JoinHandle<(SiteRequest, SiteResponse)>> {
+    let kinds = [
+        ("POST", "/post/x", 3_000),
+        ("POST", "/post/x", LONG_TIMEOUT_MS),
+        ("GET", "/get/x", 3_000),
+        ("POST", "/stream/x", LONG_TIMEOUT_MS),
+    ];
+    let mut callers = Vec::new();
+    for (time, at) in LATE_TIMES.into_iter().enumerate() {
+        for (kind, (method, target, deadline_ms)) in kinds.into_iter().enumerate() {
+            let request = SiteRequest {
+                deadline_ms,
+                ..SiteRequest::new(method, target, &format!("late-{time}-{kind}"))
+            };
+            let mut stream = used_connection(address, &format!("before-{time}-{kind}"));
+            callers.push(thread::spawn(move || {
+                thread::sleep(at.saturating_sub(signalled.elapsed()));
+                let answer = exchange(&mut stream, &request);
+                (request, answer)
+            }));
+        }
+    }
+    callers
+}
+
+/// Requests that come late in the grace period are answered whole or refused without having run, whatever
+/// their kind; none is passed on and cut off when the process exits.
+#[test]
+fn late_request_on_a_connection_in_use_is_served_or_refused() {
+    // Arrange
+    let mut site = SiteFleet::start(SiteSpec::default());
+    allow_long_requests(&site);
+    for server in &site.model_servers {
+        server.set_knobs(ModelKnobs {
+            events: 270,
+            event_gap: Duration::from_millis(25),
+            ..ModelKnobs::default()
+        });
+    }
+    let daemon = site.daemons.remove(0);
+    let address = daemon.address;
+    let long_stream = SiteRequest {
+        deadline_ms: LONG_TIMEOUT_MS,
+        ..stream_call("long")
+    };
+    let signalled = Instant::now();
+    let callers = late_requests(address, signalled);
+    let holder = thread::spawn(move || send_site_request(address, &long_stream));
+    until("the stream to begin", || {
+        let mut servers = site.model_servers.iter();
+        servers.any(|server| !server.runs().is_empty())
+    });
+    for server in &site.plain_servers {
+        server.set_work_time(LATE_WORK_TIME);
+    }
+
+    // Act
+    let (_, drained) = begin_drain(daemon);
+    let answers: Vec<_> = callers
+        .into_iter()
+        .map(|caller| caller.join().expect("the caller ends"))
+        .collect();
+
+    // Assert
+    let ran = |attempt: &str| {
+        let mut runs = site.plain_servers.iter().flat_map(PlainServer::runs);
+        let mut streams = site.model_servers.iter().flat_map(ModelServer::runs);
+        runs.any(|run| run.attempt_id == attempt) || streams.any(|run| run.attempt_id == attempt)
+    };
+    for (request, answer) in answers {
+        let attempt = &request.attempt_id;
+        println!("{attempt}: {} after {:?}", answer.status, answer.elapsed);
+        assert!(answer.complete, "{attempt} was cut off: {answer:?}");
+        if answer.status == 200 {
+            continue;
+        }
+        assert_refused(&answer);
+        assert!(!ran(attempt), "{attempt} was refused and has run");
+    }
+    holder.join().expect("the caller of the stream ends");
+    drained.join().expect("the daemon exits");
+}
