Bound the memory of all responses in progress

What callers saw: on a machine that had many requests at a server whose responses have no end, the process ran out of memory, and all its requests ended with it.

Cause: each response is held up to 512 KiB, and nothing bounds all of them.

Change: ResponseBudget counts what responses hold beyond 16 KiB each, plain bodies until the caller has them and the unfinished event of a stream, up to a quarter of the machine's memory. A response that cannot grow is given up as one whose request may have run, and its target is not blamed. Large bodies are no longer copied to be sent.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -194,6 +194,7 @@
 pub use wire::{
     BodyDecoder, BodyError, BodyFraming, BodyStep, CallError, CompleteEvent, ConnectionPhase,
     EventSplitter, HeadBuilder, HeadError, HeadLimits, HeadOutcome, HeadStep, HoldStep, ReadError,
-    StreamError, StreamPool, UploadLimits, UploadTable, WireCall, WireClient, WireHead,
-    WireResponse, WireStream, parse_request, parse_response, read_request_head,
+    ResponseBudget, ResponseHold, StreamError, StreamPool, UploadLimits, UploadTable, WireCall,
+    WireClient, WireHead, WireResponse, WireStream, parse_request, parse_response,
+    read_request_head,
 };
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -67,6 +67,8 @@
     Disconnected,
     /// The request was not sent, as the target has asked for rest since its selection.
     HeldBack,
+    /// There was no memory for the response.
+    NoMemory,
     /// In another way, such as an incorrect response.
     Other,
 }
@@ -101,18 +103,33 @@
         }
     }
 
+    /// An attempt for whose response there was no memory.
+    pub(super) fn out_of_memory() -> Self {
+        Self {
+            kind: FailureKind::NoMemory,
+            ..Self::new(RelayFailure::OutcomeUnknown, ReadError::NoMemory)
+        }
+    }
+
     /// An attempt whose response could not be read.
     pub(super) fn unreadable(cause: &ReadError) -> Self {
         match cause {
             ReadError::Stream(_) => Self::disconnected(cause),
+            ReadError::NoMemory => Self::out_of_memory(),
             _ => Self::new(RelayFailure::OutcomeUnknown, cause),
         }
     }
 
+    /// True when the failure says nothing about the target: it got no request, or this daemon is at fault.
+    pub(super) fn is_own(&self) -> bool {
+        matches!(self.kind, FailureKind::HeldBack | FailureKind::NoMemory)
+    }
+
     /// True when a target of the attempt may have crashed under the request: it was sent, or a
     /// target of its chain did not respond to the others.
     pub(super) fn may_have_crashed(&self) -> bool {
         match self.failure {
+            _ if self.kind == FailureKind::NoMemory => false,
             RelayFailure::NotSent | RelayFailure::Failed => false,
             RelayFailure::NotExecuted => self.metadata.faulty_address.is_some(),
             RelayFailure::OutcomeUnknown => true,
--- a/src/relay/context.rs
+++ b/src/relay/context.rs
@@ -23,7 +23,7 @@
 use crate::targets::ViewCell;
 use crate::telemetry::{EventLog, MetricSet};
 use crate::units::MonoTime;
-use crate::wire::{ConnectionBudget, StreamPool, UploadLimits};
+use crate::wire::{ConnectionBudget, ResponseBudget, StreamPool, UploadLimits};
 use arc_swap::ArcSwap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -88,6 +88,8 @@
     pub codec: RelayCodec,
     /// Connections of callers and peers with the memory that they hold.
     pub connection_budget: ConnectionBudget,
+    /// Memory of responses in progress.
+    pub response_budget: ResponseBudget,
     /// Time of the last log line on connections that were ended, in microseconds of the clock.
     pub(super) ending_logged_at: AtomicU64,
     /// Metrics of relaying.
@@ -222,10 +224,12 @@
     ) -> prometheus::Result<Arc<Self>> {
         let clock = MonoClock::start();
         let limits = settings.limits;
+        let response_budget = ResponseBudget::of_process(limits.memory_mb);
         let limits = UploadLimits::of_process(limits.memory_mb, limits.descriptors);
         Ok(Arc::new(Self {
             clock,
             connection_budget: ConnectionBudget::new(limits, clock),
+            response_budget,
             ending_logged_at: AtomicU64::new(0),
             lifecycle: Arc::default(),
             catalog: CatalogCell::default(),
--- a/src/relay/forwarding.rs
+++ b/src/relay/forwarding.rs
@@ -13,7 +13,9 @@
 use crate::relay::stall::StallDetector;
 use crate::relay::suspicion::AttemptSuspicion;
 use crate::targets::{LayerChain, ReservationGuard};
-use crate::wire::{BodyEnd, BodyInput, BodyStep, EventSplitter, StreamError, fill_body};
+use crate::wire::{
+    BodyEnd, BodyInput, BodyStep, EventSplitter, ResponseHold, StreamError, fill_body,
+};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -31,6 +33,8 @@
     /// True when the caller has had the beginning of the stream from another response.
     resumes: bool,
     splitter: EventSplitter,
+    /// Memory that the splitter holds.
+    memory: ResponseHold,
     /// Number of events that were new to the caller.
     events: u64,
     /// Number of events that have arrived.
@@ -107,6 +111,7 @@
             response,
             resumes,
             splitter: EventSplitter::default(),
+            memory: request.context.response_budget.open(),
             events: 0,
             arrived: 0,
             comment_bytes: 0,
@@ -176,7 +181,11 @@
         if !self.take_events(delivered, output) {
             return invalid_stream(&"events missing: gap in the event ids");
         }
+        let buffered = self.splitter.input().capacity();
         match step {
+            BodyStep::Incomplete if !self.memory.resize(buffered) => {
+                ForwardStep::Fail(FailedAttempt::out_of_memory())
+            }
             BodyStep::Incomplete if self.splitter.remainder().len() > MAX_EVENT_BYTES => {
                 invalid_stream(&"event exceeds the size limit")
             }
--- a/src/relay/plain.rs
+++ b/src/relay/plain.rs
@@ -16,7 +16,7 @@
 use crate::relay::via_peer::relay_plain_via_peer;
 use crate::targets::TargetEntry;
 use crate::units::MonoTime;
-use crate::wire::{BodyEnd, WireHead, is_bodiless, read_body};
+use crate::wire::{BodyEnd, ResponseBudget, ResponseHold, WireHead, is_bodiless, read_body};
 use async_io::Timer;
 use async_std::future::timeout;
 use futures_lite::future::or;
@@ -28,6 +28,8 @@
 /// Size limit of a response, which is buffered until it is complete. A longer one fails the
 /// attempt.
 const MAX_RESPONSE_BYTES: usize = 512 * 1024;
+/// Largest body that is copied to be sent together with its head.
+const MAX_COPIED_BYTES: usize = 16 * 1024;
 /// Share of the remaining time after which another target is tried beside the one that has not
 /// responded, when the request may be executed again.
 const ATTEMPT_TIME_SHARE: f64 = 0.5;
@@ -46,6 +48,8 @@
     pub body: Vec<u8>,
     /// How the body ended.
     pub end: BodyEnd,
+    /// Memory that the body holds.
+    pub _memory: ResponseHold,
 }
 
 /// Relays a request to a plain service, with retries where they are allowed.
@@ -383,7 +387,7 @@
     let context = request.context;
     let now = context.clock.now();
     match failed.failure {
-        _ if failed.kind == FailureKind::HeldBack || context.is_cut_off() => {}
+        _ if failed.is_own() || context.is_cut_off() => {}
         RelayFailure::NotExecuted if failed.kind == FailureKind::Misdirected => {
             target.stats.mark_replaced();
         }
@@ -449,28 +453,45 @@
     mut response: PendingResponse,
     limit: Duration,
 ) -> AttemptResult {
-    let (body, end) = read_whole(&mut response, limit).await?;
-    let head = response.head.clone();
-    if end == BodyEnd::Framed {
+    let buffered = read_whole(&request.context.response_budget, &mut response, limit).await?;
+    if buffered.end == BodyEnd::Framed {
         keep_connection(&request.context.pool, &target.id, response);
     }
-    Ok(BufferedResponse { head, body, end })
+    Ok(buffered)
 }
 
 /// Reads the whole body of a response within `limit`.
 pub(super) async fn read_whole(
+    budget: &ResponseBudget,
     response: &mut PendingResponse,
     limit: Duration,
-) -> std::result::Result<(Vec<u8>, BodyEnd), FailedAttempt> {
+) -> AttemptResult {
+    let mut memory = budget.open();
     let read = read_body(
         &mut response.stream,
         &mut response.decoder,
         MAX_RESPONSE_BYTES,
+        &mut memory,
     );
     let read = timeout(limit, read).await;
     let read = read
         .map_err(|_elapsed| FailedAttempt::timed_out("timeout while reading the response body"))?;
-    read.map_err(|cause| FailedAttempt::unreadable(&cause))
+    let (body, end) = read.map_err(|cause| FailedAttempt::unreadable(&cause))?;
+    Ok(BufferedResponse {
+        head: response.head.clone(),
+        body,
+        end,
+        _memory: memory,
+    })
+}
+
+/// Sends a head and a body, together unless the body is large.
+async fn send_response(request: &ActiveRequest<'_>, mut head: Vec<u8>, body: &[u8]) -> bool {
+    if body.len() > MAX_COPIED_BYTES {
+        return request.send(&head).await && request.send(body).await;
+    }
+    head.extend_from_slice(body);
+    request.send(&head).await
 }
 
 /// Sends a response to the caller.
@@ -489,10 +510,8 @@
     if let Some(length) = length {
         head = head.field("Content-Length", length);
     }
-    let mut bytes = head.finish();
-    bytes.extend_from_slice(&response.body);
     request.log_success(status, retries);
-    if request.send(&bytes).await {
+    if send_response(request, head.finish(), &response.body).await {
         ExchangeEnd::Relayed(status)
     } else {
         ExchangeEnd::Truncated
--- a/src/relay/stream_failure.rs
+++ b/src/relay/stream_failure.rs
@@ -48,7 +48,7 @@
             let saturated = &context.metrics.load.saturated_parts;
             saturated.with_label_values(&[service]).inc();
         }
-        _ if failed.kind == FailureKind::HeldBack || context.is_cut_off() => {}
+        _ if failed.is_own() || context.is_cut_off() => {}
         RelayFailure::NotExecuted
             if failed.kind == FailureKind::Misdirected && faulty_part.is_none() =>
         {
--- a/src/relay/via_peer/plain.rs
+++ b/src/relay/via_peer/plain.rs
@@ -30,10 +30,10 @@
 ) -> Result<BufferedResponse, FailedAttempt> {
     let mut response = open_peer_response(request, peer, state, None).await?;
     let time_left = state.time_left(request.context.clock.now());
-    let (body, end) = read_whole(&mut response, time_left).await?;
-    let head = response.head.clone();
-    if end == BodyEnd::Framed {
+    let budget = &request.context.response_budget;
+    let buffered = read_whole(budget, &mut response, time_left).await?;
+    if buffered.end == BodyEnd::Framed {
         keep_connection(&request.context.peer_pool, &peer.instance, response);
     }
-    Ok(BufferedResponse { head, body, end })
+    Ok(buffered)
 }
--- a/src/wire/client.rs
+++ b/src/wire/client.rs
@@ -5,6 +5,7 @@
 use crate::wire::head::{HeadBuilder, HeadLimits, WireHead};
 use crate::wire::pool::StreamPool;
 use crate::wire::reading::{BodyEnd, ReadError, read_body, read_final_head};
+use crate::wire::response_budget::ResponseBudget;
 use crate::wire::stream::{StreamError, WireStream};
 use async_std::future::timeout;
 use std::fmt;
@@ -19,8 +20,6 @@
 const RESPONSE_HEAD_LIMITS: HeadLimits = HeadLimits {
     max_bytes: 32 * 1024,
 };
-/// Longest response body accepted. Pages of the store are about 1 MB of base64 text.
-const MAX_RESPONSE_BODY_BYTES: usize = 8 << 20;
 /// Most idle connections kept for each address.
 const MAX_IDLE_CONNECTIONS: usize = 4;
 /// Time after which an idle connection is closed instead of reused.
@@ -68,6 +67,8 @@
     pub field: Option<(&'static str, String)>,
     /// Body in JSON, if any.
     pub body: Option<Vec<u8>>,
+    /// Longest response body accepted, in bytes.
+    pub max_response_bytes: usize,
     /// Timeout of connecting, and of the whole call.
     pub timeout: Duration,
 }
@@ -95,6 +96,7 @@
 pub struct WireClient {
     /// Connections that are used again; `None` when each call uses a new one.
     idle: Option<Arc<StreamPool<SocketAddr>>>,
+    responses: ResponseBudget,
 }
 
 impl Default for WireClient {
@@ -102,6 +104,7 @@
     fn default() -> Self {
         Self {
             idle: Some(Arc::new(StreamPool::new(MAX_IDLE_CONNECTIONS))),
+            responses: ResponseBudget::default(),
         }
     }
 }
@@ -110,7 +113,10 @@
     /// A client that uses a new connection for each call, for servers that may send extra responses: nothing
     /// tells those apart from the response to a later call.
     pub fn with_new_connections() -> Self {
-        Self { idle: None }
+        Self {
+            idle: None,
+            responses: ResponseBudget::default(),
+        }
     }
 
     /// Sends a request and reads the response. If a reused connection turns out to be closed, the
@@ -135,12 +141,30 @@
             .send(&encode_request(call))
             .await
             .map_err(CallError::Lost)?;
-        let (response, reusable) = read_response(&mut stream, call.method).await?;
+        let (response, reusable) = self.read_response(&mut stream, call).await?;
         if let Some(idle) = self.idle.as_ref().filter(|_| reusable) {
             idle.put(&call.address, stream, IDLE_TIMEOUT);
         }
         Ok(response)
     }
+
+    /// Reads a whole response; the flag tells whether the connection can be reused. Interim responses
+    /// (1xx) are skipped.
+    async fn read_response(
+        &self,
+        stream: &mut WireStream,
+        call: &WireCall,
+    ) -> Result<(WireResponse, bool)> {
+        let (socket, input) = stream.socket_and_input();
+        let head = read_final_head(socket, input, RESPONSE_HEAD_LIMITS).await?;
+        let mut decoder = BodyDecoder::new(BodyFraming::for_response(&head, call.method));
+        let mut memory = self.responses.open();
+        let read = read_body(stream, &mut decoder, call.max_response_bytes, &mut memory);
+        let (body, end) = read.await?;
+        let reusable =
+            end == BodyEnd::Framed && !head.closes_connection() && stream.input.is_empty();
+        Ok((WireResponse { head, body }, reusable))
+    }
 }
 
 fn encode_request(call: &WireCall) -> Vec<u8> {
@@ -158,14 +182,3 @@
     bytes.extend_from_slice(call.body.as_deref().unwrap_or_default());
     bytes
 }
-
-/// Reads a whole response; the flag tells whether the connection can be reused. Interim responses
-/// (1xx) are skipped.
-async fn read_response(stream: &mut WireStream, method: &str) -> Result<(WireResponse, bool)> {
-    let (socket, input) = stream.socket_and_input();
-    let head = read_final_head(socket, input, RESPONSE_HEAD_LIMITS).await?;
-    let mut decoder = BodyDecoder::new(BodyFraming::for_response(&head, method));
-    let (body, end) = read_body(stream, &mut decoder, MAX_RESPONSE_BODY_BYTES).await?;
-    let reusable = end == BodyEnd::Framed && !head.closes_connection() && stream.input.is_empty();
-    Ok((WireResponse { head, body }, reusable))
-}
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -8,6 +8,7 @@
 mod head;
 mod pool;
 mod reading;
+mod response_budget;
 mod server;
 mod stream;
 mod upload;
@@ -24,6 +25,7 @@
 };
 pub use pool::StreamPool;
 pub use reading::{BodyEnd, BodyInput, ReadError, fill_body, read_body, read_final_head};
+pub use response_budget::{ResponseBudget, ResponseHold};
 pub use server::{HeadOutcome, WireServer, read_head_within, read_request_head, wait_for_request};
 pub use stream::{
     StreamError, WireStream, close_after_reading, pause_after_read, read_some, reset_on_close,
--- a/src/wire/reading.rs
+++ b/src/wire/reading.rs
@@ -2,6 +2,7 @@
 
 use crate::wire::body::{BodyDecoder, BodyError, BodyStep};
 use crate::wire::head::{HeadError, HeadLimits, HeadStep, WireHead, parse_response};
+use crate::wire::response_budget::ResponseHold;
 use crate::wire::stream::{StreamError, WireStream, pause_after_read, read_some};
 use async_io::Async;
 use bytes::BytesMut;
@@ -23,6 +24,8 @@
     Body(BodyError),
     /// The body exceeds the limit.
     BodyTooLong,
+    /// Other responses hold the memory.
+    NoMemory,
     /// More than [`MAX_INTERIM_RESPONSES`] interim responses came, and no other.
     NoFinalResponse,
     /// The connection ended before the head or body was complete.
@@ -35,6 +38,7 @@
             Self::Head(cause) => cause.fmt(f),
             Self::Body(cause) => cause.fmt(f),
             Self::BodyTooLong => f.write_str("body exceeds the size limit"),
+            Self::NoMemory => f.write_str("no memory for the response"),
             Self::NoFinalResponse => f.write_str("too many interim responses"),
             Self::Stream(cause) => cause.fmt(f),
         }
@@ -104,7 +108,8 @@
     Err(ReadError::NoFinalResponse)
 }
 
-/// Reads a body to its end. Fails once the body is longer than `limit` bytes and still incomplete.
+/// Reads a body to its end. Fails once the body is longer than `limit` bytes and still incomplete, or there is
+/// no memory for it; `memory` holds it for as long as it is kept.
 ///
 /// # Errors
 /// Any [`ReadError`] but [`ReadError::Head`].
@@ -112,6 +117,7 @@
     stream: &mut WireStream,
     decoder: &mut BodyDecoder,
     limit: usize,
+    memory: &mut ResponseHold,
 ) -> Result<(Vec<u8>, BodyEnd)> {
     let mut body = Vec::new();
     let mut count = 0;
@@ -122,6 +128,9 @@
         {
             BodyStep::Done => return Ok((body, BodyEnd::Framed)),
             BodyStep::Incomplete if body.len() > limit => return Err(ReadError::BodyTooLong),
+            BodyStep::Incomplete if !memory.resize(body.capacity()) => {
+                return Err(ReadError::NoMemory);
+            }
             BodyStep::Incomplete => pause_after_read(count).await,
         }
         match fill_body(stream, decoder)
