Bound the memory of responses on the own interface

Thirty calls at a service whose responses have no end took a daemon to 365 MB.

Cause: each response may be 16 MiB long, and nothing bounds all of them.

Change: the pool of connections has a ResponseBudget of bounds.body_total_bytes, which bodies hold while they are read. Memory is now counted before a buffer grows, in the steps that uploads have, on the platform's path, too.

--- a/rig/src/service.rs
+++ b/rig/src/service.rs
@@ -4,13 +4,14 @@
 use arbutusmount::{ConnectionCount, serve_http};
 use async_std::net::TcpListener;
 use async_std::task;
+use futures_lite::io::{BufReader, repeat};
 use serde::{Deserialize, Serialize};
 use std::fs::{File, OpenOptions};
 use std::io::{self, Write};
 use std::path::Path;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
-use tide::{Request, Response, StatusCode};
+use tide::{Body, Request, Response, StatusCode};
 
 /// Behaviour of a service; it can be changed while the service runs.
 #[derive(Debug, Clone, Default)]
@@ -27,6 +28,8 @@
     pub die_after: bool,
     /// Refuse calls with status 503 without running them.
     pub refuse: bool,
+    /// Run calls and reply with a body without end.
+    pub endless: bool,
 }
 
 /// One run of a call.
@@ -200,6 +203,12 @@
         std::process::exit(70);
     }
     task::sleep(Duration::from_millis(knobs.after_ms)).await;
+    if knobs.endless {
+        let body = BufReader::new(repeat(b'x'));
+        return Ok(Response::builder(StatusCode::Ok)
+            .body(Body::from_reader(body, None))
+            .build());
+    }
     let mut reply = reply;
     reply["run"] = number.into();
     Ok(json_response(StatusCode::Ok, &reply))
--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -3,7 +3,8 @@
 use crate::http::bounded::BoundedStream;
 use crate::http::library_panic::catch_panic;
 use crate::http::pool::{ConnectionPool, SendError};
-use futures_lite::{AsyncBufReadExt, AsyncReadExt};
+use crate::wire::ResponseHold;
+use futures_lite::{AsyncBufReadExt, AsyncRead, AsyncReadExt};
 use http_types::Response;
 use std::io;
 use std::net::SocketAddr;
@@ -21,7 +22,9 @@
 }
 
 /// Maximum size of a response body or of one of its lines, which are read into memory, in bytes.
-const MAX_RESPONSE_BYTES: u64 = 16 << 20;
+const MAX_RESPONSE_BYTES: usize = 16 << 20;
+/// Size of one read of a body.
+const READ_BYTES: usize = 16 * 1024;
 /// Bytes that may be read for one, with the framing of its chunks.
 const MAX_FRAMED_BYTES: usize = 20 << 20;
 
@@ -99,23 +102,12 @@
     ///
     /// # Errors
     /// [`SendError::Broken`] if the body ends early, [`SendError::BadResponse`] if it is longer
-    /// than 16 MiB.
+    /// than 16 MiB or other responses hold the memory.
     pub async fn bytes(mut self) -> Result<Vec<u8>, SendError> {
         self.stream.allow(MAX_FRAMED_BYTES);
-        let mut body = Vec::new();
-        let mut reader = self
-            .response
-            .take_body()
-            .into_reader()
-            .take(MAX_RESPONSE_BYTES + 1);
-        let read = catch_panic(reader.read_to_end(&mut body)).await;
-        read.flatten()
-            .map_err(|cause| SendError::Broken(cause.to_string()))?;
-        if body.len() as u64 > MAX_RESPONSE_BYTES {
-            return Err(SendError::BadResponse(
-                "body exceeds the limit of 16 MiB".to_owned(),
-            ));
-        }
+        let reader = self.response.take_body().into_reader();
+        let read = catch_panic(read_bounded(reader, self.pool.open_response())).await;
+        let body = read.map_err(|cause| SendError::Broken(cause.to_string()))??;
         if let Some(expected) = self.content_length()
             && body.len() as u64 != expected
         {
@@ -141,3 +133,28 @@
         self.header("content-length")?.parse().ok()
     }
 }
+
+/// Reads a body to its end, within the memory for it.
+async fn read_bounded(
+    mut reader: impl AsyncRead + Unpin,
+    mut memory: ResponseHold,
+) -> Result<Vec<u8>, SendError> {
+    let mut input = vec![0; READ_BYTES];
+    let mut body = Vec::new();
+    loop {
+        let read = reader.read(&mut input).await;
+        let count = read.map_err(|cause| SendError::Broken(cause.to_string()))?;
+        if count == 0 {
+            return Ok(body);
+        }
+        if body.len() + count > MAX_RESPONSE_BYTES {
+            let cause = "body exceeds the limit of 16 MiB";
+            return Err(SendError::BadResponse(cause.to_owned()));
+        }
+        if !memory.reserve(&mut body, count) {
+            let cause = "no memory for the response";
+            return Err(SendError::BadResponse(cause.to_owned()));
+        }
+        body.extend_from_slice(&input[..count]);
+    }
+}
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -3,6 +3,7 @@
 use crate::http::bounded::BoundedStream;
 use crate::http::connection::{ConnectionReuse, HttpResponse};
 use crate::http::library_panic::catch_panic;
+use crate::wire::{ResponseBudget, ResponseHold};
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use futures_lite::future::poll_once;
@@ -143,6 +144,7 @@
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
     connect_timeout: Duration,
     idle_limit: usize,
+    responses: ResponseBudget,
 }
 
 impl fmt::Debug for ConnectionPool {
@@ -156,13 +158,28 @@
 impl ConnectionPool {
     /// Creates a pool that keeps up to `idle_limit` idle connections for each address.
     pub fn new(connect_timeout: Duration, idle_limit: usize) -> Arc<Self> {
+        Self::with_budget(connect_timeout, idle_limit, ResponseBudget::default())
+    }
+
+    /// Does the same as [`Self::new`], with a budget for the bodies of all responses.
+    pub fn with_budget(
+        connect_timeout: Duration,
+        idle_limit: usize,
+        responses: ResponseBudget,
+    ) -> Arc<Self> {
         Arc::new(Self {
             idle: Mutex::default(),
             connect_timeout,
             idle_limit,
+            responses,
         })
     }
 
+    /// Memory for the body of one more response.
+    pub(super) fn open_response(&self) -> ResponseHold {
+        self.responses.open()
+    }
+
     /// Sends a call and waits for the head of its response. A call with
     /// [`ConnectionReuse::WithRetry`] is sent again on a new connection if a pooled one fails.
     ///
--- a/src/kernel/context.rs
+++ b/src/kernel/context.rs
@@ -13,6 +13,7 @@
 use crate::settings::DaemonSettings;
 use crate::store::StoreClient;
 use crate::telemetry::{MetricSet, TraceSink};
+use crate::wire::ResponseBudget;
 use std::sync::{Arc, OnceLock};
 
 /// Shared state of one daemon, safe to use from any thread.
@@ -61,7 +62,10 @@
     pub fn new(settings: DaemonSettings) -> Arc<Self> {
         let clock = MonoClock::start();
         let timing = &settings.timing;
-        let pool = ConnectionPool::new(timing.connect_timeout(), settings.bounds.idle_connections);
+        let bounds = &settings.bounds;
+        let responses = ResponseBudget::with_limit(bounds.body_total_bytes);
+        let connect_timeout = timing.connect_timeout();
+        let pool = ConnectionPool::with_budget(connect_timeout, bounds.idle_connections, responses);
         let platform = &settings.platform;
         let store = StoreClient::new(Arc::clone(&pool), platform.store, timing.store_timeout());
         let instance_client = InstanceClient::new(
--- a/src/relay/forwarding.rs
+++ b/src/relay/forwarding.rs
@@ -174,6 +174,9 @@
         output: &mut Vec<u8>,
     ) -> ForwardStep {
         let input = &mut self.response.stream.input;
+        if !self.memory.reserve(self.splitter.input(), input.len()) {
+            return ForwardStep::Fail(FailedAttempt::out_of_memory());
+        }
         let step = match self.response.decoder.advance(input, self.splitter.input()) {
             Ok(step) => step,
             Err(cause) => return invalid_stream(&cause),
@@ -181,11 +184,7 @@
         if !self.take_events(delivered, output) {
             return invalid_stream(&"events missing: gap in the event ids");
         }
-        let buffered = self.splitter.input().capacity();
         match step {
-            BodyStep::Incomplete if !self.memory.resize(buffered) => {
-                ForwardStep::Fail(FailedAttempt::out_of_memory())
-            }
             BodyStep::Incomplete if self.splitter.remainder().len() > MAX_EVENT_BYTES => {
                 invalid_stream(&"event exceeds the size limit")
             }
--- a/src/wire/reading.rs
+++ b/src/wire/reading.rs
@@ -122,15 +122,15 @@
     let mut body = Vec::new();
     let mut count = 0;
     loop {
+        if !memory.reserve(&mut body, stream.input.len()) {
+            return Err(ReadError::NoMemory);
+        }
         match decoder
             .advance(&mut stream.input, &mut body)
             .map_err(ReadError::Body)?
         {
             BodyStep::Done => return Ok((body, BodyEnd::Framed)),
             BodyStep::Incomplete if body.len() > limit => return Err(ReadError::BodyTooLong),
-            BodyStep::Incomplete if !memory.resize(body.capacity()) => {
-                return Err(ReadError::NoMemory);
-            }
             BodyStep::Incomplete => pause_after_read(count).await,
         }
         match fill_body(stream, decoder)
--- a/src/wire/upload.rs
+++ b/src/wire/upload.rs
@@ -113,6 +113,12 @@
     }
 }
 
+/// Capacity of a buffer that has to grow from `capacity` to hold `needed` bytes.
+pub(super) fn grown_capacity(capacity: usize, needed: usize) -> usize {
+    let step = capacity.clamp(MIN_STEP_BYTES, MAX_STEP_BYTES);
+    needed.max(capacity + step)
+}
+
 /// Makes room for `input` more bytes, of at most `longest` in total, once the memory for them is granted.
 ///
 /// # Errors
@@ -128,8 +134,7 @@
     if needed <= body.capacity() {
         return Ok(());
     }
-    let step = body.capacity().clamp(MIN_STEP_BYTES, MAX_STEP_BYTES);
-    let capacity = needed.max(body.capacity() + step).min(longest);
+    let capacity = grown_capacity(body.capacity(), needed).min(longest);
     let held = held.hold(INPUT_BYTES + capacity, bounds.one_request());
     held.await?;
     body.reserve_exact(capacity - body.len());
--- a/tests/response_budget.rs
+++ b/tests/response_budget.rs
@@ -71,3 +71,23 @@
     assert!(next.resize(0), "a response may always shrink");
     assert_eq!(budget.held(), 0);
 }
+
+/// A buffer grows in steps rather than by doubling, and only after the memory for that was counted.
+#[test]
+fn buffer_grows_no_further_than_its_memory() {
+    let budget = budget();
+    let mut hold = budget.open();
+    let mut buffer = Vec::new();
+
+    while hold.reserve(&mut buffer, SMALL_BYTES) {
+        buffer.resize(buffer.len() + SMALL_BYTES, 0);
+    }
+
+    assert!(
+        buffer.capacity() <= 2 * MB + SMALL_BYTES,
+        "{}",
+        buffer.capacity()
+    );
+    assert!(buffer.len() > MB, "{}", buffer.len());
+    assert_eq!(budget.held(), buffer.capacity() - SMALL_BYTES);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -75,3 +75,12 @@
     }
     None
 }
+
+/// Highest memory of the first daemon so far, in KiB.
+pub fn peak_kib(fleet: &ProcessFleet) -> u64 {
+    let path = format!("/proc/{}/status", fleet.daemons[0].process.id());
+    let text = std::fs::read_to_string(path).expect("the daemon lives");
+    let line = text.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let figure = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+    figure.expect("the peak is a number")
+}
--- a/tests/upload_memory.rs
+++ b/tests/upload_memory.rs
@@ -9,7 +9,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::thread;
 use std::time::Duration;
-use support::ready_fleet;
+use support::{peak_kib, ready_fleet};
 
 /// Connections with an unfinished body, its size, and the bound on the daemon's memory in KiB.
 const UPLOADS: usize = 120;
@@ -38,14 +38,6 @@
     ready_fleet(spec, 1).await
 }
 
-fn peak_kib(fleet: &ProcessFleet) -> u64 {
-    let path = format!("/proc/{}/status", fleet.daemons[0].process.id());
-    let text = std::fs::read_to_string(path).expect("the daemon lives");
-    let line = text.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-    let figure = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
-    figure.expect("the peak is a number")
-}
-
 fn open_descriptors(fleet: &ProcessFleet) -> usize {
     let entries = std::fs::read_dir(format!("/proc/{}/fd", fleet.daemons[0].process.id()));
     entries.expect("the daemon lives").count()
