--- a/src/settings.rs
+++ b/src/settings.rs
@@ -147,7 +147,8 @@
 pub struct BoundSettings {
     /// Size of the largest request body accepted, in bytes.
     pub body_bytes: usize,
-    /// Most bytes that the request bodies of all callers may hold together.
+    /// Most bytes that the request bodies of all callers may hold together, and as many for the bodies of
+    /// responses that are being read.
     pub body_total_bytes: usize,
     /// Most open connections of callers.
     pub connections: usize,
