--- a/tests/http_broken_answers.rs
+++ b/tests/http_broken_answers.rs
@@ -1,4 +1,4 @@
-//! Broken responses over the own interface: none counts as a response, and the process goes on.
+//! Broken responses over the own interface: none counts as a response, and none ends the process.
 
 use arbutusmount::{ConnectionPool, HttpCall};
 use async_std::task;
